--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+# Development entry points. Every target works from a fresh clone with Python 3.11.
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+MINUTES ?= 2
+SEED ?= 1
+
+.PHONY: demo up test lint format proto bench soak clean
+
+$(BIN)/.installed: pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -e '.[dev]'
+	touch $@
+
+lint: $(BIN)/.installed
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+
+format: $(BIN)/.installed
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+test: lint
+	$(BIN)/python -m test $(ARGS)
+
+demo: $(BIN)/.installed
+	$(BIN)/python -m emulator.demo $(ARGS)
+
+up: $(BIN)/.installed
+	$(BIN)/python -m emulator.up $(ARGS)
+
+proto: $(BIN)/.installed
+	$(BIN)/python -m grpc_tools.protoc -I. --python_out=. --grpc_python_out=. \
+	    heatherswitch/protocol/heatherswitch.proto
+
+clean:
+	rm -rf $(VENV) .run build *.egg-info
--- /dev/null
+++ b/heatherswitch/agent/__init__.py
@@ -0,0 +1,1 @@
+"""The agent program: the only door to one backend server."""
--- /dev/null
+++ b/heatherswitch/exchange/__init__.py
@@ -0,0 +1,1 @@
+"""Spreads configuration and membership between the processes."""
--- /dev/null
+++ b/heatherswitch/fleet/config.py
@@ -0,0 +1,175 @@
+"""The configuration in force at one process, built from replicated entries."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from heatherswitch.fleet.records import (
+    MOVES_PREFIX,
+    PARTITIONS_PREFIX,
+    Move,
+    MoveKind,
+    MoveState,
+    PartitionHead,
+    RecordError,
+)
+from heatherswitch.fleet.settings import (
+    SETTINGS_PREFIX,
+    Selector,
+    Settings,
+    SettingsError,
+    SettingsTree,
+)
+from heatherswitch.statecore.replica import Entry
+
+
+@dataclass(frozen=True, slots=True)
+class VersionSplit:
+    """Which versions of a service take chats.
+
+    :param active: the version that takes all others; empty for any version.
+    :param starting: the version that takes ``share``, or empty.
+    :param share: 0 to 1.
+    """
+
+    active: str = ""
+    starting: str = ""
+    share: float = 0.0
+
+
+class FleetConfig:
+    """Settings tree, moves and partition heads of one process."""
+
+    __slots__ = ("_heads", "_moves", "_revision", "_tree")
+
+    def __init__(self) -> None:
+        self._tree = SettingsTree()
+        self._moves: dict[str, Move] = {}
+        self._heads: dict[tuple[str, int], PartitionHead] = {}
+        self._revision = 0
+
+    @property
+    def tree(self) -> SettingsTree:
+        """The settings tree in force."""
+        return self._tree
+
+    @property
+    def revision(self) -> int:
+        """Revision of the newest entry that was applied."""
+        return self._revision
+
+    @property
+    def moves(self) -> list[Move]:
+        """All move records, oldest first."""
+        return sorted(self._moves.values(), key=lambda move: move.started_at)
+
+    def apply(self, entries: Iterable[Entry]) -> list[Exception]:
+        """Puts changed entries in force; invalid ones are left out.
+
+        :returns: the errors of the entries that were left out.
+        """
+        errors = []
+        for entry in entries:
+            self._revision = max(self._revision, entry.mod_revision)
+            try:
+                self._apply_entry(entry)
+            except (SettingsError, RecordError) as error:
+                errors.append(error)
+        return errors
+
+    def _apply_entry(self, entry: Entry) -> None:
+        if entry.key.startswith(SETTINGS_PREFIX):
+            self._tree.set_node_bytes(entry.key[len(SETTINGS_PREFIX) :], entry.value)
+        elif entry.key.startswith(MOVES_PREFIX):
+            self._apply_move(entry)
+        elif entry.key.startswith(PARTITIONS_PREFIX):
+            self._apply_head(entry)
+
+    def _apply_move(self, entry: Entry) -> None:
+        move_id = entry.key[len(MOVES_PREFIX) :]
+        if entry.value is None:
+            self._moves.pop(move_id, None)
+        else:
+            self._moves[move_id] = Move.from_bytes(entry.value)
+
+    def _apply_head(self, entry: Entry) -> None:
+        service, _, partition = entry.key[len(PARTITIONS_PREFIX) :].rpartition("/")
+        if not partition.isdigit():
+            raise RecordError(f"{entry.key}: not the key of a partition")
+        if entry.value is None:
+            self._heads.pop((service, int(partition)), None)
+        else:
+            head = PartitionHead.from_bytes(entry.value, entry.mod_revision)
+            self._heads[service, int(partition)] = head
+
+    def settings(
+        self, service: str = "", zone: str = "", workspace: str = "", version: str = ""
+    ) -> Settings:
+        """Returns the effective settings of a selector."""
+        return self._tree.effective(Selector(service, zone, workspace, version))
+
+    def head(self, service: str, partition: int) -> PartitionHead:
+        """Returns the head of a partition; one without owner if none is stored."""
+        known = self._heads.get((service, partition))
+        return known or PartitionHead(service=service, partition=partition)
+
+    def zone_is_out(self, service: str, zone: str, now: float) -> bool:
+        """Tells whether a zone takes no new work of a service.
+
+        :param now: seconds since the epoch.
+        """
+        if self.settings(service=service, zone=zone).get("zone_state") == "out":
+            return True
+        latest = self._latest_move(MoveKind.ZONE_BACK, zone=zone)
+        if latest is None:
+            return False
+        return latest.effective_state(now) is MoveState.TAKEN_BACK and (
+            latest.state is MoveState.RUNNING
+        )
+
+    def split(self, service: str, now: float) -> VersionSplit:
+        """Returns which versions of a service take chats.
+
+        :param now: seconds since the epoch.
+        """
+        active = starting = ""
+        share = 0.0
+        for version in self._versions(service):
+            settings = self.settings(service=service, version=version)
+            state = settings.get("version_state")
+            if state == "active":
+                active = version
+            elif state == "starting":
+                starting = version
+                share = settings.get("version_share")
+        move = self._latest_move(MoveKind.VERSION, service=service)
+        if move is not None and move.to_version == starting:
+            running = move.effective_state(now) is MoveState.RUNNING
+            share = move.share if running else 0.0
+        return VersionSplit(active, starting, share)
+
+    def version_is_closed(self, service: str, version: str, now: float) -> bool:
+        """Tells whether a version takes no new work.
+
+        :param now: seconds since the epoch.
+        """
+        state = self.settings(service=service, version=version).get("version_state")
+        if state in ("taken_back", "retired"):
+            return True
+        if state == "starting":
+            return self.split(service, now).share <= 0.0
+        return False
+
+    def _versions(self, service: str) -> list[str]:
+        prefix = f"/service={service}/version="
+        paths = (path for path in self._tree.nodes if path.startswith(prefix))
+        return sorted(path[len(prefix) :] for path in paths)
+
+    def _latest_move(
+        self, kind: MoveKind, service: str = "", zone: str = ""
+    ) -> Move | None:
+        found = [
+            move
+            for move in self._moves.values()
+            if move.kind is kind and move.service == service and move.zone == zone
+        ]
+        return max(found, key=lambda move: move.started_at, default=None)
--- /dev/null
+++ b/heatherswitch/fleet/members.py
@@ -0,0 +1,159 @@
+"""The membership table: which routers and agents were heard of, and when."""
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, replace
+from enum import Enum
+
+# A member that is unheard for this long is ranked last, in seconds.
+SUSPECT_AFTER_S = 2.5
+# A member that is unheard for this long is removed, in seconds.
+REMOVE_AFTER_S = 10.0
+
+
+class Role(Enum):
+    """What a member does."""
+
+    ROUTER = "router"
+    AGENT = "agent"
+
+
+class MemberState(Enum):
+    """What a member says of itself."""
+
+    STARTING = "starting"
+    LIVE = "live"
+    LEAVING = "leaving"
+    GONE = "gone"
+
+
+@dataclass(frozen=True, slots=True)
+class Load:
+    """Load of one agent.
+
+    :param running: requests at the backend server.
+    :param queued: requests that wait in the agent.
+    :param limit: requests that the server may run now, from its warmth.
+    """
+
+    running: int = 0
+    queued: int = 0
+    limit: int = 0
+
+    @property
+    def total(self) -> int:
+        """Requests running and queued."""
+        return self.running + self.queued
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """One process of the fleet as it describes itself.
+
+    :param address: ``host:port`` of the gRPC listener.
+    :param incarnation: nanoseconds since the epoch when the process started.
+    :param heartbeat: rises by one with each heartbeat of the member.
+    """
+
+    id: str
+    role: Role
+    zone: str
+    address: str
+    incarnation: int
+    region: str = ""
+    heartbeat: int = 0
+    state: MemberState = MemberState.LIVE
+    service: str = ""
+    version: str = ""
+    load: Load = Load()
+    cold: bool = False
+    config_revision: int = 0
+
+    @property
+    def age_key(self) -> tuple[int, int]:
+        """Orders records of the same member from old to new."""
+        return (self.incarnation, self.heartbeat)
+
+
+class MemberTable:
+    """Keeps the newest record of each member and when it was received."""
+
+    __slots__ = ("_heard", "_members")
+
+    def __init__(self) -> None:
+        self._members: dict[str, Member] = {}
+        self._heard: dict[str, float] = {}
+
+    def __len__(self) -> int:
+        return len(self._members)
+
+    def __iter__(self) -> Iterator[Member]:
+        return iter(self._members.values())
+
+    def get(self, member_id: str) -> Member | None:
+        """Returns the newest record of a member, or None."""
+        return self._members.get(member_id)
+
+    def merge(self, now: float, members: Iterable[Member]) -> list[Member]:
+        """Takes records that are newer than the known ones.
+
+        :param now: monotonic time in seconds.
+        :returns: the records that were taken.
+        """
+        taken = []
+        for member in members:
+            known = self._members.get(member.id)
+            if known is not None and known.age_key >= member.age_key:
+                continue
+            self._members[member.id] = member
+            self._heard[member.id] = now
+            taken.append(member)
+        return taken
+
+    def update_load(self, now: float, member_id: str, load: Load) -> None:
+        """Takes a load that arrived with an answer of the member itself."""
+        known = self._members.get(member_id)
+        if known is not None:
+            self._members[member_id] = replace(known, load=load)
+            self._heard[member_id] = now
+
+    def suspect(self, now: float, member_id: str) -> bool:
+        """Tells whether a member has been unheard for too long."""
+        heard = self._heard.get(member_id)
+        return heard is None or now - heard > SUSPECT_AFTER_S
+
+    def expire(self, now: float) -> list[Member]:
+        """Removes members that are gone or unheard for too long.
+
+        :returns: the removed records.
+        """
+        removed = [
+            member
+            for member in self._members.values()
+            if now - self._heard[member.id] > REMOVE_AFTER_S
+        ]
+        for member in removed:
+            del self._members[member.id]
+            del self._heard[member.id]
+        return removed
+
+    def agents(self, service: str, version: str | None = None) -> list[Member]:
+        """Returns the agents of a service that may take new work.
+
+        :param version: restricts to one version when given.
+        """
+        return [
+            member
+            for member in self._members.values()
+            if member.role is Role.AGENT
+            and member.service == service
+            and member.state is MemberState.LIVE
+            and (version is None or member.version == version)
+        ]
+
+    def routers(self) -> list[Member]:
+        """Returns the routers that are live."""
+        return [
+            member
+            for member in self._members.values()
+            if member.role is Role.ROUTER and member.state is MemberState.LIVE
+        ]
--- /dev/null
+++ b/heatherswitch/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""gRPC messages between the processes of heatherswitch."""
--- /dev/null
+++ b/heatherswitch/router/__init__.py
@@ -0,0 +1,1 @@
+"""The router program: callers in front, agents behind."""
--- /dev/null
+++ b/heatherswitch/statecore/replica.py
@@ -0,0 +1,92 @@
+"""A replica of store entries that only moves forward in revision."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    """One store entry at one revision.
+
+    :param mod_revision: store revision of the entry's last change.
+    :param value: None when the entry was deleted at that revision.
+    """
+
+    key: str
+    mod_revision: int
+    value: bytes | None
+
+
+class ReplicatedEntries:
+    """Holds the newest known entries and the revision up to which they are complete.
+
+    Deleted entries stay as tombstones, so that a delta tells of the deletion.
+    """
+
+    __slots__ = ("_entries", "_revision")
+
+    def __init__(self) -> None:
+        self._entries: dict[str, Entry] = {}
+        self._revision = 0
+
+    @property
+    def revision(self) -> int:
+        """All changes up to this store revision are held."""
+        return self._revision
+
+    def get(self, key: str) -> Entry | None:
+        """Returns an entry that exists, or None."""
+        entry = self._entries.get(key)
+        return entry if entry is not None and entry.value is not None else None
+
+    def with_prefix(self, prefix: str) -> list[Entry]:
+        """Returns the existing entries under a prefix, sorted by key."""
+        found = [
+            entry
+            for key, entry in self._entries.items()
+            if key.startswith(prefix) and entry.value is not None
+        ]
+        return sorted(found, key=lambda entry: entry.key)
+
+    def apply(self, entries: Iterable[Entry], complete_revision: int) -> list[Entry]:
+        """Takes entries that are newer than the known ones.
+
+        :param complete_revision: the entries, with those already held, are
+            complete up to this revision; 0 when nothing is known of it.
+        :returns: the entries that were taken, in order of revision.
+        """
+        taken = []
+        for entry in sorted(entries, key=lambda e: e.mod_revision):
+            known = self._entries.get(entry.key)
+            if known is not None and known.mod_revision >= entry.mod_revision:
+                continue
+            self._entries[entry.key] = entry
+            taken.append(entry)
+        self._revision = max(self._revision, complete_revision)
+        return taken
+
+    def apply_snapshot(self, entries: Iterable[Entry], revision: int) -> list[Entry]:
+        """Takes all entries that exist at ``revision``.
+
+        A held entry that the snapshot lacks was deleted, unless it is newer. A
+        snapshot below the held revision is stale and is ignored whole.
+
+        :returns: the changes, in order of revision.
+        """
+        if revision < self._revision:
+            return []
+        present = list(entries)
+        keys = {entry.key for entry in present}
+        deleted = [
+            Entry(entry.key, revision, None)
+            for entry in self._entries.values()
+            if entry.key not in keys
+            and entry.value is not None
+            and entry.mod_revision <= revision
+        ]
+        return self.apply([*present, *deleted], revision)
+
+    def since(self, revision: int) -> list[Entry]:
+        """Returns entries and tombstones above ``revision``, oldest first."""
+        newer = [e for e in self._entries.values() if e.mod_revision > revision]
+        return sorted(newer, key=lambda entry: entry.mod_revision)
--- /dev/null
+++ b/heatherswitch/ui/__init__.py
@@ -0,0 +1,1 @@
+"""Thin command-line programs."""
--- /dev/null
+++ b/heatherswitch/util/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, metrics, HTTP and task helpers that every program uses."""
--- /dev/null
+++ b/test/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of heatherswitch; run them with ``python -m test``."""
