Rework the HTTP server and test it against bad input

Cause: a first test run showed two faults. A head that arrived in one read passed the header limit and ended in a 500 answer, because h11 applies its limit only to incomplete heads. The port could not be read after stop().

Change: the head is measured after parsing; one time limit covers a whole request; the end of a caller's connection is an event of the stream protocol instead of a poll every 50 ms; Expect: 100-continue is served.

Ruled out: reading ahead to notice a closed connection, since that takes pipelined bytes.

--- a/heatherswitch/util/http_server.py
+++ b/heatherswitch/util/http_server.py
@@ -14,24 +14,38 @@
 
 log = logging.getLogger("heatherswitch.http_server")
 
+# Connections that wait to be accepted.
+BACKLOG = 1024
+
 
 class Responder:
     """Writes the answer to one request."""
 
-    __slots__ = ("_chunked", "_connection", "_writer", "started")
+    __slots__ = ("_closing", "_connection", "_writer", "started")
 
-    def __init__(self, connection: h11.Connection, writer: asyncio.StreamWriter):
+    def __init__(
+        self,
+        connection: h11.Connection,
+        writer: asyncio.StreamWriter,
+        closing: Callable[[], bool],
+    ) -> None:
         self._connection = connection
         self._writer = writer
-        self._chunked = False
+        self._closing = closing
         self.started = False
 
     async def start(self, status: int, headers: Headers) -> None:
-        """Sends the head; the body follows by :meth:`write`."""
+        """Sends the head; the body follows by :meth:`write`.
+
+        Without a Content-Length the body is sent in chunks.
+        """
         self.started = True
-        if not any(name.lower() == "content-length" for name, _ in headers):
-            headers = [*headers, ("Transfer-Encoding", "chunked")]
-        await self._send(h11.Response(status_code=status, headers=headers))
+        sent = list(headers)
+        if not any(name.lower() == "content-length" for name, _ in sent):
+            sent.append(("Transfer-Encoding", "chunked"))
+        if self._closing():
+            sent.append(("Connection", "close"))
+        await self._send(h11.Response(status_code=status, headers=sent))
 
     async def write(self, data: bytes) -> None:
         """Sends a part of the body."""
@@ -71,38 +85,43 @@
 class HttpServer:
     """Serves one listener; each request runs ``handler``.
 
-    The handler is cancelled when the caller closes its connection.
+    The handler is cancelled when the caller closes its connection. It may raise
+    :class:`BadRequest` before it has started an answer.
     """
 
-    __slots__ = (
-        "_connections",
-        "_handler",
-        "_limits",
-        "_server",
-        "_stopping",
-        "_tasks",
-    )
+    __slots__ = ("_connections", "_handler", "_limits", "_port", "_server", "_stopping")
 
     def __init__(self, handler: Handler, limits: HttpLimits | None = None) -> None:
         self._handler = handler
         self._limits = limits or HttpLimits()
         self._server: asyncio.Server | None = None
+        self._port = 0
         self._stopping = False
-        self._tasks: set[asyncio.Task] = set()
-        self._connections: dict[asyncio.Task, bool] = {}
+        self._connections: dict[asyncio.Task, _Connection] = {}
 
     @property
     def port(self) -> int:
-        """The port that the listener is bound to."""
-        return self._server.sockets[0].getsockname()[1]
+        """The port that the listener was bound to by :meth:`start`."""
+        return self._port
+
+    @property
+    def stopping(self) -> bool:
+        """True once :meth:`stop` was called."""
+        return self._stopping
 
     async def start(
         self, host: str, port: int, tls: ssl.SSLContext | None = None
     ) -> None:
         """Binds the listener; port 0 picks a free one."""
-        self._server = await asyncio.start_server(
-            self._on_connection, host, port, ssl=tls, limit=READ_SIZE, backlog=1024
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: _Protocol(self._on_connection, loop),
+            host,
+            port,
+            ssl=tls,
+            backlog=BACKLOG,
         )
+        self._port = self._server.sockets[0].getsockname()[1]
 
     async def stop(self, grace_s: float) -> None:
         """Stops accepting, lets running requests finish, then closes.
@@ -111,25 +130,25 @@
         """
         self._stopping = True
         self._server.close()
-        for task, busy in list(self._connections.items()):
-            if not busy:
+        for task, connection in list(self._connections.items()):
+            if not connection.busy:
                 task.cancel()
         if self._connections:
             await asyncio.wait(list(self._connections), timeout=grace_s)
         for task in list(self._connections):
             task.cancel()
 
-    async def _on_connection(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        task = asyncio.current_task()
+    async def _on_connection(self, reader, writer, closed: asyncio.Event) -> None:
         if len(self._connections) >= self._limits.connections:
+            log.warning("connection limit reached; closing a new connection")
             writer.close()
             return
-        self._connections[task] = False
+        task = asyncio.current_task()
+        connection = _Connection(self, self._handler, self._limits, reader, writer)
+        self._connections[task] = connection
         try:
-            await self._serve(task, reader, writer)
-        except (OSError, h11.RemoteProtocolError, asyncio.IncompleteReadError):
+            await connection.serve(closed)
+        except (OSError, h11.RemoteProtocolError):
             log.debug("connection closed by the peer")
         except asyncio.CancelledError:
             # Raised by stop(); a cancelled connection task has nothing to unwind.
@@ -138,96 +157,138 @@
             del self._connections[task]
             writer.close()
 
-    async def _serve(self, task, reader, writer) -> None:
-        connection = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=self._limits.header_bytes
+
+class _Connection:
+    """Serves the requests of one connection, one after the other."""
+
+    __slots__ = (
+        "_handler",
+        "_http",
+        "_limits",
+        "_reader",
+        "_server",
+        "_writer",
+        "busy",
+    )
+
+    def __init__(self, server, handler, limits, reader, writer) -> None:
+        self._server = server
+        self._handler = handler
+        self._limits = limits
+        self._reader = reader
+        self._writer = writer
+        self._http = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=limits.header_bytes
         )
-        while not self._stopping:
-            responder = Responder(connection, writer)
+        # True from the first byte of a request to the end of its answer.
+        self.busy = False
+
+    async def serve(self, closed: asyncio.Event) -> None:
+        """Serves until the connection cannot carry another request."""
+        while not self._server.stopping:
+            responder = Responder(
+                self._http, self._writer, lambda: self._server.stopping
+            )
             try:
-                request = await self._read_request(task, connection, reader)
+                request = await self._read_request()
+                if request is None or not await self._run(request, responder, closed):
+                    return
             except h11.RemoteProtocolError as error:
                 await self._refuse(responder, error.error_status_hint, str(error))
                 return
             except BadRequest as error:
                 await self._refuse(responder, error.status, str(error))
                 return
-            if request is None:
-                return
-            if not await self._run_handler(request, responder, reader):
-                return
-            self._connections[task] = False
-            if connection.our_state is not h11.DONE:
+            states = (self._http.our_state, self._http.their_state)
+            if states != (h11.DONE, h11.DONE):
                 return
-            if connection.their_state is not h11.DONE:
-                return
-            connection.start_next_cycle()
+            self._http.start_next_cycle()
+            self.busy = False
 
-    async def _read_request(self, task, connection, reader) -> Request | None:
-        request = None
+    async def _read_request(self) -> Request | None:
+        """Reads a request with its body; None when no further one comes."""
+        event = self._http.next_event()
+        if event is h11.NEED_DATA:
+            try:
+                async with asyncio.timeout(self._limits.idle_timeout_s):
+                    data = await self._reader.read(READ_SIZE)
+            except TimeoutError:
+                return None
+            self._http.receive_data(data)
+        else:
+            data = b"pipelined"
+        self.busy = bool(data)
+        try:
+            # One limit for the whole request, so that a caller cannot hold a
+            # connection by sending a byte now and then.
+            async with asyncio.timeout(self._limits.read_timeout_s):
+                if isinstance(event, h11.Request):
+                    return await self._read_body(self._request(event))
+                event = await self._next_event()
+                if not isinstance(event, h11.Request):
+                    return None
+                return await self._read_body(self._request(event))
+        except TimeoutError:
+            raise BadRequest(408, "the request was not sent in time") from None
+
+    async def _read_body(self, request: Request) -> Request:
         body = bytearray()
-        timeout = self._limits.idle_timeout_s
         while True:
-            event = connection.next_event()
-            if event is h11.NEED_DATA:
-                try:
-                    data = await asyncio.wait_for(reader.read(READ_SIZE), timeout)
-                except TimeoutError:
-                    if request is None and not connection.trailing_data[0]:
-                        return None
-                    raise BadRequest(408, "the request was not sent in time") from None
-                timeout = self._limits.read_timeout_s
-                self._connections[task] = True
-                connection.receive_data(data)
-            elif isinstance(event, h11.Request):
-                self._connections[task] = True
-                headers = [
-                    (k.decode("latin-1"), v.decode("latin-1")) for k, v in event.headers
-                ]
-                request = Request(
-                    event.method.decode("latin-1"),
-                    event.target.decode("latin-1"),
-                    headers,
-                )
-                if connection.they_are_waiting_for_100_continue:
-                    raise BadRequest(417, "Expect: 100-continue is not supported")
-            elif isinstance(event, h11.Data):
-                body += event.data
-                if len(body) > self._limits.body_bytes:
-                    raise BadRequest(
-                        413, f"the body is over {self._limits.body_bytes} bytes"
-                    )
-            elif isinstance(event, h11.EndOfMessage):
+            if self._http.they_are_waiting_for_100_continue:
+                go_on = h11.InformationalResponse(status_code=100, headers=[])
+                self._writer.write(self._http.send(go_on))
+            event = await self._next_event()
+            if isinstance(event, h11.EndOfMessage):
                 request.body = bytes(body)
                 return request
-            else:
-                # ConnectionClosed or PAUSED: no further request follows.
-                return None
+            if not isinstance(event, h11.Data):
+                raise h11.RemoteProtocolError("the request was cut")
+            body += event.data
+            if len(body) > self._limits.body_bytes:
+                limit = self._limits.body_bytes
+                raise BadRequest(413, f"the body is over {limit} bytes")
+
+    async def _next_event(self) -> Any:
+        event = self._http.next_event()
+        while event is h11.NEED_DATA:
+            self._http.receive_data(await self._reader.read(READ_SIZE))
+            event = self._http.next_event()
+        return event
+
+    def _request(self, event: h11.Request) -> Request:
+        # h11 applies its limit only to heads that arrive in several reads.
+        size = sum(len(name) + len(value) + 4 for name, value in event.headers)
+        if size + len(event.target) > self._limits.header_bytes:
+            raise BadRequest(431, f"the head is over {self._limits.header_bytes} bytes")
+        return Request(
+            event.method.decode("latin-1"),
+            event.target.decode("latin-1"),
+            [(k.decode("latin-1"), v.decode("latin-1")) for k, v in event.headers],
+        )
 
-    async def _run_handler(self, request, responder, reader) -> bool:
+    async def _run(self, request, responder, closed: asyncio.Event) -> bool:
         """Runs the handler; returns False when the connection must close."""
         work = asyncio.ensure_future(self._handler(request, responder))
-        closed = asyncio.ensure_future(_wait_closed(reader))
+        gone = asyncio.ensure_future(closed.wait())
         try:
-            await asyncio.wait({work, closed}, return_when=asyncio.FIRST_COMPLETED)
-            if not work.done():
-                work.cancel()
-                with contextlib.suppress(asyncio.CancelledError):
-                    await work
-                return False
-            return await self._finish(work, responder)
+            await asyncio.wait({work, gone}, return_when=asyncio.FIRST_COMPLETED)
+            if work.done():
+                return await self._finish(work, responder)
+            return False
         finally:
-            closed.cancel()
+            gone.cancel()
             if not work.done():
                 work.cancel()
+                with contextlib.suppress(asyncio.CancelledError, OSError):
+                    await work
 
-    async def _finish(self, work, responder) -> bool:
+    async def _finish(self, work: asyncio.Future, responder: Responder) -> bool:
         try:
             work.result()
-        except BadRequest as error:
-            if not responder.started:
-                await self._refuse(responder, error.status, str(error))
-            return False
+        except BadRequest:
+            if responder.started:
+                return False
+            raise
         except (OSError, h11.LocalProtocolError):
             return False
         except Exception:
@@ -238,17 +299,32 @@
         return True
 
     async def _refuse(self, responder: Responder, status: int, message: str) -> None:
+        error = {"message": message, "type": "invalid_request_error", "code": None}
         with contextlib.suppress(OSError, h11.LocalProtocolError):
-            error = {"message": message, "type": "invalid_request_error", "code": None}
-            await responder.send_json(
-                status, {"error": error}, [("Connection", "close")]
-            )
+            headers = [("Connection", "close")]
+            await responder.send_json(status, {"error": error}, headers)
 
 
-async def _wait_closed(reader: asyncio.StreamReader) -> None:
-    """Returns when the peer has closed its side.
+class _Protocol(asyncio.StreamReaderProtocol):
+    """Stream protocol that tells when the peer has closed its side.
 
-    Polls the stream's end flag, because reading would take pipelined bytes.
+    The stream reader alone would need a read, which takes pipelined bytes.
     """
-    while not reader.at_eof() and reader.exception() is None:
-        await asyncio.sleep(0.05)
+
+    def __init__(self, on_connection, loop: asyncio.AbstractEventLoop) -> None:
+        self.closed = asyncio.Event()
+        self._on_connection = on_connection
+        super().__init__(asyncio.StreamReader(READ_SIZE, loop), self._connected, loop)
+
+    async def _connected(self, reader, writer) -> None:
+        await self._on_connection(reader, writer, self.closed)
+
+    def eof_received(self) -> bool | None:
+        """Marks the connection as closed."""
+        self.closed.set()
+        return super().eof_received()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Marks the connection as closed."""
+        self.closed.set()
+        super().connection_lost(exc)
--- /dev/null
+++ b/test/test_http.py
@@ -0,0 +1,108 @@
+import asyncio
+import unittest
+
+from heatherswitch.util.http import ConnectFailed, ConnectionLost, HttpLimits
+from heatherswitch.util.http_client import HttpClient
+from heatherswitch.util.http_server import HttpServer
+
+LIMITS = HttpLimits(
+    header_bytes=2048, body_bytes=1000, connections=8, read_timeout_s=0.3
+)
+
+
+class HttpTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.cancelled = asyncio.Event()
+        self.release = asyncio.Event()
+        self.server = HttpServer(self.handle, LIMITS)
+        await self.server.start("127.0.0.1", 0)
+        self.client = HttpClient("127.0.0.1", self.server.port)
+
+    async def asyncTearDown(self):
+        self.client.close()
+        await self.server.stop(0.1)
+
+    async def handle(self, request, responder):
+        if request.path == "/echo":
+            await responder.send(200, request.body)
+        elif request.path == "/stream":
+            await responder.start(200, [])
+            await responder.write(b"one")
+            await responder.write(b"two")
+            await responder.finish()
+        elif request.path == "/wait":
+            try:
+                await self.release.wait()
+            except asyncio.CancelledError:
+                self.cancelled.set()
+                raise
+            await responder.send(200, b"late")
+        elif request.path == "/json":
+            await responder.send_json(200, request.json())
+        elif request.path == "/cut":
+            await responder.start(200, [])
+            await responder.write(b"half")
+            raise OSError("cut")
+        else:
+            raise RuntimeError("defect")
+
+    async def raw(self, data):
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.server.port)
+        writer.write(data)
+        answer = await asyncio.wait_for(reader.read(), 5)
+        writer.close()
+        return answer
+
+    async def test_connection_is_reused(self):
+        for _ in range(3):
+            response = await self.client.request("POST", "/echo", body=b"x")
+            self.assertEqual(await response.read(), b"x")
+        self.assertEqual(len(self.client._idle), 1)
+
+    async def test_chunks_arrive_whole(self):
+        response = await self.client.request("GET", "/stream")
+        self.assertEqual(await response.read(), b"onetwo")
+
+    async def test_cut_answer_is_an_error(self):
+        # Guards against a truncated answer that passes for a whole one.
+        response = await self.client.request("GET", "/cut")
+        with self.assertRaises(ConnectionLost):
+            await response.read()
+
+    async def test_handler_is_cancelled_when_the_caller_leaves(self):
+        _, writer = await asyncio.open_connection("127.0.0.1", self.server.port)
+        writer.write(b"GET /wait HTTP/1.1\r\nHost: h\r\n\r\n")
+        await asyncio.sleep(0.1)
+        writer.close()
+        await asyncio.wait_for(self.cancelled.wait(), 5)
+
+    async def test_stop_lets_a_running_request_finish(self):
+        # Guards against a planned stop that cuts a request.
+        request = asyncio.ensure_future(self.client.request("GET", "/wait"))
+        await asyncio.sleep(0.1)
+        stop = asyncio.ensure_future(self.server.stop(5))
+        await asyncio.sleep(0.05)
+        self.release.set()
+        self.assertEqual(await (await request).read(), b"late")
+        await stop
+        with self.assertRaises(ConnectFailed):
+            await HttpClient("127.0.0.1", self.server.port).request("GET", "/echo")
+
+    async def test_malformed_and_oversized_input_gets_a_clear_answer(self):
+        cases = {
+            b"nonsense\r\n\r\n": b"400",
+            b"GET / HTTP/1.1\r\nHost: h\r\nX: " + b"a" * 4000 + b"\r\n\r\n": b"431",
+            b"POST /echo HTTP/1.1\r\nHost: h\r\nContent-Length: 2000\r\n\r\n"
+            + b"a" * 2000: b"413",
+            b"POST /json HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+            b"Content-Length: 1\r\n\r\n{": b"400",
+            b"GET /defect HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n": b"500",
+        }
+        for data, status in cases.items():
+            with self.subTest(data[:20]):
+                self.assertIn(b"HTTP/1.1 " + status, await self.raw(data))
+
+    async def test_slow_request_is_refused(self):
+        # Guards against connections held open by requests that never end.
+        answer = await self.raw(b"POST /echo HTTP/1.1\r\nHost: h\r\nContent-Le")
+        self.assertIn(b"408", answer)
