--- /dev/null
+++ b/heatherswitch/agent/journal.py
@@ -0,0 +1,348 @@
+"""Claims of this agent against the store: the shell around the claim reducers."""
+
+import asyncio
+import itertools
+import logging
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from heatherswitch.fleet.claim_events import (
+    AgentsChanged,
+    AnswerClaim,
+    ClaimAbandoned,
+    ClaimFinished,
+    ClaimRequested,
+    CommitWrite,
+    HeadSeen,
+    JournalRead,
+    LimitsChanged,
+    ReadFailed,
+    ReadJournal,
+    ReadState,
+    Released,
+    ReleaseRequested,
+    StateRead,
+    Ticked,
+    WriteApplied,
+    WriteInDoubt,
+    WriteNotSent,
+    WriteRejected,
+)
+from heatherswitch.fleet.claims import (
+    Claimed,
+    ClaimReducer,
+    ClaimResult,
+    JournalUnavailable,
+    Mode,
+)
+from heatherswitch.fleet.config import FleetConfig
+from heatherswitch.fleet.records import PartitionHead, RecordError
+from heatherswitch.statecore.reducer import Effect, Event, Log, write_log
+from heatherswitch.statecore.store import (
+    AmbiguousWrite,
+    CompareFailed,
+    StoreClient,
+    StoreError,
+)
+from heatherswitch.util.clock import Clock
+
+log = logging.getLogger("heatherswitch.journal")
+
+# How often waiting claims are checked, in seconds.
+TICK_S = 0.2
+# How often partitions without waiting claims are checked, in seconds.
+IDLE_TICK_S = 5.0
+# Longest time for handing over the partitions at shutdown, in seconds.
+RELEASE_TIMEOUT_S = 5.0
+
+LiveAgents = Callable[[], Iterable[str]]
+
+
+@dataclass(frozen=True, slots=True)
+class JournalConfig:
+    """What a journal needs to know of its agent.
+
+    :param incarnation: nanoseconds since the epoch when the process started.
+    """
+
+    service: str
+    agent_id: str
+    incarnation: int
+
+
+class ClaimJournal:
+    """Records claims in the partitions that this agent owns."""
+
+    __slots__ = (
+        "_clock",
+        "_config",
+        "_fleet",
+        "_live_agents",
+        "_numbers",
+        "_reducers",
+        "_released",
+        "_store",
+        "_stopping",
+        "_tasks",
+        "_ticker",
+        "_waiters",
+    )
+
+    def __init__(
+        self,
+        config: JournalConfig,
+        store: StoreClient,
+        live_agents: LiveAgents,
+        clock: Clock,
+    ) -> None:
+        self._config = config
+        self._store = store
+        self._live_agents = live_agents
+        self._clock = clock
+        self._fleet = FleetConfig()
+        self._reducers: dict[int, ClaimReducer] = {}
+        self._numbers = itertools.count(1)
+        self._waiters: dict[int, asyncio.Future[ClaimResult]] = {}
+        self._tasks: set[asyncio.Task] = set()
+        self._released: dict[int, asyncio.Event] = {}
+        self._ticker: asyncio.Task | None = None
+        self._stopping = False
+
+    @classmethod
+    def from_config(
+        cls,
+        config: JournalConfig,
+        store: StoreClient,
+        live_agents: LiveAgents,
+        clock: Clock | None = None,
+    ) -> "ClaimJournal":
+        """Builds a journal.
+
+        :param live_agents: returns the ids of the service's live agents. The own id
+            is among them once this agent may own partitions, and not while it leaves.
+        """
+        return cls(config, store, live_agents, clock or Clock())
+
+    @property
+    def owned(self) -> list[int]:
+        """The partitions that this agent believes to own."""
+        return sorted(
+            n for n, reducer in self._reducers.items() if reducer.mode is Mode.OWNED
+        )
+
+    async def claim(
+        self,
+        partition: int,
+        workspace: str,
+        key: str,
+        fingerprint: str,
+        request_id: str,
+    ) -> ClaimResult:
+        """Claims a request; the caller starts it only on :class:`Claimed`.
+
+        When the caller is cancelled, a claim that was recorded is abandoned.
+
+        :param fingerprint: see :func:`~heatherswitch.fleet.claims.body_fingerprint`.
+        """
+        number = next(self._numbers)
+        future = asyncio.get_running_loop().create_future()
+        self._waiters[number] = future
+        self._apply_agents(partition)
+        now = self._clock.now()
+        self._apply(
+            partition,
+            ClaimRequested(now, number, workspace, key, fingerprint, request_id),
+        )
+        future.add_done_callback(lambda _: self._waiters.pop(number, None))
+        try:
+            return await asyncio.shield(future)
+        except asyncio.CancelledError:
+            future.add_done_callback(
+                lambda done: self._abandon_unused(done, partition, workspace, key)
+            )
+            raise
+
+    def _abandon_unused(self, future, partition: int, workspace: str, key: str) -> None:
+        if not future.cancelled() and isinstance(future.result(), Claimed):
+            event = ClaimAbandoned(self._clock.now(), workspace, key)
+            self._apply(partition, event)
+
+    async def complete(
+        self,
+        partition: int,
+        workspace: str,
+        key: str,
+        status: int,
+        headers: Iterable[tuple[str, str]],
+        body: bytes,
+    ) -> None:
+        """Records the answer of a claimed request; does not wait for the store."""
+        pairs = tuple((name, value) for name, value in headers)
+        now = self._clock.now()
+        event = ClaimFinished(now, workspace, key, status, pairs, body)
+        self._apply(partition, event)
+
+    async def abandon(self, partition: int, workspace: str, key: str) -> None:
+        """Records that a claimed request was provably not started and never will be."""
+        self._apply(partition, ClaimAbandoned(self._clock.now(), workspace, key))
+
+    async def release_all(self, timeout_s: float = RELEASE_TIMEOUT_S) -> None:
+        """Hands all partitions over; call it when the running work has finished.
+
+        :param timeout_s: seconds after which partitions stay as they are; another
+            agent takes them over once this one is gone.
+        """
+        self._stopping = True
+        self._released = {number: asyncio.Event() for number in self._reducers}
+        for number in list(self._reducers):
+            self._apply(number, ReleaseRequested(self._clock.now()))
+        try:
+            async with asyncio.timeout(timeout_s):
+                for event in self._released.values():
+                    await event.wait()
+        except TimeoutError:
+            log.warning("partitions were not handed over in time")
+        await self._stop_tasks()
+
+    async def _stop_tasks(self) -> None:
+        tasks = [*self._tasks, *([self._ticker] if self._ticker else [])]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        self._ticker = None
+        for future in list(self._waiters.values()):
+            if not future.done():
+                # No reducer runs any more, so the claim will not be started.
+                future.set_result(JournalUnavailable())
+
+    def on_config(self, config: FleetConfig) -> None:
+        """Takes the configuration in force."""
+        self._fleet = config
+        settings = config.settings(service=self._config.service)
+        now = self._clock.now()
+        limits = LimitsChanged(
+            now, settings.get("claim_retention_s"), settings.get("claim_start_limit_s")
+        )
+        for number in range(settings.get("partitions")):
+            if not self._stopping:
+                self._reducer(number)
+        for number in list(self._reducers):
+            self._apply_agents(number)
+            self._apply(number, limits)
+            head = config.head(self._config.service, number)
+            self._apply(number, HeadSeen(now, head))
+
+    def on_members(self) -> None:
+        """Takes a change of the live agents."""
+        for number in list(self._reducers):
+            self._apply_agents(number)
+
+    def _apply_agents(self, partition: int) -> None:
+        agents = frozenset(self._live_agents())
+        self._apply(partition, AgentsChanged(self._clock.now(), agents))
+
+    def _reducer(self, partition: int) -> ClaimReducer:
+        reducer = self._reducers.get(partition)
+        if reducer is None:
+            config = self._config
+            settings = self._fleet.settings(service=config.service)
+            reducer = ClaimReducer(
+                config.service,
+                partition,
+                config.agent_id,
+                config.incarnation,
+                settings.get("claim_start_limit_s"),
+                settings.get("claim_retention_s"),
+            )
+            self._reducers[partition] = reducer
+            now = self._clock.now()
+            if self._stopping:
+                reducer.apply(ReleaseRequested(now))
+            reducer.apply(HeadSeen(now, self._fleet.head(config.service, partition)))
+        return reducer
+
+    def _apply(self, partition: int, event: Event) -> None:
+        for effect in self._reducer(partition).apply(event):
+            self._run(partition, effect)
+        if self._ticker is None and not self._stopping:
+            self._ticker = asyncio.create_task(self._tick())
+
+    def _run(self, partition: int, effect: Effect) -> None:
+        match effect:
+            case AnswerClaim(waiter, result):
+                future = self._waiters.get(waiter)
+                if future is not None and not future.done():
+                    future.set_result(result)
+            case Log():
+                write_log(effect, log)
+            case Released():
+                released = self._released.get(partition)
+                if released is not None:
+                    released.set()
+            case CommitWrite() | ReadState() | ReadJournal():
+                task = asyncio.create_task(self._call_store(partition, effect))
+                self._tasks.add(task)
+                task.add_done_callback(self._tasks.discard)
+
+    async def _call_store(self, partition: int, effect: Effect) -> None:
+        match effect:
+            case CommitWrite():
+                event = await self._commit(effect)
+            case ReadState():
+                event = await self._read_state(effect)
+            case ReadJournal():
+                event = await self._read_journal(effect)
+        self._apply(partition, event)
+
+    async def _commit(self, effect: CommitWrite) -> Event:
+        try:
+            revision = await self._store.commit(
+                effect.compares, effect.puts, effect.deletes
+            )
+        except CompareFailed:
+            return WriteRejected(self._clock.now())
+        except AmbiguousWrite as error:
+            log.warning("write is in doubt", extra={"error": str(error)})
+            return WriteInDoubt(self._clock.now())
+        except StoreError as error:
+            log.warning("write was not applied", extra={"error": str(error)})
+            return WriteNotSent(self._clock.now())
+        return WriteApplied(self._clock.now(), revision)
+
+    async def _read_state(self, effect: ReadState) -> Event:
+        try:
+            entry = await self._store.get(effect.head_key)
+            head = None
+            if entry is not None:
+                head = PartitionHead.from_bytes(entry.value, entry.mod_revision)
+            segment = None
+            if effect.segment_key:
+                segment = await self._store.get(effect.segment_key)
+        except (StoreError, RecordError) as error:
+            log.warning("partition cannot be read", extra={"error": str(error)})
+            return ReadFailed(self._clock.now())
+        return StateRead(self._clock.now(), head, segment)
+
+    async def _read_journal(self, effect: ReadJournal) -> Event:
+        try:
+            snapshot = await self._store.range(effect.prefix)
+        except StoreError as error:
+            log.warning("journal cannot be read", extra={"error": str(error)})
+            return ReadFailed(self._clock.now())
+        return JournalRead(self._clock.now(), snapshot.revision, snapshot.entries)
+
+    async def _tick(self) -> None:
+        idle_at = self._clock.now()
+        while True:
+            await asyncio.sleep(TICK_S)
+            now = self._clock.now()
+            idle = now >= idle_at + IDLE_TICK_S
+            idle_at = now if idle else idle_at
+            for number, reducer in list(self._reducers.items()):
+                if idle or reducer.needs_tick:
+                    self._apply(number, Ticked(now))
+
+    async def close(self) -> None:
+        """Ends all tasks without handing anything over."""
+        self._stopping = True
+        await self._stop_tasks()
--- /dev/null
+++ b/heatherswitch/fleet/claim_records.py
@@ -0,0 +1,201 @@
+"""Results of a claim, and the records of a claim journal with their stored form.
+
+A segment of the journal is a JSON line per record. Keys are stored as digests and
+bodies as fingerprints, so the store holds no content of a request.
+"""
+
+import base64
+import hashlib
+import json
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from heatherswitch.fleet.records import RecordError
+
+# Bytes of the BLAKE2b digests of keys and bodies.
+DIGEST_BYTES = 16
+# Largest answer (headers and body) that is kept for a replay, in bytes.
+MAX_ANSWER_BYTES = 4096
+
+AnswerHeaders = tuple[tuple[str, str], ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Claimed:
+    """The claim is recorded and the caller may start the work, once.
+
+    :param epoch: fencing token of the partition.
+    """
+
+    epoch: int
+
+
+@dataclass(frozen=True, slots=True)
+class Replay:
+    """The request has run; this is its answer."""
+
+    status: int
+    headers: AnswerHeaders
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class RunningHere:
+    """The request is running in this process as ``request_id``."""
+
+    request_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimUnknown:
+    """The request was claimed, but its answer is not known.
+
+    :param code: ``owner_lost`` when the process that claimed it is gone, or
+        ``answer_not_stored`` when it ran and its answer was too large to keep.
+    """
+
+    code: str
+
+
+@dataclass(frozen=True, slots=True)
+class KeyReused:
+    """The key was used before with another body; nothing was run."""
+
+
+@dataclass(frozen=True, slots=True)
+class NotOwner:
+    """This process does not own the partition; nothing was run.
+
+    :param owner: agent id of the owner, or empty when it is not known.
+    """
+
+    owner: str
+
+
+@dataclass(frozen=True, slots=True)
+class JournalUnavailable:
+    """The claim cannot be recorded now; nothing was run or will be."""
+
+
+ClaimResult = (
+    Claimed
+    | Replay
+    | RunningHere
+    | ClaimUnknown
+    | KeyReused
+    | NotOwner
+    | JournalUnavailable
+)
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimRecord:
+    """A request may be started by one incarnation.
+
+    :param digest: digest of workspace and idempotency key, in hex.
+    :param claim_id: unique among all claims of the partition.
+    :param at: seconds since the epoch.
+    """
+
+    digest: str
+    claim_id: str
+    at: float
+    fingerprint: str
+    request_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class DoneRecord:
+    """A claimed request has an answer.
+
+    :param body: None when the answer was too large to keep.
+    """
+
+    digest: str
+    claim_id: str
+    at: float
+    status: int
+    headers: AnswerHeaders
+    body: bytes | None
+
+
+@dataclass(frozen=True, slots=True)
+class AbandonRecord:
+    """A claimed request was not started and never will be under this claim."""
+
+    digest: str
+    claim_id: str
+    at: float
+
+
+Record = ClaimRecord | DoneRecord | AbandonRecord
+
+
+def key_digest(workspace: str, key: str) -> str:
+    """Returns the digest of a workspace and an idempotency key, in hex."""
+    hasher = hashlib.blake2b(digest_size=DIGEST_BYTES)
+    # The length in front keeps ("a", "bc") and ("ab", "c") apart.
+    name = workspace.encode()
+    hasher.update(len(name).to_bytes(4, "big") + name + key.encode())
+    return hasher.hexdigest()
+
+
+def body_fingerprint(method: str, path: str, body: bytes) -> str:
+    """Returns the fingerprint of a request, in hex.
+
+    :param path: path and query as sent to the service.
+    """
+    hasher = hashlib.blake2b(digest_size=DIGEST_BYTES)
+    hasher.update(json.dumps([method, path]).encode() + b"\n" + body)
+    return hasher.hexdigest()
+
+
+def done_record(
+    claim: ClaimRecord, at: float, status: int, headers: AnswerHeaders, body: bytes
+) -> DoneRecord:
+    """Builds the record of an answer, without one that is too large to keep."""
+    size = len(body) + sum(len(name) + len(value) for name, value in headers)
+    if size > MAX_ANSWER_BYTES:
+        return DoneRecord(claim.digest, claim.claim_id, at, status, (), None)
+    return DoneRecord(claim.digest, claim.claim_id, at, status, tuple(headers), body)
+
+
+def encode_record(record: Record) -> bytes:
+    """Returns the stored form of a record: one line."""
+    common = [record.digest, record.claim_id, round(record.at, 3)]
+    match record:
+        case ClaimRecord():
+            values = ["claim", *common, record.fingerprint, record.request_id]
+        case DoneRecord():
+            body = record.body
+            text = None if body is None else base64.b64encode(body).decode()
+            values = ["done", *common, record.status, record.headers, text]
+        case AbandonRecord():
+            values = ["abandon", *common]
+    return json.dumps(values, separators=(",", ":")).encode() + b"\n"
+
+
+def decode_segment(value: bytes) -> Iterable[Record]:
+    """Yields the records of a segment.
+
+    :raises RecordError: if the value is not a segment.
+    """
+    for line in value.splitlines():
+        try:
+            yield _decode_record(json.loads(line))
+        except (ValueError, TypeError, IndexError) as error:
+            raise RecordError(f"not a journal record: {error!r}") from error
+
+
+def _decode_record(values: list) -> Record:
+    kind, *rest = values
+    if kind == "claim":
+        return ClaimRecord(*rest)
+    if kind == "abandon":
+        return AbandonRecord(*rest)
+    if kind == "done":
+        *common, status, headers, text = rest
+        pairs = tuple((name, value) for name, value in headers)
+        body = None if text is None else base64.b64decode(text)
+        return DoneRecord(*common, status, pairs, body)
+    raise ValueError(f"unknown kind {kind!r}")
--- /dev/null
+++ b/test/test_store.py
@@ -0,0 +1,119 @@
+import asyncio
+import socket
+import unittest
+
+from heatherswitch.statecore.store import (
+    AmbiguousWrite,
+    Compacted,
+    CompareFailed,
+    StaleAnswer,
+    StoreClient,
+    StoreUnavailable,
+)
+from test.store_process import StoreProcess
+
+
+def closed_address() -> str:
+    with socket.socket() as free:
+        free.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{free.getsockname()[1]}"
+
+
+class StoreClientTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.process = await StoreProcess.start("--history", "20")
+        self.addAsyncCleanup(self.process.stop)
+        self.store = self.client([self.process.address])
+
+    def client(self, addresses, **options) -> StoreClient:
+        store = StoreClient.from_addresses(addresses, timeout_s=0.5, **options)
+        self.addCleanup(store.close)
+        return store
+
+    async def test_commit_compares_the_revision(self):
+        # Guards against a lost update by a writer that read an older value.
+        revision = await self.store.commit({"a/1": 0}, {"a/1": b"\x00x"})
+        entry = await self.store.get("a/1")
+        self.assertEqual((entry.value, entry.mod_revision), (b"\x00x", revision))
+        with self.assertRaises(CompareFailed):
+            await self.store.commit({"a/1": 0}, {"a/1": b"y"})
+        await self.store.commit({"a/1": revision}, {"a/2": b"z"}, ["a/1"])
+        snapshot = await self.store.range("a/")
+        self.assertEqual([e.key for e in snapshot.entries], ["a/2"])
+        self.assertEqual(snapshot.revision, revision + 1)
+
+    async def test_lost_answer_is_ambiguous_and_readable(self):
+        # Guards against reporting a write as not applied when it took effect (F7).
+        await self.process.faults(lose_answer=1)
+        with self.assertRaises(AmbiguousWrite):
+            await self.store.commit({"k": 0}, {"k": b"v"})
+        self.assertEqual((await self.store.get("k")).value, b"v")
+
+    async def test_hanging_store_is_ambiguous_for_writes_only(self):
+        await self.process.faults(hang=True)
+        with self.assertRaises(AmbiguousWrite):
+            await self.store.commit({}, {"k": b"v"})
+        with self.assertRaises(StoreUnavailable):
+            await self.store.get("k")
+
+    async def test_refused_connection_means_not_applied(self):
+        # Guards against treating a write that was never sent as ambiguous (P6).
+        await self.process.faults(down="refuse")
+        with self.assertRaises(StoreUnavailable):
+            await self.store.commit({}, {"k": b"v"})
+        await self.process.faults()
+        self.assertIsNone(await self.store.get("k"))
+
+    async def test_next_address_is_tried(self):
+        store = self.client([closed_address(), self.process.address])
+        self.assertGreater(await store.commit({}, {"k": b"v"}), 0)
+
+    async def test_stale_answer_is_rejected(self):
+        # Guards against decisions on a revision from the past (F8).
+        await self.store.commit({}, {"k": b"1"})
+        await self.store.commit({}, {"k": b"2"})
+        await self.process.faults(stale=1)
+        with self.assertRaises(StaleAnswer):
+            await self.store.get("k")
+        other = self.client([self.process.address])
+        self.assertEqual((await other.get("k")).value, b"1")
+
+    async def test_watch_starts_in_the_past_and_tells_of_deletions(self):
+        first = await self.store.commit({}, {"w/a": b"1"})
+        await self.store.commit({}, {}, ["w/a"])
+        seen = []
+        async for batch in self.store.watch("w/", first):
+            seen += [entry.value for entry in batch.entries]
+            if len(seen) == 2:
+                break
+        self.assertEqual(seen, [b"1", None])
+        stats = await self.process.stats()
+        self.assertEqual(stats["total"]["watch"], 1)
+
+    async def test_silent_watch_restarts_and_misses_nothing(self):
+        # Guards against a connection that goes silent for good (F4).
+        store = self.client([self.process.address], watch_idle_s=0.4)
+        revision = await store.commit({}, {"w/a": b"0"})
+        values = []
+
+        async def follow():
+            async for batch in store.watch("w/", revision + 1):
+                values.extend(entry.value for entry in batch.entries)
+
+        task = asyncio.create_task(follow())
+        for number in range(3):
+            # Progress reports come each second, so the watch restarts in between.
+            await asyncio.sleep(0.6)
+            await self.store.commit({}, {"w/a": str(number).encode()})
+        await asyncio.sleep(0.3)
+        task.cancel()
+        self.assertEqual(values, [b"0", b"1", b"2"])
+        self.assertGreater((await self.process.stats())["total"]["watch"], 1)
+
+    async def test_compacted_history_is_reported(self):
+        # Guards against a watcher that silently misses changes.
+        for number in range(30):
+            await self.store.commit({}, {"w/a": str(number).encode()})
+        with self.assertRaises(Compacted):
+            async for _ in self.store.watch("w/", 3):
+                pass
