--- a/heatherswitch/statecore/store.py
+++ b/heatherswitch/statecore/store.py
@@ -8,6 +8,7 @@
 import json
 import logging
 from collections.abc import AsyncIterator, Iterable, Mapping
+from contextlib import aclosing
 from dataclasses import dataclass
 from typing import Any
 
@@ -198,13 +199,14 @@
         while True:
             answered = False
             try:
-                async for result in self._watch_once(prefix, start):
-                    answered = True
-                    batch = _batch(result)
-                    if batch is not None and batch.revision >= start - 1:
-                        start = batch.revision + 1
-                        self._revision = max(self._revision, batch.revision)
-                        yield batch
+                async with aclosing(self._watch_once(prefix, start)) as results:
+                    async for result in results:
+                        answered = True
+                        batch = _batch(result)
+                        if batch is not None and batch.revision >= start - 1:
+                            start = batch.revision + 1
+                            self._revision = max(self._revision, batch.revision)
+                            yield batch
             except ConnectionLost as error:
                 if not answered:
                     raise StoreUnavailable(f"the watch failed: {error}") from error
@@ -261,7 +263,8 @@
                 response.close()
                 raise
         except ConnectionLost as error:
-            # The connection may be the silent one, so another address is next.
+            # Idle connections to an instance that went silent are of no use either.
+            self._clients[self._current].close()
             self._current = (self._current + 1) % len(self._clients)
             raise lost(f"{path}: {error}") from error
         if response.status == 200:
