--- a/heatherswitch/exchange/node.py
+++ b/heatherswitch/exchange/node.py
@@ -161,7 +161,7 @@
     def store_answered(self) -> None:
         """Notes that the store's whole configuration was read, for readiness."""
         self._readiness.store_answered()
-        self._update_readiness()
+        self._update_readiness(self._own_record())
 
     async def start(self) -> None:
         """Starts the periodic exchange."""
@@ -179,6 +179,12 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._channels.close()
 
+    def exchange_soon(self) -> None:
+        """Starts one round at once without waiting for it."""
+        task = asyncio.create_task(self.exchange_now())
+        self._tasks.add(task)
+        task.add_done_callback(self._round_done)
+
     async def exchange_now(self) -> None:
         """Runs one round at once and waits for it."""
         now = self._clock.now()
@@ -195,7 +201,7 @@
                 if a not in self._busy
             )
         )
-        self._update_readiness()
+        self._update_readiness(own)
 
     def apply_entries(self, entries: Iterable[Entry], revision: int = 0) -> None:
         """Puts entries in force that are newer than those held.
@@ -235,9 +241,7 @@
     async def _run(self) -> None:
         while True:
             try:
-                task = asyncio.create_task(self.exchange_now())
-                self._tasks.add(task)
-                task.add_done_callback(self._round_done)
+                self.exchange_soon()
                 await self._channels.close_idle(self._clock.now())
             except Exception:
                 log.exception("exchange round failed")
@@ -287,7 +291,7 @@
         if sender.id == own.id:
             return
         self._revisions[address] = sender.config_revision
-        self._take_members(now, sender, reply.members)
+        self._take_members(now, own, sender, reply.members)
         entries = parse_entries(reply.entries)
         if reply.snapshot:
             self.apply_snapshot(entries, reply.config_revision)
@@ -297,7 +301,7 @@
             self._readiness.peer_answered(
                 sender.id, reply.ready, sender.config_revision
             )
-        self._update_readiness()
+        self._update_readiness(own)
         if own.role is Role.AGENT:
             for pool in reply.pool_loads:
                 if (pool.service, pool.version) == (own.service, own.version):
@@ -308,7 +312,7 @@
         sender = convert.member_from_message(request.sender)
         own = self.own
         self._homes.update(own, self._members)
-        self._take_members(now, sender, request.members)
+        self._take_members(now, own, sender, request.members)
         if request.entries_revision and self._entries.revision >= request.entries_base:
             self.apply_entries(parse_entries(request.entries), request.entries_revision)
         records = reducer.records_for(
@@ -335,14 +339,13 @@
         known = [member for member in found if member is not None]
         return known[-reducer.MAX_RECORDS :]
 
-    def _take_members(self, now: float, sender: Member, messages) -> None:
+    def _take_members(self, now: float, own: Member, sender: Member, messages):
         """Takes the sender's own record and the records that it passed on."""
-        if sender.id == self._own_record().id:
+        if sender.id == own.id:
             log.warning("another process uses this id", extra={"peer": sender.address})
             return
         self._merge(now, [sender])
         self._members.update_load(now, sender.id, sender.load)
-        own = self.own
         records = parse_members(messages)
         for record in records:
             if record.id == own.id and record.incarnation == own.incarnation:
@@ -366,8 +369,7 @@
         if taken:
             self._call(self._on_members)
 
-    def _update_readiness(self) -> None:
-        own = self._own_record()
+    def _update_readiness(self, own: Member) -> None:
         routers = {m.address for m in self._members.routers()} | set(self._seeds)
         others = len(routers - {own.address})
         if self.ready:
--- /dev/null
+++ b/test/memory_store.py
@@ -0,0 +1,92 @@
+"""An in-memory double of the store client, with faults that tests switch on."""
+
+import asyncio
+
+from heatherswitch.statecore.replica import Entry
+from heatherswitch.statecore.store import (
+    AmbiguousWrite,
+    Compacted,
+    CompareFailed,
+    Snapshot,
+    StoreUnavailable,
+    WatchBatch,
+)
+
+
+class MemoryStore:
+    """Keeps entries and their history; has the interface of ``StoreClient``.
+
+    :ivar down: every call fails before it is applied.
+    :ivar lost: writes whose answer is lost after they were applied.
+    :ivar silent_watches: watches that never yield anything.
+    """
+
+    def __init__(self):
+        self.revision = 1
+        self.down = False
+        self.lost = 0
+        self.silent_watches = 0
+        self.compacted = 0
+        self.stale = None
+        self.watches = 0
+        self._entries = {}
+        self._history = []
+        self._changed = asyncio.Event()
+
+    def _check(self):
+        if self.down:
+            raise StoreUnavailable("store switched off")
+
+    async def get(self, key):
+        self._check()
+        return self._entries.get(key)
+
+    async def range(self, prefix):
+        self._check()
+        if self.stale is not None:
+            return self.stale
+        found = [e for k, e in sorted(self._entries.items()) if k.startswith(prefix)]
+        return Snapshot(self.revision, tuple(found))
+
+    async def commit(self, compares, puts, deletes=(), lease_id=0):
+        self._check()
+        for key, revision in compares.items():
+            held = self._entries.get(key)
+            if (held.mod_revision if held else 0) != revision:
+                raise CompareFailed(key)
+        self.revision += 1
+        for key, value in [*puts.items(), *((key, None) for key in deletes)]:
+            entry = Entry(key, self.revision, value)
+            self._history.append(entry)
+            self._entries.pop(key, None)
+            if value is not None:
+                self._entries[key] = entry
+        self._changed.set()
+        self._changed = asyncio.Event()
+        if self.lost:
+            self.lost -= 1
+            raise AmbiguousWrite("answer lost")
+        return self.revision
+
+    async def watch(self, prefix, from_revision):
+        self._check()
+        self.watches += 1
+        if self.silent_watches:
+            self.silent_watches -= 1
+            await asyncio.Event().wait()
+        if from_revision <= self.compacted:
+            raise Compacted(str(self.compacted))
+        while True:
+            self._check()
+            changed = self._changed
+            new = [
+                e
+                for e in self._history
+                if e.mod_revision >= from_revision and e.key.startswith(prefix)
+            ]
+            if new:
+                revision = max(e.mod_revision for e in new)
+                from_revision = revision + 1
+                yield WatchBatch(revision, tuple(new))
+            else:
+                await changed.wait()
