--- /dev/null
+++ b/heatherswitch/ui/agent.py
@@ -0,0 +1,58 @@
+"""The ``heatherswitch-agent`` program."""
+
+import sys
+from typing import Any
+
+from heatherswitch.ui import daemon
+from heatherswitch.ui.daemon import DaemonCommand, Flag, Program, run_daemon
+
+
+class AgentCommand(DaemonCommand):
+    """Runs one agent beside its backend server."""
+
+    name = "heatherswitch-agent"
+    description = "Serves one backend server to the routers."
+    example = (
+        "heatherswitch-agent --id worker-1 --zone hobart-a --service appraiser "
+        "--version v1 --backend 127.0.0.1:8000 --peers 127.0.0.1:9101"
+    )
+    flags = (
+        Flag("id", "Unique id of the agent.", daemon.name),
+        Flag("zone", "Availability zone.", daemon.name),
+        Flag("region", "Region.", daemon.optional_name, ""),
+        Flag("service", "Service of the backend server.", daemon.name),
+        Flag("version", "Version of the service.", daemon.name),
+        Flag("backend", "Address of the backend server.", daemon.address),
+        Flag("listen", "Address for routers.", daemon.address, "127.0.0.1:0"),
+        Flag(
+            "metrics-listen",
+            "Address for metrics and health.",
+            daemon.address,
+            "127.0.0.1:0",
+        ),
+        Flag("store", "Store addresses, comma separated.", daemon.addresses, ""),
+        Flag("peers", "Routers to start from.", daemon.addresses, ""),
+        Flag(
+            "drain-delay-s",
+            "Seconds to stay after SIGTERM before the listeners close.",
+            daemon.drain_delay,
+            "0",
+        ),
+        Flag("log-level", "debug, info, warning or error.", daemon.log_level, "info"),
+        Flag("ready-file", "File for the bound addresses.", daemon.text, ""),
+    )
+
+    def build(self, values: dict[str, Any]) -> Program:
+        """Builds the agent."""
+        from heatherswitch.agent.shell import Agent, AgentConfig
+
+        return Agent.from_config(AgentConfig(**values))
+
+
+def main() -> None:
+    """Entry point of the ``heatherswitch-agent`` program."""
+    sys.exit(run_daemon(AgentCommand(), sys.argv[1:]))
+
+
+if __name__ == "__main__":
+    main()
