Send one digest a round and cache pool figures

Change: after the start a digest goes to one target in each round; the figures of a pool are used again for 0.1 s; the home map is updated once a round. Entries above the complete revision are never cut off a delta, so that an order accepted just before an outage spreads. Changed records are picked at random.

Ruled out: smaller digests for all targets, which slow the start of a large fleet.

--- a/heatherswitch/exchange/messages.py
+++ b/heatherswitch/exchange/messages.py
@@ -14,7 +14,7 @@
 # Only these entries are replicated.
 CONFIG_PREFIX = "heatherswitch/config/"
 # Records that one message may carry; the rest is ignored.
-MAX_MESSAGE_RECORDS = 4 * reducer.MAX_RECORDS
+MAX_MESSAGE_RECORDS = 2 * (reducer.MAX_MISSING + reducer.MAX_RECORDS)
 # Digest items that one message may carry.
 MAX_MESSAGE_DIGEST = 4 * reducer.MAX_DIGEST
 
--- a/heatherswitch/exchange/node.py
+++ b/heatherswitch/exchange/node.py
@@ -34,6 +34,7 @@
 
     __slots__ = (
         "_busy",
+        "_catch_up_until",
         "_channels",
         "_clock",
         "_config",
@@ -51,6 +52,7 @@
         "_on_members",
         "_on_pool_load",
         "_own_record",
+        "_pools",
         "_random",
         "_readiness",
         "_revisions",
@@ -68,6 +70,7 @@
         self._floor = 0
         self._members = MemberTable()
         self._homes = reducer.HomeMap()
+        self._pools = reducer.PoolCache()
         self._cursor = reducer.DigestCursor()
         self._readiness = reducer.Readiness(clock.now())
         self._channels = PeerChannels()
@@ -81,6 +84,7 @@
         # Address to the complete revision that the peer last reported.
         self._revisions: dict[str, int] = {}
         self._busy: set[str] = set()
+        self._catch_up_until = clock.now() + reducer.CATCH_UP_S
         self._tasks: set[asyncio.Task] = set()
         self._loop: asyncio.Task | None = None
         self._seeds: list[str] = []
@@ -193,13 +197,11 @@
         targets = reducer.choose_targets(
             own, self._members, self._seeds, self.ready, self._random
         )
+        free = [address for address in targets if address not in self._busy]
         digest = self._cursor.next(self._members)
+        asked = set(free if now < self._catch_up_until else free[-1:])
         await asyncio.gather(
-            *(
-                self._exchange_with(a, own, digest)
-                for a in targets
-                if a not in self._busy
-            )
+            *(self._exchange_with(a, own, digest if a in asked else ()) for a in free)
         )
         self._update_readiness(own)
 
@@ -311,12 +313,10 @@
         now = self._clock.now()
         sender = convert.member_from_message(request.sender)
         own = self.own
-        self._homes.update(own, self._members)
         self._take_members(now, own, sender, request.members)
-        if request.entries_revision and self._entries.revision >= request.entries_base:
-            self.apply_entries(parse_entries(request.entries), request.entries_revision)
+        self._take_offer(request)
         records = reducer.records_for(
-            sender, parse_digest(request.digest), self._members
+            sender, parse_digest(request.digest), self._members, self._random
         )
         records += [m for m in self._rumoured() if reducer.relevant(sender, m)]
         records += [m for m in [self._members.get(sender.id)] if m is not None]
@@ -325,19 +325,27 @@
             records.append(contested)
         figures = None
         if sender.role is Role.AGENT:
-            figures = reducer.pool_figures(
-                now, self._members, sender.service, sender.version
-            )
+            figures = self._pools.figures(now, self._members, sender)
         return self._builder(own).reply(
             request.config_revision, sender, records, figures, self.ready
         )
 
+    def _take_offer(self, request: pb.ExchangeRequest) -> None:
+        """Takes offered entries; they are complete only above their base."""
+        if request.entries:
+            complete = self._entries.revision >= request.entries_base
+            revision = request.entries_revision if complete else 0
+            self.apply_entries(parse_entries(request.entries), revision)
+
     def _rumoured(self) -> list[Member]:
-        """Returns the records that changed a short time ago."""
+        """Returns some records that changed a short time ago.
+
+        They are picked at random, so that all spread when a whole zone is lost.
+        """
         now = self._clock.now()
         found = [self._members.get(i) for i, t in self._rumours.items() if t > now]
         known = [member for member in found if member is not None]
-        return known[-reducer.MAX_RECORDS :]
+        return self._random.sample(known, min(reducer.MAX_RECORDS, len(known)))
 
     def _take_members(self, now: float, own: Member, sender: Member, messages):
         """Takes the sender's own record and the records that it passed on."""
@@ -363,17 +371,20 @@
             self._heartbeat = record.heartbeat + 1
 
     def _merge(self, now: float, records: Iterable[Member]) -> None:
+        known = len(self._members)
         taken = self._members.merge(now, records)
         for member in taken:
             self._rumours[member.id] = now + reducer.RUMOUR_S
+        if len(self._members) > known:
+            self._catch_up_until = now + reducer.CATCH_UP_S
         if taken:
             self._call(self._on_members)
 
     def _update_readiness(self, own: Member) -> None:
-        routers = {m.address for m in self._members.routers()} | set(self._seeds)
-        others = len(routers - {own.address})
         if self.ready:
             return
+        routers = {m.address for m in self._members.routers()} | set(self._seeds)
+        others = len(routers - {own.address})
         if self._readiness.update(self._clock.now(), self._entries.revision, others):
             log.info("ready", extra={"config_revision": self._entries.revision})
             self._call(self._on_members)
--- a/heatherswitch/exchange/reducer.py
+++ b/heatherswitch/exchange/reducer.py
@@ -30,10 +30,17 @@
 # Limits of one message; a record takes about 120 bytes, a digest item 40.
 MAX_RECORDS = 16
 MAX_DIGEST = 24
+# Records in answer to a digest; more than a few only after a start or a partition.
+MAX_MISSING = 48
 MAX_DELTA_BYTES = 4096
 # Entries beyond this many bytes follow in the next exchange. A starting process
 # holds nothing yet and takes larger parts, so that it is ready soon.
 MAX_FIRST_DELTA_BYTES = 512 * 1024
+# While new members become known, digests go to all targets for this long; later
+# to one target in each round, since they are the largest part of a request.
+CATCH_UP_S = 2.0
+# Figures of a pool are used again for this long, a fifth of a round.
+POOL_CACHE_S = 0.1
 # A changed record is sent unasked for this long; 400 routers need about 6 rounds.
 RUMOUR_S = 4.0
 # The store alone suffices after this many seconds; it may answer an old revision,
@@ -144,9 +151,15 @@
 
 
 def records_for(
-    receiver: Member, digest: Sequence[DigestItem], table: MemberTable
+    receiver: Member, digest: Sequence[DigestItem], table: MemberTable, random
 ) -> list[Member]:
-    """Returns records that the digest lacks or that are newer, at most a few."""
+    """Returns records that the digest lacks or that are newer.
+
+    Routers come first; the others are picked at random, so that several peers give
+    different ones.
+
+    :param random: source of randomness, as ``random.Random``.
+    """
     if len(digest) < 2:
         return []
     known = {item.id: (item.incarnation, item.heartbeat) for item in digest}
@@ -160,8 +173,9 @@
         and (not high or member.id <= high)
         and known.get(member.id, (-1, -1)) < member.age_key
     ]
-    missing.sort(key=lambda member: (member.role is not Role.ROUTER, member.id))
-    return missing[:MAX_RECORDS]
+    random.shuffle(missing)
+    missing.sort(key=lambda member: member.role is not Role.ROUTER)
+    return missing[:MAX_MISSING]
 
 
 def relevant(receiver: Member, member: Member) -> bool:
@@ -184,11 +198,14 @@
     size = 0
     for index, entry in enumerate(newer):
         size += len(entry.key) + len(entry.value or b"") + 16
-        cut = index > 0 and newer[index - 1].mod_revision != entry.mod_revision
+        # Entries above the complete revision are never cut off: the peer's revision
+        # does not pass them, so that they would not follow in a later exchange.
+        if size <= limit or entry.mod_revision > entries.revision:
+            continue
         # A cut inside one revision would claim a transaction half received.
-        if size > limit and cut:
-            revision = min(newer[index - 1].mod_revision, entries.revision)
-            return Delta(newer[:index], max(revision, min(since, entries.revision)))
+        if index > 0 and newer[index - 1].mod_revision != entry.mod_revision:
+            own_writes = entries.since(entries.revision)
+            return Delta([*newer[:index], *own_writes], newer[index - 1].mod_revision)
     return Delta(newer, entries.revision)
 
 
@@ -206,6 +223,24 @@
     return PoolFigures(total, len(heard), age_s)
 
 
+class PoolCache:
+    """Keeps the figures of pools for a moment; 1,500 agents ask for 18 pools."""
+
+    __slots__ = ("_figures",)
+
+    def __init__(self) -> None:
+        self._figures: dict[tuple[str, str], tuple[float, PoolFigures]] = {}
+
+    def figures(self, now: float, table: MemberTable, agent: Member) -> PoolFigures:
+        """Returns the figures of an agent's pool."""
+        pool = (agent.service, agent.version)
+        computed_at, figures = self._figures.get(pool, (0.0, None))
+        if figures is None or not 0 <= now - computed_at < POOL_CACHE_S:
+            figures = pool_figures(now, table, *pool)
+            self._figures[pool] = (now, figures)
+        return figures
+
+
 class HomeMap:
     """Remembers which members the own router is a home router of.
 
--- a/test/test_exchange.py
+++ b/test/test_exchange.py
@@ -188,6 +188,16 @@
         delta = reducer.cut_delta(entries, 0, 1)
         self.assertEqual((len(delta.entries), delta.revision), (200, 2))
 
+    def test_own_writes_are_sent_whole_while_the_revision_stands_still(self):
+        # Guards against an order that is accepted just before a store outage and
+        # stays behind many others.
+        entries = ReplicatedEntries()
+        entries.apply([entry(1)], 1)
+        for i in range(300):
+            entries.apply([entry(2 + i, f"/workspace=w{i}", share=1)], 0)
+        delta = reducer.cut_delta(entries, 0, 1)
+        self.assertEqual((len(delta.entries), delta.revision), (300, 1))
+
     def test_peer_below_the_known_deletions_gets_a_snapshot(self):
         # Guards against a deleted node that stays in force at one process.
         holder, behind = ReplicatedEntries(), ReplicatedEntries()
@@ -204,8 +214,9 @@
         source.merge(0.0, [member(f"r{i:03d}") for i in range(100)])
         cursor = reducer.DigestCursor()
         for _ in range(40):
-            found = reducer.records_for(member("me"), cursor.next(target), source)
-            self.assertLessEqual(len(found), reducer.MAX_RECORDS)
+            digest = cursor.next(target)
+            found = reducer.records_for(member("me"), digest, source, random)
+            self.assertLessEqual(len(found), reducer.MAX_MISSING)
             target.merge(0.0, found)
         self.assertEqual(len(target), 100)
 
