--- /dev/null
+++ b/heatherswitch/router/health.py
@@ -0,0 +1,35 @@
+"""The listener for metrics and health."""
+
+from collections.abc import Callable
+
+from heatherswitch.util.http import Request
+from heatherswitch.util.http_server import Responder
+from heatherswitch.util.metrics import Metrics
+
+
+class HealthPages:
+    """Serves ``/metrics``, ``/livez`` and ``/readyz``.
+
+    :param ready: tells whether the load balancer should send requests.
+    """
+
+    __slots__ = ("_metrics", "_ready")
+
+    def __init__(self, metrics: Metrics, ready: Callable[[], bool]) -> None:
+        self._metrics = metrics
+        self._ready = ready
+
+    async def handle(self, request: Request, responder: Responder) -> None:
+        """Serves one request."""
+        if request.method not in ("GET", "HEAD"):
+            await responder.send(405, b"", [("Allow", "GET, HEAD")])
+        elif request.path == "/metrics":
+            body, content_type = self._metrics.render()
+            await responder.send(200, body, [("Content-Type", content_type)])
+        elif request.path == "/livez":
+            await responder.send(200, b"ok\n")
+        elif request.path == "/readyz":
+            ready = self._ready()
+            await responder.send(200 if ready else 503, b"ok\n" if ready else b"no\n")
+        else:
+            await responder.send(404)
--- /dev/null
+++ b/heatherswitch/router/runner.py
@@ -0,0 +1,244 @@
+"""Executes the effects of the router's reducer."""
+
+import asyncio
+import logging
+from typing import Protocol
+
+from heatherswitch.fleet.config import FleetConfig
+from heatherswitch.fleet.members import SUSPECT_AFTER_S, Load, MemberTable
+from heatherswitch.fleet.outcomes import (
+    Failed,
+    Finished,
+    NotRun,
+    Outcome,
+    OutcomeUnknown,
+    Reason,
+)
+from heatherswitch.protocol import heatherswitch_pb2 as pb
+from heatherswitch.router import events
+from heatherswitch.router.answers import CallerAnswer
+from heatherswitch.router.calls import Call
+from heatherswitch.router.channels import AgentChannels
+from heatherswitch.router.dispatch import Attempt, AttemptResult, ConnectFailed, Silent
+from heatherswitch.router.effects import Answer, CancelAttempt, Dispatch, Resume
+from heatherswitch.router.reducer import RouterReducer
+from heatherswitch.router.telemetry import Telemetry
+from heatherswitch.statecore.reducer import Effect, Event, Log, write_log
+from heatherswitch.util.clock import Clock
+
+log = logging.getLogger("heatherswitch.router")
+
+# A caller that does not read the end of its answer for this long is
+# disconnected, in seconds.
+END_TIMEOUT_S = 30.0
+
+
+class FleetState(Protocol):
+    """What the router needs of the fleet state of its process."""
+
+    @property
+    def config(self) -> FleetConfig:
+        """The configuration in force."""
+
+    @property
+    def members(self) -> MemberTable:
+        """The membership table."""
+
+
+class _Running:
+    """One request that was submitted and has no outcome."""
+
+    __slots__ = ("answer", "attempt", "call", "ended", "task")
+
+    def __init__(self, call: Call, answer: CallerAnswer) -> None:
+        self.call = call
+        self.answer = answer
+        self.ended: asyncio.Future[Outcome] = asyncio.get_running_loop().create_future()
+        self.attempt: Attempt | None = None
+        self.task: asyncio.Task | None = None
+
+
+class RequestRunner:
+    """Feeds events to the reducer and executes its effects."""
+
+    __slots__ = (
+        "_channels",
+        "_clock",
+        "_fleet",
+        "_reducer",
+        "_running",
+        "_tasks",
+        "_telemetry",
+    )
+
+    def __init__(
+        self,
+        fleet: FleetState,
+        channels: AgentChannels,
+        clock: Clock,
+        telemetry: Telemetry,
+    ) -> None:
+        self._fleet = fleet
+        self._channels = channels
+        self._clock = clock
+        self._telemetry = telemetry
+        self._reducer = RouterReducer(fleet.config, fleet.members)
+        self._running: dict[str, _Running] = {}
+        self._tasks: set[asyncio.Task] = set()
+
+    @property
+    def stopping(self) -> bool:
+        """True once a stop was requested."""
+        return self._reducer.stopping
+
+    async def run(self, call: Call, answer: CallerAnswer) -> None:
+        """Runs a request to its end.
+
+        Cancelling this tells the reducer that the caller left.
+        """
+        running = _Running(call, answer)
+        self._running[call.request_id] = running
+        try:
+            self.post(call.arrived(self._clock.now()))
+            outcome = await running.ended
+        except asyncio.CancelledError:
+            self.post(events.CallerLeft(self._clock.now(), call.request_id))
+            raise
+        finally:
+            self._running.pop(call.request_id, None)
+            self._telemetry.running(len(self._running))
+        await asyncio.wait_for(answer.end(outcome), END_TIMEOUT_S)
+
+    def post(self, event: Event) -> None:
+        """Applies an event and executes the effects."""
+        for effect in self._reducer.apply(event):
+            self._execute(effect)
+
+    def tick(self) -> None:
+        """Tells the reducer that time passed."""
+        self.post(events.Tick(self._clock.now()))
+
+    def _execute(self, effect: Effect) -> None:
+        if isinstance(effect, Log):
+            write_log(effect, log)
+            return
+        running = self._running.get(effect.request_id)
+        if running is None:
+            return
+        if isinstance(effect, Dispatch):
+            self._dispatch(running, effect)
+        elif isinstance(effect, Resume):
+            self._start(running, effect.attempt, running.attempt.resume())
+        elif isinstance(effect, CancelAttempt):
+            self._cancel(running)
+        elif isinstance(effect, Answer) and not running.ended.done():
+            running.ended.set_result(effect.outcome)
+
+    def _dispatch(self, running: _Running, effect: Dispatch) -> None:
+        now = self._clock.now()
+        call = running.call
+        agent = self._fleet.members.get(effect.agent_id)
+        if agent is None:
+            self._spawn(self._report_missing(call, effect.attempt))
+            return
+        message = call.to_message(now, effect.attempt)
+        message.config_revision = self._fleet.config.revision
+        self._add_observed_load(message, agent.service, agent.version, now)
+        running.answer.restart()
+        settings = self._fleet.config.settings(service=call.service)
+
+        def accepted() -> None:
+            self.post(
+                events.AttemptAccepted(
+                    self._clock.now(), call.request_id, effect.attempt
+                )
+            )
+
+        running.attempt = Attempt(
+            self._channels,
+            agent,
+            message,
+            running.answer,
+            settings.get("limits.progress_timeout_s"),
+            accepted,
+            self._take_load,
+        )
+        self._start(running, effect.attempt, running.attempt.execute())
+
+    def _start(self, running: _Running, attempt: int, work) -> None:
+        running.task = self._spawn(self._watch(running, attempt, work))
+
+    async def _watch(self, running: _Running, attempt: int, work) -> None:
+        """Awaits an attempt and turns its result into an event."""
+        try:
+            result = await work
+        except Exception as error:
+            # Writing to a caller that left raises here; the request may have run.
+            log.info(
+                "attempt ended by an error",
+                extra={"request_id": running.call.request_id, "error": repr(error)},
+            )
+            result = OutcomeUnknown("router_error", "the answer was not passed on")
+        self._telemetry.attempt(running.call, type(result).__name__)
+        if isinstance(result, NotRun):
+            self._telemetry.refusal(running.call, result.reason.value)
+        self.post(self._event(running, attempt, result))
+
+    def _event(
+        self, running: _Running, attempt: int, result: AttemptResult
+    ) -> events.AttemptEvent:
+        now = self._clock.now()
+        request_id = running.call.request_id
+        delivered = running.answer.delivered
+        if isinstance(result, ConnectFailed):
+            outcome = NotRun(Reason.BACKEND_DOWN, 0, result.detail)
+            return events.AttemptRefused(now, request_id, attempt, outcome, True)
+        if isinstance(result, NotRun):
+            return events.AttemptRefused(now, request_id, attempt, result)
+        if isinstance(result, Silent):
+            return events.AttemptSilent(now, request_id, attempt, delivered)
+        if isinstance(result, Finished):
+            return events.AttemptFinished(now, request_id, attempt, result)
+        assert isinstance(result, Failed | OutcomeUnknown)
+        return events.AttemptFailed(now, request_id, attempt, result, delivered)
+
+    async def _report_missing(self, call: Call, attempt: int) -> None:
+        outcome = NotRun(Reason.BACKEND_DOWN, 0, "the agent left the fleet")
+        now = self._clock.now()
+        self.post(events.AttemptRefused(now, call.request_id, attempt, outcome))
+
+    def _cancel(self, running: _Running) -> None:
+        if running.task is not None and running.task is not asyncio.current_task():
+            running.task.cancel()
+
+    def _spawn(self, work) -> asyncio.Task:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    def _take_load(self, agent_id: str, load: Load) -> None:
+        self._fleet.members.update_load(self._clock.now(), agent_id, load)
+
+    def _add_observed_load(
+        self, message: pb.ExecuteRequest, service: str, version: str, now: float
+    ) -> None:
+        """Adds the pool's load as this router saw it last.
+
+        Members unheard for longer are left out, so the age is an upper bound.
+        """
+        members = self._fleet.members
+        pool = [
+            member
+            for member in members.agents(service, version)
+            if not members.suspect(now, member.id)
+        ]
+        message.observed_load.CopyFrom(
+            pb.PoolLoad(
+                service=service,
+                version=version,
+                total=sum(member.load.total for member in pool),
+                agents=len(pool),
+                age_ms=int(SUSPECT_AFTER_S * 1000),
+            )
+        )
--- /dev/null
+++ b/test/test_placement.py
@@ -0,0 +1,68 @@
+import unittest
+
+from heatherswitch.fleet.placement import Placement, PlacementKey
+from test.router_fakes import agent, fleet_config, table
+
+POOL = [agent(f"a{i}", zone=f"z{i % 3}") for i in range(6)]
+VERSIONS = {
+    "/service=chat/version=v1": {"version_state": "active"},
+    "/service=chat/version=v2": {"version_state": "starting", "version_share": 0.05},
+}
+
+
+def order(placement, chat="c", now=0.0, owner="", avoid=lambda agent_id: False):
+    key = PlacementKey("chat", "w1", chat, owner)
+    return [m.id for m in placement.candidates(now, key, avoid)]
+
+
+class PlacementTest(unittest.TestCase):
+    def test_losing_an_agent_moves_no_other_chat(self):
+        # Guards against a lost server emptying the caches of all others.
+        whole = Placement(fleet_config(), table(*POOL))
+        without = Placement(fleet_config(), table(*POOL[1:]))
+        for i in range(50):
+            expected = [a for a in order(whole, f"c{i}") if a != "a0"]
+            self.assertEqual(order(without, f"c{i}"), expected)
+
+    def test_zone_that_is_out_has_no_candidates(self):
+        # Guards against P3: new work in a zone that was taken out.
+        nodes = {"/zone=z1": {"zone_state": "out"}}
+        found = order(Placement(fleet_config(nodes), table(*POOL)))
+        self.assertEqual(sorted(found), ["a0", "a2", "a3", "a5"])
+
+    def test_unproven_version_takes_its_share_only(self):
+        # Guards against P4: overflow of the active version to an unproven one.
+        members = table(*POOL, agent("b0", version="v2"))
+        placement = Placement(fleet_config(VERSIONS), members)
+        orders = [order(placement, f"c{i}") for i in range(1000)]
+        starting = [found for found in orders if "b0" in found]
+        self.assertTrue(20 <= len(starting) <= 90, len(starting))
+        self.assertTrue(all(found[0] == "b0" for found in starting))
+        self.assertTrue(all(len(found) >= 6 for found in orders))
+
+    def test_cut_version_gets_nothing(self):
+        # Guards against P4: work for a version whose faults are visible here.
+        members = table(*POOL, agent("b0", version="v2"))
+        placement = Placement(fleet_config(VERSIONS), members)
+        placement.cut_version("chat", "v2", until=10.0)
+        self.assertFalse(any("b0" in order(placement, f"c{i}") for i in range(200)))
+
+    def test_refusing_and_suspect_agents_are_last(self):
+        # Guards against repeated attempts at agents that are busy or lost.
+        members = table(*POOL)
+        members.merge(3.0, [agent("fresh")])
+        found = order(Placement(fleet_config(), members), now=3.0)
+        self.assertEqual(found[0], "fresh")
+        best, *rest = order(Placement(fleet_config(), table(*POOL)))
+        found = order(
+            Placement(fleet_config(), table(*POOL)), avoid=lambda a: a == best
+        )
+        self.assertEqual(found, [*rest, best])
+
+    def test_partition_owner_is_first_unless_its_zone_is_out(self):
+        # Guards against claims that need a second hop, and against P3.
+        nodes = {"/zone=z1": {"zone_state": "out"}}
+        for owner in ("a0", "a2"):
+            placement = Placement(fleet_config(nodes), table(*POOL))
+            self.assertEqual(order(placement, owner=owner)[0], owner)
+        self.assertNotIn("a1", order(placement, owner="a1"))
