Test the caller front, the OpenAI form and the gRPC client

Cause: dispatch, callers and the error form had no tests. Ruled out: mocks of gRPC, because they would not show connection reuse. Conclusion: the router answers through a fake agent, also when it is silent.

--- a/heatherswitch/router/shell.py
+++ b/heatherswitch/router/shell.py
@@ -202,7 +202,12 @@
         log.info("router started", extra={"caller_port": self.caller_port})
 
     async def stop(self) -> None:
-        """Shuts down gracefully: no accepted request is interrupted in the grace."""
+        """Shuts down gracefully: no accepted request is interrupted in the grace.
+
+        A repeated call returns at once.
+        """
+        if self._runner.stopping:
+            return
         now = self._clock.now()
         serve_until = now + self._config.drain_delay_s
         self._runner.post(events.StopRequested(now, serve_until))
--- /dev/null
+++ b/test/test_callers.py
@@ -0,0 +1,185 @@
+import asyncio
+import json
+import unittest
+
+from heatherswitch.protocol import heatherswitch_pb2 as pb
+from heatherswitch.protocol import heatherswitch_pb2_grpc as pb_grpc
+from heatherswitch.router.shell import Router, RouterConfig
+from heatherswitch.util.http_client import ConnectionLost, HttpClient
+from test.router_fakes import (
+    API_KEY,
+    FakeAgent,
+    answer_events,
+    event,
+    fleet_config,
+    table,
+)
+
+CHAT = {"model": "chat", "messages": [{"role": "user", "content": "hi"}]}
+
+
+class FakeNode:
+    """Fleet state without peers."""
+
+    def __init__(self, members, **options):
+        self.config = fleet_config()
+        self.members = members
+        self.ready = True
+        self.own_record = options["own_record"]
+
+    def servicer(self):
+        return pb_grpc.PeerServicer()
+
+    async def start(self):
+        pass
+
+    stop = exchange_now = start
+
+
+class CallersTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.agent = FakeAgent()
+        self.ledger = FakeAgent()
+        members = table(
+            await self.agent.start("a1"),
+            await self.ledger.start("l1", service="ledger"),
+        )
+        config = RouterConfig("r1", "z1", drain_delay_s=0.05)
+        self.router = Router.from_config(config, lambda **o: FakeNode(members, **o))
+        await self.router.start()
+        self.client = HttpClient("127.0.0.1", self.router.caller_port)
+
+    async def asyncTearDown(self):
+        await self.router.stop()
+        self.client.close()
+        await self.agent.stop()
+        await self.ledger.stop()
+
+    async def send(self, method, target, body=b"", key=API_KEY, **headers):
+        sent = [(name.replace("_", "-"), value) for name, value in headers.items()]
+        if key:
+            sent.append(("Authorization", f"Bearer {key}"))
+        if not isinstance(body, bytes):
+            body = json.dumps(body).encode()
+        return await self.client.request(method, target, sent, body)
+
+    async def error(self, *args, **options):
+        response = await self.send(*args, **options)
+        return response.status, json.loads(await response.read())["error"]["code"]
+
+    async def test_chat_answer_arrives_with_the_callers_request_id(self):
+        response = await self.send(
+            "POST", "/v1/chat/completions", CHAT, X_Request_Id="mine"
+        )
+        self.assertEqual((response.status, await response.read()), (200, b"hello"))
+        self.assertEqual(response.header("x-request-id"), "mine")
+        # Guards against P5: two callers that choose one id meet at the agent.
+        self.assertNotEqual(self.agent.requests[0].request_id, "mine")
+        self.assertEqual(self.agent.requests[0].workspace, "w1")
+
+    async def test_callers_cannot_name_their_workspace(self):
+        # Guards against callers that act for another workspace or pass their key on.
+        status = await self.error("GET", "/v1/models", key="wrong")
+        self.assertEqual(status, (401, "invalid_api_key"))
+        headers = {"X_Workspace": "w2", "X_Fencing_Token": "9", "Connection": "X-Hop"}
+        response = await self.send("GET", "/ledger/lots/1?a=b", X_Hop="1", **headers)
+        await response.read()
+        request = self.ledger.requests[0]
+        self.assertEqual((request.workspace, request.target), ("w1", "/lots/1?a=b"))
+        self.assertEqual([header.name for header in request.headers], [])
+
+    async def test_invalid_requests_are_refused_before_any_attempt(self):
+        # Guards against F17, and against P7 by a path that hides a claimed route.
+        cases = [
+            (("POST", "/ledger/settle"), {}, 400, "idempotency_key_required"),
+            (("GET", "/ledger/lots/../settle"), {}, 400, "invalid_path"),
+            (("GET", "/ledger/lots/%2e%2e/settle"), {}, 400, "invalid_path"),
+            (("GET", "/ledger/lots/..%2fsettle"), {}, 400, "invalid_path"),
+            (("GET", "/ledger//lots"), {}, 400, "invalid_path"),
+            (("GET", "/ledger/settle"), {}, 404, "no_such_route"),
+            (("GET", "/chat/lots"), {}, 404, "no_such_route"),
+            (("GET", "/ledger/lots", b"x" * 2001), {}, 413, "body_too_large"),
+            (("GET", "/ledger/lots"), {"X_Request_Class": "x"}, 400, "unknown_class"),
+            (
+                ("GET", "/ledger/lots"),
+                {"X_Request_Timeout_Ms": "0"},
+                400,
+                "invalid_timeout",
+            ),
+            (
+                ("POST", "/v1/chat/completions", CHAT | {"model": "ledger"}),
+                {},
+                404,
+                "model_not_found",
+            ),
+        ]
+        for args, headers, status, code in cases:
+            with self.subTest(args=args[:2], headers=headers):
+                self.assertEqual(await self.error(*args, **headers), (status, code))
+        self.assertEqual(self.agent.requests + self.ledger.requests, [])
+
+    async def test_claimed_route_carries_key_and_is_not_retried(self):
+        # Guards against P7: a second attempt after an unknown outcome.
+        self.ledger.script = lambda r: [event(r.request_id, accepted=pb.Accepted())]
+        found = await self.error("POST", "/ledger/settle", Idempotency_Key="k1")
+        self.assertEqual(found, (504, "agent_stream_ended"))
+        (request,) = self.ledger.requests
+        self.assertEqual((request.idempotent, request.idempotency_key), (False, "k1"))
+
+    async def test_refusal_names_reason_and_pause(self):
+        refused = pb.Refused(reason=pb.FAIR_SHARE, retry_after_ms=2500)
+        self.agent.script = lambda r: [event(r.request_id, refused=refused)]
+        response = await self.send("POST", "/v1/chat/completions", CHAT)
+        self.assertEqual((response.status, response.header("retry-after")), (429, "3"))
+        await response.read()
+
+    async def test_broken_stream_is_visibly_broken(self):
+        # Guards against P5: a truncated stream that looks whole.
+        def script(request):
+            accepted, head, first, _, done = answer_events(request.request_id)
+            head.head.headers.add(name="Content-Type", value="text/event-stream")
+            return [accepted, head, first, done]
+
+        self.agent.script = script
+        body = CHAT | {"stream": True}
+        response = await self.send("POST", "/v1/chat/completions", body)
+        data = b""
+        with self.assertRaises(ConnectionLost):
+            async for chunk in response.chunks():
+                data += chunk
+        self.assertIn(b'"code":"length_mismatch"', data)
+
+    async def test_silent_agent_is_resumed_and_the_caller_sees_nothing_of_it(self):
+        # Guards against F4 end to end.
+        parts = {}
+
+        def script(request):
+            parts["events"] = answer_events(request.request_id)
+            return [*parts["events"][:3], None]
+
+        self.agent.script = script
+        self.agent.resume_script = lambda request: parts["events"][3:]
+        response = await self.send("POST", "/v1/chat/completions", CHAT)
+        self.assertEqual(await response.read(), b"hello")
+
+    async def test_stop_finishes_running_requests(self):
+        # Guards against P9: a planned stop that interrupts a request.
+        release = asyncio.Event()
+
+        async def play(script):
+            await release.wait()
+            for item in script:
+                yield item
+
+        self.agent._play = play
+        sent = asyncio.create_task(self.send("POST", "/v1/chat/completions", CHAT))
+        while not self.agent.requests:
+            await asyncio.sleep(0.01)
+        stop = asyncio.create_task(self.router.stop())
+        await asyncio.sleep(0.05)
+        health = HttpClient("127.0.0.1", self.router.health_port)
+        self.assertEqual((await health.request("GET", "/readyz")).status, 503)
+        release.set()
+        self.assertEqual(await (await sent).read(), b"hello")
+        await stop
+        health.close()
