Report attempt results by version; skip hints to lost owners

Cause: nothing told the judge of versions how attempts end, and agents that name a lost partition owner cost a request one connection timeout each. Ruled out: counting evidence in the reducer, because rollout owns the windows. Conclusion: the hooks for evidence are there; nobody uses them yet.

--- a/heatherswitch/router/calls.py
+++ b/heatherswitch/router/calls.py
@@ -18,6 +18,7 @@
     :param caller_request_id: the id that the caller sees.
     :param deadline_at: seconds since the epoch.
     :param target: path and query for the backend server.
+    :param route: path of the declared route, for evidence by route.
     :param stream: the answer is passed on as it arrives.
     """
 
@@ -31,6 +32,7 @@
     deadline_at: float
     method: str
     target: str
+    route: str
     headers: Headers = field(default_factory=list)
     body: bytes = b""
     idempotent: bool = True
--- a/heatherswitch/router/dispatch.py
+++ b/heatherswitch/router/dispatch.py
@@ -172,7 +172,8 @@
 
     async def _read(self, call: grpc.aio.UnaryStreamCall):
         try:
-            return await asyncio.wait_for(call.read(), self._timeout_s)
+            async with asyncio.timeout(self._timeout_s):
+                return await call.read()
         except TimeoutError as error:
             raise _NoProgress from error
 
--- a/heatherswitch/router/reducer.py
+++ b/heatherswitch/router/reducer.py
@@ -257,6 +257,9 @@
         if not arrived.idempotent and arrived.partition != events.NO_PARTITION:
             owner = self._config.head(arrived.service, arrived.partition).owner
         hint, state.hint = state.hint, ""
+        if self._avoided.is_unreachable(now, hint):
+            # Agents name a lost owner until the partition is taken over.
+            hint = ""
         key = PlacementKey(
             arrived.service, arrived.workspace, arrived.chat_key, hint or owner
         )
--- a/heatherswitch/router/retries.py
+++ b/heatherswitch/router/retries.py
@@ -90,6 +90,10 @@
         """Notes that an agent admitted a request."""
         self._unreachable.pop(agent_id, None)
 
+    def is_unreachable(self, now: float, agent_id: str) -> bool:
+        """Tells whether the agent could not be reached a short time ago."""
+        return self._unreachable.get(agent_id, 0.0) > now
+
     def avoids(self, now: float, agent_id: str) -> bool:
         """Tells whether an agent is ranked last."""
         until = max(
--- a/heatherswitch/router/runner.py
+++ b/heatherswitch/router/runner.py
@@ -3,10 +3,16 @@
 import asyncio
 import logging
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 from typing import Protocol
 
 from heatherswitch.fleet.config import FleetConfig
-from heatherswitch.fleet.members import SUSPECT_AFTER_S, Load, MemberTable
+from heatherswitch.fleet.members import (
+    SUSPECT_AFTER_S,
+    Load,
+    Member,
+    MemberTable,
+)
 from heatherswitch.fleet.outcomes import (
     Failed,
     Finished,
@@ -37,6 +43,21 @@
 _Work = Callable[[], Awaitable[AttemptResult]]
 
 
+@dataclass(frozen=True, slots=True)
+class AttemptReport:
+    """How one attempt ended, as evidence about the version of its agent.
+
+    :param seconds: time from the dispatch to the result.
+    """
+
+    service: str
+    version: str
+    route: str
+    agent_id: str
+    result: AttemptResult
+    seconds: float
+
+
 class FleetState(Protocol):
     """What the router needs of the fleet state of its process."""
 
@@ -52,13 +73,23 @@
 class _Running:
     """One request that was submitted and has no outcome."""
 
-    __slots__ = ("answer", "attempt", "call", "ended", "task")
+    __slots__ = (
+        "agent",
+        "answer",
+        "attempt",
+        "call",
+        "dispatched_at",
+        "ended",
+        "task",
+    )
 
     def __init__(self, call: Call, answer: CallerAnswer) -> None:
         self.call = call
         self.answer = answer
         self.ended: asyncio.Future[Outcome] = asyncio.get_running_loop().create_future()
         self.attempt: Attempt | None = None
+        self.agent: Member | None = None
+        self.dispatched_at = 0.0
         self.task: asyncio.Task | None = None
 
 
@@ -69,6 +100,7 @@
         "_channels",
         "_clock",
         "_fleet",
+        "_observers",
         "_reducer",
         "_running",
         "_tasks",
@@ -89,12 +121,17 @@
         self._reducer = RouterReducer(fleet.config, fleet.members)
         self._running: dict[str, _Running] = {}
         self._tasks: set[asyncio.Task] = set()
+        self._observers: list[Callable[[AttemptReport], None]] = []
 
     @property
     def stopping(self) -> bool:
         """True once a stop was requested."""
         return self._reducer.stopping
 
+    def observe(self, observer: Callable[[AttemptReport], None]) -> None:
+        """Calls ``observer`` with the result of each attempt."""
+        self._observers.append(observer)
+
     async def run(self, call: Call, answer: CallerAnswer) -> None:
         """Runs a request to its end.
 
@@ -149,6 +186,8 @@
         message.config_revision = self._fleet.config.revision
         self._add_observed_load(message, agent.service, agent.version, now)
         running.answer.restart()
+        running.agent = agent
+        running.dispatched_at = now
         settings = self._fleet.config.settings(service=call.service)
 
         def accepted() -> None:
@@ -183,11 +222,24 @@
                 extra={"request_id": running.call.request_id, "error": repr(error)},
             )
             result = OutcomeUnknown("router_error", "the answer was not passed on")
-        self._telemetry.attempt(running.call, type(result).__name__)
-        if isinstance(result, NotRun):
-            self._telemetry.refusal(running.call, result.reason.value)
+        self._report(running, result)
         self.post(self._event(running, attempt, result))
 
+    def _report(self, running: _Running, result: AttemptResult) -> None:
+        call, agent = running.call, running.agent
+        self._telemetry.attempt(call, type(result).__name__)
+        if isinstance(result, NotRun):
+            self._telemetry.refusal(call, result.reason.value)
+        seconds = self._clock.now() - running.dispatched_at
+        report = AttemptReport(
+            call.service, agent.version, call.route, agent.id, result, seconds
+        )
+        for observer in self._observers:
+            try:
+                observer(report)
+            except Exception:
+                log.exception("observer of attempts failed")
+
     def _event(
         self, running: _Running, attempt: int, result: AttemptResult
     ) -> events.AttemptEvent:
--- a/test/test_callers.py
+++ b/test/test_callers.py
@@ -177,10 +177,16 @@
             return events if len(calls) > 1 else [*events[:3], events[4]]
 
         self.agent.script = second.script = script
+        reports = []
+        self.router.runner.observe(reports.append)
         response = await self.send("POST", "/v1/chat/completions", CHAT)
         self.assertEqual((response.status, await response.read()), (200, b"hello"))
         self.assertEqual([call.attempt for call in calls], [1, 2])
         self.assertEqual({call.agent_id for call in calls}, {"a1", "a2"})
+        self.assertEqual(
+            [(report.version, type(report.result).__name__) for report in reports],
+            [("v1", "OutcomeUnknown"), ("v1", "Finished")],
+        )
 
     async def test_caller_that_leaves_ends_the_call_to_the_agent(self):
         # Guards against engines that go on generating for nobody.
--- a/test/test_router_reducer.py
+++ b/test/test_router_reducer.py
@@ -122,6 +122,14 @@
         self.assertNotEqual(first, second)
         self.assertEqual(self.refuse(2, hint), [Dispatch("r", 3, first)])
 
+    def test_hint_to_an_unreachable_owner_is_not_followed(self):
+        # Guards against attempts spent on a lost owner before the takeover.
+        first = self.arrive(idempotent=False, partition=1)[0].agent_id
+        lost = NotRun(Reason.BACKEND_DOWN)
+        second = self.apply(events.AttemptRefused(0.0, "r", 1, lost, True))[0].agent_id
+        third = self.refuse(2, NotRun(Reason.NOT_OWNER, owner=first))[0].agent_id
+        self.assertEqual(sorted([first, second, third]), ["a0", "a1", "a2"])
+
     def test_attempts_are_bounded_when_two_agents_name_each_other(self):
         # Guards against a request that circles between disagreeing agents.
         effects = self.arrive(idempotent=False, partition=1)
