Wire store feed, move owner and operator listener into the router

Cause: the configuration of the router did not have the names of its flags, and the parts that need the store were not started. Change: RouterConfig has one field per flag; Router.addresses names the bound listeners; router/control.py builds the parts that need the store.

--- a/heatherswitch/router/shell.py
+++ b/heatherswitch/router/shell.py
@@ -4,7 +4,7 @@
 import contextlib
 import logging
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field
 from typing import Any, Protocol
 
@@ -28,6 +28,7 @@
 
 # Time between two looks at deadlines, in seconds.
 TICK_S = 0.05
+ANY_PORT = "127.0.0.1:0"
 GRPC_SERVER_OPTIONS = (
     # A second process on the same port must fail instead of sharing the port.
     ("grpc.so_reuseport", 0),
@@ -40,27 +41,35 @@
 class RouterConfig:
     """The process's own settings, from flags and environment.
 
-    Ports are 0 to pick a free one.
+    Fields have the names of the flags. Listeners are ``host:port``; port 0 picks
+    a free one.
 
+    :param listen: listener for callers.
+    :param store: ``host:port`` of the store's endpoints.
     :param peers: ``host:port`` of other routers' gRPC listeners.
-    :param store: ``host:port`` of the store.
+    :param operator_token: bearer token of operators; an empty one refuses all.
     :param drain_delay_s: seconds between a failing ``/readyz`` and the end of
         accepting, so that the load balancer notices.
     :param grace_s: seconds that running requests get after that.
+    :param log_level: used before the router is built.
+    :param ready_file: used after the router has started.
     """
 
-    router_id: str
+    id: str
     zone: str
     region: str = ""
-    host: str = "127.0.0.1"
-    caller_port: int = 0
-    health_port: int = 0
-    peer_port: int = 0
-    peers: Sequence[str] = ()
+    listen: str = ANY_PORT
+    operator_listen: str = ANY_PORT
+    metrics_listen: str = ANY_PORT
+    peer_listen: str = ANY_PORT
     store: Sequence[str] = ()
+    peers: Sequence[str] = ()
+    operator_token: str = field(default="", repr=False)
     drain_delay_s: float = 5.0
     grace_s: float = 60.0
     caller_limits: HttpLimits = field(default_factory=HttpLimits)
+    log_level: str = "info"
+    ready_file: str = ""
 
 
 class Node(Protocol):
@@ -94,6 +103,10 @@
 class Part(Protocol):
     """A further task of the program, for example the store feed."""
 
+    @property
+    def addresses(self) -> Mapping[str, str]:
+        """Listener name to the ``host:port`` that is bound."""
+
     async def start(self) -> None:
         """Starts the part."""
 
@@ -120,7 +133,7 @@
         "_metrics",
         "_node",
         "_parts",
-        "_peer_port",
+        "_peer_address",
         "_runner",
         "_state",
         "_ticker",
@@ -134,7 +147,7 @@
         self._clock = Clock()
         self._incarnation = time.time_ns()
         self._state = MemberState.STARTING
-        self._peer_port = config.peer_port
+        self._peer_address = config.peer_listen
         self._channels = AgentChannels()
         self._node = node_factory(
             own_record=self._own_record,
@@ -165,15 +178,19 @@
     ) -> "Router":
         """Builds a router.
 
-        :param node_factory: builds the fleet state; ``FleetNode.from_config`` by
-            default.
+        :param node_factory: builds the fleet state. By default it is
+            ``FleetNode.from_config``, with the parts that need the store.
         """
-        if node_factory is None:
-            # Imported here so that tests of the router need no exchange.
-            from heatherswitch.exchange.node import FleetNode
+        if node_factory is not None:
+            return cls(config, node_factory, Metrics())
+        # Imported here so that tests of the router need neither exchange nor store.
+        from heatherswitch.exchange.node import FleetNode
+        from heatherswitch.router.control import ControlParts
 
-            node_factory = FleetNode.from_config
-        return cls(config, node_factory, Metrics())
+        router = cls(config, FleetNode.from_config, Metrics())
+        if config.store:
+            router.add_part(ControlParts.from_config(config, router.node, router.clock))
+        return router
 
     @property
     def node(self) -> Node:
@@ -191,19 +208,16 @@
         return self._metrics
 
     @property
-    def caller_port(self) -> int:
-        """Port of the caller listener."""
-        return self._callers.port
-
-    @property
-    def health_port(self) -> int:
-        """Port of the metrics and health listener."""
-        return self._health.port
-
-    @property
-    def peer_address(self) -> str:
-        """``host:port`` of the gRPC listener."""
-        return f"{self._config.host}:{self._peer_port}"
+    def addresses(self) -> Mapping[str, str]:
+        """Listener name to the ``host:port`` that is bound."""
+        bound = {
+            "caller": _bound(self._config.listen, self._callers.port),
+            "metrics": _bound(self._config.metrics_listen, self._health.port),
+            "peer": self._peer_address,
+        }
+        for part in self._parts:
+            bound.update(part.addresses)
+        return bound
 
     @property
     def clock(self) -> Clock:
@@ -219,19 +233,20 @@
 
     async def start(self) -> None:
         """Opens the listeners and joins the fleet."""
-        await self._health.start(self._config.host, self._config.health_port)
+        config = self._config
+        await self._health.start(*_host_port(config.metrics_listen))
         self._grpc = grpc.aio.server(options=GRPC_SERVER_OPTIONS)
         pb_grpc.add_PeerServicer_to_server(self._node.servicer(), self._grpc)
-        address = f"{self._config.host}:{self._config.peer_port}"
-        self._peer_port = self._grpc.add_insecure_port(address)
+        port = self._grpc.add_insecure_port(config.peer_listen)
+        self._peer_address = _bound(config.peer_listen, port)
         await self._grpc.start()
         self._state = MemberState.LIVE
         await self._node.start()
         for part in self._parts:
             await part.start()
         self._ticker = asyncio.create_task(self._tick())
-        await self._callers.start(self._config.host, self._config.caller_port)
-        log.info("router started", extra={"caller_port": self.caller_port})
+        await self._callers.start(*_host_port(config.listen))
+        log.info("router started", extra={"addresses": dict(self.addresses)})
 
     async def stop(self) -> None:
         """Shuts down gracefully: no accepted request is interrupted in the grace.
@@ -261,11 +276,11 @@
 
     def _own_record(self) -> Member:
         return Member(
-            id=self._config.router_id,
+            id=self._config.id,
             role=Role.ROUTER,
             zone=self._config.zone,
             region=self._config.region,
-            address=self.peer_address,
+            address=self._peer_address,
             incarnation=self._incarnation,
             state=self._state,
         )
@@ -287,3 +302,12 @@
                 self._runner.tick()
             except Exception:
                 log.exception("tick failed")
+
+
+def _host_port(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+def _bound(address: str, port: int) -> str:
+    return f"{_host_port(address)[0]}:{port}"
--- a/test/test_callers.py
+++ b/test/test_callers.py
@@ -47,7 +47,7 @@
         config = RouterConfig("r1", "z1", drain_delay_s=0.05)
         self.router = Router.from_config(config, lambda **o: FakeNode(members, **o))
         await self.router.start()
-        self.client = HttpClient("127.0.0.1", self.router.caller_port)
+        self.client = HttpClient.from_address(self.router.addresses["caller"])
 
     async def asyncTearDown(self):
         await self.router.stop()
@@ -224,7 +224,7 @@
             await asyncio.sleep(0.01)
         stop = asyncio.create_task(self.router.stop())
         await asyncio.sleep(0.05)
-        health = HttpClient("127.0.0.1", self.router.health_port)
+        health = HttpClient.from_address(self.router.addresses["metrics"])
         self.assertEqual((await health.request("GET", "/readyz")).status, 503)
         release.set()
         self.assertEqual(await (await sent).read(), b"hello")
