Send agents only load that the router has seen itself

Cause: the observed load was summed over the membership table. A router that is no home router of a pool holds zero load for agents it never spoke to, and the age was only an upper bound, so the mean could be wrong. Change: PoolLoads keeps the loads of answers with their age; the pool's load is sent only when all its agents were seen within 0.5 s. Conclusion: agents get a true observation or none.

--- a/heatherswitch/router/dispatch.py
+++ b/heatherswitch/router/dispatch.py
@@ -53,7 +53,7 @@
 
 
 AttemptResult = ConnectFailed | Silent | NotRun | OutcomeUnknown | Failed | Finished
-LoadObserver = Callable[[str, Load], None]
+LoadObserver = Callable[[str, Load, float], None]
 
 
 class Attempt:
@@ -62,7 +62,8 @@
     :param request: the message; its agent and incarnation are filled in here.
     :param progress_timeout_s: seconds without an event that count as silence.
     :param on_accepted: called when the agent admitted the request.
-    :param on_load: called with the load that the agent reports.
+    :param on_load: called with the load that the agent reports and its age
+        in seconds.
     """
 
     __slots__ = (
@@ -88,7 +89,7 @@
         sink: AnswerSink,
         progress_timeout_s: float,
         on_accepted: Callable[[], None] = lambda: None,
-        on_load: LoadObserver = lambda agent_id, load: None,
+        on_load: LoadObserver = lambda agent_id, load, age_s: None,
     ) -> None:
         request.agent_id = agent.id
         request.incarnation = agent.incarnation
@@ -209,7 +210,7 @@
     def _take_load(self, event: pb.ExecuteEvent) -> None:
         if event.HasField("load") and event.load.agent_id == self._agent.id:
             load = Load(event.load.running, event.load.queued, event.load.limit)
-            self._on_load(self._agent.id, load)
+            self._on_load(self._agent.id, load, event.load.age_ms / 1000)
 
     def _finished(self, done: pb.Done) -> Finished:
         return Finished(
--- /dev/null
+++ b/heatherswitch/router/pool_load.py
@@ -0,0 +1,56 @@
+"""What this router saw of the load of a pool, from the answers of its agents."""
+
+from collections.abc import Sequence
+
+from heatherswitch.fleet.members import Load, Member
+from heatherswitch.protocol import heatherswitch_pb2 as pb
+
+# Older figures say less than the exchange, which runs every 0.5 s.
+MAX_AGE_S = 0.5
+
+
+class PoolLoads:
+    """Keeps the load that each agent reported last, and when."""
+
+    __slots__ = ("_seen",)
+
+    def __init__(self) -> None:
+        self._seen: dict[str, tuple[float, Load]] = {}
+
+    def note(self, now: float, agent_id: str, load: Load, age_s: float) -> None:
+        """Takes a load from an answer.
+
+        :param age_s: age of the figures when the agent sent them, in seconds.
+        """
+        seen_at = now - age_s
+        known = self._seen.get(agent_id)
+        if known is None or known[0] <= seen_at:
+            self._seen[agent_id] = (seen_at, load)
+
+    def keep_only(self, agent_ids: set[str]) -> None:
+        """Forgets agents that left the fleet."""
+        for agent_id in self._seen.keys() - agent_ids:
+            del self._seen[agent_id]
+
+    def observed(self, now: float, pool: Sequence[Member]) -> pb.PoolLoad | None:
+        """Returns the load of a pool, or None unless all of it was seen lately.
+
+        A part of the pool would give a wrong mean.
+        """
+        total = 0
+        oldest = now
+        for member in pool:
+            seen_at, load = self._seen.get(member.id, (0.0, None))
+            if load is None or now - seen_at > MAX_AGE_S:
+                return None
+            total += load.total
+            oldest = min(oldest, seen_at)
+        if not pool:
+            return None
+        return pb.PoolLoad(
+            service=pool[0].service,
+            version=pool[0].version,
+            total=total,
+            agents=len(pool),
+            age_ms=round((now - oldest) * 1000),
+        )
--- a/heatherswitch/router/runner.py
+++ b/heatherswitch/router/runner.py
@@ -8,7 +8,6 @@
 
 from heatherswitch.fleet.config import FleetConfig
 from heatherswitch.fleet.members import (
-    SUSPECT_AFTER_S,
     Load,
     Member,
     MemberTable,
@@ -28,6 +27,7 @@
 from heatherswitch.router.channels import AgentChannels
 from heatherswitch.router.dispatch import Attempt, AttemptResult, ConnectFailed, Silent
 from heatherswitch.router.effects import Answer, CancelAttempt, Dispatch, Resume
+from heatherswitch.router.pool_load import PoolLoads
 from heatherswitch.router.reducer import RouterReducer
 from heatherswitch.router.telemetry import Telemetry
 from heatherswitch.statecore.reducer import Effect, Event, Log, write_log
@@ -101,6 +101,7 @@
         "_clock",
         "_fleet",
         "_observers",
+        "_pool_loads",
         "_reducer",
         "_running",
         "_tasks",
@@ -121,6 +122,7 @@
         self._reducer = RouterReducer(fleet.config, fleet.members)
         self._running: dict[str, _Running] = {}
         self._tasks: set[asyncio.Task] = set()
+        self._pool_loads = PoolLoads()
         self._observers: list[Callable[[AttemptReport], None]] = []
 
     @property
@@ -184,7 +186,7 @@
             return
         message = call.to_message(now, effect.attempt)
         message.config_revision = self._fleet.config.revision
-        self._add_observed_load(message, agent.service, agent.version, now)
+        self._add_observed_load(message, agent, now)
         running.answer.restart()
         running.agent = agent
         running.dispatched_at = now
@@ -273,28 +275,20 @@
         task.add_done_callback(self._tasks.discard)
         return task
 
-    def _take_load(self, agent_id: str, load: Load) -> None:
-        self._fleet.members.update_load(self._clock.now(), agent_id, load)
+    def keep_only(self, agent_ids: set[str]) -> None:
+        """Gives up what is kept of agents that left the fleet."""
+        self._channels.keep_only(agent_ids)
+        self._pool_loads.keep_only(agent_ids)
+
+    def _take_load(self, agent_id: str, load: Load, age_s: float) -> None:
+        now = self._clock.now()
+        self._fleet.members.update_load(now, agent_id, load)
+        self._pool_loads.note(now, agent_id, load, age_s)
 
     def _add_observed_load(
-        self, message: pb.ExecuteRequest, service: str, version: str, now: float
+        self, message: pb.ExecuteRequest, agent: Member, now: float
     ) -> None:
-        """Adds the pool's load as this router saw it last.
-
-        Members unheard for longer are left out, so the age is an upper bound.
-        """
-        members = self._fleet.members
-        pool = [
-            member
-            for member in members.agents(service, version)
-            if not members.suspect(now, member.id)
-        ]
-        message.observed_load.CopyFrom(
-            pb.PoolLoad(
-                service=service,
-                version=version,
-                total=sum(member.load.total for member in pool),
-                agents=len(pool),
-                age_ms=int(SUSPECT_AFTER_S * 1000),
-            )
-        )
+        pool = self._fleet.members.agents(agent.service, agent.version)
+        observed = self._pool_loads.observed(now, pool)
+        if observed is not None:
+            message.observed_load.CopyFrom(observed)
--- a/heatherswitch/router/shell.py
+++ b/heatherswitch/router/shell.py
@@ -292,7 +292,7 @@
         self._runner.post(events.ConfigChanged(self._clock.now()))
 
     def _on_members(self) -> None:
-        self._channels.keep_only({member.id for member in self._node.members})
+        self._runner.keep_only({member.id for member in self._node.members})
         self._runner.post(events.MembersChanged(self._clock.now()))
 
     async def _tick(self) -> None:
--- a/test/test_dispatch.py
+++ b/test/test_dispatch.py
@@ -33,7 +33,9 @@
             request,
             self.sink,
             timeout_s,
-            on_load=lambda agent_id, load: self.loads.append((agent_id, load.running)),
+            on_load=lambda agent_id, load, age_s: self.loads.append(
+                (agent_id, load.running)
+            ),
         )
 
     async def run_script(self, *script):
