--- /dev/null
+++ b/heatherswitch/agent/backend.py
@@ -0,0 +1,376 @@
+"""HTTP client of the backend server: calls, checks of the answer, probes."""
+
+import asyncio
+import json
+import re
+from dataclasses import dataclass, field
+
+import h11
+
+from heatherswitch.util.http import ConnectFailed, ConnectionLost, Headers
+from heatherswitch.util.http_client import HttpClient, HttpResponse
+
+# Headers of one connection.
+HOP_HEADERS = frozenset(
+    (
+        "connection",
+        "keep-alive",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    )
+)
+# Headers that the agent sets itself, and the caller's authorization, which names
+# a workspace of the fleet and is not meant for the server.
+DROPPED_REQUEST_HEADERS = HOP_HEADERS | {
+    "authorization",
+    "content-length",
+    "expect",
+    "host",
+    "idempotency-key",
+    "traceparent",
+    "x-fencing-token",
+    "x-request-id",
+}
+DROPPED_RESPONSE_HEADERS = HOP_HEADERS | {"x-request-id"}
+# Time for a health or load probe, in seconds.
+PROBE_TIMEOUT_S = 1.0
+# Largest probe answer that is read.
+PROBE_BODY_BYTES = 1024 * 1024
+# Largest JSON answer that is searched for usage.
+USAGE_BODY_BYTES = 4 * 1024 * 1024
+SSE_END = b"data: [DONE]"
+BODILESS_STATUSES = (204, 304)
+
+_METRIC = re.compile(
+    r"^(?:\w+:)?(num_requests_running|num_requests_waiting|process_start_time_seconds)"
+    r"(?:\{[^}]*\})?\s+([-+0-9.eE]+)",
+    re.MULTILINE,
+)
+
+
+class BackendError(Exception):
+    """The backend server gave no whole answer.
+
+    :param code: short machine-readable cause.
+    """
+
+    sent = True
+
+    def __init__(self, code: str, detail: str = "") -> None:
+        super().__init__(detail or code)
+        self.code = code
+
+
+class NothingSent(BackendError):
+    """Provably nothing of the request was sent."""
+
+    sent = False
+
+
+@dataclass(frozen=True, slots=True)
+class BackendCall:
+    """One request for the backend server.
+
+    :param epoch: fencing token; 0 for none.
+    :param engine: True for a model engine, whose streams end with ``[DONE]``.
+    :param timeout_s: seconds for the whole answer.
+    :param silent_s: seconds without a byte after which a stream counts as silent.
+    """
+
+    request_id: str
+    method: str
+    target: str
+    headers: Headers = field(default_factory=list)
+    body: bytes = b""
+    traceparent: str = ""
+    idempotent: bool = True
+    idempotency_key: str = ""
+    epoch: int = 0
+    engine: bool = True
+    timeout_s: float = 60.0
+    silent_s: float = 3.0
+
+
+@dataclass(frozen=True, slots=True)
+class Usage:
+    """Tokens that an engine reports for one answer."""
+
+    prompt_tokens: int = 0
+    cached_tokens: int = 0
+    completion_tokens: int = 0
+
+    @property
+    def computed_tokens(self) -> int:
+        """Prompt tokens that were not in the cache."""
+        return max(0, self.prompt_tokens - self.cached_tokens)
+
+
+@dataclass(frozen=True, slots=True)
+class Health:
+    """Result of a health probe.
+
+    :param started_at: seconds since the epoch, or None.
+    """
+
+    healthy: bool
+    incarnation: str | None = None
+    started_at: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class ServerLoad:
+    """The load that a backend server reports, which lags."""
+
+    running: int
+    waiting: int
+    started_at: float | None = None
+
+
+class AnswerSink:
+    """Receives an answer as it arrives; the base class drops it."""
+
+    async def head(self, status: int, headers: Headers) -> None:
+        """Takes status and headers."""
+
+    async def chunk(self, data: bytes) -> None:
+        """Takes a part of the body."""
+
+
+class BodyCheck:
+    """Follows a body to find its end marker and the usage."""
+
+    __slots__ = ("_data", "_done", "_sse", "_usage")
+
+    def __init__(self, content_type: str) -> None:
+        self._sse = content_type.startswith("text/event-stream")
+        self._data = bytearray()
+        self._done = False
+        self._usage = Usage()
+
+    @property
+    def stream(self) -> bool:
+        """True for server-sent events."""
+        return self._sse
+
+    def add(self, data: bytes) -> None:
+        """Takes a part of the body."""
+        if not self._sse:
+            if len(self._data) <= USAGE_BODY_BYTES:
+                self._data += data
+            return
+        self._data += data
+        if len(self._data) > USAGE_BODY_BYTES:
+            raise BackendError("line_too_long", "an event of the stream has no end")
+        *lines, rest = self._data.split(b"\n")
+        self._data = rest
+        for line in lines:
+            self._add_line(bytes(line).strip())
+
+    def finish(self, complete_without_marker: bool) -> Usage:
+        """Ends the body.
+
+        :param complete_without_marker: False when a stream must have ``[DONE]``.
+        :raises BackendError: if the end marker is missing.
+        """
+        if self._sse:
+            self._add_line(bytes(self._data).strip())
+            if not self._done and not complete_without_marker:
+                raise BackendError("truncated", "the stream ended without [DONE]")
+        elif len(self._data) <= USAGE_BODY_BYTES and b'"usage"' in self._data:
+            self._read_usage(bytes(self._data))
+        return self._usage
+
+    def _add_line(self, line: bytes) -> None:
+        if line == SSE_END:
+            self._done = True
+        elif b'"usage"' in line and line.startswith(b"data:"):
+            self._read_usage(line[5:])
+
+    def _read_usage(self, data: bytes) -> None:
+        try:
+            usage = json.loads(data).get("usage") or {}
+            details = usage.get("prompt_tokens_details") or {}
+            self._usage = Usage(
+                int(usage.get("prompt_tokens") or 0),
+                int(details.get("cached_tokens") or 0),
+                int(usage.get("completion_tokens") or 0),
+            )
+        except (ValueError, AttributeError, TypeError, RecursionError):
+            # Usage is a hint; the answer itself is passed on unchanged.
+            return
+
+
+class BackendClient:
+    """Calls one backend server."""
+
+    __slots__ = ("_http",)
+
+    def __init__(self, http: HttpClient) -> None:
+        self._http = http
+
+    @classmethod
+    def from_address(cls, address: str) -> "BackendClient":
+        """Builds a client from ``host:port``."""
+        return cls(HttpClient.from_address(address))
+
+    def close(self) -> None:
+        """Closes idle connections."""
+        self._http.close()
+
+    async def call(self, call: BackendCall, sink: AnswerSink) -> Usage:
+        """Runs a request and passes its answer on.
+
+        :raises NothingSent: if the server cannot have received it.
+        :raises BackendError: if the answer is missing, cut or another request's.
+        """
+        try:
+            async with asyncio.timeout(call.timeout_s):
+                response = await self._send(call)
+                try:
+                    return await self._receive(call, response, sink)
+                except BaseException:
+                    response.close()
+                    raise
+        except TimeoutError as error:
+            raise BackendError("timeout", "the answer took too long") from error
+
+    async def _send(self, call: BackendCall) -> HttpResponse:
+        fresh = not call.idempotent
+        try:
+            return await self._request(call, fresh)
+        except ConnectFailed as error:
+            raise NothingSent("connect_failed", str(error)) from error
+        except h11.LocalProtocolError as error:
+            raise NothingSent("invalid_request", str(error)) from error
+        except ConnectionLost as error:
+            if fresh:
+                raise BackendError("backend_closed", str(error)) from error
+        # The server may have closed an idle connection just as it was used.
+        try:
+            return await self._request(call, fresh=True)
+        except (ConnectFailed, ConnectionLost) as error:
+            raise BackendError("backend_closed", str(error)) from error
+
+    async def _request(self, call: BackendCall, fresh: bool) -> HttpResponse:
+        return await self._http.request(
+            call.method,
+            call.target,
+            request_headers(call),
+            call.body,
+            timeout=call.timeout_s,
+            fresh=fresh,
+        )
+
+    async def _receive(self, call, response: HttpResponse, sink: AnswerSink) -> Usage:
+        echoed = response.header("x-request-id")
+        if echoed and echoed != call.request_id:
+            raise BackendError("crossed_answer", f"the answer is for {echoed}")
+        headers = response_headers(response.headers)
+        check = BodyCheck(response.header("content-type"))
+        needs_marker = call.engine and check.stream and response.status == 200
+        if not needs_marker and not _has_length(call, response):
+            raise BackendError("length_missing", "the end cannot be recognised")
+        await sink.head(response.status, headers)
+        try:
+            await _pass_body(call, response, check, sink)
+        except ConnectionLost as error:
+            raise BackendError("truncated", str(error)) from error
+        return check.finish(complete_without_marker=not needs_marker)
+
+    async def health(self) -> Health:
+        """Probes ``GET /health``; never raises on a bad server."""
+        body = await self._probe("/health")
+        if body is None:
+            return Health(False)
+        try:
+            value = json.loads(body)
+        except (ValueError, RecursionError):
+            return Health(True)
+        if not isinstance(value, dict):
+            return Health(True)
+        incarnation = value.get("incarnation")
+        known = None if incarnation is None else str(incarnation)
+        started_at = value.get("started_at")
+        number = isinstance(started_at, int | float)
+        return Health(True, known, float(started_at) if number else None)
+
+    async def load(self) -> ServerLoad | None:
+        """Reads ``/metrics``; None when the server reports no load."""
+        body = await self._probe("/metrics")
+        if body is None:
+            return None
+        return parse_load(body.decode("utf-8", "replace"))
+
+    async def _probe(self, target: str) -> bytes | None:
+        try:
+            async with asyncio.timeout(PROBE_TIMEOUT_S):
+                response = await self._http.request("GET", target)
+                body = await response.read(PROBE_BODY_BYTES)
+        except (ConnectFailed, ConnectionLost, TimeoutError):
+            return None
+        return body if 200 <= response.status < 300 else None
+
+
+def parse_load(text: str) -> ServerLoad | None:
+    """Reads the load from a Prometheus exposition, summed over labels."""
+    sums: dict[str, float] = {}
+    for name, value in _METRIC.findall(text):
+        try:
+            sums[name] = sums.get(name, 0.0) + float(value)
+        except ValueError:
+            continue
+    if "num_requests_running" not in sums:
+        return None
+    return ServerLoad(
+        int(sums["num_requests_running"]),
+        int(sums.get("num_requests_waiting", 0)),
+        sums.get("process_start_time_seconds"),
+    )
+
+
+def request_headers(call: BackendCall) -> Headers:
+    """Returns the headers that the backend server receives."""
+    kept = [h for h in call.headers if h[0].lower() not in DROPPED_REQUEST_HEADERS]
+    kept.append(("X-Request-Id", call.request_id))
+    if call.traceparent:
+        kept.append(("traceparent", call.traceparent))
+    if call.idempotency_key:
+        kept.append(("Idempotency-Key", call.idempotency_key))
+    if call.epoch:
+        kept.append(("X-Fencing-Token", str(call.epoch)))
+    return kept
+
+
+def response_headers(headers: Headers) -> Headers:
+    """Returns the headers that the caller receives."""
+    return [h for h in headers if h[0].lower() not in DROPPED_RESPONSE_HEADERS]
+
+
+def _has_length(call: BackendCall, response: HttpResponse) -> bool:
+    if call.method == "HEAD" or response.status in BODILESS_STATUSES:
+        return True
+    names = {name for name, _ in response.headers}
+    return bool(names & {"content-length", "transfer-encoding"})
+
+
+async def _pass_body(
+    call: BackendCall, response: HttpResponse, check: BodyCheck, sink: AnswerSink
+) -> None:
+    chunks = response.chunks()
+    # The first token may wait for the engine; after it a stream makes progress.
+    silent_s = call.timeout_s
+    while True:
+        try:
+            data = await asyncio.wait_for(anext(chunks), silent_s)
+        except StopAsyncIteration:
+            return
+        except TimeoutError as error:
+            raise BackendError("backend_silent", "the stream stopped") from error
+        if check.stream:
+            silent_s = call.silent_s
+        check.add(data)
+        await sink.chunk(data)
--- /dev/null
+++ b/heatherswitch/agent/work.py
@@ -0,0 +1,56 @@
+"""State of one request inside the agent."""
+
+from enum import Enum
+
+from heatherswitch.agent.events import ExecuteReceived
+from heatherswitch.fleet.admission import Ticket
+
+
+class Phase(Enum):
+    """How far a request is."""
+
+    WAITING = "waiting"
+    CLAIMING = "claiming"
+    RUNNING = "running"
+
+
+class Work:
+    """One request from its admission to its outcome."""
+
+    __slots__ = (
+        "claim_sent_at",
+        "claimed",
+        "detached_at",
+        "first_byte_at",
+        "period",
+        "phase",
+        "request",
+        "started_at",
+        "ticket",
+    )
+
+    def __init__(self, request: ExecuteReceived, ticket: Ticket) -> None:
+        self.request = request
+        self.ticket = ticket
+        self.phase = Phase.WAITING
+        self.claimed = False
+        self.claim_sent_at = 0.0
+        self.started_at = 0.0
+        self.first_byte_at: float | None = None
+        self.detached_at: float | None = None
+        # Warmth period at the start.
+        self.period = 0
+
+    @property
+    def id(self) -> str:
+        """Unique id of the work."""
+        return self.request.work_id
+
+    @property
+    def key(self) -> tuple[str, str]:
+        """Workspace and idempotency key."""
+        return (self.request.workspace, self.request.idempotency_key)
+
+    def detached_for(self, now: float) -> float:
+        """Returns the seconds since the caller left; 0 while it is attached."""
+        return 0.0 if self.detached_at is None else now - self.detached_at
--- /dev/null
+++ b/test/test_warmth.py
@@ -0,0 +1,59 @@
+import unittest
+
+from heatherswitch.fleet.warmth import Warmth, WarmthSettings
+
+
+def warm_server():
+    warmth = Warmth(WarmthSettings(limit=2, evidence=2, max_running=8))
+    while warmth.cold:
+        warmth.on_answer(warmth.period, 0.1, 100)
+    for _ in range(10):
+        warmth.on_answer(warmth.period, 0.1, 100)
+    return warmth
+
+
+class WarmthTest(unittest.TestCase):
+    def test_limit_doubles_only_on_answers_started_under_it(self):
+        # Guards against answers from a lower limit counting for the next one.
+        warmth = Warmth(WarmthSettings(limit=2, evidence=2, max_running=16))
+        first = warmth.period
+        for _ in range(6):
+            warmth.on_answer(first, 0.1, 100)
+        self.assertEqual(warmth.limit, 4)
+
+    def test_failure_restarts_the_evidence(self):
+        # Guards against growth while every other answer fails.
+        warmth = Warmth(WarmthSettings(limit=2, evidence=2, max_running=16))
+        for _ in range(5):
+            warmth.on_answer(warmth.period, 0.1, 100)
+            warmth.on_failure()
+        self.assertEqual(warmth.limit, 2)
+
+    def test_restart_signs_start_a_cold_start(self):
+        # Guards against a restarted server receiving the load of a warm one.
+        for sign in (("i2", None), (None, 20.0)):
+            with self.subTest(sign=sign):
+                warmth = warm_server()
+                self.assertFalse(warmth.on_health("i1", 10.0))
+                self.assertFalse(warmth.on_health("i1", 10.0))
+                self.assertTrue(warmth.on_health(*sign))
+                self.assertEqual(warmth.limit, 2)
+
+    def test_slow_first_tokens_show_a_cold_server(self):
+        # Guards against a server that becomes cold without any notice.
+        warmth = warm_server()
+        self.assertFalse(warmth.on_answer(warmth.period, 1.0, 100))
+        self.assertTrue(warmth.on_answer(warmth.period, 1.0, 100))
+        self.assertTrue(warmth.cold)
+
+    def test_cache_miss_is_not_a_cold_server(self):
+        # Guards against long prompts without cached prefix resetting the limit.
+        warmth = warm_server()
+        for _ in range(4):
+            warmth.on_answer(warmth.period, 2.0, 8000)
+        self.assertFalse(warmth.cold)
+
+    def test_changed_settings_keep_a_warm_server_warm(self):
+        warmth = warm_server()
+        warmth.configure(WarmthSettings(limit=2, max_running=32))
+        self.assertEqual(warmth.limit, 32)
