--- /dev/null
+++ b/heatherswitch/agent/shell.py
@@ -0,0 +1,368 @@
+"""The agent program: wires listeners, fleet node, journal and backend server."""
+
+import asyncio
+import logging
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+import grpc
+
+from heatherswitch.agent import events as ev
+from heatherswitch.agent.backend import BackendClient
+from heatherswitch.agent.claiming import Claims, Journal
+from heatherswitch.agent.gate import Identity
+from heatherswitch.agent.metrics import AgentMetrics
+from heatherswitch.agent.runner import AgentRunner
+from heatherswitch.agent.service import AgentService
+from heatherswitch.fleet.config import FleetConfig
+from heatherswitch.fleet.members import Member, MemberState, Role
+from heatherswitch.protocol import heatherswitch_pb2_grpc as pb_grpc
+from heatherswitch.util.clock import Clock
+from heatherswitch.util.http import Request
+from heatherswitch.util.http_server import HttpServer, Responder
+
+log = logging.getLogger("heatherswitch.agent")
+
+# Time between two looks at deadlines and resume windows, in seconds.
+TICK_S = 0.05
+# Time between two probes of the backend server, in seconds.
+PROBE_INTERVAL_S = 1.0
+# Largest message: the largest body that settings allow, and its headers.
+MAX_MESSAGE_BYTES = 65 * 1024 * 1024
+GRPC_OPTIONS = (
+    ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
+    ("grpc.max_send_message_length", MAX_MESSAGE_BYTES),
+    ("grpc.so_reuseport", 0),
+    ("grpc.enable_http_proxy", 0),
+)
+# Time for open event streams after the last work has ended, in seconds.
+STREAM_GRACE_S = 5.0
+# Time for the last exchange and the handover of partitions, in seconds.
+GOODBYE_TIMEOUT_S = 5.0
+
+
+class AgentError(Exception):
+    """The agent cannot start."""
+
+
+class Node(Protocol):
+    """The part of ``exchange.node.FleetNode`` that the agent uses."""
+
+    config: FleetConfig
+    ready: bool
+
+    def servicer(self) -> Any:
+        """Returns the gRPC ``Peer`` service."""
+
+    async def start(self) -> None:
+        """Starts the periodic exchange."""
+
+    async def stop(self) -> None:
+        """Ends the periodic exchange."""
+
+    async def exchange_now(self) -> None:
+        """Runs one exchange at once."""
+
+
+class OwnedJournal(Journal, Protocol):
+    """The part of ``agent.journal.ClaimJournal`` that the shell uses."""
+
+    async def on_config(self, config: FleetConfig) -> None:
+        """Takes a changed configuration."""
+
+    async def release_all(self) -> None:
+        """Hands over the partitions."""
+
+
+@dataclass(frozen=True, slots=True)
+class AgentConfig:
+    """The agent's own settings, from flags and environment.
+
+    :param agent_id: unique in the fleet.
+    :param backend: ``host:port`` of the backend server.
+    :param advertise: address that routers connect to; empty for the listener's.
+    :param peers: ``host:port`` of routers to start from.
+    :param store: ``host:port`` of the store's endpoints; empty for a service
+        without claims.
+    :param drain_timeout_s: time for running work after a stop was requested.
+    """
+
+    agent_id: str
+    service: str
+    version: str
+    zone: str
+    backend: str
+    region: str = ""
+    host: str = "127.0.0.1"
+    port: int = 0
+    advertise: str = ""
+    metrics_host: str = "127.0.0.1"
+    metrics_port: int = 0
+    peers: tuple[str, ...] = ()
+    store: tuple[str, ...] = ()
+    drain_timeout_s: float = 600.0
+
+
+def open_node(agent: "Agent") -> Node:
+    """Builds the fleet node of an agent."""
+    from heatherswitch.exchange.node import FleetNode
+
+    return FleetNode.from_config(
+        own_record=agent.own_record,
+        peers=agent.config.peers,
+        on_config=lambda entries: agent.config_changed(),
+        on_members=agent.config_changed,
+        on_pool_load=agent.pool_load,
+        clock=agent.clock,
+    )
+
+
+def open_journal(agent: "Agent") -> OwnedJournal | None:
+    """Builds the claim journal of an agent; None without a store."""
+    if not agent.config.store:
+        return None
+    from heatherswitch.agent.journal import ClaimJournal
+    from heatherswitch.statecore.store import StoreClient
+
+    return ClaimJournal.from_config(
+        store=StoreClient.from_addresses(list(agent.config.store), timeout_s=2.0),
+        service=agent.config.service,
+        agent_id=agent.config.agent_id,
+        incarnation=agent.incarnation,
+        clock=agent.clock,
+    )
+
+
+def partition_of(service: str, workspace: str, key: str, partitions: int) -> int:
+    """Returns the claim partition of a key."""
+    from heatherswitch.fleet import partitions as rules
+
+    return rules.partition_of(service, workspace, key, partitions)
+
+
+class Agent:
+    """One agent process."""
+
+    def __init__(
+        self,
+        config: AgentConfig,
+        backend: BackendClient,
+        node_factory: Callable[["Agent"], Node] = open_node,
+        journal_factory: Callable[["Agent"], OwnedJournal | None] = open_journal,
+        partition: Callable[[str, str, str, int], int] = partition_of,
+    ) -> None:
+        self._config = config
+        self._clock = Clock()
+        self._incarnation = time.time_ns()
+        self._backend = backend
+        self._metrics = AgentMetrics()
+        self._state = MemberState.STARTING
+        self._reported_own = 0
+        self._tasks: list[asyncio.Task] = []
+        self._server: grpc.aio.Server | None = None
+        self._port = 0
+        self._stopping: asyncio.Task | None = None
+        self._journal = journal_factory(self)
+        identity = Identity(
+            config.agent_id,
+            self._incarnation,
+            config.service,
+            config.version,
+            config.zone,
+        )
+        self._runner = AgentRunner(
+            identity,
+            backend,
+            Claims(self._journal, self._clock.now),
+            self._metrics,
+            self._clock.now,
+            partition,
+        )
+        self._node = node_factory(self)
+        self._runner.fetch_config = self._node.exchange_now
+        self._http = HttpServer(self._on_http)
+
+    @classmethod
+    def from_config(cls, config: AgentConfig) -> "Agent":
+        """Builds an agent with its backend client, fleet node and journal.
+
+        :raises AgentError: if the backend address is invalid.
+        """
+        try:
+            backend = BackendClient.from_address(config.backend)
+        except ValueError as error:
+            raise AgentError(f"backend {config.backend!r} is not host:port") from error
+        return cls(config, backend)
+
+    @property
+    def config(self) -> AgentConfig:
+        """The agent's own settings."""
+        return self._config
+
+    @property
+    def clock(self) -> Clock:
+        """The clock of all events."""
+        return self._clock
+
+    @property
+    def incarnation(self) -> int:
+        """Nanoseconds since the epoch when the agent was built."""
+        return self._incarnation
+
+    @property
+    def runner(self) -> AgentRunner:
+        """Runs the agent's decisions."""
+        return self._runner
+
+    @property
+    def address(self) -> str:
+        """``host:port`` that routers connect to."""
+        return self._config.advertise or f"{self._config.host}:{self._port}"
+
+    @property
+    def metrics_port(self) -> int:
+        """Port of the metrics and health listener."""
+        return self._http.port
+
+    def own_record(self) -> Member:
+        """Returns the agent's record for the fleet."""
+        reducer = self._runner.reducer
+        load = reducer.load
+        self._reported_own = load.total
+        return Member(
+            id=self._config.agent_id,
+            role=Role.AGENT,
+            zone=self._config.zone,
+            address=self.address,
+            incarnation=self._incarnation,
+            region=self._config.region,
+            state=self._state,
+            service=self._config.service,
+            version=self._config.version,
+            load=load,
+            cold=reducer.cold,
+        )
+
+    def config_changed(self) -> None:
+        """Puts the node's configuration in force once the node is ready."""
+        if not self._node.ready:
+            return
+        self._runner.set_config(self._node.config)
+        if self._state is MemberState.STARTING and self._port:
+            self._state = MemberState.LIVE
+        if self._journal is not None:
+            self._tasks = [task for task in self._tasks if not task.done()]
+            change = self._journal.on_config(self._node.config)
+            if asyncio.iscoroutine(change):
+                self._tasks.append(asyncio.create_task(change))
+
+    def pool_load(self, total: int, agents: int) -> None:
+        """Takes the load of the agent's pool from a home router."""
+        own = min(self._reported_own, total)
+        self._runner.post(ev.PoolMeanReported(self._clock.now(), total, agents, own))
+
+    async def start(self) -> None:
+        """Binds the listeners and starts to take work.
+
+        :raises AgentError: if a listener cannot be bound.
+        """
+        self._server = grpc.aio.server(options=GRPC_OPTIONS)
+        service = AgentService(
+            self._runner, self._config.agent_id, self._incarnation, self._clock.now
+        )
+        pb_grpc.add_AgentServicer_to_server(service, self._server)
+        pb_grpc.add_PeerServicer_to_server(self._node.servicer(), self._server)
+        listen = f"{self._config.host}:{self._config.port}"
+        try:
+            self._port = self._server.add_insecure_port(listen)
+            await self._http.start(self._config.metrics_host, self._config.metrics_port)
+        except (OSError, RuntimeError) as error:
+            raise AgentError(f"cannot listen on {listen}: {error}") from error
+        await self._server.start()
+        await self._probe()
+        await self._node.start()
+        self.config_changed()
+        self._tasks += [
+            asyncio.create_task(self._every(TICK_S, self._tick)),
+            asyncio.create_task(self._every(PROBE_INTERVAL_S, self._probe)),
+        ]
+        log.info("agent started", extra={"address": self.address})
+
+    async def stop(self) -> None:
+        """Shuts down gracefully; a second call waits for the first."""
+        if self._stopping is None:
+            self._stopping = asyncio.create_task(self._stop())
+        await asyncio.shield(self._stopping)
+
+    async def _stop(self) -> None:
+        self._state = MemberState.LEAVING
+        self._runner.post(ev.StopRequested(self._clock.now()))
+        await self._try("leaving was not announced", self._node.exchange_now())
+        try:
+            async with asyncio.timeout(self._config.drain_timeout_s):
+                await self._runner.drain()
+        except TimeoutError:
+            log.error("work was still running at the end of the drain timeout")
+        if self._journal is not None:
+            handover = self._journal.release_all()
+            await self._try("partitions were not handed over", handover)
+        await self._server.stop(STREAM_GRACE_S)
+        await self._try("the exchange did not end", self._node.stop())
+        for task in self._tasks:
+            task.cancel()
+        self._runner.cancel_all()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._http.stop(grace_s=1.0)
+        self._backend.close()
+        log.info("agent stopped")
+
+    async def _try(self, message: str, step) -> None:
+        try:
+            async with asyncio.timeout(GOODBYE_TIMEOUT_S):
+                await step
+        except Exception as error:
+            log.warning(message, extra={"error": repr(error)})
+
+    async def _every(self, interval_s: float, work) -> None:
+        while True:
+            await asyncio.sleep(interval_s)
+            try:
+                await work()
+            except Exception:
+                log.exception("periodic work failed")
+
+    async def _tick(self) -> None:
+        self._runner.tick()
+
+    async def _probe(self) -> None:
+        health = await self._backend.health()
+        self._runner.post(
+            ev.HealthReported(
+                self._clock.now(), health.healthy, health.incarnation, health.started_at
+            )
+        )
+        load = await self._backend.load() if health.healthy else None
+        if load is not None:
+            self._metrics.set_server_load(load)
+            self._runner.post(
+                ev.LoadReported(
+                    self._clock.now(), load.running, load.waiting, load.started_at
+                )
+            )
+
+    async def _on_http(self, request: Request, responder: Responder) -> None:
+        reducer = self._runner.reducer
+        if request.path == "/metrics":
+            self._metrics.set_state(reducer.load, reducer.cold, reducer.backend_up)
+            body, content_type = self._metrics.render()
+            await responder.send(200, body, [("Content-Type", content_type)])
+        elif request.path == "/livez":
+            await responder.send_json(200, {"status": "alive"})
+        elif request.path == "/readyz":
+            ready = reducer.configured and reducer.backend_up and not reducer.leaving
+            status = "ready" if ready else "not ready"
+            await responder.send_json(200 if ready else 503, {"status": status})
+        else:
+            await responder.send_json(404, {"error": {"message": "no such path"}})
--- /dev/null
+++ b/test/test_agent_reducer.py
@@ -0,0 +1,193 @@
+import json
+import unittest
+
+from heatherswitch.agent import effects as fx
+from heatherswitch.agent import events as ev
+from heatherswitch.agent.gate import Identity
+from heatherswitch.agent.reducer import AgentReducer
+from heatherswitch.fleet.config import FleetConfig
+from heatherswitch.fleet.outcomes import NotRun, OutcomeUnknown, Reason
+from heatherswitch.fleet.settings import node_key
+from heatherswitch.statecore.replica import Entry
+
+DEFAULTS = {"limits": {"max_running": 4}, "cold_start": {"limit": 4}}
+
+
+def config(revision=1, **nodes):
+    made = FleetConfig()
+    paths = {"/": DEFAULTS} | {path.replace("_", "="): v for path, v in nodes.items()}
+    values = [(node_key(path), json.dumps(value)) for path, value in paths.items()]
+    made.apply([Entry(key, revision, value.encode()) for key, value in values])
+    return made
+
+
+def execute(work_id, now=0.0, **fields):
+    values = {"workspace": "w1", "request_class": "default"} | fields
+    return ev.ExecuteReceived(now, work_id, **values)
+
+
+def claimed(work_id):
+    return execute(work_id, idempotent=False, idempotency_key="k1")
+
+
+class AgentReducerTest(unittest.TestCase):
+    def setUp(self):
+        self.reducer = AgentReducer(Identity("a1", 7, "chat", "v1", "z1"))
+        self.apply(ev.ConfigChanged(0.0, config()))
+        self.apply(ev.PoolMeanReported(0.0, 100, 2, 0))
+
+    def apply(self, event):
+        return self.reducer.apply(event)
+
+    def only(self, made, kind):
+        found = [effect for effect in made if isinstance(effect, kind)]
+        self.assertEqual(len(found), 1, made)
+        return found[0]
+
+    def refusal(self, event):
+        return self.only(self.apply(event), fx.Refuse).outcome.reason
+
+    def test_nothing_is_taken_without_a_configuration(self):
+        # Guards against a restarted agent in a zone that is out taking work.
+        self.reducer = AgentReducer(Identity("a1", 7, "chat", "v1", "z1"))
+        self.assertEqual(self.refusal(execute("r1")), Reason.NOT_READY)
+
+    def test_other_identity_is_refused(self):
+        # Guards against work for a replaced agent running at its successor.
+        for fields in ({"agent_id": "a2"}, {"incarnation": 6}, {"version": "v2"}):
+            with self.subTest(**fields):
+                reason = self.refusal(execute("r1", **fields))
+                self.assertEqual(reason, Reason.WRONG_INCARNATION)
+
+    def test_orders_refuse_new_and_waiting_work(self):
+        # Guards against queued work starting after an order took effect.
+        out = config(2, **{"/zone_z1": {"zone_state": "out"}})
+        closed = {"version_state": "taken_back"}
+        back = config(2, **{"/service_chat/version_v1": closed})
+        orders = (
+            (ev.ConfigChanged(1.0, out), Reason.ZONE_OUT),
+            (ev.ConfigChanged(1.0, back), Reason.VERSION_TAKEN_BACK),
+            (ev.StopRequested(1.0), Reason.LEAVING),
+        )
+        for order, reason in orders:
+            with self.subTest(reason=reason):
+                self.setUp()
+                for number in range(4):
+                    self.apply(execute(f"r{number}"))
+                self.apply(execute("waits"))
+                made = self.apply(order)
+                self.assertEqual(self.only(made, fx.Refuse).work_id, "waits")
+                self.assertEqual(self.refusal(execute("new", now=1.0)), reason)
+                self.assertEqual(self.reducer.load.running, 4)
+
+    def test_returned_zone_starts_cold(self):
+        # Guards against a returned zone receiving its whole load at once.
+        small = {"cold_start": {"limit": 1}}
+        out = config(2, **{"/zone_z1": {"zone_state": "out"} | small})
+        self.apply(ev.ConfigChanged(1.0, out))
+        self.apply(ev.ConfigChanged(2.0, config(3, **{"/zone_z1": small})))
+        self.apply(execute("r1", now=2.0))
+        self.assertEqual(self.refusal(execute("r2", now=2.0)), Reason.COLD_START)
+
+    def test_router_with_newer_configuration_causes_an_exchange(self):
+        made = self.apply(execute("r1", config_revision=9))
+        self.only(made, fx.FetchConfig)
+        self.only(made, fx.StartBackend)
+
+    def test_restart_makes_the_server_cold(self):
+        # Guards against a restarted server receiving the load of a warm one.
+        small = config(2, **{"/service_chat": {"cold_start": {"limit": 1}}})
+        self.apply(ev.HealthReported(0.0, True, "i1", 10.0))
+        self.apply(ev.ConfigChanged(0.0, small))
+        self.apply(ev.HealthReported(1.0, True, "i2", 20.0))
+        self.apply(execute("r1", now=1.0))
+        self.assertEqual(self.refusal(execute("r2", now=1.0)), Reason.COLD_START)
+
+    def test_connection_refused_is_proof_of_not_run(self):
+        self.apply(execute("r1"))
+        made = self.apply(ev.BackendFailed(1.0, "r1", False, "connect_failed"))
+        self.assertEqual(self.only(made, fx.Refuse).outcome.reason, Reason.BACKEND_DOWN)
+        self.assertEqual(self.refusal(execute("r2", now=1.0)), Reason.BACKEND_DOWN)
+        self.apply(ev.HealthReported(2.0, True))
+        self.only(self.apply(execute("r3", now=2.0)), fx.StartBackend)
+
+    def test_lost_connection_of_claimed_work_is_unknown(self):
+        # Guards against "not run" for work that may have run.
+        self.apply(claimed("r1"))
+        self.apply(ev.ClaimRecorded(0.1, "r1", 3))
+        made = self.apply(ev.BackendFailed(1.0, "r1", True, "backend_closed"))
+        self.assertIsInstance(self.only(made, fx.Fail).outcome, OutcomeUnknown)
+
+    def test_claim_precedes_the_start(self):
+        made = self.apply(claimed("r1"))
+        self.assertFalse([e for e in made if isinstance(e, fx.StartBackend)])
+        started = self.only(self.apply(ev.ClaimRecorded(0.1, "r1", 3)), fx.StartBackend)
+        self.assertEqual(started.epoch, 3)
+
+    def test_late_claim_is_not_started(self):
+        # Guards against a paused agent starting after another one took over.
+        self.apply(claimed("r1"))
+        made = self.apply(ev.ClaimRecorded(2.5, "r1", 3))
+        self.only(made, fx.AbandonClaim)
+        self.only(made, fx.Refuse)
+        self.assertTrue(self.reducer.idle)
+
+    def test_claim_after_zone_out_is_not_started(self):
+        self.apply(claimed("r1"))
+        out = config(2, **{"/zone_z1": {"zone_state": "out"}})
+        self.apply(ev.ConfigChanged(0.1, out))
+        self.only(self.apply(ev.ClaimRecorded(0.2, "r1", 3)), fx.AbandonClaim)
+
+    def test_service_that_checks_idempotency_needs_no_claim(self):
+        checks = config(2, **{"/service_chat": {"checks_idempotency": True}})
+        self.apply(ev.ConfigChanged(0.0, checks))
+        self.only(self.apply(claimed("r1")), fx.StartBackend)
+
+    def test_same_key_attaches_and_other_content_is_refused(self):
+        # Guards against a second run of a key that is running here.
+        self.apply(claimed("r1"))
+        self.assertEqual(
+            self.only(self.apply(claimed("r2")), fx.AttachTo).other_id, "r1"
+        )
+        other = ev.ExecuteReceived(
+            0.0, "r3", "w1", "default", "", "", "", 0, 0, False, "k1", "other"
+        )
+        self.assertEqual(self.refusal(other), Reason.KEY_REUSED)
+
+    def test_claim_rejection_is_passed_on(self):
+        self.apply(claimed("r1"))
+        result = NotRun(Reason.NOT_OWNER, owner="a2")
+        made = self.apply(ev.ClaimRejected(0.1, "r1", result))
+        self.assertEqual(self.only(made, fx.Refuse).outcome.owner, "a2")
+
+    def test_abandoned_idempotent_work_is_cancelled_after_the_window(self):
+        self.apply(execute("r1"))
+        self.apply(ev.CallerLeft(1.0, "r1"))
+        self.assertEqual(self.apply(ev.Tick(2.5)), [])
+        self.only(self.apply(ev.Tick(3.1)), fx.CancelBackend)
+
+    def test_returned_caller_keeps_the_work(self):
+        self.apply(execute("r1"))
+        self.apply(ev.CallerLeft(1.0, "r1"))
+        self.apply(ev.CallerReturned(2.0, "r1"))
+        self.assertEqual(self.apply(ev.Tick(4.0)), [])
+
+    def test_abandoned_claimed_work_runs_on(self):
+        # Guards against a settlement that is cut while it runs.
+        self.apply(claimed("r1"))
+        self.apply(ev.ClaimRecorded(0.1, "r1", 3))
+        self.apply(ev.CallerLeft(1.0, "r1"))
+        self.assertEqual(self.apply(ev.Tick(100.0)), [])
+        made = self.apply(ev.BackendFinished(101.0, "r1", 200))
+        self.assertTrue(self.only(made, fx.Complete).claimed)
+
+    def test_load_bound_holds_with_a_stale_pool_mean(self):
+        # Guards against P1 being broken by a report of load that has ended.
+        wide = {"limits": {"max_running": 64}, "cold_start": {"limit": 64}}
+        self.apply(ev.ConfigChanged(5.0, config(2, **{"/service_chat": wide})))
+        self.apply(execute("r1", now=5.0))
+        self.apply(execute("r2", now=5.0))
+        self.assertEqual(self.refusal(execute("r3", now=5.0)), Reason.OVER_LOAD_BOUND)
+        seen = ev.ObservedLoad("chat", "v1", 12, 2, 0.1)
+        made = self.apply(execute("r4", now=5.0, observed=seen))
+        self.only(made, fx.StartBackend)
--- /dev/null
+++ b/test/test_agent_service.py
@@ -0,0 +1,245 @@
+import asyncio
+import json
+import unittest
+
+import grpc
+import xxhash
+
+from heatherswitch.agent.backend import BackendClient
+from heatherswitch.agent.shell import Agent, AgentConfig
+from heatherswitch.fleet.config import FleetConfig
+from heatherswitch.fleet.members import MemberState
+from heatherswitch.fleet.settings import node_key
+from heatherswitch.protocol import heatherswitch_pb2 as pb
+from heatherswitch.protocol import heatherswitch_pb2_grpc as pb_grpc
+from heatherswitch.statecore.replica import Entry
+from heatherswitch.util.http_client import HttpClient
+from test.backend_fake import FakeBackend
+
+
+class Claimed:
+    epoch = 5
+
+
+class JournalDouble:
+    def __init__(self):
+        self.completed = []
+        self.released = False
+
+    async def claim(self, partition, workspace, key, fingerprint, request_id):
+        return Claimed()
+
+    async def complete(self, partition, workspace, key, status, headers, body):
+        self.completed.append((key, status, body))
+
+    async def on_config(self, config):
+        pass
+
+    async def release_all(self):
+        self.released = True
+
+
+class NodeDouble:
+    def __init__(self, agent):
+        self.agent = agent
+        self.config = FleetConfig()
+        self.ready = True
+        self.announced = []
+
+    def set_node(self, path, value, revision):
+        entry = Entry(node_key(path), revision, json.dumps(value).encode())
+        self.config.apply([entry])
+        self.agent.config_changed()
+
+    def servicer(self):
+        return pb_grpc.PeerServicer()
+
+    async def start(self):
+        self.config.apply([Entry(node_key("/"), 1, b'{"cold_start":{"limit":8}}')])
+
+    async def stop(self):
+        pass
+
+    async def exchange_now(self):
+        self.announced.append(self.agent.own_record().state)
+
+
+def request(request_id="r1", **fields):
+    values = {
+        "request_id": request_id,
+        "workspace": "w1",
+        "request_class": "default",
+        "service": "chat",
+        "idempotent": True,
+        "deadline_ms": 20000,
+        "method": "POST",
+        "target": "/v1/chat/completions",
+        "body": b"{}",
+    }
+    return pb.ExecuteRequest(**(values | fields))
+
+
+def kinds(events):
+    return [event.WhichOneof("event") for event in events]
+
+
+def body(events):
+    chunks = [e.chunk for e in events if e.WhichOneof("event") == "chunk"]
+    return b"".join(chunk.data for chunk in chunks)
+
+
+class AgentServiceTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.fake = FakeBackend()
+        self.journal = JournalDouble()
+        config = AgentConfig("a1", "chat", "v1", "z1", await self.fake.start())
+        self.agent = Agent(
+            config,
+            BackendClient.from_address(config.backend),
+            node_factory=self.make_node,
+            journal_factory=lambda agent: self.journal,
+            partition=lambda *names: 0,
+        )
+        await self.agent.start()
+        self.agent.pool_load(20, 2)
+        self.channel = grpc.aio.insecure_channel(self.agent.address)
+        self.stub = pb_grpc.AgentStub(self.channel)
+
+    def make_node(self, agent):
+        self.node = NodeDouble(agent)
+        return self.node
+
+    async def asyncTearDown(self):
+        self.fake.gate.set()
+        await self.channel.close()
+        await self.agent.stop()
+        await self.fake.stop()
+
+    async def run_request(self, message):
+        return [event async for event in self.stub.Execute(message)]
+
+    async def read_until(self, stream, kind):
+        events = []
+        while not events or events[-1].WhichOneof("event") != kind:
+            events.append(await asyncio.wait_for(stream.read(), 5.0))
+        return events
+
+    async def until(self, condition):
+        async with asyncio.timeout(10.0):
+            while not condition():
+                await asyncio.sleep(0.02)
+
+    async def test_whole_answer_with_length_and_checksum(self):
+        events = await self.run_request(request())
+        self.assertEqual(kinds(events)[:2], ["accepted", "head"])
+        done = events[-1].done
+        whole = body(events)
+        self.assertEqual(done.length, len(whole))
+        self.assertEqual(done.checksum, xxhash.xxh3_64_intdigest(whole))
+        self.assertEqual(done.cached_tokens, 8)
+        self.assertEqual({e.request_id for e in events}, {"r1"})
+        self.assertEqual(events[0].load.agent_id, "a1")
+
+    async def test_crossed_and_cut_answers_end_as_failed(self):
+        # Guards against a wrong or truncated answer ending with done.
+        for mode, code in (("crossed", "crossed_answer"), ("truncated", "truncated")):
+            with self.subTest(mode=mode):
+                self.fake.mode = mode
+                failed = (await self.run_request(request(mode)))[-1].failed
+                self.assertEqual((failed.code, failed.outcome), (code, pb.FAILED))
+
+    async def test_resume_continues_at_the_offset(self):
+        # Guards against lost or doubled bytes after a silent connection.
+        self.fake.gate.clear()
+        first = self.stub.Execute(request())
+        received = body(await self.read_until(first, "chunk"))
+        first.cancel()
+        self.fake.gate.set()
+        again = pb.ResumeRequest(request_id="r1", workspace="w1", offset=len(received))
+        events = [event async for event in self.stub.Resume(again)]
+        whole = received + body(events)
+        self.assertEqual(kinds(events)[0], "accepted")
+        checksum = xxhash.xxh3_64_intdigest(whole)
+        self.assertEqual(events[-1].done.checksum, checksum)
+
+    async def test_other_workspace_cannot_resume(self):
+        # Guards against an answer reaching another customer.
+        await self.run_request(request())
+        stolen = pb.ResumeRequest(request_id="r1", workspace="w2")
+        events = [event async for event in self.stub.Resume(stolen)]
+        self.assertEqual(kinds(events), ["failed"])
+        self.assertEqual(events[0].failed.outcome, pb.OUTCOME_UNKNOWN)
+
+    async def test_work_of_a_caller_that_left_is_cancelled(self):
+        self.fake.gate.clear()
+        stream = self.stub.Execute(request())
+        await self.read_until(stream, "chunk")
+        stream.cancel()
+        await self.until(lambda: self.fake.cancelled)
+        self.assertEqual(self.agent.runner.reducer.load.total, 0)
+
+    async def test_claimed_work_of_a_caller_that_left_runs_on(self):
+        # Guards against a settlement that is cut because its caller left.
+        self.fake.mode = "plain"
+        self.fake.gate.clear()
+        stream = self.stub.Execute(request(idempotent=False, idempotency_key="k1"))
+        await self.until(lambda: self.fake.requests)
+        stream.cancel()
+        await asyncio.sleep(2.5)
+        self.fake.gate.set()
+        await self.until(lambda: self.journal.completed)
+        self.assertEqual(self.journal.completed, [("k1", 201, b"settled")])
+        self.assertEqual(self.fake.requests[0].header("x-fencing-token"), "5")
+        self.assertEqual(self.fake.cancelled, 0)
+
+    async def test_ping_while_nothing_progresses(self):
+        # Guards against a slow answer being taken for a silent connection.
+        self.fake.gate.clear()
+        stream = self.stub.Execute(request())
+        await self.read_until(stream, "ping")
+
+    async def test_down_server_is_refused_as_not_run(self):
+        await self.fake.stop()
+        events = await self.run_request(request())
+        self.assertEqual(events[0].refused.reason, pb.BACKEND_DOWN)
+
+    async def test_order_of_the_zone_is_in_force_at_once(self):
+        self.node.set_node("/zone=z1", {"zone_state": "out"}, 2)
+        events = await self.run_request(request())
+        self.assertEqual(events[0].refused.reason, pb.ZONE_OUT)
+
+    async def test_graceful_shutdown_finishes_running_work(self):
+        # Guards against a planned stop that interrupts requests.
+        self.fake.gate.clear()
+        stream = self.stub.Execute(request())
+        await self.read_until(stream, "chunk")
+        stopping = asyncio.create_task(self.agent.stop())
+        await self.until(lambda: self.node.announced)
+        events = await self.run_request(request("r2"))
+        self.assertEqual(events[0].refused.reason, pb.LEAVING)
+        self.fake.gate.set()
+        await self.read_until(stream, "done")
+        await stopping
+        self.assertEqual(self.node.announced[0], MemberState.LEAVING)
+        self.assertTrue(self.journal.released)
+
+    async def test_metrics_and_health(self):
+        await self.run_request(request())
+        http = HttpClient("127.0.0.1", self.agent.metrics_port)
+        text = await (await http.request("GET", "/metrics")).read()
+        self.assertIn(b"heatherswitch_agent_service_seconds", text)
+        self.assertIn(b"heatherswitch_agent_limit", text)
+        self.assertEqual((await http.request("GET", "/readyz")).status, 200)
+        http.close()
+
+    async def test_restarted_server_is_cold_again(self):
+        # Guards against P2 being broken by a restart between two probes.
+        small = {"cold_start": {"limit": 1}, "limits": {"max_running": 8}}
+        self.fake.health = {"incarnation": "i2"}
+        self.node.set_node("/", small, 2)
+        await self.until(lambda: self.agent.runner.reducer.load.limit == 1)
+        self.fake.gate.clear()
+        stream = self.stub.Execute(request())
+        await self.read_until(stream, "chunk")
+        events = await self.run_request(request("r2"))
+        self.assertEqual(events[0].refused.reason, pb.COLD_START)
