Replace silent readers and keep bytes behind the slowest router

Cause: a reader on a silent connection held the answer back for the reader that replaced it, and bytes in gRPC's buffers counted as received, so a resume at the router's offset was refused. Start times of health and load report differ, which would have caused a cold start with each probe. Change: a reader of the same request replaces the earlier one; 512 KiB are kept behind the slowest reader; identities are compared by source; an answer counts as a sign that the server is up. Ruled out: waiting for the old stream to be cancelled, which takes minutes on a silent connection. Conclusion: resume works on a 4 MiB answer whose first stream is not read.

--- a/heatherswitch/agent/answers.py
+++ b/heatherswitch/agent/answers.py
@@ -9,9 +9,11 @@
 from heatherswitch.fleet.outcomes import Failed, NotRun, OutcomeUnknown
 from heatherswitch.util.http import Headers
 
-# Body bytes kept for a router that reattaches. A faster backend server waits for
-# the slowest attached router.
-RETAINED_BYTES = 256 * 1024
+# Body bytes kept behind the slowest router. Bytes that were handed to gRPC may
+# still be in its buffers when a connection becomes silent, and are asked for again.
+RETAINED_BYTES = 512 * 1024
+# A backend server waits when the slowest attached router is this far behind.
+AHEAD_BYTES = 128 * 1024
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,9 +34,15 @@
 
 @dataclass(slots=True, eq=False)
 class Reader:
-    """The position of one router in an answer."""
+    """The position of one router in an answer.
 
+    :param request_id: request that the router asked for.
+    :param replaced: True after the router reattached on another connection.
+    """
+
+    request_id: str
     offset: int = 0
+    replaced: bool = False
 
 
 class AnswerBuffer:
@@ -96,10 +104,18 @@
         """True while a router reads the answer."""
         return bool(self._readers)
 
-    def attach(self, offset: int) -> Reader:
-        """Adds a router that has received ``offset`` bytes."""
-        reader = Reader(offset)
+    def attach(self, request_id: str, offset: int) -> Reader:
+        """Adds a router that has received ``offset`` bytes.
+
+        It replaces an earlier reader of the same request, whose connection is
+        silent and would hold the answer back for ever.
+        """
+        for earlier in [r for r in self._readers if r.request_id == request_id]:
+            earlier.replaced = True
+            self.detach(earlier)
+        reader = Reader(request_id, offset)
         self._readers.add(reader)
+        self.notify()
         return reader
 
     def detach(self, reader: Reader) -> None:
@@ -120,18 +136,18 @@
         self._hasher.update(data)
         self._data += data
         self.notify()
-        while self._excess() > 0:
-            lowest = min((r.offset for r in self._readers), default=self.length)
-            free = min(self._excess(), lowest - self._base)
-            if free > 0:
-                del self._data[:free]
-                self._base += free
-                continue
+        while self._trim() > AHEAD_BYTES:
             self._space.clear()
             await self._space.wait()
 
-    def _excess(self) -> int:
-        return len(self._data) - RETAINED_BYTES
+    def _trim(self) -> int:
+        """Drops bytes that no router needs; returns how far the slowest is behind."""
+        lowest = min((r.offset for r in self._readers), default=self.length)
+        surplus = lowest - RETAINED_BYTES - self._base
+        if surplus > 0:
+            del self._data[:surplus]
+            self._base += surplus
+        return self.length - lowest
 
     def set_head(self, status: int, headers: Headers) -> None:
         """Takes status and headers."""
--- a/heatherswitch/agent/backend.py
+++ b/heatherswitch/agent/backend.py
@@ -37,7 +37,7 @@
 }
 DROPPED_RESPONSE_HEADERS = HOP_HEADERS | {"x-request-id"}
 # Time for a health or load probe, in seconds.
-PROBE_TIMEOUT_S = 1.0
+PROBE_TIMEOUT_S = 2.0
 # Largest probe answer that is read.
 PROBE_BODY_BYTES = 1024 * 1024
 # Largest JSON answer that is searched for usage.
--- a/heatherswitch/agent/messages.py
+++ b/heatherswitch/agent/messages.py
@@ -58,6 +58,11 @@
         # Returns the present load.
         self._load = load
 
+    @property
+    def request_id(self) -> str:
+        """Id of the request that the events belong to."""
+        return self._request_id
+
     def _event(self, **event) -> pb.ExecuteEvent:
         load: Load = self._load()
         message = pb.AgentLoad(
--- a/heatherswitch/agent/reducer.py
+++ b/heatherswitch/agent/reducer.py
@@ -217,6 +217,8 @@
     # The backend server's answers.
 
     def _on_head(self, event: ev.BackendHead) -> list[Effect]:
+        # A busy server may answer probes late; an answer shows that it is up.
+        self._failed_probes = 0
         work = self._works.get(event.work_id)
         if work is not None:
             work.first_byte_at = event.now
@@ -227,6 +229,7 @@
         if work is None:
             return []
         self._forget(work)
+        self._failed_probes = 0
         service_s = event.now - work.started_at
         self._admission.times.add(work.request.request_class, service_s)
         made: list[Effect] = [fx.Complete(work.id, work.claimed, service_s)]
@@ -261,7 +264,7 @@
     # Hints about the backend server and the pool.
 
     def _on_load(self, event: ev.LoadReported) -> list[Effect]:
-        if self._warmth.on_health(None, event.started_at):
+        if self._warmth.on_load_report(event.started_at):
             return [_cold_log("start time in the load report changed")]
         return []
 
--- a/heatherswitch/agent/runner.py
+++ b/heatherswitch/agent/runner.py
@@ -30,12 +30,21 @@
 class Job:
     """A request with its answer and the task that calls the backend server."""
 
-    __slots__ = ("answer", "call_task", "request", "sink", "target", "usage")
+    __slots__ = (
+        "answer",
+        "call_task",
+        "claim_task",
+        "request",
+        "sink",
+        "target",
+        "usage",
+    )
 
     def __init__(self, request: pb.ExecuteRequest, answer: AnswerBuffer) -> None:
         self.request = request
         self.answer = answer
         self.call_task: asyncio.Task | None = None
+        self.claim_task: asyncio.Task | None = None
         self.sink: BufferSink | None = None
         self.target: ClaimTarget | None = None
         self.usage = Usage()
@@ -116,7 +125,9 @@
         for work_id, job in list(self._jobs.items()):
             answer = job.answer
             ended = answer.ending is not None or answer.linked is not None
-            if not ended or answer.attached:
+            claiming = job.claim_task is not None and not job.claim_task.done()
+            # A late claim of refused work must still be abandoned.
+            if not ended or answer.attached or claiming:
                 continue
             if now - answer.ended_at >= self._setting("limits.resume_window_s", 2.0):
                 self._forget(work_id, job)
@@ -184,7 +195,7 @@
             case fx.CancelBackend():
                 job.call_task.cancel()
             case fx.RecordClaim():
-                self._spawn(self._claim(job))
+                job.claim_task = self._spawn(self._claim(job))
             case fx.AbandonClaim():
                 self._spawn(self._claims.abandon(job.target))
             case fx.ReplayOutcome():
--- a/heatherswitch/agent/service.py
+++ b/heatherswitch/agent/service.py
@@ -121,7 +121,7 @@
         self._service = service
         self._events = events
         self._answer = answer
-        self._reader: Reader = answer.attach(offset)
+        self._reader: Reader = answer.attach(events.request_id, offset)
         self._accepted = False
         # A router at an offset above 0 has received the head.
         self._head_sent = offset > 0
@@ -132,6 +132,8 @@
         self._service.caller_returned(self._answer)
         try:
             while True:
+                if self._reader.replaced:
+                    return
                 changed = self._answer.changed
                 event = self._next()
                 if event is not None:
@@ -193,5 +195,5 @@
             other = self._answer.linked
             self._answer.detach(self._reader)
             self._answer = other
-            self._reader = other.attach(self._reader.offset)
+            self._reader = other.attach(self._events.request_id, self._reader.offset)
             self._service.caller_returned(other)
--- a/heatherswitch/fleet/warmth.py
+++ b/heatherswitch/fleet/warmth.py
@@ -84,20 +84,19 @@
 
     __slots__ = (
         "_good",
-        "_incarnation",
+        "_identity",
         "_level",
         "_limit",
         "_period",
         "_settings",
         "_slow",
-        "_started_at",
     )
 
     def __init__(self, settings: WarmthSettings | None = None) -> None:
         self._settings = settings or WarmthSettings()
         self._level = LatencyLevel()
-        self._incarnation: str | None = None
-        self._started_at: float | None = None
+        # What the server reported of itself, by source.
+        self._identity: dict[str, str | float] = {}
         self._period = 0
         self._limit = 0
         self.reset()
@@ -139,16 +138,17 @@
         :param started_at: seconds since the epoch, or None.
         :returns: True when the server was restarted.
         """
-        restarted = _changed(self._incarnation, incarnation) or _changed(
-            self._started_at, started_at
-        )
-        if incarnation is not None:
-            self._incarnation = incarnation
-        if started_at is not None:
-            self._started_at = started_at
-        if restarted:
-            self.reset()
-        return restarted
+        return self._identify(incarnation=incarnation, health_started_at=started_at)
+
+    def on_load_report(self, started_at: float | None) -> bool:
+        """Compares the start time in the load report with the one known.
+
+        It is kept apart from that of the health report, since a server may
+        measure the two at different moments of its start.
+
+        :returns: True when the server was restarted.
+        """
+        return self._identify(load_started_at=started_at)
 
     def on_answer(self, period: int, first_token_s: float, computed: int) -> bool:
         """Takes a good answer.
@@ -172,6 +172,16 @@
         """Takes a failed answer: the evidence at this limit starts again."""
         self._good = 0
 
+    def _identify(self, **reported: str | float | None) -> bool:
+        new = {name: value for name, value in reported.items() if value is not None}
+        restarted = any(
+            self._identity.get(name, value) != value for name, value in new.items()
+        )
+        self._identity.update(new)
+        if restarted:
+            self.reset()
+        return restarted
+
     def _on_slow(self) -> bool:
         self._good = 0
         self._slow += 1
@@ -191,7 +201,3 @@
         self._period += 1
         self._good = 0
         self._slow = 0
-
-
-def _changed(known, reported) -> bool:
-    return known is not None and reported is not None and known != reported
--- a/test/backend_fake.py
+++ b/test/backend_fake.py
@@ -62,6 +62,9 @@
         await self.gate.wait()
         await responder.send(201, b"settled")
 
+    async def large(self, request, responder):
+        await responder.send(200, bytes(4 * 1024 * 1024))
+
     async def crossed(self, request, responder):
         await responder.send(200, b"other", [("X-Request-Id", "another")])
 
--- a/test/test_warmth.py
+++ b/test/test_warmth.py
@@ -39,6 +39,14 @@
                 self.assertTrue(warmth.on_health(*sign))
                 self.assertEqual(warmth.limit, 2)
 
+    def test_start_times_of_two_sources_may_differ(self):
+        # Guards against a cold start with each probe.
+        warmth = warm_server()
+        for _ in range(2):
+            self.assertFalse(warmth.on_health(None, 10.0))
+            self.assertFalse(warmth.on_load_report(10.4))
+        self.assertTrue(warmth.on_load_report(30.0))
+
     def test_slow_first_tokens_show_a_cold_server(self):
         # Guards against a server that becomes cold without any notice.
         warmth = warm_server()
