Serve workspaces with less use before a surging one

The queue has its own module. Ruled out: a queue per workspace with round robin, which ignores class priority. Conclusion: the other workspaces' requests are on time in this simulation.

--- a/heatherswitch/agent/gate.py
+++ b/heatherswitch/agent/gate.py
@@ -3,8 +3,9 @@
 from dataclasses import dataclass
 
 from heatherswitch.agent.events import ExecuteReceived
-from heatherswitch.fleet.admission import RETRY_AFTER_MS, AdmissionLimits, Ticket
+from heatherswitch.fleet.admission import RETRY_AFTER_MS, AdmissionLimits
 from heatherswitch.fleet.config import FleetConfig
+from heatherswitch.fleet.fair_queue import Ticket
 from heatherswitch.fleet.outcomes import NotRun, Reason
 from heatherswitch.fleet.settings import Settings
 from heatherswitch.fleet.warmth import Warmth
--- a/heatherswitch/agent/work.py
+++ b/heatherswitch/agent/work.py
@@ -3,7 +3,7 @@
 from enum import Enum
 
 from heatherswitch.agent.events import ExecuteReceived
-from heatherswitch.fleet.admission import Ticket
+from heatherswitch.fleet.fair_queue import Ticket
 
 
 class Phase(Enum):
--- a/heatherswitch/fleet/admission.py
+++ b/heatherswitch/fleet/admission.py
@@ -1,8 +1,9 @@
-"""Admission at one agent: load bound, fair class queue and early refusal."""
+"""Admission at one agent: load bound, bounded queue and early refusal."""
 
 import math
 from dataclasses import dataclass
 
+from heatherswitch.fleet.fair_queue import FairQueue, Ticket
 from heatherswitch.fleet.outcomes import Reason
 
 # A pool load older than this no longer counts towards the mean, in seconds. Four
@@ -10,10 +11,6 @@
 POOL_LOAD_VALID_S = 2.0
 # Weight of a new sample in the service time of a class.
 SERVICE_TIME_WEIGHT = 0.2
-# A workspace counts as active for this long after its last request, in seconds.
-ACTIVE_FOR_S = 10.0
-# One slot in this many stays free for workspaces within their fair share.
-RESERVED_SLOT_DIVISOR = 8
 # Bounds of Retry-After, in milliseconds.
 MIN_RETRY_AFTER_MS = 100
 MAX_RETRY_AFTER_MS = 5000
@@ -120,159 +117,6 @@
         return sum(self._means.values()) / len(self._means)
 
 
-@dataclass(frozen=True, slots=True)
-class Ticket:
-    """A request in the agent.
-
-    :param priority: 0 is served first.
-    :param share: fair-share weight of the workspace.
-    :param deadline_at: seconds; the whole answer is due by then.
-    """
-
-    id: str
-    workspace: str
-    request_class: str
-    priority: int
-    share: float
-    arrived_at: float
-    deadline_at: float
-
-
-class FairQueue:
-    """Orders waiting requests and counts the use of each workspace.
-
-    The order is class priority, then the workspace with the least use per share
-    (start-time fair queueing), then arrival.
-    """
-
-    __slots__ = ("_active", "_running", "_tags", "_virtual", "_waiting")
-
-    def __init__(self) -> None:
-        # Tickets are kept in the order of their arrival.
-        self._waiting: dict[str, Ticket] = {}
-        self._running: dict[str, Ticket] = {}
-        # Virtual time at which each workspace's next request may start.
-        self._tags: dict[str, float] = {}
-        self._virtual = 0.0
-        # Workspace to its share and the time of its last request.
-        self._active: dict[str, tuple[float, float]] = {}
-
-    @property
-    def running(self) -> int:
-        """Requests at the backend server."""
-        return len(self._running)
-
-    @property
-    def waiting(self) -> list[Ticket]:
-        """Waiting requests in the order of their arrival."""
-        return list(self._waiting.values())
-
-    @property
-    def queued(self) -> int:
-        """Number of waiting requests."""
-        return len(self._waiting)
-
-    @property
-    def total(self) -> int:
-        """Requests waiting and running."""
-        return len(self._waiting) + len(self._running)
-
-    def add(self, ticket: Ticket) -> None:
-        """Adds a request that waits."""
-        self._waiting[ticket.id] = ticket
-        self.note_arrival(ticket)
-
-    def note_arrival(self, ticket: Ticket) -> None:
-        """Counts the workspace as active."""
-        self._active[ticket.workspace] = (ticket.share, ticket.arrived_at)
-
-    def remove(self, ticket_id: str) -> Ticket | None:
-        """Removes a request, waiting or running."""
-        waiting = self._waiting.pop(ticket_id, None)
-        return waiting or self._running.pop(ticket_id, None)
-
-    def pop(self, now: float, limit: int) -> Ticket | None:
-        """Moves the next request to running; None when no slot may be used.
-
-        :param limit: requests that may run at once.
-        """
-        if len(self._running) >= limit:
-            return None
-        self._forget_inactive(now)
-        reserved = limit // RESERVED_SLOT_DIVISOR
-        scarce = len(self._running) >= limit - reserved
-        for ticket in sorted(self._waiting.values(), key=self._order):
-            if scarce and self.over_share(ticket, pending=0):
-                continue
-            self._start(ticket)
-            return ticket
-        return None
-
-    def over_share(self, ticket: Ticket, pending: int = 1) -> bool:
-        """Tells whether a workspace uses more than its share of the agent.
-
-        :param pending: requests of it to count beside those in the agent.
-        """
-        weights = sum(share for share, _ in self._active.values())
-        if len(self._active) < 2 or weights <= 0:
-            return False
-        used = self._used(ticket.workspace) + pending
-        return used * weights > ticket.share * (self.total + pending)
-
-    def ahead_of(self, ticket: Ticket) -> int:
-        """Returns how many waiting requests are served before a new one."""
-        mine = self._order(ticket)
-        return sum(1 for t in self._waiting.values() if self._order(t) <= mine)
-
-    def displaceable(self, ticket: Ticket) -> Ticket | None:
-        """Returns a waiting request that should yield its place to a new one.
-
-        It is no more urgent, and is either of a workspace with more use per share
-        than the new one will have, or of the same workspace and less urgent.
-        """
-        mine = (self._used(ticket.workspace) + 1) / ticket.share
-        victims = []
-        for other in self._waiting.values():
-            use = self._used(other.workspace) / other.share
-            if other.workspace == ticket.workspace:
-                yields = other.priority > ticket.priority
-            else:
-                yields = other.priority >= ticket.priority and use > mine
-            if yields:
-                victims.append((use, other.priority, other.arrived_at, other.id))
-        return self._waiting[max(victims)[-1]] if victims else None
-
-    def _used(self, workspace: str) -> int:
-        held = (self._waiting, self._running)
-        return sum(t.workspace == workspace for group in held for t in group.values())
-
-    def _order(self, ticket: Ticket) -> tuple[int, float, float]:
-        tag = max(self._tags.get(ticket.workspace, 0.0), self._virtual)
-        return (ticket.priority, tag, ticket.arrived_at)
-
-    def _start(self, ticket: Ticket) -> None:
-        del self._waiting[ticket.id]
-        self._running[ticket.id] = ticket
-        tag = max(self._tags.get(ticket.workspace, 0.0), self._virtual)
-        self._tags[ticket.workspace] = tag + 1.0 / ticket.share
-        # Priority may serve a workspace ahead of others with lower tags, so the
-        # virtual time follows the least tag that still waits.
-        waiting = (self._tags.get(t.workspace, tag) for t in self._waiting.values())
-        self._virtual = max(self._virtual, min(waiting, default=tag))
-        if len(self._tags) > 2 * len(self._active) + 16:
-            tags = self._tags.items()
-            self._tags = {w: t for w, t in tags if t > self._virtual}
-
-    def _forget_inactive(self, now: float) -> None:
-        used = {t.workspace for t in self._waiting.values()}
-        used |= {t.workspace for t in self._running.values()}
-        self._active = {
-            workspace: (share, at)
-            for workspace, (share, at) in self._active.items()
-            if workspace in used or now - at <= ACTIVE_FOR_S
-        }
-
-
 @dataclass(frozen=True, slots=True)
 class AdmissionLimits:
     """Limits in force when a request asks for admission.
--- a/test/test_admission.py
+++ b/test/test_admission.py
@@ -1,14 +1,14 @@
+import random
 import unittest
 
 from heatherswitch.fleet.admission import (
     Admission,
     AdmissionLimits,
     Admitted,
-    FairQueue,
     PoolMean,
     PoolReport,
-    Ticket,
 )
+from heatherswitch.fleet.fair_queue import FairQueue, Ticket
 from heatherswitch.fleet.outcomes import Reason
 
 LIMITS = AdmissionLimits(1.25, 1, running=4, queued=8)
@@ -136,3 +136,38 @@
         self.assertEqual(made.decide(0.0, ticket(1), limits), Admitted())
         fill(made, [ticket(n) for n in range(2)], running=2)
         self.assertEqual(self.reason(made, ticket(9), limits), Reason.UNPROVEN_SHARE)
+
+
+class SurgeTest(unittest.TestCase):
+    def test_tenfold_surge_does_not_make_others_late(self):
+        # Guards against a surge using up queue, slots or load bound of the others.
+        made, rng = Admission(), random.Random(1)
+        limits = AdmissionLimits(1.25, 1, running=8, queued=16)
+        ends, late, sent = {}, 0, 0
+        for step in range(6000):
+            now = step * 0.01
+            for entry in [t for t, end in ends.items() if end <= now]:
+                made.queue.remove(entry.id)
+                made.times.add(entry.request_class, 1.0)
+                late += entry.workspace != "surge" and now > entry.deadline_at
+                del ends[entry]
+            if step % 50 == 0:
+                own = made.queue.total
+                made.pool.update(PoolReport(2 * own, 2, own, now))
+            for workspace, rate in (("surge", 30), ("calm", 1.5), ("quiet", 0.5)):
+                if rng.random() >= rate * 0.01:
+                    continue
+                sent += workspace != "surge"
+                entry = ticket(step, workspace, at=now, deadline=now + 2.5)
+                decision = made.decide(now, entry, limits)
+                if not isinstance(decision, Admitted):
+                    late += workspace != "surge"
+                    continue
+                if decision.displaced is not None:
+                    victim = made.queue.remove(decision.displaced.id)
+                    self.assertEqual(victim.workspace, "surge")
+                made.queue.add(entry)
+            while (entry := made.queue.pop(now, limits.running)) is not None:
+                ends[entry] = now + rng.uniform(0.5, 1.5)
+        self.assertGreater(sent, 80)
+        self.assertLessEqual(late, 0.01 * sent)
