Read orders from the settings tree four times a second

Cause: reading whether a starting version is closed scans all nodes of the tree, which was done with each request and 20 times a second. Change: orders are kept for 0.25 s within one revision; stream reads wait without a task of their own. Ruled out: following changes only, since a move's default takes effect by time. Conclusion: orders are still in force at once at a new revision.

--- a/heatherswitch/agent/backend.py
+++ b/heatherswitch/agent/backend.py
@@ -365,7 +365,9 @@
     silent_s = call.timeout_s
     while True:
         try:
-            data = await asyncio.wait_for(anext(chunks), silent_s)
+            # asyncio.timeout needs no task of its own, unlike wait_for.
+            async with asyncio.timeout(silent_s):
+                data = await anext(chunks)
         except StopAsyncIteration:
             return
         except TimeoutError as error:
--- a/heatherswitch/agent/gate.py
+++ b/heatherswitch/agent/gate.py
@@ -13,6 +13,9 @@
 # Retry-After of waiting work that is refused later, in milliseconds. It is short,
 # since another agent may have room.
 DROPPED_RETRY_AFTER_MS = 250
+# Orders are read again after this long or at a new revision, in seconds. Reading
+# them scans the settings tree, which has about 28,000 nodes at the design size.
+ORDERS_VALID_S = 0.25
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,14 +32,29 @@
     zone: str
 
 
+@dataclass(frozen=True, slots=True)
+class Orders:
+    """What the configuration orders for the agent at one time.
+
+    :param share: share of chats of the version that is starting, 0 to 1.
+    """
+
+    revision: int
+    read_at: float
+    zone_out: bool
+    version_closed: bool
+    share: float
+
+
 class Gate:
     """The agent's identity and the configuration in force."""
 
-    __slots__ = ("_config", "_identity", "_zone_out", "leaving")
+    __slots__ = ("_config", "_identity", "_orders", "_zone_out", "leaving")
 
     def __init__(self, identity: Identity) -> None:
         self._identity = identity
         self._config: FleetConfig | None = None
+        self._orders: Orders | None = None
         self._zone_out = False
         # True after a stop was requested.
         self.leaving = False
@@ -54,6 +72,7 @@
     def set_config(self, config: FleetConfig) -> None:
         """Puts a configuration in force."""
         self._config = config
+        self._orders = None
 
     def settings(self, workspace: str = "") -> Settings:
         """Returns the agent's effective settings; needs a configuration."""
@@ -63,8 +82,7 @@
     def zone_returned(self, now: float) -> bool:
         """Tells whether the zone was out at the last check and is in now."""
         was_out = self._zone_out
-        own = self._identity
-        self._zone_out = self._config.zone_is_out(own.service, own.zone, now)
+        self._zone_out = self._read_orders(now).zone_out
         return was_out and not self._zone_out
 
     def refusal(self, event: ExecuteReceived) -> NotRun | None:
@@ -90,17 +108,33 @@
 
         It also holds for work that was admitted earlier and still waits.
         """
-        own = self._identity
         if self._config is None:
             return not_run(Reason.NOT_READY, "no configuration was received yet")
         if self.leaving:
             return not_run(Reason.LEAVING)
-        if self._config.zone_is_out(own.service, own.zone, now):
+        orders = self._read_orders(now)
+        if orders.zone_out:
             return not_run(Reason.ZONE_OUT)
-        if self._config.version_is_closed(own.service, own.version, now):
+        if orders.version_closed:
             return not_run(Reason.VERSION_TAKEN_BACK)
         return None
 
+    def _read_orders(self, now: float) -> Orders:
+        known = self._orders
+        if known is not None and known.revision == self._config.revision:
+            age_s = now - known.read_at
+            if 0.0 <= age_s < ORDERS_VALID_S:
+                return known
+        own, config = self._identity, self._config
+        self._orders = Orders(
+            config.revision,
+            now,
+            config.zone_is_out(own.service, own.zone, now),
+            config.version_is_closed(own.service, own.version, now),
+            config.split(own.service, now).share,
+        )
+        return self._orders
+
     def in_own_pool(self, service: str, version: str) -> bool:
         """Tells whether a load is one of the agent's own pool."""
         own = self._identity
@@ -134,7 +168,7 @@
         if settings.get("version_state") == "starting":
             allowed = settings.get("move.unproven_share")
             # A move gives a version more than this share only on evidence.
-            if self._config.split(self._identity.service, now).share <= allowed:
+            if self._read_orders(now).share <= allowed:
                 unproven = allowed
         return AdmissionLimits(
             settings.get("routing.load_bound"),
--- a/heatherswitch/agent/service.py
+++ b/heatherswitch/agent/service.py
@@ -151,7 +151,9 @@
         """Waits for a change; returns False when it is time for a ping."""
         left_s = self._waited_since + PING_INTERVAL_S - time.monotonic()
         try:
-            await asyncio.wait_for(changed.wait(), max(0.0, left_s))
+            # asyncio.timeout needs no task of its own, unlike wait_for.
+            async with asyncio.timeout(max(0.0, left_s)):
+                await changed.wait()
         except TimeoutError:
             self._waited_since = time.monotonic()
             return False
--- a/test/test_agent_reducer.py
+++ b/test/test_agent_reducer.py
@@ -83,6 +83,28 @@
                 self.assertEqual(self.refusal(execute("new", now=1.0)), reason)
                 self.assertEqual(self.reducer.load.running, 4)
 
+    def test_order_that_is_applied_in_place_is_in_force_at_once(self):
+        # Guards against cached orders; the fleet node changes its object in place.
+        shared = config()
+        self.apply(ev.ConfigChanged(0.0, shared))
+        self.apply(execute("r1"))
+        shared.apply([Entry(node_key("/zone=z1"), 2, b'{"zone_state": "out"}')])
+        self.assertEqual(self.refusal(execute("r2", now=0.01)), Reason.ZONE_OUT)
+
+    def test_unproven_version_is_limited_until_its_share_grows(self):
+        # Guards against a bad version receiving more than its unproven share.
+        for share, allowed in ((0.05, False), (0.2, True)):
+            with self.subTest(share=share):
+                self.setUp()
+                starting = {"version_state": "starting", "version_share": share}
+                made = config(2, **{"/service_chat/version_v1": starting})
+                self.apply(ev.ConfigChanged(0.0, made))
+                self.apply(ev.PoolMeanReported(0.0, 20, 2, 0))
+                self.apply(execute("r1"))
+                found = self.apply(execute("r2"))
+                started = any(isinstance(e, fx.StartBackend) for e in found)
+                self.assertEqual(started, allowed)
+
     def test_returned_zone_starts_cold(self):
         # Guards against a returned zone receiving its whole load at once.
         small = {"cold_start": {"limit": 1}}
