--- /dev/null
+++ b/emulator/standin.py
@@ -0,0 +1,145 @@
+"""What all stand-ins share: control routes, history file, ready file, signals."""
+
+import argparse
+import asyncio
+import json
+import os
+import signal
+from collections.abc import Awaitable
+from pathlib import Path
+from typing import Any, Protocol
+
+from emulator.faults import Fault, FaultRules
+from heatherswitch.util.clock import Clock
+from heatherswitch.util.http import Request
+from heatherswitch.util.http_server import HttpServer, Responder
+from heatherswitch.util.logs import configure_logs
+
+LOOPBACK = "127.0.0.1"
+# Seconds that running requests get after SIGTERM.
+STOP_GRACE_S = 2.0
+
+
+class AnswerCut(ConnectionError):
+    """A fault rule ends the connection in the middle of an answer."""
+
+
+class History:
+    """Appends one JSON object a line to a file, for checks after a run.
+
+    Each line is written at once, so that SIGKILL loses no line.
+    """
+
+    __slots__ = ("_clock", "_file")
+
+    def __init__(self, path: str | Path | None, clock: Clock | None = None) -> None:
+        self._clock = clock or Clock()
+        self._file = open(path, "a", buffering=1) if path else None  # noqa: SIM115
+
+    def write(self, event: str, **values: Any) -> None:
+        """Appends an event with the time in seconds since the epoch."""
+        if self._file is not None:
+            line = {"event": event, "time": self._clock.now(), **values}
+            self._file.write(json.dumps(line) + "\n")
+
+    def close(self) -> None:
+        """Closes the file."""
+        if self._file is not None:
+            self._file.close()
+            self._file = None
+
+
+class App(Protocol):
+    """What a stand-in implements."""
+
+    rules: FaultRules
+
+    def serve(self, request: Request, responder: Responder) -> Awaitable[None]:
+        """Answers one request."""
+
+    def stats(self) -> dict[str, Any]:
+        """Returns counters for ``GET /_stats``."""
+
+    def on_faults(self, rules: tuple[Fault, ...]) -> None:
+        """Takes note of new rules."""
+
+
+class StandIn:
+    """Serves an app together with ``/_faults`` and ``/_stats``."""
+
+    __slots__ = ("_app", "_clock", "_server")
+
+    def __init__(self, app: App) -> None:
+        self._app = app
+        self._clock = Clock()
+        self._server = HttpServer(self._handle)
+
+    @property
+    def address(self) -> str:
+        """``host:port`` of the listener."""
+        return f"{LOOPBACK}:{self._server.port}"
+
+    async def start(self, port: int = 0) -> None:
+        """Binds the listener on loopback; port 0 picks a free one."""
+        await self._server.start(LOOPBACK, port)
+
+    async def stop(self, grace_s: float = STOP_GRACE_S) -> None:
+        """Lets running requests finish for ``grace_s`` seconds, then closes."""
+        await self._server.stop(grace_s)
+
+    async def _handle(self, request: Request, responder: Responder) -> None:
+        if request.path == "/_faults":
+            if request.method == "POST":
+                rules = self._app.rules.replace(request.json(), self._clock.now())
+                self._app.on_faults(rules)
+            await responder.send_json(200, self._app.rules.as_json())
+        elif request.path == "/_stats":
+            await responder.send_json(200, self._app.stats())
+        else:
+            await self._app.serve(request, responder)
+
+
+def write_ready_file(path: str | Path | None, value: dict[str, str]) -> None:
+    """Writes addresses as JSON; readers never see a partial file."""
+    if path:
+        partial = Path(f"{path}.partial")
+        partial.write_text(json.dumps(value))
+        os.replace(partial, path)
+
+
+async def wait_for_stop_signal() -> None:
+    """Returns on SIGTERM or SIGINT."""
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    await stop.wait()
+
+
+async def run_until_stopped(
+    stand_in: StandIn, options: argparse.Namespace, extra: dict[str, str] | None = None
+) -> None:
+    """Serves until SIGTERM or SIGINT.
+
+    :param extra: further addresses for the ready file.
+    """
+    await stand_in.start(options.port)
+    write_ready_file(options.ready_file, {"address": stand_in.address, **(extra or {})})
+    await wait_for_stop_signal()
+    await stand_in.stop()
+
+
+def option_parser(program: str, description: str | None) -> argparse.ArgumentParser:
+    """Returns a parser with the options that all stand-ins have."""
+    parser = argparse.ArgumentParser(prog=program, description=description)
+    parser.add_argument("--port", type=int, default=0, help="0 picks a free port")
+    parser.add_argument("--ready-file", help="file that takes the bound address")
+    parser.add_argument("--history", help="file that takes events as JSON lines")
+    parser.add_argument("--id", default="", help="name for logs")
+    parser.add_argument("--seed", type=int, default=0, help="seed of random faults")
+    return parser
+
+
+def start_logs(program: str, options: argparse.Namespace) -> None:
+    """Sends logs of a stand-in to standard error."""
+    configure_logs(program, options.id or str(os.getpid()), "warning")
--- /dev/null
+++ b/test/test_examples.py
@@ -0,0 +1,46 @@
+import hashlib
+import unittest
+
+from emulator.deployments import DEPLOYMENTS, demo_key
+from heatherswitch.fleet.settings import Selector, SettingsTree
+
+
+class ExamplesTest(unittest.TestCase):
+    def test_examples_are_valid_and_match_the_deployments(self):
+        # Guards against an example that a router refuses, or that misses a service.
+        for name, deployment in DEPLOYMENTS.items():
+            with self.subTest(name):
+                tree = SettingsTree.from_nodes(deployment.nodes())
+                services = sorted(service.name for service in deployment.services)
+                self.assertEqual(tree.services(), services)
+                self.assertEqual(tree.names("zone"), sorted(deployment.zones))
+                self.assertEqual(len(tree.names("workspace")), 10)
+
+    def test_demo_keys_name_their_workspace(self):
+        # Guards against a documented key that is refused.
+        for deployment in DEPLOYMENTS.values():
+            tree = SettingsTree.from_nodes(deployment.nodes())
+            for workspace in deployment.workspaces():
+                digest = hashlib.sha256(demo_key(workspace).encode()).hexdigest()
+                self.assertEqual(tree.workspace_for_key(digest), workspace)
+
+    def test_classes_and_routes_follow_the_design(self):
+        # Guards against a non-idempotent route that is declared harmless.
+        cases = {
+            "leafline": ("appraiser", "bidder", "freshness", "ledger", "/settle /bid"),
+            "lochblick": ("model", "exposure", "label", "orders", "/refund /replace"),
+        }
+        for name, (engine, first, last, plain, actions) in cases.items():
+            tree = SettingsTree.from_nodes(DEPLOYMENTS[name].nodes())
+            settings = tree.effective(Selector(service=engine))
+            urgent, patient = map(settings.request_class, (first, last))
+            self.assertTrue(settings.is_engine)
+            self.assertEqual(urgent.priority, 0)
+            self.assertGreater(patient.priority, urgent.priority)
+            settings = tree.effective(Selector(service=plain))
+            self.assertFalse(settings.is_engine)
+            for path in actions.split():
+                self.assertFalse(settings.route("POST", path).idempotent)
+            classes = [route.request_class for route in settings.routes]
+            self.assertNotIn(None, [settings.request_class(c) for c in classes])
+            self.assertTrue(any(route.idempotent for route in settings.routes))
--- /dev/null
+++ b/test/test_ledger.py
@@ -0,0 +1,69 @@
+import asyncio
+import unittest
+
+from emulator.ledger import Ledger, LedgerConfig
+from heatherswitch.util.http import ConnectionLost
+from heatherswitch.util.http_client import HttpClient
+from test.emulated import serving, set_faults
+
+
+class LedgerTest(unittest.IsolatedAsyncioTestCase):
+    async def start(self, **values) -> HttpClient:
+        return await self.enterAsyncContext(serving(Ledger(LedgerConfig(**values))))
+
+    async def settle(self, client, key="k1", token="", path="/settle", timeout=5.0):
+        headers = [
+            ("Idempotency-Key", key),
+            ("X-Workspace", "w1"),
+            ("X-Request-Id", f"id-{key}"),
+            ("X-Fencing-Token", token),
+        ]
+        response = await client.request("POST", path, headers, b"{}", timeout)
+        await response.read()
+        return response
+
+    async def executions(self, client) -> list[dict]:
+        _, body = await client.request_json("GET", "/_executions")
+        return body["executions"]
+
+    async def test_repeats_are_recorded_without_deduplication(self):
+        # Guards against a stand-in that hides a repeated settlement.
+        client = await self.start()
+        for _ in range(2):
+            response = await self.settle(client)
+        self.assertEqual(response.header("x-request-id"), "id-k1")
+        executions = await self.executions(client)
+        self.assertEqual([e["key"] for e in executions], ["k1", "k1"])
+        self.assertEqual(executions[0]["workspace"], "w1")
+
+    async def test_checked_key_executes_once_even_at_the_same_time(self):
+        # Guards against two concurrent repeats that both execute.
+        client = await self.start(checks_idempotency=True)
+        await asyncio.gather(*(self.settle(client) for _ in range(5)))
+        self.assertEqual(len(await self.executions(client)), 1)
+
+    async def test_old_fencing_token_is_refused(self):
+        # Guards against a late start by a former owner.
+        client = await self.start(checks_fencing=True)
+        for token, status in (("3", 200), ("2", 409), ("3", 200), ("x", 400)):
+            response = await self.settle(client, token=token)
+            self.assertEqual(response.status, status, token)
+        self.assertEqual(len(await self.executions(client)), 2)
+
+    async def test_lost_answer_follows_an_execution(self):
+        # Guards against a lost answer that tests take for a lost request.
+        client = await self.start()
+        await set_faults(client, {"kind": "hang", "when": "after"})
+        with self.assertRaises(ConnectionLost):
+            await self.settle(client, timeout=0.3)
+        await set_faults(client, {"kind": "error", "route": "/settle"})
+        self.assertEqual((await self.settle(client, "k2")).status, 500)
+        self.assertEqual([e["key"] for e in await self.executions(client)], ["k1"])
+
+    async def test_route_names_are_configurable(self):
+        # Guards against an order office with the routes of a ledger.
+        client = await self.start(actions=("/refund",), lookup="/orders")
+        self.assertEqual((await self.settle(client, path="/refund")).status, 200)
+        self.assertEqual((await self.settle(client, path="/settle")).status, 404)
+        status, order = await client.request_json("GET", "/orders/o7")
+        self.assertEqual((status, order["id"]), (200, "o7"))
