Add launcher, load generator, demo and up

Cause: a deployment could not be started, loaded and checked as a whole. Change: emulator.launch starts all processes and stops them by id; emulator.load sends open-loop work and checks each answer; emulator.demo kills a router, moves a zone and checks the stand-ins' own records; emulator.up keeps a deployment running. Ruled out: checking settlements by the callers' records alone, since a repeat that ran twice looks the same to its caller. Figures: none measured with the product's programs; the tests run the demo against a small fake router and agent (test/fake_fleet.py).

--- a/emulator/deployments.py
+++ b/emulator/deployments.py
@@ -69,7 +69,13 @@
         "orders",
         "emulator.ledger",
         3,
-        ("--actions", "/refund,/replace", "--lookup", "/orders"),
+        (
+            "--actions",
+            "/refund,/replace",
+            "--lookup",
+            "/orders",
+            "--checks-fencing",
+        ),
     ),
 )
 DEPLOYMENTS = {item.name: item for item in (LEAFLINE, LOCHBLICK)}
--- a/emulator/engine.py
+++ b/emulator/engine.py
@@ -8,11 +8,10 @@
 import json
 import secrets
 from collections import deque
-from dataclasses import dataclass, field, replace
 from typing import Any
 from urllib.parse import parse_qs
 
-from emulator.batching import Batcher, BatchTimes, Generation, GenerationFailed
+from emulator.batching import Batcher, Generation, GenerationFailed
 from emulator.chat_format import (
     chunk_event,
     envelope,
@@ -21,6 +20,7 @@
     parse_chat,
     usage,
 )
+from emulator.engine_config import EngineConfig, add_engine_options, config_from_options
 from emulator.faults import Fault, FaultRules
 from emulator.prefix_cache import PrefixCache
 from emulator.standin import (
@@ -59,28 +59,6 @@
     """A fault rule ends a stream early but in good form."""
 
 
-@dataclass(frozen=True, slots=True)
-class EngineConfig:
-    """Settings of one engine.
-
-    :param cache_blocks: prefix blocks that fit the memory.
-    :param report_lag_s: age of the load that ``/metrics`` reports, in seconds.
-    :param event_lag_s: age at which a cache event is published, in seconds.
-    :param event_gap_rate: share of cache events that are never published.
-    """
-
-    model: str = "appraiser"
-    version: str = "v1"
-    cache_blocks: int = 4096
-    report_lag_s: float = 0.5
-    event_lag_s: float = 0.5
-    event_gap_rate: float = 0.02
-    warm: bool = False
-    seed: int = 0
-    history: str | None = None
-    times: BatchTimes = field(default_factory=BatchTimes)
-
-
 class Engine:
     """The app of one engine process."""
 
@@ -367,26 +345,8 @@
         )
 
 
-def _config(options) -> EngineConfig:
-    times = BatchTimes()
-    names = ("step_s", "prefill_per_token_s", "max_batch", "safe_running")
-    times = replace(times, **{name: getattr(options, name) for name in names})
-    return EngineConfig(
-        model=options.model,
-        version=options.version,
-        cache_blocks=options.cache_blocks,
-        report_lag_s=options.report_lag_s,
-        event_lag_s=options.event_lag_s,
-        event_gap_rate=options.event_gap_rate,
-        warm=options.warm,
-        seed=options.seed,
-        history=options.history,
-        times=times,
-    )
-
-
 async def _main(options) -> None:
-    engine = Engine(_config(options))
+    engine = Engine(config_from_options(options))
     engine.start()
     await run_until_stopped(StandIn(engine), options)
     engine.stop()
@@ -395,17 +355,7 @@
 def main() -> None:
     """Runs the engine until SIGTERM."""
     parser = option_parser("engine", __doc__)
-    defaults, times = EngineConfig(), BatchTimes()
-    for name in ("model", "version"):
-        parser.add_argument(f"--{name}", default=getattr(defaults, name))
-    parser.add_argument("--cache-blocks", type=int, default=defaults.cache_blocks)
-    for name in ("report_lag_s", "event_lag_s", "event_gap_rate"):
-        flag = "--" + name.replace("_", "-")
-        parser.add_argument(flag, type=float, default=getattr(defaults, name))
-    for name in ("step_s", "prefill_per_token_s", "max_batch", "safe_running"):
-        flag, value = "--" + name.replace("_", "-"), getattr(times, name)
-        parser.add_argument(flag, type=type(value), default=value)
-    parser.add_argument("--warm", action="store_true", help="skip the cold start")
+    add_engine_options(parser)
     options = parser.parse_args()
     start_logs("engine", options)
     with contextlib.suppress(KeyboardInterrupt):
--- a/emulator/ledger.py
+++ b/emulator/ledger.py
@@ -38,7 +38,8 @@
     :param lookup: path prefix of the ``GET`` route.
     :param checks_idempotency: answers a repeated key without a second execution.
     :param checks_fencing: refuses an older ``X-Fencing-Token`` of the same
-        ``X-Fencing-Scope`` with 409.
+        ``X-Fencing-Scope`` with 409. Without that header a token counts for its
+        ``Idempotency-Key`` only, because partitions count their epochs separately.
     :param work_s: time that an execution takes, in seconds.
     """
 
@@ -185,7 +186,7 @@
         text = request.header("x-fencing-token")
         if not text.isdigit():
             raise BadRequest(400, "X-Fencing-Token must be a number")
-        scope = request.header("x-fencing-scope")
+        scope = request.header("x-fencing-scope") or request.header("idempotency-key")
         newest = max(self._tokens.get(scope, 0), int(text))
         self._tokens[scope] = newest
         return int(text) == newest
--- /dev/null
+++ b/emulator/up.py
@@ -0,0 +1,68 @@
+"""Keeps a deployment running until interrupted.
+
+``python -m emulator.up --deployment leafline`` writes ``.run/endpoints.json`` with the
+callers', operators' and metrics addresses and the demo keys.
+"""
+
+import argparse
+import asyncio
+import json
+import sys
+from pathlib import Path
+
+from emulator.deployments import DEPLOYMENTS
+from emulator.launch import Launch, LaunchConfig
+from emulator.processes import LaunchError
+from emulator.standin import wait_for_stop_signal
+from heatherswitch.util.logs import configure_logs
+
+ENDPOINTS_FILE = "endpoints.json"
+
+
+def usage_lines(endpoints: dict, path: Path) -> list[str]:
+    """Returns what a person needs to send a first request."""
+    router = endpoints["routers"][0]
+    workspace, key = next(iter(endpoints["keys"].items()))
+    return [
+        f"{endpoints['deployment']} is running; addresses and keys are in {path}",
+        f"callers:  http://{router['caller']}  (key of {workspace}: {key})",
+        f"operator: http://{router['operator']}  (token in {path.name})",
+        f"metrics:  http://{router['metrics']}/metrics",
+        "Ctrl-C stops it.",
+    ]
+
+
+async def _main(options: argparse.Namespace) -> int:
+    directory = Path(options.run_directory)
+    config = LaunchConfig(DEPLOYMENTS[options.deployment], directory)
+    launch = Launch.from_config(config)
+    try:
+        await launch.start()
+    except LaunchError as error:
+        print(f"up: {error}", file=sys.stderr)
+        return 1
+    path = launch.run_directory / ENDPOINTS_FILE
+    path.write_text(json.dumps(launch.endpoints(), indent=2))
+    print("\n".join(usage_lines(launch.endpoints(), path)), flush=True)
+    try:
+        await wait_for_stop_signal()
+    finally:
+        late = await launch.stop()
+        path.unlink(missing_ok=True)
+    if late:
+        print(f"up: killed after the grace time: {', '.join(late)}", file=sys.stderr)
+    return 1 if late else 0
+
+
+def main() -> int:
+    """Runs until SIGINT or SIGTERM."""
+    parser = argparse.ArgumentParser(prog="up", description=__doc__)
+    parser.add_argument("--deployment", choices=DEPLOYMENTS, default="leafline")
+    parser.add_argument("--run-directory", default=".run")
+    options = parser.parse_args()
+    configure_logs("up", options.deployment, "info")
+    return asyncio.run(_main(options))
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
--- /dev/null
+++ b/test/test_load.py
@@ -0,0 +1,170 @@
+import asyncio
+import contextlib
+import io
+import tempfile
+import unittest
+from collections import Counter
+from dataclasses import replace
+from pathlib import Path
+
+from emulator.audit import ZoneMove, audit_executions, audit_zone
+from emulator.batching import BatchTimes
+from emulator.caller import CHAT_PATH, Call, Caller, CallResult
+from emulator.demo import Demo, DemoConfig
+from emulator.deployments import LEAFLINE
+from emulator.engine import Engine
+from emulator.engine_config import EngineConfig
+from emulator.launch import LaunchConfig
+from emulator.load import LoadGenerator, LoadReport, workload_for
+from emulator.standin import History, StandIn
+from emulator.workload import action_plans, chat_plans
+from heatherswitch.util.http_client import HttpClient
+from test.emulated import read_history, set_faults
+
+
+def chat_call(text: str = "hello", stream: bool = True) -> Call:
+    body = {"messages": [{"role": "user", "content": text}], "stream": stream}
+    return Call("c1", "w1", "bidder", CHAT_PATH, body)
+
+
+class CallerTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.engine = Engine(EngineConfig(warm=True, times=BatchTimes(step_s=0.001)))
+        self.engine.start()
+        self.addCleanup(self.engine.stop)
+        self.server = StandIn(self.engine)
+        await self.server.start()
+        self.addAsyncCleanup(self.server.stop, 0)
+        self.client = HttpClient.from_address(self.server.address)
+        self.addCleanup(self.client.close)
+
+    def caller(self, *addresses: str, history: History | None = None) -> Caller:
+        addresses = addresses or (self.server.address,)
+        caller = Caller(list(addresses), {"w1": "demo-w1"}, history)
+        self.addCleanup(caller.close)
+        return caller
+
+    async def test_right_answer_is_measured(self):
+        # Guards against a check that refuses right answers.
+        for stream in (True, False):
+            result = await self.caller().call(chat_call(stream=stream))
+            self.assertEqual((result.outcome, result.problem), ("answered", ""))
+        result = await self.caller().call(chat_call("more"))
+        self.assertGreater(len(result.gaps_s), 5)
+        self.assertGreater(result.whole_s, result.first_token_s)
+
+    async def test_faulty_answers_are_noticed(self):
+        # Guards against a check that passes swapped or truncated answers.
+        await self.caller().call(chat_call("first"))
+        cases = {"swap_id": "wrong", "truncate": "wrong", "cut": "no_answer"}
+        for kind, outcome in {**cases, "error": "refused"}.items():
+            with self.subTest(kind):
+                await set_faults(self.client, {"kind": kind})
+                call = replace(chat_call("second"), request_id=kind)
+                result = await self.caller().call(call, max_attempts=1)
+                self.assertEqual(result.outcome, outcome)
+
+    async def test_repeat_goes_through_the_next_router(self):
+        # Guards against a caller that gives up with a dead router.
+        closed = await asyncio.start_server(lambda *_: None, "127.0.0.1", 0)
+        dead = f"127.0.0.1:{closed.sockets[0].getsockname()[1]}"
+        closed.close()
+        await closed.wait_closed()
+        with tempfile.NamedTemporaryFile() as file:
+            caller = self.caller(dead, self.server.address, history=History(file.name))
+            result = await caller.call(chat_call())
+            events = [line["event"] for line in read_history(file.name)]
+        self.assertEqual((result.outcome, result.attempts), ("answered", 2))
+        self.assertEqual(events, ["asked", "no_answer", "asked", "answered"])
+
+    async def test_open_loop_run_reuses_prefixes(self):
+        # Guards against a load whose chats never return.
+        config = workload_for(
+            LEAFLINE, seconds=1.0, chats_per_s=8, actions_per_s=0, pause_s=0.05
+        )
+        report = await LoadGenerator(self.caller(), config, {}).run()
+        self.assertGreater(len(report.results), 5)
+        self.assertEqual(len(report.with_outcome("answered")), len(report.results))
+        self.assertGreater(report.cache_reuse, 0.2)
+        self.assertEqual(len(report.lines()), 1 + len(report.classes))
+
+
+class WorkloadTest(unittest.TestCase):
+    def test_same_seed_gives_the_same_work(self):
+        # Guards against runs that cannot be repeated.
+        config = workload_for(LEAFLINE, seconds=20.0)
+        self.assertEqual(chat_plans(config), chat_plans(config))
+        self.assertNotEqual(action_plans(config), action_plans(replace(config, seed=2)))
+
+    def test_surge_multiplies_one_workspace_in_its_time(self):
+        # Guards against a surge that does not happen or hits all workspaces.
+        config = workload_for(
+            LEAFLINE,
+            seconds=300.0,
+            actions_per_s=10.0,
+            surge_workspace="kingston-traders",
+            surge_factor=10.0,
+            surge_start_s=100.0,
+            surge_end_s=200.0,
+        )
+        counts = Counter(
+            (plan.workspace == "kingston-traders", int(plan.at_s // 100))
+            for plan in action_plans(config)
+        )
+        self.assertGreater(counts[True, 1], 6 * counts[True, 0])
+        self.assertLess(counts[False, 1], 1.5 * counts[False, 0])
+
+
+class AuditTest(unittest.TestCase):
+    def test_repeated_or_missing_execution_is_reported(self):
+        # Guards against a demo that passes although a settlement ran twice.
+        report = LoadReport({})
+        for key in ("once", "twice", "never"):
+            call = Call(key, "w1", "settlement", "/ledger/settle", key=key)
+            report.add(call, CallResult("answered"))
+        problems = audit_executions(report, Counter(once=1, twice=2))
+        self.assertEqual(len(problems), 2)
+
+    def test_late_work_in_a_zone_is_reported(self):
+        # Guards against a demo that overlooks new work in a zone that is out.
+        out = ZoneMove("z", True, 10.0, 10.1)
+        back = ZoneMove("z", False, 20.0, 20.1)
+        times = (9.0, 11.0, 14.0, 21.1)
+        events = [{"event": "started", "time": time} for time in times]
+        audit = audit_zone(events, out, back, 3.0)
+        self.assertEqual(audit.late, 1)
+        self.assertAlmostEqual(audit.quiet_s, 3.9)
+        self.assertAlmostEqual(audit.return_s, 1.0)
+
+
+class DemoTest(unittest.IsolatedAsyncioTestCase):
+    async def run_demo(self, *ledger_arguments: str) -> tuple[Demo, str]:
+        directory = self.enterContext(tempfile.TemporaryDirectory())
+        # A module that writes a ready file is enough where the fleet is a fake.
+        launch = LaunchConfig(
+            run_directory=Path(directory),
+            router_module="test.fake_fleet",
+            agent_module="test.fake_fleet",
+            store_module="emulator.vmlist",
+            extra_arguments={"ledger": ledger_arguments, "appraiser": ("--warm",)},
+        )
+        demo = Demo(
+            DemoConfig(
+                launch,
+                seconds=4.0,
+                kill_router_at_s=1.0,
+                zone_out_at_s=1.5,
+                zone_back_at_s=2.5,
+            )
+        )
+        output = io.StringIO()
+        with contextlib.redirect_stdout(output):
+            await demo.run()
+        return demo, output.getvalue()
+
+    async def test_demo_runs_against_a_fake_fleet(self):
+        # Guards against launcher, load and checks that do not fit together.
+        demo, output = await self.run_demo("--checks-idempotency")
+        self.assertEqual(demo.problems, [])
+        self.assertIn("cache reuse", output)
+        self.assertIn("killed router r1", output)
