Follow zone moves in the demo and skip dead routers in the caller

Cause: a caller spent its repeats on the router that was killed, and the demo did not tell how long a zone move took; an event cut by a router raised in the caller. Change: the caller leaves a router out for 2 s after a refused connection and repeats up to six times with growing waits; the demo follows the move to its decision. Ruled out: unlimited repeats, which would hide a fleet that refuses for long. Conclusion: the demo reports zone move times when the fleet has moves.

--- a/emulator/audit.py
+++ b/emulator/audit.py
@@ -20,12 +20,21 @@
 
     :param ordered: when the order was sent.
     :param accepted: when the router's answer came.
+    :param state: last known state of the move, or an empty string.
+    :param decided_s: from acceptance to the end of the move.
     """
 
     zone: str
     out: bool
     ordered: float
     accepted: float
+    state: str = ""
+    decided_s: float = 0.0
+
+    def __str__(self) -> str:
+        name = f"zone {self.zone} {'out' if self.out else 'back'}"
+        took = f"accepted in {self.accepted - self.ordered:.3f} s"
+        return f"{name}: {took}, {self.state or 'no move'} after {self.decided_s:.1f} s"
 
 
 @dataclass(frozen=True, slots=True)
--- a/emulator/caller.py
+++ b/emulator/caller.py
@@ -13,9 +13,14 @@
 from heatherswitch.util.http_client import HttpClient, HttpResponse
 
 CHAT_PATH = "/v1/chat/completions"
+# Requests sent for one call at most.
+MAX_ATTEMPTS = 6
+# A router that refused a connection is left out this long, in seconds, as by a
+# load balancer.
+DOWN_S = 2.0
 # Longest wait before a repeat, in seconds, whatever the refusal asks for.
 MAX_RETRY_WAIT_S = 1.0
-# Wait before a repeat when the refusal names none, in seconds.
+# Shortest wait before the first repeat, in seconds; it doubles with each further one.
 RETRY_WAIT_S = 0.1
 # Seconds without any data after which a caller gives up.
 SILENCE_TIMEOUT_S = 30.0
@@ -94,7 +99,14 @@
 class Caller:
     """Sends calls through several routers, as a load balancer spreads them."""
 
-    __slots__ = ("_clients", "_history", "_keys", "_next", "_silence_s")
+    __slots__ = (
+        "_clients",
+        "_down_until",
+        "_history",
+        "_keys",
+        "_next",
+        "_silence_s",
+    )
 
     def __init__(
         self,
@@ -111,6 +123,8 @@
         self._history = history or History(None)
         self._silence_s = silence_s
         self._next = 0
+        # Time by router until which it gets no request.
+        self._down_until: dict[str, float] = {}
 
     def close(self) -> None:
         """Closes idle connections and the history."""
@@ -118,24 +132,35 @@
             client.close()
         self._history.close()
 
-    async def call(self, call: Call, max_attempts: int = 4) -> CallResult:
+    async def call(self, call: Call, max_attempts: int = MAX_ATTEMPTS) -> CallResult:
         """Sends a call and repeats it through the next router if it may be repeated.
 
         The repeats carry the same idempotency key and a new request id.
         """
         started = time.monotonic()
         result = CallResult()
-        addresses = list(self._clients)
         first, self._next = self._next, self._next + 1
         for attempt in range(1, max_attempts + 1):
-            address = addresses[(first + attempt - 1) % len(addresses)]
+            address = self._pick_address(first + attempt - 1)
             result = await self._attempt(call, attempt, address, started)
             result.attempts = attempt
             if not result.may_repeat or attempt == max_attempts:
                 break
-            await asyncio.sleep(min(MAX_RETRY_WAIT_S, result.retry_after_s))
+            if address not in self._down_until:
+                wait_s = max(result.retry_after_s, RETRY_WAIT_S * 2 ** (attempt - 1))
+                await asyncio.sleep(min(MAX_RETRY_WAIT_S, wait_s))
         return result
 
+    def _pick_address(self, number: int) -> str:
+        """Returns a router, without those that refused a connection lately."""
+        now = time.monotonic()
+        for address, until in list(self._down_until.items()):
+            if now > until:
+                del self._down_until[address]
+        addresses = [a for a in self._clients if a not in self._down_until]
+        addresses = addresses or list(self._clients)
+        return addresses[number % len(addresses)]
+
     async def _attempt(
         self, call: Call, attempt: int, address: str, started: float
     ) -> CallResult:
@@ -150,10 +175,13 @@
             "router": address,
         }
         self._history.write("asked", **noted)
-        result = CallResult(retry_after_s=RETRY_WAIT_S)
+        result = CallResult()
         try:
             await self._exchange(call, request_id, address, result, started)
-        except (ConnectFailed, ConnectionLost, TimeoutError) as error:
+        except ConnectFailed as error:
+            result.problem = str(error)
+            self._down_until[address] = time.monotonic() + DOWN_S
+        except (ConnectionLost, TimeoutError) as error:
             result.outcome = "no_answer"
             result.problem = str(error) or "timeout"
         result.whole_s = time.monotonic() - started
@@ -210,6 +238,7 @@
     pending = b""
     last = None
     finished = False
+    broken = "the stream ended without its end mark"
     async for chunk in response.chunks():
         pending += chunk
         *events, pending = pending.split(b"\n\n")
@@ -218,11 +247,15 @@
             data = event.removeprefix(b"data: ").strip()
             if data == b"[DONE]":
                 finished = True
-            elif data.startswith(b"{"):
-                last = _take_event(json.loads(data), result, started, now, last)
+            elif data:
+                try:
+                    last = _take_event(json.loads(data), result, started, now, last)
+                except ValueError:
+                    # An event that was cut; an error event has to follow.
+                    finished, broken = False, "an event of the stream is not JSON"
     if result.outcome != "refused":
         result.outcome = "answered" if finished else "wrong"
-        result.problem = "" if finished else "the stream ended without its end mark"
+        result.problem = "" if finished else broken
 
 
 def _take_event(value, result: CallResult, started, now, last) -> float | None:
@@ -256,7 +289,7 @@
     result.outcome = "refused"
     result.error_outcome = error.get("outcome", "")
     result.retry = error.get("retry", "")
-    result.retry_after_s = (error.get("retry_after_ms") or 0) / 1000 or RETRY_WAIT_S
+    result.retry_after_s = (error.get("retry_after_ms") or 0) / 1000
     result.problem = f"{result.status} {error.get('code')}: {error.get('message')}"
 
 
--- a/emulator/demo.py
+++ b/emulator/demo.py
@@ -39,6 +39,11 @@
 ZONE_BOUND_S = 3.0
 # Share of the calls that must be answered, repeats of the callers included.
 ANSWERED_SHARE = 0.99
+# Time that the demo gives each zone move, in seconds.
+MOVE_DEADLINE_S = 60.0
+MOVE_POLL_S = 0.2
+# Longest wait for the end of the move out, in seconds, before the return is ordered.
+ZONE_OUT_WAIT_S = 15.0
 # Reasons printed in full; the rest is only counted.
 MAX_PROBLEMS_SHOWN = 5
 
@@ -48,7 +53,7 @@
     """What the demo does. Times are in seconds from the start of the load."""
 
     launch: LaunchConfig = field(default_factory=LaunchConfig)
-    seconds: float = 24.0
+    seconds: float = 30.0
     chats_per_s: float = 3.0
     actions_per_s: float = 5.0
     kill_router_at_s: float = 6.0
@@ -77,8 +82,8 @@
 
     @property
     def zone(self) -> str:
-        """The zone that is taken out: not that of the first backend server."""
-        return self._launch.deployment.zones[1]
+        """The zone that is taken out; no router runs in it."""
+        return self._launch.deployment.zones[-1]
 
     async def run(self) -> bool:
         """Runs the demo and prints its summary; returns True when all is well.
@@ -128,27 +133,51 @@
 
     async def _disturb(self) -> None:
         """Kills a router and moves a zone while the load runs."""
-        config = self._config
-        await asyncio.sleep(config.kill_router_at_s)
+        config, loop = self._config, asyncio.get_running_loop()
+        started = loop.time()
+
+        async def wait_until(at_s: float) -> None:
+            await asyncio.sleep(max(0.0, started + at_s - loop.time()))
+
+        await wait_until(config.kill_router_at_s)
         victim = self._launch.routers[0]
         await victim.kill()
         print(f"killed router {victim.name} (SIGKILL)", flush=True)
-        await asyncio.sleep(config.zone_out_at_s - config.kill_router_at_s)
-        await self._order_zone(out=True)
-        await asyncio.sleep(config.zone_back_at_s - config.zone_out_at_s)
-        await self._order_zone(out=False)
+        await wait_until(config.zone_out_at_s)
+        await self._move_zone(out=True, wait_s=ZONE_OUT_WAIT_S)
+        await wait_until(config.zone_back_at_s)
+        left = started + config.seconds - loop.time()
+        await self._move_zone(out=False, wait_s=left)
 
-    async def _order_zone(self, out: bool) -> None:
+    async def _move_zone(self, out: bool, wait_s: float) -> None:
+        """Orders a zone out or back and follows the move for a while."""
         word = "out" if out else "back"
         ordered = self._clock.now()
         status, answer = await self._launch.operator_request(
-            "POST", f"/v1/zones/{self.zone}/{word}", {}
+            "POST", f"/v1/zones/{self.zone}/{word}", {"deadline_s": MOVE_DEADLINE_S}
         )
         if status >= 300:
             raise LaunchError(f"zone {word} was refused with {status}: {answer}")
         accepted = self._clock.now()
-        self._moves.append(ZoneMove(self.zone, out, ordered, accepted))
-        print(f"zone {self.zone} {word}, accepted in {accepted - ordered:.3f} s")
+        state = await self._follow_move(answer.get("move"), accepted + wait_s)
+        decided_s = self._clock.now() - accepted
+        move = ZoneMove(self.zone, out, ordered, accepted, state, decided_s)
+        self._moves.append(move)
+        print(move, flush=True)
+        if state not in ("", "done") and (out or state != "running"):
+            self._problems.append(f"the move did not finish: {move}")
+
+    async def _follow_move(self, move_id: str | None, until: float) -> str:
+        """Returns the state of a move when it is decided or the time is over."""
+        state = "running" if move_id else ""
+        while state == "running" and self._clock.now() < until:
+            await asyncio.sleep(MOVE_POLL_S)
+            status, move = await self._launch.operator_request(
+                "GET", f"/v1/moves/{move_id}"
+            )
+            if status == 200:
+                state = move["effective_state"]
+        return state
 
     def _check_processes(self) -> None:
         backends = self._launch.backends
--- a/emulator/engine.py
+++ b/emulator/engine.py
@@ -179,6 +179,7 @@
             "num_requests_waiting": waiting,
             "prompt_tokens": self._counts["prompt"],
             "prompt_tokens_cached": self._counts["cached"],
+            "process_start_time_seconds": self._started_at,
         }
         for name, value in values.items():
             metrics.gauge(name, name.replace("_", " "), labels, value)
--- a/test/test_load.py
+++ b/test/test_load.py
@@ -1,6 +1,7 @@
 import asyncio
 import contextlib
 import io
+import json
 import tempfile
 import unittest
 from collections import Counter
@@ -19,6 +20,7 @@
 from emulator.standin import History, StandIn
 from emulator.workload import action_plans, chat_plans
 from heatherswitch.util.http_client import HttpClient
+from heatherswitch.util.http_server import HttpServer
 from test.emulated import read_history, set_faults
 
 
@@ -64,6 +66,23 @@
                 result = await self.caller().call(call, max_attempts=1)
                 self.assertEqual(result.outcome, outcome)
 
+    async def test_broken_stream_ends_with_its_error(self):
+        # Guards against a crash on an event that a router had to cut.
+        error = {"outcome": "failed", "code": "truncated", "retry": "never"}
+
+        async def serve(request, responder) -> None:
+            await responder.start(200, [("Content-Type", "text/event-stream")])
+            await responder.write(b'data: {"choices": [{"del\n\n')
+            await responder.write(b"data: " + json.dumps({"error": error}).encode())
+            await responder.write(b"\n\n")
+            await responder.finish()
+
+        server = HttpServer(serve)
+        await server.start("127.0.0.1", 0)
+        self.addAsyncCleanup(server.stop, 0)
+        result = await self.caller(f"127.0.0.1:{server.port}").call(chat_call())
+        self.assertEqual((result.outcome, result.error_outcome), ("refused", "failed"))
+
     async def test_repeat_goes_through_the_next_router(self):
         # Guards against a caller that gives up with a dead router.
         closed = await asyncio.start_server(lambda *_: None, "127.0.0.1", 0)
