Add and remove backend servers in a launch; stop on a failed start

Cause: version and churn tests need backend servers that come and go, and a failed start could leave processes that were started while others were being stopped. Change: Launch.add_backend and remove_backend; the first failure cancels the other starts; demo and up stop their processes on SIGTERM; a cold engine is six times slower, because four times is the threshold at which an agent notices it. Ruled out: ports from a fixed range, since all ports are to be picked by the system. Conclusion: a launch leaves no process behind.

--- a/emulator/batching.py
+++ b/emulator/batching.py
@@ -22,7 +22,8 @@
     :param safe_running: running and waiting requests above which it slows down.
     :param overload_factor: factor of the step time per excess share of
         ``safe_running``, so that twice the load takes 1 + factor times as long.
-    :param cold_factor: factor of the step time while completely cold.
+    :param cold_factor: factor of the step time while completely cold; above the
+        default ``cold_start.slow_factor`` of 4, so that it can be noticed.
     :param cold_running: requests that a completely cold engine can stand.
     :param warm_requests: finished requests after which the engine is warm.
     """
@@ -34,7 +35,7 @@
     max_batch: int = 16
     safe_running: int = 24
     overload_factor: float = 8.0
-    cold_factor: float = 4.0
+    cold_factor: float = 6.0
     cold_running: int = 4
     warm_requests: int = 12
 
--- a/emulator/demo.py
+++ b/emulator/demo.py
@@ -31,7 +31,7 @@
     workload_for,
 )
 from emulator.processes import LaunchError
-from emulator.standin import History
+from emulator.standin import INTERRUPTED, History, cancel_on_sigterm
 from heatherswitch.util.clock import Clock
 from heatherswitch.util.logs import configure_logs
 
@@ -238,6 +238,7 @@
 
 
 async def _main(options: argparse.Namespace) -> int:
+    cancel_on_sigterm()
     deployment = DEPLOYMENTS[options.deployment]
     launch = LaunchConfig(deployment, Path(options.run_directory))
     demo = Demo(DemoConfig(launch, seed=options.seed))
@@ -256,7 +257,10 @@
     parser.add_argument("--seed", type=int, default=1)
     options = parser.parse_args()
     configure_logs("demo", options.deployment, "warning")
-    return asyncio.run(_main(options))
+    try:
+        return asyncio.run(_main(options))
+    except (KeyboardInterrupt, asyncio.CancelledError):
+        return INTERRUPTED
 
 
 if __name__ == "__main__":
--- a/emulator/launch.py
+++ b/emulator/launch.py
@@ -5,12 +5,13 @@
 import logging
 import secrets
 import time
+from collections import Counter
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
 from emulator.deployments import LEAFLINE, Deployment, ServiceShape, bearer, demo_key
-from emulator.processes import LaunchError, ManagedProcess, free_addresses
+from emulator.processes import LaunchError, ManagedProcess, free_address, run_all
 from heatherswitch.util.http import HttpError
 from heatherswitch.util.http_client import HttpClient
 
@@ -49,6 +50,7 @@
 
     service: ServiceShape
     zone: str
+    version: str
     server: ManagedProcess
     agent: ManagedProcess
     history: Path
@@ -61,6 +63,7 @@
         "_backends",
         "_config",
         "_directory",
+        "_numbers",
         "_routers",
         "_router_peers",
         "_servers",
@@ -76,6 +79,8 @@
         self._routers: list[ManagedProcess] = []
         self._router_peers: list[str] = []
         self._servers: list[ManagedProcess] = []
+        # Backend servers started so far, by service.
+        self._numbers: Counter[str] = Counter()
         self._backends: list[Backend] = []
 
     @classmethod
@@ -128,6 +133,7 @@
                     "id": item.server.name,
                     "service": item.service.name,
                     "zone": item.zone,
+                    "version": item.version,
                     **item.server.addresses,
                 }
                 for item in self._backends
@@ -168,6 +174,37 @@
             late += [item.name for item, ok in zip(stage, ended, strict=True) if not ok]
         return late
 
+    async def add_backend(
+        self,
+        service: ServiceShape,
+        zone: str,
+        version: str = "v1",
+        arguments: tuple[str, ...] = (),
+    ) -> Backend:
+        """Starts one more backend server with its agent and waits until both listen.
+
+        :param arguments: further arguments of the backend server.
+        :raises LaunchError: if one of them does not start.
+        """
+        server = self._start_server(service, version, arguments)
+        await server.wait_ready()
+        agent = self._start_agent(service, zone, version, server)
+        history = self._history(server.name)
+        backend = Backend(service, zone, version, server, agent, history)
+        self._backends.append(backend)
+        await agent.wait_ready()
+        return backend
+
+    async def remove_backend(self, backend: Backend, grace_s: float = STOP_GRACE_S):
+        """Stops an agent and then its server, as for a VM that leaves.
+
+        :returns: True if SIGTERM was enough for both.
+        """
+        stopped = await backend.agent.stop(grace_s)
+        stopped = await backend.server.stop(grace_s) and stopped
+        self._backends.remove(backend)
+        return stopped
+
     async def operator_request(
         self, method: str, path: str, body: Any = None, timeout_s: float = 5.0
     ) -> tuple[int, Any]:
@@ -213,16 +250,17 @@
         self._store = self._process("store", self._config.store_module, ["--port", "0"])
         self._store.start()
         await self._store.wait_ready()
-        self._prepare_routers()
-        servers = self._start_servers()
-        await asyncio.gather(*(server.wait_ready() for _, _, server in servers))
-        self._prepare_agents(servers)
-        started = [*self._routers, *(item.agent for item in self._backends)]
-        for process in started:
-            process.start()
-        await asyncio.gather(*(process.wait_ready() for process in started))
+        self._start_routers()
+        places = [
+            (service, self._zone(index))
+            for service in self.deployment.services
+            for index in range(service.count)
+        ]
+        starting = [self.add_backend(*place) for place in places]
+        starting += [router.wait_ready() for router in self._routers]
+        await run_all(*starting)
         await self.apply(self.deployment.nodes())
-        await asyncio.gather(*(self._wait_serving(r) for r in self._routers))
+        await run_all(*(self._wait_serving(r) for r in self._routers))
 
     def _process(self, name: str, module: str, arguments: list[str], **options):
         extra = self._config.extra_arguments.get(name, ())
@@ -232,59 +270,56 @@
     def _zone(self, index: int) -> str:
         return self.deployment.zones[index % len(self.deployment.zones)]
 
-    def _prepare_routers(self) -> None:
-        peers = self._router_peers = free_addresses(self.deployment.routers)
+    def _start_routers(self) -> None:
+        peers = self._router_peers = [
+            free_address() for _ in range(self.deployment.routers)
+        ]
         environment = {"HEATHERSWITCH_OPERATOR_TOKEN": self._token}
         for index, own in enumerate(peers):
             name = f"r{index + 1}"
-            arguments = [
-                "--id",
-                name,
-                "--zone",
-                self._zone(index),
-                "--listen",
-                ANY_PORT,
-            ]
+            arguments = ["--id", name, "--zone", self._zone(index)]
+            arguments += ["--listen", ANY_PORT]
             arguments += ["--operator-listen", ANY_PORT, "--metrics-listen", ANY_PORT]
             arguments += ["--peer-listen", own, "--store", self._store_address()]
             arguments += ["--peers", ",".join(peer for peer in peers if peer != own)]
             module = self._config.router_module
             router = self._process(name, module, arguments, environment=environment)
+            router.start()
             self._routers.append(router)
 
     def _store_address(self) -> str:
         return self._store.addresses["address"]
 
-    def _start_servers(self) -> list[tuple[ServiceShape, str, ManagedProcess]]:
-        servers = []
-        for service in self.deployment.services:
-            further = self._config.extra_arguments.get(service.name, ())
-            for index in range(service.count):
-                name = f"{service.name}-{index + 1}"
-                history = str(self._history(name))
-                arguments = ["--port", "0", "--id", name, "--seed", str(index)]
-                arguments += ["--history", history, *service.arguments, *further]
-                server = self._process(name, service.module, arguments)
-                server.start()
-                self._servers.append(server)
-                servers.append((service, self._zone(index), server))
-        return servers
+    def _start_server(
+        self, service: ServiceShape, version: str, arguments: tuple[str, ...]
+    ) -> ManagedProcess:
+        number = self._numbers[service.name] = self._numbers[service.name] + 1
+        name = f"{service.name}-{number}"
+        given = ["--port", "0", "--id", name, "--seed", str(number)]
+        given += ["--history", str(self._history(name)), *service.arguments]
+        if service is self.deployment.engines:
+            given += ["--version", version]
+        given += [*self._config.extra_arguments.get(service.name, ()), *arguments]
+        server = self._process(name, service.module, given)
+        server.start()
+        self._servers.append(server)
+        return server
 
     def _history(self, name: str) -> Path:
         return self._directory / f"{name}.jsonl"
 
-    def _prepare_agents(self, servers) -> None:
-        listeners = free_addresses(len(servers))
-        for (service, zone, server), own in zip(servers, listeners, strict=True):
-            name = f"agent-{server.name}"
-            arguments = ["--id", name, "--zone", zone, "--service", service.name]
-            arguments += ["--version", "v1", "--backend", server.addresses["address"]]
-            arguments += ["--listen", own, "--metrics-listen", ANY_PORT]
-            arguments += ["--store", self._store_address()]
-            arguments += ["--peers", ",".join(self._router_peers)]
-            agent = self._process(name, self._config.agent_module, arguments)
-            history = self._history(server.name)
-            self._backends.append(Backend(service, zone, server, agent, history))
+    def _start_agent(
+        self, service: ServiceShape, zone: str, version: str, server: ManagedProcess
+    ) -> ManagedProcess:
+        name = f"agent-{server.name}"
+        arguments = ["--id", name, "--zone", zone, "--service", service.name]
+        arguments += ["--version", version, "--backend", server.addresses["address"]]
+        arguments += ["--listen", free_address(), "--metrics-listen", ANY_PORT]
+        arguments += ["--store", self._store_address()]
+        arguments += ["--peers", ",".join(self._router_peers)]
+        agent = self._process(name, self._config.agent_module, arguments)
+        agent.start()
+        return agent
 
     async def _wait_serving(self, router: ManagedProcess) -> None:
         """Waits until a router answers for both services."""
--- a/emulator/processes.py
+++ b/emulator/processes.py
@@ -8,8 +8,9 @@
 import subprocess
 import sys
 import time
-from contextlib import ExitStack
+from collections.abc import Coroutine
 from pathlib import Path
+from typing import Any
 
 from emulator.standin import LOOPBACK
 
@@ -24,19 +25,36 @@
     """A process did not start, or ended too early."""
 
 
-def free_addresses(count: int) -> list[str]:
-    """Picks free loopback addresses for listeners that others must know beforehand.
+# Ports handed out by this process, so that none is handed out twice.
+_picked: set[int] = set()
 
-    All sockets stay bound until the last port is picked, so that none is picked
-    twice. Another process can still take a port before it is used.
+
+def free_address() -> str:
+    """Picks a free loopback address for a listener that others must know beforehand.
+
+    Another process can still take the port before it is used.
     """
-    with ExitStack() as stack:
-        ports = []
-        for _ in range(count):
-            bound = stack.enter_context(socket.socket())
+    while True:
+        with socket.socket() as bound:
             bound.bind((LOOPBACK, 0))
-            ports.append(bound.getsockname()[1])
-    return [f"{LOOPBACK}:{port}" for port in ports]
+            port = bound.getsockname()[1]
+        if port not in _picked:
+            _picked.add(port)
+            return f"{LOOPBACK}:{port}"
+
+
+async def run_all(*work: Coroutine[Any, Any, Any]) -> None:
+    """Runs coroutines together; the first failure cancels the others.
+
+    :raises Exception: the first failure. Without the cancellation a process could be
+        started after all others have been stopped.
+    """
+    try:
+        async with asyncio.TaskGroup() as group:
+            for item in work:
+                group.create_task(item)
+    except ExceptionGroup as failures:
+        raise failures.exceptions[0] from failures
 
 
 class ManagedProcess:
--- a/emulator/standin.py
+++ b/emulator/standin.py
@@ -18,6 +18,8 @@
 LOOPBACK = "127.0.0.1"
 # Seconds that running requests get after SIGTERM.
 STOP_GRACE_S = 2.0
+# Exit code of a tool that a signal ended early.
+INTERRUPTED = 130
 
 
 class AnswerCut(ConnectionError):
@@ -107,6 +109,12 @@
         os.replace(partial, path)
 
 
+def cancel_on_sigterm() -> None:
+    """Cancels the current task on SIGTERM, so that it can stop its processes."""
+    task = asyncio.current_task()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+
+
 async def wait_for_stop_signal() -> None:
     """Returns on SIGTERM or SIGINT."""
     stop = asyncio.Event()
--- a/emulator/up.py
+++ b/emulator/up.py
@@ -13,7 +13,7 @@
 from emulator.deployments import DEPLOYMENTS
 from emulator.launch import Launch, LaunchConfig
 from emulator.processes import LaunchError
-from emulator.standin import wait_for_stop_signal
+from emulator.standin import INTERRUPTED, cancel_on_sigterm, wait_for_stop_signal
 from heatherswitch.util.logs import configure_logs
 
 ENDPOINTS_FILE = "endpoints.json"
@@ -33,6 +33,7 @@
 
 
 async def _main(options: argparse.Namespace) -> int:
+    cancel_on_sigterm()
     directory = Path(options.run_directory)
     config = LaunchConfig(DEPLOYMENTS[options.deployment], directory)
     launch = Launch.from_config(config)
@@ -61,7 +62,10 @@
     parser.add_argument("--run-directory", default=".run")
     options = parser.parse_args()
     configure_logs("up", options.deployment, "info")
-    return asyncio.run(_main(options))
+    try:
+        return asyncio.run(_main(options))
+    except (KeyboardInterrupt, asyncio.CancelledError):
+        return INTERRUPTED
 
 
 if __name__ == "__main__":
--- a/test/test_load.py
+++ b/test/test_load.py
@@ -15,8 +15,9 @@
 from emulator.deployments import LEAFLINE
 from emulator.engine import Engine
 from emulator.engine_config import EngineConfig
-from emulator.launch import LaunchConfig
+from emulator.launch import Launch, LaunchConfig
 from emulator.load import LoadGenerator, LoadReport, workload_for
+from emulator.processes import LaunchError
 from emulator.standin import History, StandIn
 from emulator.workload import action_plans, chat_plans
 from heatherswitch.util.http_client import HttpClient
@@ -181,6 +182,23 @@
             await demo.run()
         return demo, output.getvalue()
 
+    async def test_failed_start_leaves_no_process(self):
+        # Guards against processes that outlive a launch that failed.
+        directory = Path(self.enterContext(tempfile.TemporaryDirectory()))
+        launch = Launch(
+            LaunchConfig(
+                run_directory=directory,
+                router_module="test.fake_fleet",
+                agent_module="test.no_such_module",
+                store_module="emulator.vmlist",
+            )
+        )
+        with self.assertRaisesRegex(LaunchError, "agent-"):
+            await launch.start()
+        processes = [*launch.routers, launch.store]
+        processes += [part for b in launch.backends for part in (b.server, b.agent)]
+        self.assertFalse([process.name for process in processes if process.alive])
+
     async def test_demo_runs_against_a_fake_fleet(self):
         # Guards against launcher, load and checks that do not fit together.
         demo, output = await self.run_demo("--checks-idempotency")
