--- a/heatherswitch/router/move_owner.py
+++ b/heatherswitch/router/move_owner.py
@@ -17,8 +17,8 @@
     ZoneAgent,
 )
 from heatherswitch.fleet.records import MOVE_OWNER_KEY, MoveKind, MoveState
-from heatherswitch.fleet.thresholds import ThresholdTest
 from heatherswitch.fleet.settings import merge, node_key
+from heatherswitch.fleet.thresholds import ThresholdTest
 from heatherswitch.router.store_writer import (
     Conflict,
     StoreWriter,
--- a/test/test_moves.py
+++ b/test/test_moves.py
@@ -13,8 +13,8 @@
     ZoneAgent,
 )
 from heatherswitch.fleet.records import MOVE_OWNER_KEY, Move, MoveKind, MoveState
-from heatherswitch.fleet.thresholds import ThresholdTest
 from heatherswitch.fleet.settings import node_key
+from heatherswitch.fleet.thresholds import ThresholdTest
 from heatherswitch.router.move_owner import MoveOwner
 from heatherswitch.statecore.lease import LeaseLost
 from test.memory_store import MemoryStore
