Serve requests that are on their way when a listener closes

Cause: HttpServer.stop cut new connections before their first request was read, and the router refused requests as soon as the drain delay was over. Change: a new connection serves its first request during a stop, connections without a request are closed 0.25 s after the listener, and the router refuses new requests only 1 s after the drain delay. Ruled out: a longer drain delay, because callers that reconnect keep the window open however long it is. The new test fails without the change.

--- a/heatherswitch/router/shell.py
+++ b/heatherswitch/router/shell.py
@@ -28,6 +28,8 @@
 
 # Time between two looks at deadlines, in seconds.
 TICK_S = 0.05
+# New requests are refused this long after the drain delay, in seconds.
+SERVE_AFTER_DRAIN_S = 1.0
 ANY_PORT = "127.0.0.1:0"
 GRPC_SERVER_OPTIONS = (
     # A second process on the same port must fail instead of sharing the port.
@@ -256,12 +258,14 @@
         if self._runner.stopping:
             return
         now = self._clock.now()
-        serve_until = now + self._config.drain_delay_s
+        drained_at = now + self._config.drain_delay_s
+        # Requests that arrive while the listener closes are still served.
+        serve_until = drained_at + SERVE_AFTER_DRAIN_S
         self._runner.post(events.StopRequested(now, serve_until))
         self._state = MemberState.LEAVING
         with contextlib.suppress(Exception):
             await self._node.exchange_now()
-        await asyncio.sleep(max(0.0, serve_until - self._clock.now()))
+        await asyncio.sleep(max(0.0, drained_at - self._clock.now()))
         await self._callers.stop(self._config.grace_s)
         if self._ticker is not None:
             self._ticker.cancel()
--- a/heatherswitch/util/http_server.py
+++ b/heatherswitch/util/http_server.py
@@ -14,6 +14,10 @@
 
 log = logging.getLogger("heatherswitch.http_server")
 
+# After the listener closed, a request that is on its way on an open connection
+# has this long to arrive, in seconds.
+STOP_LINGER_S = 0.25
+
 
 class Responder:
     """Writes the answer to one request."""
@@ -111,6 +115,8 @@
         """
         self._stopping = True
         self._server.close()
+        if self._connections:
+            await asyncio.sleep(min(STOP_LINGER_S, grace_s))
         for task, busy in list(self._connections.items()):
             if not busy:
                 task.cancel()
@@ -142,7 +148,10 @@
         connection = h11.Connection(
             h11.SERVER, max_incomplete_event_size=self._limits.header_bytes
         )
-        while not self._stopping:
+        # A new connection serves its first request even during a stop.
+        first = True
+        while first or not self._stopping:
+            first = False
             responder = Responder(connection, writer)
             try:
                 request = await self._read_request(task, connection, reader)
--- a/test/test_callers.py
+++ b/test/test_callers.py
@@ -230,3 +230,18 @@
         self.assertEqual(await (await sent).read(), b"hello")
         await stop
         health.close()
+
+    async def test_request_on_its_way_when_the_listener_closes_is_answered(self):
+        # Guards against P9: a new connection that is cut before its first request.
+        host, _, port = self.router.addresses["caller"].rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        await asyncio.sleep(0.01)
+        callers = asyncio.create_task(self.router._callers.stop(5.0))
+        await asyncio.sleep(0)
+        head = (
+            f"GET /ledger/lots/1 HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer {API_KEY}"
+        )
+        writer.write(head.encode() + b"\r\n\r\n")
+        self.assertTrue((await reader.read()).startswith(b"HTTP/1.1 200"))
+        writer.close()
+        await callers
