--- a/heatherswitch/util/http_server.py
+++ b/heatherswitch/util/http_server.py
@@ -16,6 +16,9 @@
 
 # Connections that wait to be accepted.
 BACKLOG = 1024
+# After the listener closed, a request that is on its way on an open connection
+# has this long to arrive, in seconds.
+STOP_LINGER_S = 0.25
 
 
 class Responder:
@@ -130,6 +133,8 @@
         """
         self._stopping = True
         self._server.close()
+        if self._connections:
+            await asyncio.sleep(min(STOP_LINGER_S, grace_s))
         for task, connection in list(self._connections.items()):
             if not connection.busy:
                 task.cancel()
@@ -185,7 +190,7 @@
 
     async def serve(self, closed: asyncio.Event) -> None:
         """Serves until the connection cannot carry another request."""
-        while not self._server.stopping:
+        while True:
             responder = Responder(
                 self._http, self._writer, lambda: self._server.stopping
             )
@@ -209,8 +214,11 @@
         """Reads a request with its body; None when no further one comes."""
         event = self._http.next_event()
         if event is h11.NEED_DATA:
+            idle_s = self._limits.idle_timeout_s
             try:
-                async with asyncio.timeout(self._limits.idle_timeout_s):
+                async with asyncio.timeout(
+                    STOP_LINGER_S if self._server.stopping else idle_s
+                ):
                     data = await self._reader.read(READ_SIZE)
             except TimeoutError:
                 return None
