Reject out-of-range numbers and mistyped records from peers

Cause: a heartbeat near 2**64 could not be raised and stopped the exchange, a move with text as its time passed as valid and failed later, and NaN passed every limit of a setting.

Change: counters of messages stay below 2**63, fields of stored records are checked by type, and settings must be finite numbers.

Ruled out: dropping the whole message for one bad member record.

Conclusion: malformed input of a peer is refused or left out.

--- a/heatherswitch/exchange/messages.py
+++ b/heatherswitch/exchange/messages.py
@@ -117,12 +117,15 @@
     ]
 
 
-def parse_entries(messages: Iterable[pb.ConfigEntry]) -> list[Entry]:
+def parse_entries(messages: Iterable[pb.ConfigEntry], revision: int) -> list[Entry]:
     """Reads configuration entries.
 
-    :raises ConvertError: if one has no meaning, because the others would then not
-        be complete.
+    :param revision: revision up to which they are said to be complete.
+    :raises ConvertError: if the revision is out of range, or an entry has no
+        meaning, because the others would then not be complete.
     """
+    if revision >= convert.MAX_COUNTER:
+        raise convert.ConvertError(f"revision {revision} is out of range")
     entries = [convert.entry_from_message(message) for message in messages]
     for entry in entries:
         if not entry.key.startswith(CONFIG_PREFIX):
--- a/heatherswitch/exchange/node.py
+++ b/heatherswitch/exchange/node.py
@@ -294,7 +294,7 @@
             return
         self._revisions[address] = sender.config_revision
         self._take_members(now, own, sender, reply.members)
-        entries = parse_entries(reply.entries)
+        entries = parse_entries(reply.entries, reply.config_revision)
         if reply.snapshot:
             self.apply_snapshot(entries, reply.config_revision)
         else:
@@ -335,7 +335,7 @@
         if request.entries:
             complete = self._entries.revision >= request.entries_base
             revision = request.entries_revision if complete else 0
-            self.apply_entries(parse_entries(request.entries), revision)
+            self.apply_entries(parse_entries(request.entries, revision), revision)
 
     def _rumoured(self) -> list[Member]:
         """Returns some records that changed a short time ago.
--- a/heatherswitch/fleet/records.py
+++ b/heatherswitch/fleet/records.py
@@ -1,8 +1,10 @@
 """Records that the store holds beside the settings: moves and partition heads."""
 
 import json
-from dataclasses import asdict, dataclass
+import math
+from dataclasses import asdict, dataclass, fields
 from enum import Enum
+from typing import Any
 
 MOVES_PREFIX = "heatherswitch/config/moves/"
 PARTITIONS_PREFIX = "heatherswitch/config/partitions/"
@@ -14,6 +16,22 @@
     """A stored record cannot be read."""
 
 
+def _check_types(record: Any) -> None:
+    """Checks the fields of a record that was read from JSON.
+
+    :raises TypeError: if a field holds a value of another type.
+    """
+    for field in fields(record):
+        value = getattr(record, field.name)
+        if field.type is float:
+            number = isinstance(value, (int, float)) and not isinstance(value, bool)
+            valid = number and math.isfinite(value)
+        else:
+            valid = type(value) is field.type
+        if not valid:
+            raise TypeError(f"{field.name} is {value!r}")
+
+
 class MoveKind(Enum):
     """What a move changes."""
 
@@ -88,8 +106,10 @@
             values = json.loads(value)
             values["kind"] = MoveKind(values["kind"])
             values["state"] = MoveState(values["state"])
-            return cls(**values)
-        except (ValueError, KeyError, TypeError) as error:
+            move = cls(**values)
+            _check_types(move)
+            return move
+        except (ValueError, KeyError, TypeError, RecursionError) as error:
             raise RecordError(f"not a move record: {error}") from error
 
 
@@ -133,6 +153,8 @@
         :raises RecordError: if the value is not a partition head.
         """
         try:
-            return cls(**json.loads(value), mod_revision=mod_revision)
-        except (ValueError, TypeError) as error:
+            head = cls(**json.loads(value), mod_revision=mod_revision)
+            _check_types(head)
+            return head
+        except (ValueError, TypeError, RecursionError) as error:
             raise RecordError(f"not a partition head: {error}") from error
--- a/heatherswitch/fleet/settings.py
+++ b/heatherswitch/fleet/settings.py
@@ -1,6 +1,7 @@
 """The settings tree: paths, validation, effective values and their source."""
 
 import json
+import math
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from functools import cache
@@ -136,6 +137,10 @@
     if error is not None:
         name = ".".join(str(part) for part in error.absolute_path)
         raise SettingsError(path, name, _allowed(error))
+    for name, value in flatten(overrides):
+        # JSON parsers accept NaN, and it passes every comparison with a limit.
+        if isinstance(value, float) and not math.isfinite(value):
+            raise SettingsError(path, name, f"{value!r} is not a finite number")
 
 
 def _allowed(error) -> str:
--- a/heatherswitch/protocol/convert.py
+++ b/heatherswitch/protocol/convert.py
@@ -7,6 +7,8 @@
 # Longest id, name, zone or address that a message may carry, in characters.
 MAX_NAME_LENGTH = 255
 MAX_UINT32 = 2**32 - 1
+# Counters stay below this, so that one more still fits the message.
+MAX_COUNTER = 2**63
 
 _ROLES = {pb.ROUTER: Role.ROUTER, pb.AGENT: Role.AGENT}
 _ROLE_NUMBERS = {role: number for number, role in _ROLES.items()}
@@ -78,6 +80,11 @@
         raise ConvertError("member record with an over-long name")
     if message.role not in _ROLES or message.state not in _STATES:
         raise ConvertError(f"member record {message.id!r} with unknown role or state")
+    if (
+        max(message.incarnation, message.heartbeat, message.config_revision)
+        > MAX_COUNTER
+    ):
+        raise ConvertError(f"member record {message.id!r} with an over-large number")
     host, _, port = message.address.rpartition(":")
     if not host or not port.isascii() or not port.isdigit():
         raise ConvertError(f"member record {message.id!r} without host:port")
@@ -113,8 +120,8 @@
 
     :raises ConvertError: if the key or the revision is missing.
     """
-    if not message.key or not message.mod_revision:
-        raise ConvertError("configuration entry without key or revision")
+    if not message.key or not 0 < message.mod_revision < MAX_COUNTER:
+        raise ConvertError("configuration entry without key or valid revision")
     value = None if message.deleted else message.value
     return Entry(message.key, message.mod_revision, value)
 
--- a/test/test_exchange.py
+++ b/test/test_exchange.py
@@ -123,9 +123,16 @@
         router.node.apply_snapshot([entry(1, zone_state="out")], 1)
         sender = convert.member_to_message(member("x"))
         bad = convert.entry_to_message(entry(2, zone_state="sideways"))
+        values = {"id": "m", "kind": "zone_back", "state": "running", "zone": "z1"}
+        values |= {"started_at": "soon", "deadline_at": None}
         odd_move = pb.ConfigEntry(
-            key="heatherswitch/config/moves/m", mod_revision=3, value=b'{"kind":[]}'
+            key="heatherswitch/config/moves/m",
+            mod_revision=3,
+            value=json.dumps(values).encode(),
         )
+        huge = pb.MemberRecord(heartbeat=2**64 - 1, state=pb.GONE)
+        own = convert.member_to_message(router.record)
+        own.MergeFrom(huge)
         requests = [
             pb.ExchangeRequest(),
             pb.ExchangeRequest(sender=pb.MemberRecord(id="x", role=9)),
@@ -133,7 +140,8 @@
             pb.ExchangeRequest(
                 sender=sender, entries=[bad, odd_move], entries_revision=3
             ),
-            pb.ExchangeRequest(sender=sender, members=[pb.MemberRecord()]),
+            pb.ExchangeRequest(sender=sender, members=[pb.MemberRecord(), own]),
+            pb.ExchangeRequest(sender=sender, entries_revision=2**64 - 1),
         ]
         async with grpc.aio.insecure_channel(router.address) as channel:
             stub = pb_grpc.PeerStub(channel)
@@ -144,6 +152,7 @@
                     self.assertIs(error.code(), grpc.StatusCode.INVALID_ARGUMENT)
         self.assertTrue(router.node.config.zone_is_out("", "z1", 0.0))
         self.assertEqual(router.node.config.moves, [])
+        self.assertLess(router.node.own.heartbeat, 2**63)
 
     async def test_silent_connection_is_replaced(self):
         # Guards against a device on the path that drops a connection's state: the
--- a/test/test_operators.py
+++ b/test/test_operators.py
@@ -1,4 +1,5 @@
 import json
+import math
 import unittest
 
 from heatherswitch.exchange.node import FleetNode
@@ -96,6 +97,7 @@
         for method, target, value in (
             ("PUT", "/v1/settings", {"overrides": {}}),
             ("PUT", "/v1/settings?path=/", [1]),
+            ("PUT", "/v1/settings?path=/", {"overrides": {"share": math.nan}}),
             ("PUT", "/v1/settings?path=/", {"overrides": {}, "revision": -1}),
             ("POST", "/v1/zones/z1/out", {"deadline_s": True}),
             ("POST", "/v1/apply", {"nodes": {"/": {}, "/zon=1": {}}}),
