--- a/heatherswitch/agent/runner.py
+++ b/heatherswitch/agent/runner.py
@@ -21,8 +21,9 @@
 
 log = logging.getLogger("heatherswitch.agent")
 
-# Largest answer that is handed to the journal as a claim's outcome.
-RECORDED_BODY_BYTES = 1024 * 1024
+# Body bytes that are kept for the journal. It stores answers up to 4 KB and records
+# a longer one as done without its answer, so the rest is not needed.
+RECORDED_BODY_BYTES = 64 * 1024
 
 PartitionOf = Callable[[str, str, str, int], int]
 
@@ -256,8 +257,7 @@
         if effect.claimed:
             status, headers = job.answer.head
             body = bytes(job.sink.recorded)
-            if len(body) == job.answer.length:
-                self._spawn(self._claims.complete(job.target, status, headers, body))
+            self._spawn(self._claims.complete(job.target, status, headers, body))
 
     async def _claim(self, job: Job) -> None:
         request, answer = job.request, job.answer
--- a/heatherswitch/agent/shell.py
+++ b/heatherswitch/agent/shell.py
@@ -17,7 +17,7 @@
 from heatherswitch.agent.runner import AgentRunner
 from heatherswitch.agent.service import AgentService
 from heatherswitch.fleet.config import FleetConfig
-from heatherswitch.fleet.members import Member, MemberState, Role
+from heatherswitch.fleet.members import Member, MemberState, MemberTable, Role
 from heatherswitch.protocol import heatherswitch_pb2_grpc as pb_grpc
 from heatherswitch.util.clock import Clock
 from heatherswitch.util.http import Request
@@ -37,6 +37,8 @@
     ("grpc.so_reuseport", 0),
     ("grpc.enable_http_proxy", 0),
 )
+# Time for one call of the store, in seconds.
+STORE_TIMEOUT_S = 2.0
 # Time for open event streams after the last work has ended, in seconds.
 STREAM_GRACE_S = 5.0
 # Time for the last exchange and the handover of partitions, in seconds.
@@ -51,6 +53,7 @@
     """The part of ``exchange.node.FleetNode`` that the agent uses."""
 
     config: FleetConfig
+    members: MemberTable
     ready: bool
 
     def servicer(self) -> Any:
@@ -69,9 +72,12 @@
 class OwnedJournal(Journal, Protocol):
     """The part of ``agent.journal.ClaimJournal`` that the shell uses."""
 
-    async def on_config(self, config: FleetConfig) -> None:
+    def on_config(self, config: FleetConfig) -> None:
         """Takes a changed configuration."""
 
+    def on_members(self) -> None:
+        """Takes a change of the live agents."""
+
     async def release_all(self) -> None:
         """Hands over the partitions."""
 
@@ -113,7 +119,7 @@
         own_record=agent.own_record,
         peers=agent.config.peers,
         on_config=lambda entries: agent.config_changed(),
-        on_members=agent.config_changed,
+        on_members=agent.members_changed,
         on_pool_load=agent.pool_load,
         clock=agent.clock,
     )
@@ -123,15 +129,15 @@
     """Builds the claim journal of an agent; None without a store."""
     if not agent.config.store:
         return None
-    from heatherswitch.agent.journal import ClaimJournal
+    from heatherswitch.agent.journal import ClaimJournal, JournalConfig
     from heatherswitch.statecore.store import StoreClient
 
+    own = agent.config
     return ClaimJournal.from_config(
-        store=StoreClient.from_addresses(list(agent.config.store), timeout_s=2.0),
-        service=agent.config.service,
-        agent_id=agent.config.agent_id,
-        incarnation=agent.incarnation,
-        clock=agent.clock,
+        JournalConfig(own.service, own.agent_id, agent.incarnation),
+        StoreClient.from_addresses(list(own.store), timeout_s=STORE_TIMEOUT_S),
+        agent.live_agents,
+        agent.clock,
     )
 
 
@@ -253,10 +259,24 @@
         if self._state is MemberState.STARTING and self._port:
             self._state = MemberState.LIVE
         if self._journal is not None:
-            self._tasks = [task for task in self._tasks if not task.done()]
-            change = self._journal.on_config(self._node.config)
-            if asyncio.iscoroutine(change):
-                self._tasks.append(asyncio.create_task(change))
+            self._journal.on_config(self._node.config)
+
+    def members_changed(self) -> None:
+        """Takes a change of the members, or the first readiness of the node."""
+        if not self._runner.reducer.configured:
+            self.config_changed()
+        elif self._journal is not None:
+            self._journal.on_members()
+
+    def live_agents(self) -> list[str]:
+        """Returns the ids of the service's live agents.
+
+        The own id is among them while this agent may own claim partitions.
+        """
+        others = self._node.members.agents(self._config.service)
+        ids = [m.id for m in others if m.id != self._config.agent_id]
+        own = [self._config.agent_id] if self._state is MemberState.LIVE else []
+        return ids + own
 
     def pool_load(self, total: int, agents: int) -> None:
         """Takes the load of the agent's pool from a home router."""
--- a/test/test_agent_service.py
+++ b/test/test_agent_service.py
@@ -48,7 +48,10 @@
     async def complete(self, partition, workspace, key, status, headers, body):
         self.completed.append((key, status, body))
 
-    async def on_config(self, config):
+    def on_config(self, config):
+        pass
+
+    def on_members(self):
         pass
 
     async def release_all(self):
