Align the agent's settings with its flags; leave out zones that are out

Cause: the agent did not start, because AgentConfig had other field names than the flags; and while a zone was out, 8 of 139 settlements were refused as not_owner, because agents in that zone counted as owners that are alive.

Measured: make demo before: agents end with exit code 1.

--- a/heatherswitch/agent/shell.py
+++ b/heatherswitch/agent/shell.py
@@ -3,7 +3,7 @@
 import asyncio
 import logging
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Any, Protocol
 
@@ -37,6 +37,7 @@
     ("grpc.so_reuseport", 0),
     ("grpc.enable_http_proxy", 0),
 )
+ANY_PORT = "127.0.0.1:0"
 # Time for one call of the store, in seconds.
 STORE_TIMEOUT_S = 2.0
 # Time for open event streams after the last work has ended, in seconds.
@@ -86,29 +87,35 @@
 class AgentConfig:
     """The agent's own settings, from flags and environment.
 
-    :param agent_id: unique in the fleet.
+    Fields have the names of the flags. Listeners are ``host:port``; port 0 picks
+    a free one.
+
+    :param id: unique in the fleet.
     :param backend: ``host:port`` of the backend server.
-    :param advertise: address that routers connect to; empty for the listener's.
     :param peers: ``host:port`` of routers to start from.
     :param store: ``host:port`` of the store's endpoints; empty for a service
         without claims.
+    :param drain_delay_s: seconds that the listeners stay open after the last
+        work has ended.
     :param drain_timeout_s: time for running work after a stop was requested.
+    :param log_level: used before the agent is built.
+    :param ready_file: used after the agent has started.
     """
 
-    agent_id: str
+    id: str
     service: str
     version: str
     zone: str
     backend: str
     region: str = ""
-    host: str = "127.0.0.1"
-    port: int = 0
-    advertise: str = ""
-    metrics_host: str = "127.0.0.1"
-    metrics_port: int = 0
-    peers: tuple[str, ...] = ()
-    store: tuple[str, ...] = ()
+    listen: str = ANY_PORT
+    metrics_listen: str = ANY_PORT
+    peers: Sequence[str] = ()
+    store: Sequence[str] = ()
+    drain_delay_s: float = 0.0
     drain_timeout_s: float = 600.0
+    log_level: str = "info"
+    ready_file: str = ""
 
 
 def open_node(agent: "Agent") -> Node:
@@ -134,7 +141,7 @@
 
     own = agent.config
     return ClaimJournal.from_config(
-        JournalConfig(own.service, own.agent_id, agent.incarnation),
+        JournalConfig(own.service, own.id, agent.incarnation),
         StoreClient.from_addresses(list(own.store), timeout_s=STORE_TIMEOUT_S),
         agent.live_agents,
         agent.clock,
@@ -172,7 +179,7 @@
         self._stopping: asyncio.Task | None = None
         self._journal = journal_factory(self)
         identity = Identity(
-            config.agent_id,
+            config.id,
             self._incarnation,
             config.service,
             config.version,
@@ -225,7 +232,14 @@
     @property
     def address(self) -> str:
         """``host:port`` that routers connect to."""
-        return self._config.advertise or f"{self._config.host}:{self._port}"
+        host = self._config.listen.rpartition(":")[0]
+        return f"{host}:{self._port}"
+
+    @property
+    def addresses(self) -> Mapping[str, str]:
+        """Listener name to the ``host:port`` that is bound."""
+        host = self._config.metrics_listen.rpartition(":")[0]
+        return {"peer": self.address, "metrics": f"{host}:{self._http.port}"}
 
     @property
     def metrics_port(self) -> int:
@@ -238,7 +252,7 @@
         load = reducer.load
         self._reported_own = load.total
         return Member(
-            id=self._config.agent_id,
+            id=self._config.id,
             role=Role.AGENT,
             zone=self._config.zone,
             address=self.address,
@@ -271,12 +285,21 @@
     def live_agents(self) -> list[str]:
         """Returns the ids of the service's live agents.
 
-        The own id is among them while this agent may own claim partitions.
+        Agents in zones that are out are left out. The own id is among them while
+        this agent may own claim partitions.
         """
-        others = self._node.members.agents(self._config.service)
-        ids = [m.id for m in others if m.id != self._config.agent_id]
-        own = [self._config.agent_id] if self._state is MemberState.LIVE else []
-        return ids + own
+        agents = self._node.members.agents(self._config.service)
+        zones = {m.id: m.zone for m in agents if m.id != self._config.id}
+        if self._state is MemberState.LIVE:
+            zones[self._config.id] = self._config.zone
+        now = self._clock.now()
+        # An agent in a zone that is out refuses claims, so others take over.
+        return [
+            name for name, zone in zones.items() if not self._zone_is_out(zone, now)
+        ]
+
+    def _zone_is_out(self, zone: str, now: float) -> bool:
+        return self._node.config.zone_is_out(self._config.service, zone, now)
 
     def pool_load(self, total: int, agents: int) -> None:
         """Takes the load of the agent's pool from a home router."""
@@ -290,14 +313,15 @@
         """
         self._server = grpc.aio.server(options=GRPC_OPTIONS)
         service = AgentService(
-            self._runner, self._config.agent_id, self._incarnation, self._clock.now
+            self._runner, self._config.id, self._incarnation, self._clock.now
         )
         pb_grpc.add_AgentServicer_to_server(service, self._server)
         pb_grpc.add_PeerServicer_to_server(self._node.servicer(), self._server)
-        listen = f"{self._config.host}:{self._config.port}"
+        listen = self._config.listen
+        metrics_host, _, metrics_port = self._config.metrics_listen.rpartition(":")
         try:
             self._port = self._server.add_insecure_port(listen)
-            await self._http.start(self._config.metrics_host, self._config.metrics_port)
+            await self._http.start(metrics_host, int(metrics_port))
         except (OSError, RuntimeError) as error:
             raise AgentError(f"cannot listen on {listen}: {error}") from error
         await self._server.start()
@@ -328,6 +352,7 @@
         if self._journal is not None:
             handover = self._journal.release_all()
             await self._try("partitions were not handed over", handover)
+        await asyncio.sleep(self._config.drain_delay_s)
         await self._server.stop(STREAM_GRACE_S)
         await self._try("the exchange did not end", self._node.stop())
         for task in self._tasks:
