Test late copies of appends and single answers

Change: a test that a late copy of a write does not undo a later append, and a check in the explorer that each request is answered once. Ruled out: nothing else was tried.

--- a/test/test_claims.py
+++ b/test/test_claims.py
@@ -177,6 +177,20 @@
         self.owner.apply(self.store.answer(1000, self.owner.calls.pop()))
         self.assertEqual(self.owner.results[1], Claimed(1))
 
+    def test_late_copy_does_not_undo_a_later_append(self):
+        # Guards against a claim that vanishes from the journal and runs again (P7).
+        self.owner.claim(0, key="first")
+        self.owner.held = True
+        self.owner.claim(1)
+        late = self.owner.calls.pop()
+        self.owner.held = False
+        self.owner.apply(WriteInDoubt(1000))
+        self.assertEqual(self.owner.results[1], Claimed(1))
+        self.assertEqual(self.owner.claim(2, key="k2"), Claimed(1))
+        self.assertEqual(self.store.commit(late), 0)
+        after = Owner(self.store, incarnation=2)
+        self.assertEqual(after.claim(3, key="k2"), ClaimUnknown("owner_lost"))
+
     def test_doubtful_claim_is_given_up_and_may_be_claimed_again(self):
         # Guards against a false "not run", and against a key that stays blocked.
         self.owner.claim(0, key="first")
--- a/test/test_claims_interleavings.py
+++ b/test/test_claims_interleavings.py
@@ -48,6 +48,7 @@
         self.lost = 0
         self.ticks = 0
         self.starts = 0
+        self.answered: set[tuple[str, int]] = set()
         self.now = 0.0
         for agent in AGENTS:
             # Each believes that it is alone, the worst case of F10.
@@ -57,6 +58,7 @@
         while self.calls["a"]:
             self.do_answer("a")
         self.requests["a"] = self.starts = 0
+        self.answered.clear()
 
     def apply(self, agent: str, event) -> None:
         for effect in self.owners[agent].apply(event):
@@ -65,6 +67,10 @@
             if isinstance(effect, (CommitWrite, ReadState, ReadJournal)):
                 self.calls[agent].append(effect)
             elif isinstance(effect, AnswerClaim):
+                # A "not run" answer must be the only one of its request (P6).
+                answered = (agent, effect.waiter)
+                assert answered not in self.answered, "answered twice"
+                self.answered.add(answered)
                 self.starts += isinstance(effect.result, Claimed)
 
     def steps(self) -> list[tuple]:
