Turn malformed answers of the store into store errors

Change: StoreClient turns such answers into AmbiguousWrite for writes and StoreUnavailable for reads; a watch restarts. Conclusion: covered by a test with four malformed answers.

--- a/heatherswitch/statecore/store.py
+++ b/heatherswitch/statecore/store.py
@@ -7,8 +7,8 @@
 import base64
 import json
 import logging
-from collections.abc import AsyncIterator, Iterable, Mapping
-from contextlib import aclosing
+from collections.abc import AsyncIterator, Iterable, Iterator, Mapping
+from contextlib import aclosing, contextmanager
 from dataclasses import dataclass
 from typing import Any
 
@@ -114,7 +114,8 @@
         :raises StoreUnavailable: if the store gives no answer, or a stale one.
         """
         answer = await self._read({"key": _encode(key)})
-        return next((_entry(kv) for kv in answer.get("kvs", [])), None)
+        with _parsing(StoreUnavailable):
+            return next((_entry(kv) for kv in answer.get("kvs", [])), None)
 
     async def range(self, prefix: str) -> Snapshot:
         """Reads all keys under a prefix, sorted by key.
@@ -122,8 +123,9 @@
         :raises StoreUnavailable: if the store gives no answer, or a stale one.
         """
         answer = await self._read(_prefix_range(prefix))
-        entries = tuple(_entry(kv) for kv in answer.get("kvs", []))
-        return Snapshot(int(answer["header"]["revision"]), entries)
+        with _parsing(StoreUnavailable):
+            entries = tuple(_entry(kv) for kv in answer.get("kvs", []))
+            return Snapshot(int(answer["header"]["revision"]), entries)
 
     async def commit(
         self,
@@ -153,7 +155,8 @@
             "success": operations,
         }
         answer = await self._call("/v3/kv/txn", body, write=True)
-        revision = self._observe(answer)
+        with _parsing(AmbiguousWrite):
+            revision = self._observe(answer)
         if not answer.get("succeeded", False):
             raise CompareFailed(f"comparison failed for {', '.join(compares)}")
         return revision
@@ -165,7 +168,9 @@
         :raises AmbiguousWrite: if the answer was lost; such a lease runs out.
         """
         body = {"TTL": str(max(1, int(ttl_s)))}
-        return int((await self._call("/v3/lease/grant", body, write=True))["ID"])
+        answer = await self._call("/v3/lease/grant", body, write=True)
+        with _parsing(AmbiguousWrite):
+            return int(answer["ID"])
 
     async def keep_alive(self, lease_id: int) -> float:
         """Renews a lease and returns its remaining seconds, 0 when it has ended.
@@ -175,7 +180,8 @@
         """
         body = {"ID": str(lease_id)}
         answer = await self._call("/v3/lease/keepalive", body, write=False)
-        return float(answer["result"].get("TTL", 0))
+        with _parsing(StoreUnavailable):
+            return float(answer["result"].get("TTL", 0))
 
     async def revoke(self, lease_id: int) -> None:
         """Ends a lease and deletes its keys.
@@ -202,7 +208,8 @@
                 async with aclosing(self._watch_once(prefix, start)) as results:
                     async for result in results:
                         answered = True
-                        batch = _batch(result)
+                        with _parsing(ConnectionLost):
+                            batch = _batch(result)
                         if batch is not None and batch.revision >= start - 1:
                             start = batch.revision + 1
                             self._revision = max(self._revision, batch.revision)
@@ -227,7 +234,7 @@
                 *lines, line = (line + chunk).split(b"\n")
                 for text in lines:
                     if text.strip():
-                        yield _parse(text)["result"]
+                        yield _parse(text).get("result", {})
         finally:
             response.close()
         raise ConnectionLost("the store ended the watch")
@@ -241,7 +248,8 @@
         """Reads a range and rejects an answer that is older than a known one."""
         known = self._revision
         answer = await self._call("/v3/kv/range", body, write=False)
-        revision = self._observe(answer)
+        with _parsing(StoreUnavailable):
+            revision = self._observe(answer)
         if revision < known:
             raise StaleAnswer(f"answer at revision {revision}, {known} is known")
         return answer
@@ -288,6 +296,15 @@
         raise StoreUnavailable(f"{path}: {failure}") from failure
 
 
+@contextmanager
+def _parsing(error_type: type[Exception]) -> Iterator[None]:
+    """Turns errors in reading an answer into ``error_type``."""
+    try:
+        yield
+    except (AttributeError, KeyError, TypeError, ValueError) as error:
+        raise error_type(f"malformed answer: {error!r}") from error
+
+
 def _encode(value: str | bytes) -> str:
     data = value.encode() if isinstance(value, str) else value
     return base64.b64encode(data).decode()
--- a/test/test_store.py
+++ b/test/test_store.py
@@ -10,6 +10,7 @@
     StoreClient,
     StoreUnavailable,
 )
+from heatherswitch.util.http_server import HttpServer
 from test.store_process import StoreProcess
 
 
@@ -117,3 +118,25 @@
         with self.assertRaises(Compacted):
             async for _ in self.store.watch("w/", 3):
                 pass
+
+    async def test_malformed_answers_are_store_errors(self):
+        # Guards against a partition that hangs after an unexpected answer (F17).
+        answers = [b"{}", b"[]", b"x", b'{"header":{"revision":"x"}}']
+
+        async def answer(request, responder):
+            await responder.send(200, answers[0])
+
+        server = HttpServer(answer)
+        await server.start("127.0.0.1", 0)
+        store = self.client([f"127.0.0.1:{server.port}"])
+        while answers:
+            with self.assertRaises(AmbiguousWrite):
+                await store.commit({}, {"k": b"v"})
+            with self.assertRaises(StoreUnavailable):
+                await store.range("k")
+            with self.assertRaises(AmbiguousWrite):
+                await store.grant(5)
+            with self.assertRaises(StoreUnavailable):
+                await store.keep_alive(5)
+            answers.pop(0)
+        await server.stop(0)
