--- a/test/test_claims.py
+++ b/test/test_claims.py
@@ -152,6 +152,18 @@
         self.assertEqual(self.store.writes - writes, 2)
         self.assertEqual([self.owner.results[n] for n in range(9)], [Claimed(1)] * 9)
 
+    def test_outcome_shares_the_write_of_the_next_claim(self):
+        # Guards against two writes to the store for each request.
+        self.owner.claim(1)
+        writes = self.store.writes
+        self.owner.finish()
+        self.assertEqual(self.store.writes, writes)
+        self.owner.claim(2, key="k2")
+        self.assertEqual(self.store.writes, writes + 1)
+        self.owner.finish(key="k2")
+        self.owner.tick(0.2)
+        self.assertEqual(self.store.writes, writes + 2)
+
     def test_lost_answer_of_an_applied_append(self):
         # Guards against repeating or refusing a claim that is in the journal (F7).
         self.owner.claim(0, key="first")
@@ -177,6 +189,20 @@
         self.owner.apply(self.store.answer(1000, self.owner.calls.pop()))
         self.assertEqual(self.owner.results[1], Claimed(1))
 
+    def test_late_copy_does_not_undo_a_later_append(self):
+        # Guards against a claim that vanishes from the journal and runs again (P7).
+        self.owner.claim(0, key="first")
+        self.owner.held = True
+        self.owner.claim(1)
+        late = self.owner.calls.pop()
+        self.owner.held = False
+        self.owner.apply(WriteInDoubt(1000))
+        self.assertEqual(self.owner.results[1], Claimed(1))
+        self.assertEqual(self.owner.claim(2, key="k2"), Claimed(1))
+        self.assertEqual(self.store.commit(late), 0)
+        after = Owner(self.store, incarnation=2)
+        self.assertEqual(after.claim(3, key="k2"), ClaimUnknown("owner_lost"))
+
     def test_doubtful_claim_is_given_up_and_may_be_claimed_again(self):
         # Guards against a false "not run", and against a key that stays blocked.
         self.owner.claim(0, key="first")
