Forget members that are gone

Cause: in a trial two routers kept sending each other the GONE records of a killed router and a killed agent, because each forgot them at another time.

Change: the GONE record of an unknown member is not taken.

Ruled out: a longer time to keep such records, which only delays the exchange.

Conclusion: replaced VMs leave the membership table.

--- a/heatherswitch/exchange/node.py
+++ b/heatherswitch/exchange/node.py
@@ -265,6 +265,8 @@
         if self._members.expire(now):
             self._call(self._on_members)
         self._rumours = {i: t for i, t in self._rumours.items() if t > now}
+        contested = self._contested.items()
+        self._contested = {i: r for i, r in contested if self._members.get(i)}
 
     async def _exchange_with(self, address: str, own: Member, digest) -> None:
         self._busy.add(address)
@@ -361,7 +363,7 @@
         accepted = reducer.acceptable(now, own, self._members, records, self._homes)
         refused = set(records) - set(accepted)
         for record in refused:
-            if record.state is MemberState.GONE and record.id != own.id:
+            if self._members.get(record.id) is not None:
                 self._contested[record.id] = record
         self._merge(now, accepted)
 
--- a/heatherswitch/exchange/reducer.py
+++ b/heatherswitch/exchange/reducer.py
@@ -314,21 +314,24 @@
     records: Iterable[Member],
     homes: HomeMap,
 ) -> list[Member]:
-    """Leaves out records about the own process and GONE records of heard members.
+    """Leaves out records about the own process and some GONE records.
 
     A member that is heard here directly is alive, whatever a router behind a
-    network partition reports.
+    network partition reports. The GONE record of an unknown member is left out,
+    because routers would otherwise tell each other of it for ever.
     """
-    return [
-        record
-        for record in records
-        if record.id != own.id
-        and not (
-            record.state is MemberState.GONE
-            and homes.is_home(record)
-            and table.unheard_s(now, record.id) <= SUSPECT_AFTER_S
-        )
-    ]
+
+    def wanted(record: Member) -> bool:
+        if record.id == own.id:
+            return False
+        if record.state is not MemberState.GONE:
+            return True
+        if table.get(record.id) is None:
+            return False
+        heard = table.unheard_s(now, record.id) <= SUSPECT_AFTER_S
+        return not (heard and homes.is_home(record))
+
+    return [record for record in records if wanted(record)]
 
 
 class Readiness:
--- a/test/test_exchange.py
+++ b/test/test_exchange.py
@@ -249,6 +249,13 @@
         self.assertEqual(reducer.acceptable(1.0, own, table, [gone], homes), [])
         self.assertEqual(reducer.acceptable(5.0, own, table, [gone], homes), [gone])
 
+    def test_gone_record_of_an_unknown_member_is_not_taken(self):
+        # Guards against records of lost VMs that routers keep sending each other.
+        own = member("r0")
+        gone = member("a1", Role.AGENT, state=MemberState.GONE)
+        arguments = (1.0, own, MemberTable(), [gone], reducer.HomeMap())
+        self.assertEqual(reducer.acceptable(*arguments), [])
+
     def test_stale_store_alone_does_not_make_ready_while_peers_may_answer(self):
         # Guards against a restart that takes an old revision from the store.
         readiness = reducer.Readiness(0.0)
