Match claim results by type and bound the end of agent streams

Cause: the agent told claim results apart by class name and had a second body fingerprint, since both parts were written side by side.

Change: claim results are matched by type; body_fingerprint is the only one; ending the event streams has a time limit and streams close at once.

--- a/heatherswitch/agent/claiming.py
+++ b/heatherswitch/agent/claiming.py
@@ -3,7 +3,7 @@
 import asyncio
 import logging
 from collections.abc import Callable
-from typing import Any, Protocol
+from typing import Protocol
 
 from heatherswitch.agent.events import (
     ClaimRecorded,
@@ -12,6 +12,15 @@
     StoredAnswer,
 )
 from heatherswitch.fleet.admission import RETRY_AFTER_MS
+from heatherswitch.fleet.claims import (
+    Claimed,
+    ClaimResult,
+    ClaimUnknown,
+    KeyReused,
+    NotOwner,
+    Replay,
+    RunningHere,
+)
 from heatherswitch.fleet.outcomes import NotRun, OutcomeUnknown, Reason
 from heatherswitch.util.http import Headers
 
@@ -32,7 +41,7 @@
         key: str,
         fingerprint: str,
         request_id: str,
-    ) -> Any:
+    ) -> ClaimResult:
         """Records a claim; returns a result of ``fleet.claims``."""
 
     async def complete(
@@ -90,7 +99,7 @@
         except Exception as error:
             log.exception("claim failed")
             return self._rejected(target, _unavailable(str(error)))
-        if type(result).__name__ == "Claimed":
+        if isinstance(result, Claimed):
             return ClaimRecorded(self._now(), target.work_id, result.epoch)
         return self._rejected(target, rejection(result))
 
@@ -117,26 +126,22 @@
         return ClaimRejected(self._now(), target.work_id, result)
 
 
-def rejection(result: Any) -> StoredAnswer | SameWork | NotRun | OutcomeUnknown:
-    """Turns a result of ``fleet.claims`` into what the router is told.
-
-    Results are told apart by their class name, so that this module does not
-    depend on the journal.
-    """
-    match type(result).__name__:
-        case "Replay":
-            headers = tuple((name, value) for name, value in result.headers)
-            return StoredAnswer(result.status, headers, result.body)
-        case "RunningHere":
+def rejection(result: ClaimResult) -> StoredAnswer | SameWork | NotRun | OutcomeUnknown:
+    """Turns a claim that must not be started into what the router is told."""
+    match result:
+        case Replay():
+            return StoredAnswer(result.status, tuple(result.headers), result.body)
+        case RunningHere():
             return SameWork(result.request_id)
-        case "ClaimUnknown":
+        case ClaimUnknown():
             return OutcomeUnknown(result.code)
-        case "KeyReused":
+        case KeyReused():
             return NotRun(Reason.KEY_REUSED)
-        case "NotOwner":
+        case NotOwner():
             wait_ms = RETRY_AFTER_MS[Reason.NOT_OWNER]
             return NotRun(Reason.NOT_OWNER, wait_ms, owner=result.owner)
-    return _unavailable()
+        case _:
+            return _unavailable()
 
 
 def _unavailable(detail: str = "") -> NotRun:
--- a/heatherswitch/agent/messages.py
+++ b/heatherswitch/agent/messages.py
@@ -1,23 +1,13 @@
 """Builds the protocol messages of the agent from its dataclasses and back."""
 
-import hashlib
-
 from heatherswitch.agent.answers import Ending, WholeAnswer
 from heatherswitch.agent.events import ExecuteReceived, ObservedLoad
+from heatherswitch.fleet.claims import body_fingerprint
 from heatherswitch.fleet.members import Load
 from heatherswitch.fleet.outcomes import NotRun, OutcomeUnknown
 from heatherswitch.protocol import heatherswitch_pb2 as pb
 
 
-def fingerprint(request: pb.ExecuteRequest) -> str:
-    """Returns a digest of what the request asks for, in hex."""
-    hasher = hashlib.sha256()
-    for part in (request.method.encode(), request.target.encode(), request.body):
-        hasher.update(len(part).to_bytes(8, "big"))
-        hasher.update(part)
-    return hasher.hexdigest()
-
-
 def execute_received(
     now: float, work_id: str, request: pb.ExecuteRequest
 ) -> ExecuteReceived:
@@ -40,7 +30,7 @@
         config_revision=request.config_revision,
         idempotent=request.idempotent,
         idempotency_key=request.idempotency_key,
-        fingerprint=fingerprint(request),
+        fingerprint=body_fingerprint(request.method, request.target, request.body),
         deadline_s=request.deadline_ms / 1000,
         priority=request.priority,
         observed=observed,
--- a/heatherswitch/agent/service.py
+++ b/heatherswitch/agent/service.py
@@ -1,6 +1,7 @@
 """gRPC service ``Agent``: sends the events of an answer to routers."""
 
 import asyncio
+import contextlib
 import time
 from collections.abc import AsyncIterator
 
@@ -45,8 +46,9 @@
             yield events.refused(NotRun(Reason.NOT_READY, 0, detail))
             return
         stream = AnswerStream(self, events, answer, offset=0)
-        async for event in stream.run():
-            yield event
+        async with contextlib.aclosing(stream.run()) as events_out:
+            async for event in events_out:
+                yield event
 
     async def Resume(  # noqa: N802 (name from the protocol)
         self, request: pb.ResumeRequest, context: grpc.aio.ServicerContext
@@ -65,8 +67,9 @@
             yield events.ending(OutcomeUnknown(problem), accepted=False)
             return
         stream = AnswerStream(self, events, answer, request.offset)
-        async for event in stream.run():
-            yield event
+        async with contextlib.aclosing(stream.run()) as events_out:
+            async for event in events_out:
+                yield event
 
     def accepted(self, events: EventBuilder, answer: AnswerBuffer) -> pb.ExecuteEvent:
         """Builds the first event."""
--- a/heatherswitch/agent/shell.py
+++ b/heatherswitch/agent/shell.py
@@ -353,7 +353,8 @@
             handover = self._journal.release_all()
             await self._try("partitions were not handed over", handover)
         await asyncio.sleep(self._config.drain_delay_s)
-        await self._server.stop(STREAM_GRACE_S)
+        streams = self._server.stop(STREAM_GRACE_S)
+        await self._try("streams did not end", streams, 2 * STREAM_GRACE_S)
         await self._try("the exchange did not end", self._node.stop())
         for task in self._tasks:
             task.cancel()
@@ -363,9 +364,9 @@
         self._backend.close()
         log.info("agent stopped")
 
-    async def _try(self, message: str, step) -> None:
+    async def _try(self, message: str, step, limit_s=GOODBYE_TIMEOUT_S) -> None:
         try:
-            async with asyncio.timeout(GOODBYE_TIMEOUT_S):
+            async with asyncio.timeout(limit_s):
                 await step
         except Exception as error:
             log.warning(message, extra={"error": repr(error)})
--- a/test/test_agent_service.py
+++ b/test/test_agent_service.py
@@ -7,6 +7,12 @@
 
 from heatherswitch.agent.backend import BackendClient
 from heatherswitch.agent.shell import Agent, AgentConfig
+from heatherswitch.fleet.claims import (
+    Claimed,
+    ClaimUnknown,
+    JournalUnavailable,
+    Replay,
+)
 from heatherswitch.fleet.config import FleetConfig
 from heatherswitch.fleet.members import MemberState
 from heatherswitch.fleet.settings import node_key
@@ -20,25 +26,9 @@
 WARM = b'{"cold_start": {"limit": 8}, "limits": {"max_running": 8}}'
 
 
-class Claimed:
-    epoch = 5
-
-
-class Replay:
-    status, headers, body = 201, [("X-Ledger", "1")], b"settled"
-
-
-class JournalUnavailable:
-    pass
-
-
-class ClaimUnknown:
-    code = "earlier_incarnation"
-
-
 class JournalDouble:
     def __init__(self):
-        self.result = Claimed()
+        self.result = Claimed(5)
         self.completed = []
         self.released = False
 
@@ -111,7 +101,9 @@
     async def asyncSetUp(self):
         self.fake = FakeBackend()
         self.journal = JournalDouble()
-        config = AgentConfig("a1", "chat", "v1", "z1", await self.fake.start())
+        address = await self.fake.start()
+        # Work that does not end shows as an error log instead of a hanging test.
+        config = AgentConfig("a1", "chat", "v1", "z1", address, drain_timeout_s=30.0)
         self.agent = Agent(
             config,
             BackendClient.from_address(config.backend),
@@ -230,14 +222,14 @@
     async def test_claim_results_are_passed_on(self):
         # Guards against work that runs although its claim was not recorded.
         claimed = {"idempotent": False, "idempotency_key": "k1"}
-        self.journal.result = Replay()
+        self.journal.result = Replay(201, (("X-Ledger", "1"),), b"settled")
         events = await self.run_request(request("r1", **claimed))
         self.assertTrue(events[0].accepted.replayed)
         self.assertEqual((events[1].head.status, body(events)), (201, b"settled"))
         self.journal.result = JournalUnavailable()
         events = await self.run_request(request("r2", **claimed))
         self.assertEqual(events[0].refused.reason, pb.STORE_UNAVAILABLE)
-        self.journal.result = ClaimUnknown()
+        self.journal.result = ClaimUnknown("earlier_incarnation")
         events = await self.run_request(request("r3", **claimed))
         self.assertEqual(events[0].failed.outcome, pb.OUTCOME_UNKNOWN)
         self.assertEqual(self.fake.requests, [])
