--- a/test/test_feed.py
+++ b/test/test_feed.py
@@ -1,3 +1,4 @@
+import asyncio
 import unittest
 
 from heatherswitch.exchange.feed import StoreFeed
@@ -78,3 +79,17 @@
         others = [member(i) for i in ids[1:]]
         self.node.members.merge(self.feed._clock.now(), others)
         self.assertEqual(self.feed.watching, "r0" in watchers(ids))
+
+    async def test_stop_together_with_a_change_ends_the_feed(self):
+        # Guards against a stop that is lost when a change arrives at the same time,
+        # as when the router gives up the move lease before it stops its feed.
+        for turns in range(6):
+            seen = self.store.watches
+            await self.feed.start()
+            await until(lambda seen=seen: self.store.watches > seen)
+            await asyncio.sleep(0.05)
+            await self.store.commit({}, {KEY: OUT})
+            for _ in range(turns):
+                await asyncio.sleep(0)
+            async with asyncio.timeout(5):
+                await self.feed.stop()
