Add operators' guide run by a test, resource commands, README

Cause: operators had to write settings nodes by hand to create a workspace, and no test showed that the commands and a usual client library work against a running deployment.

Ruled out: an endpoint per resource; the settings tree already has compare-and-swap, and the commands need nothing more.

--- a/heatherswitch/ui/operator.py
+++ b/heatherswitch/ui/operator.py
@@ -4,6 +4,7 @@
 
 from cleo.application import Application
 from cleo.exceptions import CleoError
+from cleo.io.inputs.argv_input import ArgvInput
 from cleo.io.inputs.input import Input
 from cleo.io.outputs.output import Output
 
@@ -11,6 +12,7 @@
 from heatherswitch.ui import order_commands, settings_commands
 from heatherswitch.ui.base import OperatorCommand
 from heatherswitch.ui.errors import ExitCode
+from heatherswitch.ui.resource_commands import RESOURCE_COMMANDS
 
 COMMANDS: tuple[type[OperatorCommand], ...] = (
     settings_commands.SetCommand,
@@ -27,6 +29,7 @@
     order_commands.MoveListCommand,
     order_commands.MoveWatchCommand,
     order_commands.StatusCommand,
+    *RESOURCE_COMMANDS,
 )
 
 
@@ -46,6 +49,9 @@
     error_output: Output | None = None,
 ) -> int:
     """Runs one command line and returns the exit code."""
+    # Without a command, cleo would explain its list command instead.
+    if source is None and sys.argv[1:] in (["--help"], ["-h"]):
+        source = ArgvInput([sys.argv[0], "list"])
     try:
         return application().run(source, output, error_output)
     except CleoError as error:
--- a/heatherswitch/ui/order_commands.py
+++ b/heatherswitch/ui/order_commands.py
@@ -137,12 +137,13 @@
 
     name = "move watch"
     description = "Follows a move until it is done (exit 0) or taken back (exit 1)."
-    arguments = [argument("move", "Id of the move, from move list.")]
-    help = examples("move watch 3f1c...")
+    arguments = [argument("move", "Id of the move; the newest without it.", True)]
+    help = examples("move watch", "move watch 3f1c...")
 
     def run_command(self, client: Caller) -> tuple[Any, ExitCode]:
         """Reads the move each second; a router that is away is asked again."""
-        path = f"/v1/moves/{quote(self.argument('move'), safe='')}"
+        move_id = self.argument("move") or _newest_move(client)
+        path = f"/v1/moves/{quote(move_id, safe='')}"
         last = None
         while True:
             try:
@@ -186,6 +187,13 @@
             self.print(_member_line(member))
 
 
+def _newest_move(client: Caller) -> str:
+    moves = client.call("GET", "/v1/moves", {})["moves"]
+    if not moves:
+        raise UserError("there are no moves")
+    return moves[-1]["id"]
+
+
 def _version_path(command: OperatorCommand, order: str) -> str:
     service = quote(command.argument("service"), safe="")
     version = quote(command.argument("version"), safe="")
--- a/heatherswitch/ui/settings_commands.py
+++ b/heatherswitch/ui/settings_commands.py
@@ -44,14 +44,14 @@
     def run_command(self, client: Caller) -> tuple[Any, ExitCode]:
         """Reads the node, changes it and writes it by compare-and-swap."""
         path = self.argument("path")
-        changes = [_parse_assignment(text) for text in self.argument("values")]
+        changes = [parse_assignment(text) for text in self.argument("values")]
         unset = self.option("unset")
         if not changes and not unset:
             raise UserError("nothing to set: give NAME=VALUE or --unset NAME")
         held = client.call("GET", "/v1/settings", {})["nodes"].get(path, {})
         overrides = held.get("overrides") or {}
         for name, value in changes:
-            overrides = merge(overrides, _nested(name, value))
+            overrides = merge(overrides, nested(name, value))
         for name in unset:
             overrides = _without(overrides, name.split("."))
         revision = self.whole("revision")
@@ -215,14 +215,19 @@
     return {path: node["overrides"] for path, node in nodes.items()}
 
 
-def _parse_assignment(text: str) -> tuple[str, Any]:
+def parse_assignment(text: str) -> tuple[str, Any]:
+    """Splits NAME=VALUE.
+
+    :raises UserError: if the text has another form.
+    """
     name, separator, value = text.partition("=")
     if not separator or not name:
         raise UserError(f"{text!r} is not NAME=VALUE")
     return name, parse_yaml(value, f"the value of {name}")
 
 
-def _nested(name: str, value: Any) -> dict[str, Any]:
+def nested(name: str, value: Any) -> dict[str, Any]:
+    """Returns the overrides that set one dotted name."""
     for part in reversed(name.split(".")):
         value = {part: value}
     return value
--- a/heatherswitch/util/http_server.py
+++ b/heatherswitch/util/http_server.py
@@ -6,6 +6,7 @@
 import logging
 import ssl
 from collections.abc import Awaitable, Callable
+from http.client import responses
 from typing import Any
 
 import h11
@@ -48,7 +49,8 @@
             sent.append(("Transfer-Encoding", "chunked"))
         if self._closing():
             sent.append(("Connection", "close"))
-        await self._send(h11.Response(status_code=status, headers=sent))
+        reason = responses.get(status, "").encode()
+        await self._send(h11.Response(status_code=status, headers=sent, reason=reason))
 
     async def write(self, data: bytes) -> None:
         """Sends a part of the body."""
