Authenticate the processes of the fleet to each other

Cause: any process that reached an inner listener could join the fleet, start work at an agent and spread configuration; the operator token could be given in a flag, which other users of a VM can read.

Change: util/transport.py opens all gRPC servers and channels. Calls carry the fleet token, which is compared in constant time; mutual TLS is on when certificates are configured. Secrets come from a variable or a file.

Callers and the store still use plain HTTP/1.1 behind the platform's balancer.

--- a/emulator/launch.py
+++ b/emulator/launch.py
@@ -63,6 +63,7 @@
         "_backends",
         "_config",
         "_directory",
+        "_peer_environment",
         "_numbers",
         "_routers",
         "_router_peers",
@@ -75,6 +76,7 @@
         self._config = config
         self._directory = config.run_directory.resolve()
         self._token = secrets.token_hex(16)
+        self._peer_environment = {"HEATHERSWITCH_FLEET_TOKEN": secrets.token_hex(16)}
         self._store: ManagedProcess | None = None
         self._routers: list[ManagedProcess] = []
         self._router_peers: list[str] = []
@@ -274,7 +276,9 @@
         peers = self._router_peers = [
             free_address() for _ in range(self.deployment.routers)
         ]
-        environment = {"HEATHERSWITCH_OPERATOR_TOKEN": self._token}
+        environment = self._peer_environment | {
+            "HEATHERSWITCH_OPERATOR_TOKEN": self._token
+        }
         for index, own in enumerate(peers):
             name = f"r{index + 1}"
             arguments = ["--id", name, "--zone", self._zone(index)]
@@ -317,7 +321,9 @@
         arguments += ["--listen", free_address(), "--metrics-listen", ANY_PORT]
         arguments += ["--store", self._store_address()]
         arguments += ["--peers", ",".join(self._router_peers)]
-        agent = self._process(name, self._config.agent_module, arguments)
+        module = self._config.agent_module
+        environment = self._peer_environment
+        agent = self._process(name, module, arguments, environment=environment)
         agent.start()
         return agent
 
--- a/heatherswitch/agent/shell.py
+++ b/heatherswitch/agent/shell.py
@@ -22,6 +22,7 @@
 from heatherswitch.util.clock import Clock
 from heatherswitch.util.http import Request
 from heatherswitch.util.http_server import HttpServer, Responder
+from heatherswitch.util.transport import Transport, TransportConfig, TransportError
 
 log = logging.getLogger("heatherswitch.agent")
 
@@ -114,6 +115,7 @@
     store: Sequence[str] = ()
     drain_delay_s: float = 0.0
     drain_timeout_s: float = 600.0
+    transport: TransportConfig = TransportConfig()
     log_level: str = "info"
     ready_file: str = ""
 
@@ -129,6 +131,7 @@
         on_members=agent.members_changed,
         on_pool_load=agent.pool_load,
         clock=agent.clock,
+        transport=agent.transport,
     )
 
 
@@ -169,6 +172,7 @@
         self._config = config
         self._clock = Clock()
         self._incarnation = time.time_ns()
+        self._transport = Transport.from_config(config.transport)
         self._backend = backend
         self._metrics = AgentMetrics()
         self._state = MemberState.STARTING
@@ -214,6 +218,11 @@
         """The agent's own settings."""
         return self._config
 
+    @property
+    def transport(self) -> Transport:
+        """Opens connections to other processes of the fleet."""
+        return self._transport
+
     @property
     def clock(self) -> Clock:
         """The clock of all events."""
@@ -311,7 +320,7 @@
 
         :raises AgentError: if a listener cannot be bound.
         """
-        self._server = grpc.aio.server(options=GRPC_OPTIONS)
+        self._server = self._transport.server(GRPC_OPTIONS)
         service = AgentService(
             self._runner, self._config.id, self._incarnation, self._clock.now
         )
@@ -320,9 +329,9 @@
         listen = self._config.listen
         metrics_host, _, metrics_port = self._config.metrics_listen.rpartition(":")
         try:
-            self._port = self._server.add_insecure_port(listen)
+            self._port = self._transport.bind(self._server, listen)
             await self._http.start(metrics_host, int(metrics_port))
-        except (OSError, RuntimeError) as error:
+        except (OSError, TransportError) as error:
             raise AgentError(f"cannot listen on {listen}: {error}") from error
         await self._server.start()
         await self._probe()
--- a/heatherswitch/exchange/node.py
+++ b/heatherswitch/exchange/node.py
@@ -20,6 +20,7 @@
 from heatherswitch.protocol import heatherswitch_pb2 as pb
 from heatherswitch.statecore.replica import Entry, ReplicatedEntries
 from heatherswitch.util.clock import Clock
+from heatherswitch.util.transport import Transport
 
 log = logging.getLogger("heatherswitch.exchange")
 
@@ -103,6 +104,7 @@
         on_pool_load: Callable[[int, int], None] | None = None,
         clock: Clock | None = None,
         interval_s: float = INTERVAL_S,
+        transport: Transport | None = None,
     ) -> "FleetNode":
         """Builds the node of one process.
 
@@ -114,10 +116,12 @@
         :param on_pool_load: for agents, receives the total of running and queued
             requests and the number of agents of the own pool.
         :param interval_s: seconds between two rounds.
+        :param transport: opens the channels to peers.
         """
         node = cls(own_record, clock or Clock())
         node._seeds = list(peers)
         node._interval_s = interval_s
+        node._channels = PeerChannels(transport)
         node._on_config = on_config or node._on_config
         node._on_members = on_members or node._on_members
         node._on_pool_load = on_pool_load or node._on_pool_load
--- a/heatherswitch/exchange/peer.py
+++ b/heatherswitch/exchange/peer.py
@@ -9,6 +9,7 @@
 from heatherswitch.protocol import heatherswitch_pb2 as pb
 from heatherswitch.protocol import heatherswitch_pb2_grpc as pb_grpc
 from heatherswitch.protocol.convert import ConvertError
+from heatherswitch.util.transport import Transport
 
 # A peer that has not answered after this long is silent, in seconds. Two rounds
 # of the exchange leave time for a change to spread within 4 s.
@@ -35,9 +36,10 @@
 class PeerChannels:
     """Keeps one channel a peer and replaces those that are silent."""
 
-    __slots__ = ("_channels", "_used")
+    __slots__ = ("_channels", "_transport", "_used")
 
-    def __init__(self) -> None:
+    def __init__(self, transport: Transport | None = None) -> None:
+        self._transport = transport or Transport()
         self._channels: dict[str, grpc.aio.Channel] = {}
         self._used: dict[str, float] = {}
 
@@ -52,12 +54,14 @@
         """
         channel = self._channels.get(address)
         if channel is None:
-            channel = grpc.aio.insecure_channel(address, options=_OPTIONS)
+            channel = self._transport.channel(address, _OPTIONS)
             self._channels[address] = channel
         self._used[address] = now
         try:
             call = pb_grpc.PeerStub(channel).Exchange(
-                request, timeout=EXCHANGE_TIMEOUT_S
+                request,
+                timeout=EXCHANGE_TIMEOUT_S,
+                metadata=self._transport.metadata,
             )
             return await call
         except grpc.aio.AioRpcError as error:
--- a/heatherswitch/router/channels.py
+++ b/heatherswitch/router/channels.py
@@ -6,6 +6,8 @@
 
 import grpc
 
+from heatherswitch.util.transport import Transport
+
 # Time for opening a connection, in seconds.
 CONNECT_TIMEOUT_S = 1.0
 # Largest message in either direction, in bytes.
@@ -34,9 +36,9 @@
 
     __slots__ = ("address", "channel", "replaced", "users")
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, transport: Transport) -> None:
         self.address = address
-        self.channel = grpc.aio.insecure_channel(address, options=OPTIONS)
+        self.channel = transport.channel(address, OPTIONS)
         self.users = 0
         self.replaced = False
 
@@ -44,12 +46,18 @@
 class AgentChannels:
     """Keeps one channel per agent and replaces those that are silent."""
 
-    __slots__ = ("_closing", "_links")
+    __slots__ = ("_closing", "_links", "_transport")
 
-    def __init__(self) -> None:
+    def __init__(self, transport: Transport | None = None) -> None:
+        self._transport = transport or Transport()
         self._links: dict[str, _Link] = {}
         self._closing: set[asyncio.Task] = set()
 
+    @property
+    def metadata(self) -> tuple[tuple[str, str], ...]:
+        """Metadata that each call to an agent must carry."""
+        return self._transport.metadata
+
     @contextlib.asynccontextmanager
     async def connected(
         self, agent_id: str, address: str
@@ -61,7 +69,7 @@
         link = self._links.get(agent_id)
         if link is None or link.address != address:
             self.replace(agent_id)
-            link = self._links[agent_id] = _Link(address)
+            link = self._links[agent_id] = _Link(address, self._transport)
         link.users += 1
         try:
             await self._connect(link)
--- a/heatherswitch/router/dispatch.py
+++ b/heatherswitch/router/dispatch.py
@@ -133,7 +133,7 @@
             return ConnectFailed(str(error))
 
     def _execute_on(self, stub: pb_grpc.AgentStub) -> grpc.aio.UnaryStreamCall:
-        return stub.Execute(self._request)
+        return stub.Execute(self._request, metadata=self._channels.metadata)
 
     def _resume_on(self, stub: pb_grpc.AgentStub) -> grpc.aio.UnaryStreamCall:
         message = pb.ResumeRequest(
@@ -142,7 +142,7 @@
             offset=self._check.offset,
             workspace=self._request.workspace,
         )
-        return stub.Resume(message)
+        return stub.Resume(message, metadata=self._channels.metadata)
 
     async def _consume(self, call: grpc.aio.UnaryStreamCall) -> AttemptResult:
         try:
--- a/heatherswitch/router/shell.py
+++ b/heatherswitch/router/shell.py
@@ -23,6 +23,7 @@
 from heatherswitch.util.http import HttpLimits
 from heatherswitch.util.http_server import HttpServer
 from heatherswitch.util.metrics import Metrics
+from heatherswitch.util.transport import Transport, TransportConfig
 
 log = logging.getLogger("heatherswitch.router")
 
@@ -70,6 +71,7 @@
     drain_delay_s: float = 5.0
     grace_s: float = 60.0
     caller_limits: HttpLimits = field(default_factory=HttpLimits)
+    transport: TransportConfig = TransportConfig()
     log_level: str = "info"
     ready_file: str = ""
 
@@ -139,6 +141,7 @@
         "_runner",
         "_state",
         "_ticker",
+        "_transport",
     )
 
     def __init__(
@@ -150,13 +153,15 @@
         self._incarnation = time.time_ns()
         self._state = MemberState.STARTING
         self._peer_address = config.peer_listen
-        self._channels = AgentChannels()
+        self._transport = Transport.from_config(config.transport)
+        self._channels = AgentChannels(self._transport)
         self._node = node_factory(
             own_record=self._own_record,
             peers=config.peers,
             on_config=self._on_config,
             on_members=self._on_members,
             clock=self._clock,
+            transport=self._transport,
         )
         telemetry = Telemetry(metrics)
         self._runner = RequestRunner(self._node, self._channels, self._clock, telemetry)
@@ -237,9 +242,9 @@
         """Opens the listeners and joins the fleet."""
         config = self._config
         await self._health.start(*_host_port(config.metrics_listen))
-        self._grpc = grpc.aio.server(options=GRPC_SERVER_OPTIONS)
+        self._grpc = self._transport.server(GRPC_SERVER_OPTIONS)
         pb_grpc.add_PeerServicer_to_server(self._node.servicer(), self._grpc)
-        port = self._grpc.add_insecure_port(config.peer_listen)
+        port = self._transport.bind(self._grpc, config.peer_listen)
         self._peer_address = _bound(config.peer_listen, port)
         await self._grpc.start()
         self._state = MemberState.LIVE
--- a/heatherswitch/ui/agent.py
+++ b/heatherswitch/ui/agent.py
@@ -38,6 +38,7 @@
             daemon.drain_delay,
             "0",
         ),
+        *daemon.TRANSPORT_FLAGS,
         Flag("log-level", "debug, info, warning or error.", daemon.log_level, "info"),
         Flag("ready-file", "File for the bound addresses.", daemon.text, ""),
     )
@@ -46,7 +47,7 @@
         """Builds the agent."""
         from heatherswitch.agent.shell import Agent, AgentConfig
 
-        return Agent.from_config(AgentConfig(**values))
+        return Agent.from_config(AgentConfig(**daemon.transport_config(values)))
 
 
 def main() -> None:
--- a/heatherswitch/ui/daemon.py
+++ b/heatherswitch/ui/daemon.py
@@ -139,6 +139,59 @@
     return value
 
 
+@dataclass(frozen=True, slots=True)
+class SecretFlag(Flag):
+    """A secret, read from a file or from the environment.
+
+    The flag names the file, because other users can see the flags of a process.
+    """
+
+    @property
+    def variable(self) -> str:
+        """Environment variable that holds the secret itself."""
+        return Flag.variable.fget(self).removesuffix("_FILE")
+
+    @property
+    def field(self) -> str:
+        """Name of the field that takes the secret."""
+        return Flag.field.fget(self).removesuffix("_file")
+
+    def value(self, given: str | None, environment: Mapping[str, str]) -> Any:
+        """Returns the secret without white space around it.
+
+        :raises UserError: if the file cannot be read.
+        """
+        if given is None:
+            return environment.get(self.variable, self.default or "").strip()
+        try:
+            return Path(given).read_text().strip()
+        except (OSError, ValueError) as error:
+            raise UserError(f"--{self.name}: {error}") from error
+
+
+# Flags of the connections between the fleet's processes.
+TRANSPORT_FLAGS = (
+    SecretFlag(
+        "fleet-token-file",
+        "File with the token that all processes share; empty admits any peer.",
+        str,
+        "",
+    ),
+    Flag("tls-certificate", "Certificate chain for peers, in PEM.", str, ""),
+    Flag("tls-key", "Private key of the certificate, in PEM.", str, ""),
+    Flag("tls-authority", "Certificates that peers must chain to, in PEM.", str, ""),
+)
+
+
+def transport_config(values: dict[str, Any]) -> dict[str, Any]:
+    """Moves the values of :data:`TRANSPORT_FLAGS` into a ``TransportConfig``."""
+    from heatherswitch.util.transport import TransportConfig
+
+    names = {flag.field for flag in TRANSPORT_FLAGS}
+    rest = {name: value for name, value in values.items() if name not in names}
+    return rest | {"transport": TransportConfig(**{n: values[n] for n in names})}
+
+
 class DaemonCommand(Command):
     """Checks the flags, then runs a program until SIGTERM or SIGINT."""
 
--- a/heatherswitch/ui/router.py
+++ b/heatherswitch/ui/router.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 from heatherswitch.ui import daemon
-from heatherswitch.ui.daemon import DaemonCommand, Flag, Program, run_daemon
+from heatherswitch.ui.daemon import DaemonCommand, Flag, Program, SecretFlag, run_daemon
 
 
 class RouterCommand(DaemonCommand):
@@ -33,13 +33,13 @@
         Flag("peer-listen", "Address for peers.", daemon.address, "127.0.0.1:0"),
         Flag("store", "Store addresses, comma separated.", daemon.addresses, ""),
         Flag("peers", "Routers to start from.", daemon.addresses, ""),
-        Flag(
-            "operator-token",
-            "Token of operators; prefer the variable, since flags are visible to "
-            "other users. Empty refuses all operators.",
-            daemon.text,
+        SecretFlag(
+            "operator-token-file",
+            "File with the token of operators; without one all are refused.",
+            str,
             "",
         ),
+        *daemon.TRANSPORT_FLAGS,
         Flag(
             "drain-delay-s",
             "Seconds to serve on after SIGTERM, for the load balancer.",
@@ -54,7 +54,7 @@
         """Builds the router."""
         from heatherswitch.router.shell import Router, RouterConfig
 
-        return Router.from_config(RouterConfig(**values))
+        return Router.from_config(RouterConfig(**daemon.transport_config(values)))
 
 
 def main() -> None:
