Bound what gRPC buffers ahead of a reader

Cause: on a busy machine a silent reader's connection took over 512 KiB ahead of the reader, because gRPC raises its receive window to several megabytes. The agent keeps 512 KiB behind the slowest reader, so the resume ended in answer_not_retained.

Change: the router's channels use a fixed window of 64 KiB; the test opens its channel with the router's options.

Ruled out: keeping more at the agent; its memory would grow with each reader.

--- a/heatherswitch/router/channels.py
+++ b/heatherswitch/router/channels.py
@@ -22,6 +22,11 @@
     ("grpc.initial_reconnect_backoff_ms", 100),
     ("grpc.min_reconnect_backoff_ms", 100),
     ("grpc.max_reconnect_backoff_ms", 1000),
+    # A connection that goes silent must not have taken more bytes ahead of its
+    # reader than an agent keeps (512 KiB), or the answer cannot be resumed. Without
+    # a fixed window, gRPC raises it to several megabytes.
+    ("grpc.http2.bdp_probe", 0),
+    ("grpc.http2.lookahead_bytes", 65536),
     # Addresses are numbers, so that no proxy of the environment is used.
     ("grpc.enable_http_proxy", 0),
 )
--- a/test/test_agent_service.py
+++ b/test/test_agent_service.py
@@ -18,6 +18,7 @@
 from heatherswitch.fleet.settings import node_key
 from heatherswitch.protocol import heatherswitch_pb2 as pb
 from heatherswitch.protocol import heatherswitch_pb2_grpc as pb_grpc
+from heatherswitch.router.channels import OPTIONS
 from heatherswitch.statecore.replica import Entry
 from heatherswitch.util.http_client import HttpClient
 from test.backend_fake import FakeBackend
@@ -113,7 +114,9 @@
         )
         await self.agent.start()
         self.agent.pool_load(20, 2)
-        self.channel = grpc.aio.insecure_channel(self.agent.address)
+        # As the router opens it: what gRPC buffers ahead of a reader must stay below
+        # what the agent keeps for a reader that comes back.
+        self.channel = grpc.aio.insecure_channel(self.agent.address, OPTIONS)
         self.stub = pb_grpc.AgentStub(self.channel)
 
     def make_node(self, agent):
