Keep a cancellation that arrives together with data

Cause: in Python 3.11 asyncio.wait_for loses a cancellation when its result arrives in the same step. The store feed is cancelled at a stop right after the move owner has released its key, which the feed's watch reports; a feed that lost its cancellation goes on for ever, and the router waits for it. This is a likely cause of the router that did not stop within 10 s of SIGTERM (seen once by others); that incident itself was not reproduced. Change: asyncio.timeout in the HTTP client, the feed, the channels and the request runner. Ruled out: the listener's stop, which waits only for busy connections.

--- a/heatherswitch/exchange/feed.py
+++ b/heatherswitch/exchange/feed.py
@@ -137,9 +137,8 @@
         trusted = self._node.ready and self._node.entries.revision > 0
         if trusted and not self._snapshot_needed:
             return
-        snapshot = await asyncio.wait_for(
-            self._store.range(CONFIG_PREFIX), READ_TIMEOUT_S
-        )
+        async with asyncio.timeout(READ_TIMEOUT_S):
+            snapshot = await self._store.range(CONFIG_PREFIX)
         if snapshot.revision < self._node.entries.revision:
             # The watch at the held revision continues once the store caught up.
             raise StoreError(f"stale snapshot at revision {snapshot.revision}")
@@ -153,7 +152,9 @@
         batches = self._store.watch(CONFIG_PREFIX, start)
         try:
             while self.watching:
-                batch = await asyncio.wait_for(anext(batches), self._silent_s)
+                # wait_for may lose the cancellation by stop() in Python 3.11.
+                async with asyncio.timeout(self._silent_s):
+                    batch = await anext(batches)
                 self._node.apply_entries(batch.entries, batch.revision)
                 if batch.entries:
                     self._node.exchange_soon()
--- a/heatherswitch/router/channels.py
+++ b/heatherswitch/router/channels.py
@@ -96,7 +96,8 @@
         if link.channel.get_state(True) is grpc.ChannelConnectivity.READY:
             return
         try:
-            await asyncio.wait_for(link.channel.channel_ready(), CONNECT_TIMEOUT_S)
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                await link.channel.channel_ready()
         except (TimeoutError, grpc.aio.UsageError) as error:
             raise Unreachable(f"cannot connect to {link.address}") from error
 
--- a/heatherswitch/router/runner.py
+++ b/heatherswitch/router/runner.py
@@ -150,7 +150,8 @@
         finally:
             self._running.pop(call.request_id, None)
             self._telemetry.running(len(self._running))
-        await asyncio.wait_for(answer.end(outcome), END_TIMEOUT_S)
+        async with asyncio.timeout(END_TIMEOUT_S):
+            await answer.end(outcome)
 
     def post(self, event: Event) -> None:
         """Applies an event and executes the effects."""
--- a/heatherswitch/util/http_client.py
+++ b/heatherswitch/util/http_client.py
@@ -155,12 +155,12 @@
 
     async def _connect(self, timeout: float) -> tuple:
         try:
-            return await asyncio.wait_for(
-                asyncio.open_connection(
+            # In Python 3.11 a cancellation of wait_for is lost when its result
+            # arrives at the same time, so that a cancelled task goes on for ever.
+            async with asyncio.timeout(timeout):
+                return await asyncio.open_connection(
                     self._host, self._port, ssl=self._tls, limit=READ_SIZE
-                ),
-                timeout,
-            )
+                )
         except (OSError, TimeoutError) as error:
             raise ConnectFailed(
                 f"cannot connect to {self._host}:{self._port}: {error or 'timeout'}"
@@ -178,7 +178,8 @@
         data += connection.send(h11.EndOfMessage())
         try:
             link[1].write(data)
-            await asyncio.wait_for(link[1].drain(), timeout)
+            async with asyncio.timeout(timeout):
+                await link[1].drain()
         except (OSError, TimeoutError) as error:
             raise ConnectionLost(f"sending failed: {error or 'timeout'}") from error
 
@@ -188,7 +189,8 @@
                 event = connection.next_event()
                 if event is not h11.NEED_DATA:
                     return event
-                data = await asyncio.wait_for(link[0].read(READ_SIZE), timeout)
+                async with asyncio.timeout(timeout):
+                    data = await link[0].read(READ_SIZE)
                 connection.receive_data(data)
             except (OSError, TimeoutError, h11.RemoteProtocolError) as error:
                 link[1].close()
--- a/test/test_http.py
+++ b/test/test_http.py
@@ -37,6 +37,10 @@
                 self.cancelled.set()
                 raise
             await responder.send(200, b"late")
+        elif request.path == "/wait-after-head":
+            await responder.start(200, [])
+            await responder.write(b"first")
+            await self.release.wait()
         elif request.path == "/json":
             await responder.send_json(200, request.json())
         elif request.path == "/cut":
@@ -53,6 +57,23 @@
         writer.close()
         return answer
 
+    async def test_cancellation_is_not_lost_when_data_arrives_with_it(self):
+        # Guards against a cancelled reader that goes on, so that a router whose
+        # store feed was cancelled while a change arrived never stopped.
+        for steps in range(3):
+            response = await self.client.request("GET", "/wait-after-head")
+            chunks = response.chunks()
+            self.assertEqual(await anext(chunks), b"first")
+            reader = asyncio.ensure_future(anext(chunks))
+            await asyncio.sleep(0.01)
+            response._link[0].feed_data(b"1\r\na\r\n")
+            for _ in range(steps):
+                await asyncio.sleep(0)
+            accepted = reader.cancel()
+            await asyncio.wait({reader})
+            self.assertEqual(reader.cancelled(), accepted)
+            response.close()
+
     async def test_connection_is_reused(self):
         for _ in range(3):
             response = await self.client.request("POST", "/echo", body=b"x")
