Send priority, workspace and fencing scope to backend servers

Cause: the agent did not tell the engine the class priority, plain services did not learn the workspace, and fencing tokens carried no scope although each partition counts its own epochs. Change: request field "priority" for engines (a caller's own is replaced), X-Workspace for plain services, X-Fencing-Scope: <service>/<partition> beside X-Fencing-Token; callers' headers of these names are dropped. The agent's tick reads the resume window once instead of once per retained answer. Ruled out: parsing each body, which costs milliseconds at a megabyte; the field is appended unless the name may occur already.

--- a/heatherswitch/agent/backend.py
+++ b/heatherswitch/agent/backend.py
@@ -32,8 +32,11 @@
     "host",
     "idempotency-key",
     "traceparent",
+    "x-fencing-scope",
     "x-fencing-token",
+    "x-priority",
     "x-request-id",
+    "x-workspace",
 }
 DROPPED_RESPONSE_HEADERS = HOP_HEADERS | {"x-request-id"}
 # Time for a health or load probe, in seconds.
@@ -76,6 +79,10 @@
     """One request for the backend server.
 
     :param epoch: fencing token; 0 for none.
+    :param scope: where the token counts, ``<service>/<partition>``, because each
+        partition counts its own epochs.
+    :param workspace: named to plain services, which know no API keys.
+    :param priority: class priority for an engine; 0 is served first.
     :param engine: True for a model engine, whose streams end with ``[DONE]``.
     :param timeout_s: seconds for the whole answer.
     :param silent_s: seconds without a byte after which a stream counts as silent.
@@ -90,6 +97,9 @@
     idempotent: bool = True
     idempotency_key: str = ""
     epoch: int = 0
+    scope: str = ""
+    workspace: str = ""
+    priority: int | None = None
     engine: bool = True
     timeout_s: float = 60.0
     silent_s: float = 3.0
@@ -260,7 +270,7 @@
             call.method,
             call.target,
             request_headers(call),
-            call.body,
+            request_body(call),
             timeout=call.timeout_s,
             fresh=fresh,
         )
@@ -342,9 +352,34 @@
         kept.append(("Idempotency-Key", call.idempotency_key))
     if call.epoch:
         kept.append(("X-Fencing-Token", str(call.epoch)))
+        if call.scope:
+            kept.append(("X-Fencing-Scope", call.scope))
+    if call.workspace and not call.engine:
+        kept.append(("X-Workspace", call.workspace))
     return kept
 
 
+def request_body(call: BackendCall) -> bytes:
+    """Returns the body that the backend server receives.
+
+    An engine gets the class priority as the request field ``priority``. It
+    replaces one of the caller, who could otherwise overtake other workspaces.
+    """
+    body = call.body.strip()
+    plain = not call.engine or call.priority is None
+    if plain or not (body.startswith(b"{") and body.endswith(b"}")):
+        return call.body
+    # An escape could hide the name, so such a body is read as well.
+    if b'"priority"' not in body and b"\\u" not in body and b":" in body:
+        # Parsing and writing up to a megabyte would cost milliseconds.
+        return body[:-1] + b',"priority":%d}' % call.priority
+    try:
+        value = json.loads(body)
+    except (ValueError, RecursionError):
+        return call.body
+    return json.dumps({**value, "priority": call.priority}).encode()
+
+
 def response_headers(headers: Headers) -> Headers:
     """Returns the headers that the caller receives."""
     return [h for h in headers if h[0].lower() not in DROPPED_RESPONSE_HEADERS]
--- a/heatherswitch/agent/effects.py
+++ b/heatherswitch/agent/effects.py
@@ -21,12 +21,14 @@
     :param epoch: fencing token; 0 without a claim.
     :param queued_s: seconds from arrival to this start.
     :param timeout_s: seconds after which the call is given up.
+    :param priority: class priority for the engine; 0 is served first.
     """
 
     work_id: str
     epoch: int
     queued_s: float
     timeout_s: float
+    priority: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/heatherswitch/agent/reducer.py
+++ b/heatherswitch/agent/reducer.py
@@ -177,7 +177,8 @@
             longest = self._gate.settings().get("limits.request_timeout_s")
             timeout_s = max(timeout_s, longest)
         queued_s = now - work.ticket.arrived_at
-        return fx.StartBackend(work.id, epoch, queued_s, timeout_s)
+        priority = work.ticket.priority
+        return fx.StartBackend(work.id, epoch, queued_s, timeout_s, priority)
 
     def _on_claim_recorded(self, event: ev.ClaimRecorded) -> list[Effect]:
         work = self._works.get(event.work_id)
--- a/heatherswitch/agent/runner.py
+++ b/heatherswitch/agent/runner.py
@@ -123,6 +123,7 @@
         """Passes the time on and drops answers that nobody may resume any more."""
         now = self._now()
         self.post(ev.Tick(now))
+        window_s = self._setting("limits.resume_window_s", 2.0)
         for work_id, job in list(self._jobs.items()):
             answer = job.answer
             ended = answer.ending is not None or answer.linked is not None
@@ -130,7 +131,7 @@
             # A late claim of refused work must still be abandoned.
             if not ended or answer.attached or claiming:
                 continue
-            if now - answer.ended_at >= self._setting("limits.resume_window_s", 2.0):
+            if now - answer.ended_at >= window_s:
                 self._forget(work_id, job)
 
     async def drain(self) -> None:
@@ -246,11 +247,19 @@
             idempotent=request.idempotent,
             idempotency_key=request.idempotency_key,
             epoch=effect.epoch,
+            scope=self._fencing_scope(job),
+            workspace=request.workspace,
+            priority=effect.priority,
             engine=self._setting("kind", "engine") == "engine",
             timeout_s=effect.timeout_s,
             silent_s=self._setting("limits.progress_timeout_s", 3.0),
         )
 
+    def _fencing_scope(self, job: Job) -> str:
+        if job.target is None:
+            return ""
+        return f"{self._identity.service}/{job.target.partition}"
+
     def _complete(self, job: Job, effect: fx.Complete) -> None:
         self._metrics.finished(job.request, effect.service_s, job.usage)
         job.answer.end(self._now(), job.answer.whole(job.usage))
--- a/test/test_backend.py
+++ b/test/test_backend.py
@@ -1,3 +1,4 @@
+import json
 import unittest
 
 from heatherswitch.agent.backend import (
@@ -8,6 +9,8 @@
     NothingSent,
     Usage,
     parse_load,
+    request_body,
+    request_headers,
 )
 from test.backend_fake import FakeBackend
 
@@ -68,6 +71,34 @@
         self.assertEqual(received.header("idempotency-key"), "k1")
         self.assertEqual(received.header("authorization"), "")
 
+    def test_engine_gets_the_class_priority_once(self):
+        # Guards against a caller that overtakes others by a priority of its own.
+        bodies = (
+            b'{"model": "m"}\n',
+            b'{"priority": 0, "model": "m"}',
+            b'{"prior\\u0069ty": 0, "model": "m"}',
+            b"{ }",
+        )
+        for body in bodies:
+            sent = request_body(call(body=body, priority=7))
+            pairs = json.loads(sent, object_pairs_hook=list)
+            self.assertEqual([v for k, v in pairs if k == "priority"], [7], body)
+        for body in (b"", b"[1]", b'{"cut": 1'):
+            self.assertEqual(request_body(call(body=body, priority=7)), body)
+        plain = call(body=b'{"a": 1}', priority=7, engine=False)
+        self.assertEqual(request_body(plain), b'{"a": 1}')
+
+    def test_plain_service_learns_workspace_and_scope_from_the_agent_only(self):
+        # Guards against a caller that names another workspace, and against
+        # epochs of one partition that fence another one.
+        given = [("X-Workspace", "other"), ("X-Fencing-Scope", "s/9")]
+        fields = {"headers": given, "workspace": "w", "epoch": 3, "scope": "s/1"}
+        sent = request_headers(call(**fields, engine=False))
+        self.assertEqual([v for k, v in sent if k == "X-Workspace"], ["w"])
+        self.assertEqual([v for k, v in sent if k == "X-Fencing-Scope"], ["s/1"])
+        names = [name for name, _ in request_headers(call(**fields))]
+        self.assertNotIn("X-Workspace", names)
+
     async def test_crossed_answer_reaches_nobody(self):
         # Guards against one caller receiving another caller's answer.
         self.assertEqual(await self.code("crossed"), "crossed_answer")
