--- /dev/null
+++ b/emulator/bench_service.py
@@ -0,0 +1,341 @@
+"""Measures service through zone moves, surges and cold starts, and the router's cost.
+
+``python -m emulator.bench_service --scenario zone`` runs one scenario with real
+processes, next to its baselines. ``--out DIR`` also writes the figures as CSV.
+"""
+
+import argparse
+import asyncio
+import csv
+import sys
+import tempfile
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from emulator.audit import ZoneMove, audit_zone, read_events
+from emulator.batching import BatchTimes
+from emulator.deployments import DEPLOYMENTS, Deployment
+from emulator.launch import Backend, Launch
+from emulator.load import class_deadlines
+from emulator.processes import LaunchError
+from emulator.service_cost import measure_cost
+from emulator.service_runs import (
+    Variant,
+    by_class,
+    follow_stats,
+    refusal_causes,
+    running,
+    send_load,
+    set_fault,
+    warm_up,
+)
+from emulator.standin import INTERRUPTED, cancel_on_sigterm
+from heatherswitch.util.clock import Clock
+from heatherswitch.util.logs import configure_logs
+
+# Bound of P3, in seconds.
+ZONE_BOUND_S = 3.0
+# Chats per second that one model engine carries at the deployments' peak. A zone
+# less, the others run at about two thirds of what they can do.
+PEAK_CHATS_PER_ENGINE = 2.0
+NO_ADMISSION = Variant(
+    "no-admission",
+    {
+        "routing": {"load_bound": 10, "load_bound_extra": 100},
+        "limits": {"max_running": 1000, "max_queued": 10000},
+        "cold_start": {"limit": 1000},
+    },
+)
+DESIGNED = Variant("designed")
+# Engines for the surge run at half speed, so that tenfold load exceeds them
+# without exceeding the machine that runs all processes.
+SURGE_ENGINE = ("--step-s", "0.022", "--warm")
+
+Rows = list[dict[str, Any]]
+
+
+@dataclass(frozen=True, slots=True)
+class Options:
+    """What to run; times are in seconds."""
+
+    deployment: Deployment
+    directory: Path
+    seconds: float
+    seed: int
+    baselines: bool = True
+
+    def chosen(self, *baselines: Variant) -> tuple[Variant, ...]:
+        """Returns the designed fleet and, unless left out, the baselines."""
+        return (DESIGNED, *baselines) if self.baselines else (DESIGNED,)
+
+
+def no_gradual_return(deployment: Deployment) -> Variant:
+    """Returns the baseline that gives a cold server its full load at once."""
+    node = deployment.nodes()[f"/service={deployment.engines.name}"]
+    limit = node["limits"]["max_running"]
+    return Variant("no-gradual-return", {"cold_start": {"limit": limit}})
+
+
+def class_rows(variant: str, launch: Launch, results) -> Rows:
+    """Returns one row per class."""
+    summaries = by_class(results, class_deadlines(launch.deployment))
+    for cause, count in refusal_causes(results).most_common(3):
+        print(f"  {variant}: {count} x {cause}")
+    return [
+        {"variant": variant, "class": name, **summary.row()}
+        for name, summary in summaries.items()
+    ]
+
+
+async def order_zone(launch: Launch, zone: str, out: bool) -> ZoneMove:
+    """Orders a zone out or back.
+
+    :raises LaunchError: if the order is refused.
+    """
+    word, clock = "out" if out else "back", Clock()
+    ordered = clock.now()
+    status, answer = await launch.operator_request(
+        "POST", f"/v1/zones/{zone}/{word}", {"deadline_s": 30.0}
+    )
+    if status >= 300:
+        raise LaunchError(f"zone {word} was refused with {status}: {answer}")
+    return ZoneMove(zone, out, ordered, clock.now(), "", 0.0)
+
+
+async def zone_variant(options: Options, variant: Variant) -> tuple[Rows, Rows]:
+    """Takes a zone out and back under peak load; its engines return cold."""
+    deployment = options.deployment
+    zone = deployment.zones[-1]
+    async with running(deployment, options.directory, variant, ("--warm",)) as launch:
+        rate = PEAK_CHATS_PER_ENGINE * deployment.engines.count
+        await warm_up(launch, 3.0, 2 * rate, options.seed + 1)
+        load = asyncio.create_task(
+            send_load(
+                launch, seconds=options.seconds, chats_per_s=rate, seed=options.seed
+            )
+        )
+        await asyncio.sleep(0.25 * options.seconds)
+        out = await order_zone(launch, zone, out=True)
+        await asyncio.sleep(0.35 * options.seconds)
+        for backend in launch.backends_of(deployment.engines.name, zone):
+            await set_fault(backend, "go_cold")
+        back = await order_zone(launch, zone, out=False)
+        report = await load
+        rows = class_rows(variant.name, launch, report.results)
+        backends = launch.backends_of(zone=zone)
+    events = read_events(item.history for item in backends)
+    audit = audit_zone(events, out, back, ZONE_BOUND_S)
+    last = {
+        "variant": variant.name,
+        "last new work s": round(audit.quiet_s, 3),
+        "starts after the bound": audit.late,
+        "interrupted": audit.interrupted,
+        "first work after return s": audit.return_s and round(audit.return_s, 3),
+    }
+    return rows, [last]
+
+
+async def run_zone(options: Options) -> dict[str, Rows]:
+    """Compares the designed fleet with the two baselines."""
+    tables: dict[str, Rows] = {"zone-classes": [], "zone-orders": []}
+    baselines = (NO_ADMISSION, no_gradual_return(options.deployment))
+    for variant in options.chosen(*baselines):
+        classes, orders = await zone_variant(options, variant)
+        tables["zone-classes"] += classes
+        tables["zone-orders"] += orders
+    return tables
+
+
+async def surge_variant(options: Options, variant: Variant) -> Rows:
+    """Sends ten times the load of the largest workspace for a third of the run."""
+    deployment = options.deployment
+    workspaces = deployment.workspaces()
+    surging = surging_workspace(deployment)
+    async with running(deployment, options.directory, variant, SURGE_ENGINE) as launch:
+        rate = 1.1 * deployment.engines.count
+        await warm_up(launch, 3.0, 2 * rate, options.seed + 1)
+        report = await send_load(
+            launch,
+            seconds=options.seconds,
+            chats_per_s=rate,
+            seed=options.seed,
+            surge_workspace=surging,
+            surge_factor=10.0,
+            surge_start_s=options.seconds / 4,
+            surge_end_s=options.seconds * 3 / 4,
+        )
+        rows = []
+        for name, members in (
+            ("surging", {surging}),
+            ("others", workspaces.keys() - {surging}),
+        ):
+            results = [item for item in report.results if item[0].workspace in members]
+            rows += class_rows(f"{variant.name}/{name}", launch, results)
+        return rows
+
+
+def surging_workspace(deployment: Deployment) -> str:
+    """Returns the workspace that surges: the last of the largest ones."""
+    workspaces = deployment.workspaces()
+    largest = max(workspaces.values())
+    return [name for name, share in workspaces.items() if share == largest][-1]
+
+
+async def run_surge(options: Options) -> dict[str, Rows]:
+    """Compares the designed fleet with one without admission at the server."""
+    rows: Rows = []
+    for variant in options.chosen(NO_ADMISSION):
+        rows += await surge_variant(options, variant)
+    return {"surge": rows}
+
+
+def load_against_capacity(samples: Rows, since_s: float = 0.0) -> dict[str, float]:
+    """Compares the load of a cold engine with what it bears.
+
+    :param since_s: samples before this time are left out.
+    """
+    times = BatchTimes()
+    ratios = []
+    for sample in samples:
+        if sample["warmth"] >= 1 or sample["at_s"] < since_s:
+            continue
+        span = times.safe_running - times.cold_running
+        bears = times.cold_running + span * sample["warmth"]
+        ratios.append((sample["at_s"], (sample["running"] + sample["waiting"]) / bears))
+    over = [at_s for at_s, ratio in ratios if ratio > 1]
+    return {
+        "largest load / borne": round(max((r for _, r in ratios), default=0.0), 3),
+        "samples over": len(over),
+        "last over s": round(over[-1] - since_s, 3) if over else 0.0,
+        "cold samples": len(ratios),
+    }
+
+
+async def cold_variant(options: Options, variant: Variant) -> tuple[Rows, Rows]:
+    """Starts all servers cold under load; later one becomes cold silently."""
+    deployment = options.deployment
+    async with running(deployment, options.directory, variant) as launch:
+        backends = launch.backends_of(deployment.engines.name)
+        victim = backends[0]
+        rate = PEAK_CHATS_PER_ENGINE * deployment.engines.count / 2
+        at_s = 0.6 * options.seconds
+        work = send_load(
+            launch, seconds=options.seconds, chats_per_s=rate, seed=options.seed
+        )
+        report, samples, _ = await asyncio.gather(
+            work,
+            follow_stats(backends, options.seconds + 1.0, 0.04),
+            fault_later(victim, "go_cold", at_s),
+        )
+        rows = class_rows(variant.name, launch, report.results)
+    before = [
+        sample for item in samples.values() for sample in item if sample["at_s"] < at_s
+    ]
+    silent = load_against_capacity(samples[victim.server.name], at_s)
+    loads = [
+        {"variant": variant.name, "case": "all cold", **load_against_capacity(before)},
+        {"variant": variant.name, "case": "one silently cold", **silent},
+    ]
+    return rows, loads
+
+
+async def fault_later(backend: Backend, kind: str, at_s: float) -> None:
+    """Switches a fault on after a time in seconds."""
+    await asyncio.sleep(at_s)
+    await set_fault(backend, kind)
+
+
+async def run_cold(options: Options) -> dict[str, Rows]:
+    """Compares the designed fleet with one without gradual return."""
+    tables: dict[str, Rows] = {"cold-classes": [], "cold-load": []}
+    for variant in options.chosen(no_gradual_return(options.deployment)):
+        classes, loads = await cold_variant(options, variant)
+        tables["cold-classes"] += classes
+        tables["cold-load"] += loads
+    return tables
+
+
+async def run_cost(options: Options) -> dict[str, Rows]:
+    """Compares calls through the router with calls to the stand-in directly."""
+    return await measure_cost(options.deployment, options.directory)
+
+
+SCENARIOS: dict[str, Callable[[Options], Awaitable[dict[str, Rows]]]] = {
+    "zone": run_zone,
+    "surge": run_surge,
+    "cold": run_cold,
+    "cost": run_cost,
+}
+SECONDS = {"zone": 10.0, "surge": 12.0, "cold": 12.0, "cost": 0.0}
+
+
+def print_table(name: str, rows: Rows) -> None:
+    """Prints rows with aligned columns."""
+    columns = list(rows[0])
+    cells = [columns, *([str(row.get(c, "")) for c in columns] for row in rows)]
+    widths = [max(len(line[i]) for line in cells) for i in range(len(columns))]
+    print(f"\n{name}")
+    for line in cells:
+        pairs = zip(line, widths, strict=True)
+        print("  ".join(cell.ljust(width) for cell, width in pairs).rstrip())
+
+
+def write_csv(directory: Path, name: str, rows: Rows) -> None:
+    """Writes one table as CSV."""
+    directory.mkdir(parents=True, exist_ok=True)
+    with (directory / f"{name}.csv").open("w", newline="") as file:
+        writer = csv.DictWriter(file, list(rows[0]))
+        writer.writeheader()
+        writer.writerows(rows)
+
+
+async def _main(arguments: argparse.Namespace) -> int:
+    cancel_on_sigterm()
+    scenario = arguments.scenario
+    deployment = DEPLOYMENTS[arguments.deployment]
+    seconds = arguments.seconds or SECONDS[scenario]
+    print(f"{scenario} {deployment.name} seed {arguments.seed}", flush=True)
+    with tempfile.TemporaryDirectory(prefix="heatherswitch-") as directory:
+        path = Path(arguments.run_directory or directory)
+        options = Options(
+            deployment, path, seconds, arguments.seed, arguments.baselines
+        )
+        try:
+            tables = await SCENARIOS[scenario](options)
+        except LaunchError as error:
+            print(f"bench_service: {error}", file=sys.stderr)
+            return 1
+    for name, rows in tables.items():
+        print_table(name, rows)
+        if arguments.out:
+            write_csv(Path(arguments.out), f"{name}-{deployment.name}", rows)
+    return 0
+
+
+def main() -> int:
+    """Runs one scenario and returns the exit code."""
+    parser = argparse.ArgumentParser(prog="bench_service", description=__doc__)
+    parser.add_argument("--scenario", choices=SCENARIOS, required=True)
+    parser.add_argument("--deployment", choices=DEPLOYMENTS, default="leafline")
+    parser.add_argument("--seconds", type=float, default=0.0, help="time of the load")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--out", help="directory that takes CSV files")
+    parser.add_argument(
+        "--no-baselines",
+        dest="baselines",
+        action="store_false",
+        help="run the designed fleet only",
+    )
+    parser.add_argument("--run-directory", help="keeps logs and histories there")
+    arguments = parser.parse_args()
+    configure_logs("bench_service", "bench", "warning")
+    try:
+        return asyncio.run(_main(arguments))
+    except (KeyboardInterrupt, asyncio.CancelledError):
+        return INTERRUPTED
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
