Send loads less often in streams; join head and first part

Cause: the profile showed the agent's load in each event of a stream (built by the agent, and a replaced member record in the router) and one system call each for the head, the body and the end of an answer. Change: parts of an answer carry the load at most every 0.1 s; the head is sent with the first part of the body. Ruled out: chunks that are ready together share an event already.

--- a/heatherswitch/agent/messages.py
+++ b/heatherswitch/agent/messages.py
@@ -1,6 +1,7 @@
 """Builds the protocol messages of the agent from its dataclasses and back."""
 
 import hashlib
+import time
 
 from heatherswitch.agent.answers import Ending, WholeAnswer
 from heatherswitch.agent.events import ExecuteReceived, ObservedLoad
@@ -47,23 +48,36 @@
     )
 
 
+# Parts of an answer carry the load at most this often, in seconds. Routers use
+# loads up to 0.5 s old, and a load in each part of a stream costs both sides more
+# than the part itself.
+LOAD_EVERY_S = 0.1
+
+
 class EventBuilder:
     """Builds the events of one attempt with its request id and the present load."""
 
-    __slots__ = ("_agent_id", "_load", "_request_id")
+    __slots__ = ("_agent_id", "_load", "_load_sent_at", "_request_id")
 
     def __init__(self, request_id: str, agent_id: str, load) -> None:
         self._request_id = request_id
         self._agent_id = agent_id
         # Returns the present load.
         self._load = load
+        self._load_sent_at = float("-inf")
 
     @property
     def request_id(self) -> str:
         """Id of the request that the events belong to."""
         return self._request_id
 
+    def _part(self, **event) -> pb.ExecuteEvent:
+        if time.monotonic() - self._load_sent_at >= LOAD_EVERY_S:
+            return self._event(**event)
+        return pb.ExecuteEvent(request_id=self._request_id, **event)
+
     def _event(self, **event) -> pb.ExecuteEvent:
+        self._load_sent_at = time.monotonic()
         load: Load = self._load()
         message = pb.AgentLoad(
             agent_id=self._agent_id,
@@ -82,11 +96,11 @@
     def head(self, status: int, headers) -> pb.ExecuteEvent:
         """Status and headers of the answer."""
         pairs = [pb.Header(name=name, value=value) for name, value in headers]
-        return self._event(head=pb.ResponseHead(status=status, headers=pairs))
+        return self._part(head=pb.ResponseHead(status=status, headers=pairs))
 
     def chunk(self, offset: int, data: bytes) -> pb.ExecuteEvent:
         """A part of the body."""
-        return self._event(chunk=pb.Chunk(offset=offset, data=data))
+        return self._part(chunk=pb.Chunk(offset=offset, data=data))
 
     def ping(self) -> pb.ExecuteEvent:
         """The attempt is alive and without progress."""
--- a/heatherswitch/router/answers.py
+++ b/heatherswitch/router/answers.py
@@ -89,7 +89,7 @@
             # Without Content-Length the answer is only whole with its final
             # chunk, which is sent after the checks.
             await self._responder.start(
-                self._status, self._connection_headers(self._headers)
+                self._status, self._connection_headers(self._headers), hold=True
             )
         await self._responder.write(data)
 
--- a/heatherswitch/util/http_server.py
+++ b/heatherswitch/util/http_server.py
@@ -24,7 +24,7 @@
 class Responder:
     """Writes the answer to one request."""
 
-    __slots__ = ("_closing", "_connection", "_writer", "started")
+    __slots__ = ("_closing", "_connection", "_head", "_writer", "started")
 
     def __init__(
         self,
@@ -35,12 +35,17 @@
         self._connection = connection
         self._writer = writer
         self._closing = closing
+        # A head that waits for the first part of the body, so that both take one
+        # system call.
+        self._head = b""
         self.started = False
 
-    async def start(self, status: int, headers: Headers) -> None:
+    async def start(self, status: int, headers: Headers, hold: bool = False) -> None:
         """Sends the head; the body follows by :meth:`write`.
 
         Without a Content-Length the body is sent in chunks.
+
+        :param hold: sends the head with the first part of the body or its end.
         """
         self.started = True
         sent = list(headers)
@@ -48,7 +53,11 @@
             sent.append(("Transfer-Encoding", "chunked"))
         if self._closing():
             sent.append(("Connection", "close"))
-        await self._send(h11.Response(status_code=status, headers=sent))
+        response = h11.Response(status_code=status, headers=sent)
+        if hold:
+            self._head = self._connection.send(response) or b""
+        else:
+            await self._send(response)
 
     async def write(self, data: bytes) -> None:
         """Sends a part of the body."""
@@ -63,8 +72,10 @@
         self, status: int, body: bytes = b"", headers: Headers | None = None
     ) -> None:
         """Sends a whole answer."""
-        await self.start(status, [*(headers or []), ("Content-Length", str(len(body)))])
-        await self.write(body)
+        sized = [*(headers or []), ("Content-Length", str(len(body)))]
+        await self.start(status, sized, hold=True)
+        if body:
+            self._head += self._connection.send(h11.Data(data=body)) or b""
         await self.finish()
 
     async def send_json(
@@ -76,7 +87,8 @@
         await self.send(status, body, typed)
 
     async def _send(self, event: Any) -> None:
-        data = self._connection.send(event)
+        data = self._head + (self._connection.send(event) or b"")
+        self._head = b""
         if data:
             self._writer.write(data)
             await self._writer.drain()
