--- a/heatherswitch/util/http_client.py
+++ b/heatherswitch/util/http_client.py
@@ -155,6 +155,8 @@
 
     async def _connect(self, timeout: float) -> tuple:
         try:
+            # In Python 3.11 a cancellation of wait_for is lost when its result
+            # arrives at the same time, so that a cancelled task goes on for ever.
             async with asyncio.timeout(timeout):
                 return await asyncio.open_connection(
                     self._host, self._port, ssl=self._tls, limit=READ_SIZE
