--- a/Makefile
+++ b/Makefile
@@ -26,6 +26,9 @@
 demo: $(BIN)/.installed
 	$(BIN)/python -m emulator.demo $(ARGS)
 
+bench: $(BIN)/.installed
+	$(BIN)/python -m emulator.bench $(ARGS)
+
 up: $(BIN)/.installed
 	$(BIN)/python -m emulator.up $(ARGS)
 
--- a/heatherswitch/fleet/placement.py
+++ b/heatherswitch/fleet/placement.py
@@ -1,25 +1,13 @@
 """The order in which a router tries the agents of a pool for a request."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
 
 from heatherswitch.fleet.config import FleetConfig, VersionSplit
 from heatherswitch.fleet.members import Member, MemberTable
-from heatherswitch.statecore.hashing import hash64, rendezvous_score, unit_hash
+from heatherswitch.fleet.policies import POLICIES, PlacementKey
+from heatherswitch.statecore.hashing import unit_hash
 
-
-@dataclass(frozen=True, slots=True)
-class PlacementKey:
-    """What decides the preference order.
-
-    :param chat_key: chat of the request, or the partition of its claim.
-    :param owner: agent that owns the claim partition; empty for none.
-    """
-
-    service: str
-    workspace: str
-    chat_key: str
-    owner: str = ""
+__all__ = ["Placement", "PlacementKey"]
 
 
 class Placement:
@@ -54,7 +42,7 @@
         """Returns the agents to try, most preferred first.
 
         The owner of the claim partition comes first. Then come the agents of the
-        chat's version by weighted rendezvous; agents of the active version follow
+        chat's version by the policy of the service; agents of the active version follow
         when the chat belongs to a starting one. Agents to avoid and suspect ones
         are ranked last.
 
@@ -66,7 +54,8 @@
         # A chat moves to the starting version once its position is below the share.
         position = unit_hash(key.service, key.workspace, key.chat_key)
         starts = position < split.share
-        score_key = f"{hash64(key.workspace, key.chat_key):016x}"
+        settings = self._config.settings(service=key.service)
+        score = POLICIES[settings.get("routing.policy")].scorer(key)
         weights: dict[tuple[str, str], float] = {}
         ranked = []
         for member in eligible:
@@ -79,8 +68,8 @@
             place = (member.zone, member.version)
             if place not in weights:
                 weights[place] = self._weight(member)
-            score = rendezvous_score(score_key, member.id, weights[place])
-            ranked.append((last and rank >= 0, rank, -score, member.id, member))
+            points = score(member, weights[place])
+            ranked.append((last and rank >= 0, rank, -points, member.id, member))
         ranked.sort(key=lambda item: item[:4])
         return [item[4] for item in ranked]
 
--- a/heatherswitch/fleet/schema.py
+++ b/heatherswitch/fleet/schema.py
@@ -48,6 +48,7 @@
         "kind": _choice("engine", "plain"),
         "routing": _object(
             {
+                "policy": _choice("affinity", "random", "least_loaded"),
                 "load_bound": _number(1, 10),
                 "load_bound_extra": _number(0, 100, "integer"),
                 "max_attempts": _number(1, 16, "integer"),
--- a/heatherswitch/router/reducer.py
+++ b/heatherswitch/router/reducer.py
@@ -261,7 +261,11 @@
             # Agents name a lost owner until the partition is taken over.
             hint = ""
         key = PlacementKey(
-            arrived.service, arrived.workspace, arrived.chat_key, hint or owner
+            arrived.service,
+            arrived.workspace,
+            arrived.chat_key,
+            hint or owner,
+            arrived.request_id,
         )
         candidates = self._placement.candidates(
             now, key, lambda agent_id: self._avoided.avoids(now, agent_id)
--- a/test/test_placement.py
+++ b/test/test_placement.py
@@ -1,5 +1,6 @@
 import unittest
 
+from heatherswitch.fleet.members import Load
 from heatherswitch.fleet.placement import Placement, PlacementKey
 from test.router_fakes import agent, fleet_config, table
 
@@ -66,3 +67,27 @@
             placement = Placement(fleet_config(nodes), table(*POOL))
             self.assertEqual(order(placement, owner=owner)[0], owner)
         self.assertNotIn("a1", order(placement, owner="a1"))
+
+
+class PolicyTest(unittest.TestCase):
+    def first(self, policy, members=None, request_id=""):
+        node = {"/service=chat": {"routing": {"policy": policy}}}
+        placement = Placement(fleet_config(node), members or table(*POOL))
+        key = PlacementKey("chat", "w1", "c", request_id=request_id)
+        return placement.candidates(0.0, key)[0].id
+
+    def test_random_spreads_the_requests_of_a_chat(self):
+        # Guards against a baseline that reuses caches like affinity.
+        found = {self.first("random", request_id=f"r{i}") for i in range(100)}
+        self.assertEqual(len(found), len(POOL))
+        self.assertEqual(
+            self.first("affinity", request_id="r1"), self.first("affinity")
+        )
+
+    def test_least_loaded_takes_the_idle_agent(self):
+        # Guards against a baseline that ignores the load.
+        members = table(*POOL)
+        for member in POOL[1:]:
+            members.update_load(0.0, member.id, Load(running=1))
+        found = {self.first("least_loaded", members, f"r{i}") for i in range(20)}
+        self.assertEqual(found, {"a0"})
