Ask agents that refused over a moving limit again at once

Cause: after OVER_LOAD_BOUND or COLD_START a router ranked the agent last for 250 ms, so that other chats lost their caches although a request that ends lifts the limit. Change: these two reasons no longer concern the whole agent.

--- a/heatherswitch/router/retries.py
+++ b/heatherswitch/router/retries.py
@@ -12,11 +12,11 @@
 REFUSED_FOR_S = 0.25
 # An agent that could not be reached is ranked last for this long, in seconds.
 UNREACHABLE_FOR_S = 2.5
-# Reasons that hold for all requests of an agent, not for one request only.
+# Reasons that hold for all requests of an agent for a while. The load bound and the
+# cold limit are not among them: they change with each request that ends, and a chat
+# that is sent elsewhere loses its cache.
 AGENT_REASONS = frozenset(
     {
-        Reason.OVER_LOAD_BOUND,
-        Reason.COLD_START,
         Reason.ZONE_OUT,
         Reason.LEAVING,
         Reason.QUEUE_FULL,
--- a/test/test_router_reducer.py
+++ b/test/test_router_reducer.py
@@ -47,6 +47,14 @@
         self.assertEqual(sorted(tried), ["a0", "a1", "a2"])
         self.assertEqual(self.refuse(3), [Answer("r", BUSY)])
 
+    def test_full_agent_is_still_asked_for_the_next_request(self):
+        # Guards against one refusal over a moving limit sending other chats away
+        # from their caches.
+        for reason in (Reason.OVER_LOAD_BOUND, Reason.COLD_START):
+            first = self.arrive()[0].agent_id
+            self.refuse(1, NotRun(reason))
+            self.assertEqual(self.arrive("other", now=0.01)[0].agent_id, first)
+
     def test_not_run_is_not_claimed_after_an_attempt_that_may_have_run(self):
         # Guards against P6: refusals of the retries hide an unknown first attempt.
         self.arrive()
