Wait a short time at the preferred server instead of moving the chat

Cause: at a pool mean below 1 to 2 requests the bound is one or two requests, so a chat whose server was busy for a moment moved and computed its prefix again. Change: a request whose first choice is at its load bound or cold limit is held there, as neither running nor queued, for up to routing.affinity_wait_s (0.25 s), if a running request is expected to end by then; admission decides by the same rule. Ruled out: queueing beyond the bound, which would raise the mean that others see.

--- a/heatherswitch/agent/events.py
+++ b/heatherswitch/agent/events.py
@@ -31,6 +31,7 @@
     :param config_revision: configuration revision in force at the router.
     :param fingerprint: digest of method, target and body.
     :param deadline_s: seconds left for the whole answer; 0 for the class default.
+    :param attempt: 1 at the agent that the router prefers; 0 when unknown.
     """
 
     work_id: str
@@ -47,6 +48,7 @@
     deadline_s: float = 0.0
     priority: int | None = None
     observed: ObservedLoad | None = None
+    attempt: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/heatherswitch/agent/gate.py
+++ b/heatherswitch/agent/gate.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from heatherswitch.agent.events import ExecuteReceived
-from heatherswitch.fleet.admission import RETRY_AFTER_MS, AdmissionLimits
+from heatherswitch.fleet.admission import RETRY_AFTER_MS, AdmissionLimits, Denied
 from heatherswitch.fleet.config import FleetConfig
 from heatherswitch.fleet.fair_queue import Ticket
 from heatherswitch.fleet.outcomes import NotRun, Reason
@@ -189,3 +189,8 @@
     """Builds a refusal with the Retry-After of its reason."""
     wait_ms = RETRY_AFTER_MS.get(reason, DROPPED_RETRY_AFTER_MS)
     return NotRun(reason, wait_ms, detail)
+
+
+def denial(denied: Denied) -> NotRun:
+    """Builds the refusal of a request that admission denied."""
+    return NotRun(denied.reason, denied.retry_after_ms)
--- a/heatherswitch/agent/messages.py
+++ b/heatherswitch/agent/messages.py
@@ -44,6 +44,7 @@
         deadline_s=request.deadline_ms / 1000,
         priority=request.priority,
         observed=observed,
+        attempt=request.attempt,
     )
 
 
--- a/heatherswitch/agent/reducer.py
+++ b/heatherswitch/agent/reducer.py
@@ -5,13 +5,10 @@
 
 from heatherswitch.agent import effects as fx
 from heatherswitch.agent import events as ev
-from heatherswitch.agent.gate import Gate, Identity, not_run
-from heatherswitch.agent.work import Phase, Work
-from heatherswitch.fleet.admission import (
-    Admission,
-    Denied,
-    PoolReport,
-)
+from heatherswitch.agent.gate import Gate, Identity, denial, not_run
+from heatherswitch.agent.holding import Holding
+from heatherswitch.agent.work import Phase, Work, finish_in
+from heatherswitch.fleet.admission import Admission, Admitted, PoolReport
 from heatherswitch.fleet.members import Load
 from heatherswitch.fleet.outcomes import Failed, NotRun, OutcomeUnknown, Reason
 from heatherswitch.fleet.warmth import Warmth, WarmthSettings
@@ -38,6 +35,7 @@
         "_fetched_at",
         "_gate",
         "_handlers",
+        "_holding",
         "_warmth",
         "_works",
     )
@@ -45,6 +43,7 @@
     def __init__(self, identity: Identity) -> None:
         self._gate = Gate(identity)
         self._admission = Admission()
+        self._holding = Holding(self._admission)
         self._warmth = Warmth()
         self._works: dict[str, Work] = {}
         self._failed_probes = 0
@@ -96,11 +95,12 @@
     @property
     def idle(self) -> bool:
         """True when no work is in the agent."""
-        return not self._works
+        return not self._works and not self._holding
 
     def apply(self, event: Event) -> list[Effect]:
         """Changes the state and returns what must be done."""
         made = self._handlers[type(event)](event)
+        made += self._settle_held(event.now)
         return made + self._start_waiting(event.now)
 
     # Admission.
@@ -112,18 +112,22 @@
         if same is not None:
             return self._join(event, same)
         made = self._fetch_if_behind(event)
-        refusal = self._gate.refusal(event)
-        if refusal is None and not self.backend_up:
-            refusal = not_run(Reason.BACKEND_DOWN)
+        refusal = self._gate.refusal(event) or self._down()
         if refusal is not None:
             return [*made, fx.Refuse(event.work_id, refusal)]
         self._observe(event)
         ticket = self._gate.ticket(event)
         limits = self._gate.limits(event.now, self._warmth)
         decision = self._admission.decide(event.now, ticket, limits)
-        if isinstance(decision, Denied):
-            refused = NotRun(decision.reason, decision.retry_after_ms)
-            return [*made, fx.Refuse(event.work_id, refused)]
+        if isinstance(decision, Admitted):
+            return made + self._admit(event, ticket, decision)
+        ends = finish_in(event.now, self._works.values(), self._admission.times)
+        if not self._holding.take(event, ticket, decision, self._gate.settings(), ends):
+            made.append(fx.Refuse(event.work_id, denial(decision)))
+        return made
+
+    def _admit(self, event: ev.ExecuteReceived, ticket, decision: Admitted) -> list:
+        made: list[Effect] = []
         if decision.displaced is not None:
             displaced = self._works[decision.displaced.id]
             made += self._not_started(displaced, Reason.FAIR_SHARE)
@@ -131,6 +135,27 @@
         self._admission.queue.add(ticket)
         return [*made, fx.Admit(event.work_id)]
 
+    def _settle_held(self, now: float) -> list[Effect]:
+        """Admits or refuses held requests whose wait is over."""
+        if not self._holding:
+            return []
+        refusal = self._gate.order_refusal(now) or self._down()
+        if refusal is not None:
+            return [fx.Refuse(i, refusal) for i in self._holding.drain()]
+        made: list[Effect] = []
+        limits = self._gate.limits(now, self._warmth)
+        while (settled := self._holding.settle(now, limits)) is not None:
+            item, decision = settled
+            if isinstance(decision, Admitted):
+                made += self._admit(item.event, item.ticket, decision)
+                made += self._start_waiting(now)
+            else:
+                made.append(fx.Refuse(item.event.work_id, denial(decision)))
+        return made
+
+    def _down(self) -> NotRun | None:
+        return None if self.backend_up else not_run(Reason.BACKEND_DOWN)
+
     def _join(self, event: ev.ExecuteReceived, same: Work) -> list[Effect]:
         if same.request.fingerprint != event.fingerprint:
             return [fx.Refuse(event.work_id, not_run(Reason.KEY_REUSED))]
@@ -219,8 +244,7 @@
     def _on_head(self, event: ev.BackendHead) -> list[Effect]:
         # A busy server may answer probes late; an answer shows that it is up.
         self._failed_probes = 0
-        work = self._works.get(event.work_id)
-        if work is not None:
+        if (work := self._works.get(event.work_id)) is not None:
             work.first_byte_at = event.now
         return []
 
@@ -316,14 +340,14 @@
     # Callers, time and the end.
 
     def _on_caller_left(self, event: ev.CallerLeft) -> list[Effect]:
-        work = self._works.get(event.work_id)
-        if work is not None:
+        if self._holding.remove(event.work_id):
+            return [fx.Refuse(event.work_id, not_run(Reason.DEADLINE))]
+        if (work := self._works.get(event.work_id)) is not None:
             work.detached_at = event.now
         return []
 
     def _on_caller_returned(self, event: ev.CallerReturned) -> list[Effect]:
-        work = self._works.get(event.work_id)
-        if work is not None:
+        if (work := self._works.get(event.work_id)) is not None:
             work.detached_at = None
         return []
 
--- a/heatherswitch/agent/work.py
+++ b/heatherswitch/agent/work.py
@@ -1,8 +1,10 @@
 """State of one request inside the agent."""
 
+from collections.abc import Iterable
 from enum import Enum
 
 from heatherswitch.agent.events import ExecuteReceived
+from heatherswitch.fleet.admission import ServiceTimes
 from heatherswitch.fleet.fair_queue import Ticket
 
 
@@ -54,3 +56,15 @@
     def detached_for(self, now: float) -> float:
         """Returns the seconds since the caller left; 0 while it is attached."""
         return 0.0 if self.detached_at is None else now - self.detached_at
+
+
+def finish_in(now: float, works: Iterable[Work], times: ServiceTimes) -> list[float]:
+    """Returns the expected seconds until each running request ends.
+
+    A request that takes longer than usual may end at any time and counts as 0.
+    """
+    return [
+        max(0.0, w.started_at + times.estimate(w.request.request_class) - now)
+        for w in works
+        if w.phase is Phase.RUNNING
+    ]
--- a/heatherswitch/fleet/schema.py
+++ b/heatherswitch/fleet/schema.py
@@ -49,6 +49,7 @@
         "routing": _object(
             {
                 "policy": _choice("affinity", "random", "least_loaded"),
+                "affinity_wait_s": _number(0, 10),
                 "load_bound": _number(1, 10),
                 "load_bound_extra": _number(0, 100, "integer"),
                 "max_attempts": _number(1, 16, "integer"),
