Take the mean load over the agents that take new work

Cause: agents of a zone that is out counted in the pool's mean, so that the agents that took over its load had too low a bound; a router sent its view of the pool only when each agent had answered within 0.5 s, which rarely holds at light load. Change: open_pool leaves out zones that are out; loads from the exchange count in the router's view.

--- a/heatherswitch/exchange/node.py
+++ b/heatherswitch/exchange/node.py
@@ -327,7 +327,7 @@
             records.append(contested)
         figures = None
         if sender.role is Role.AGENT:
-            figures = self._pools.figures(now, self._members, sender)
+            figures = self._pools.figures(now, self._members, self._config, sender)
         return self._builder(own).reply(
             request.config_revision, sender, records, figures, self.ready
         )
--- a/heatherswitch/exchange/reducer.py
+++ b/heatherswitch/exchange/reducer.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, replace
 
+from heatherswitch.fleet.config import FleetConfig
 from heatherswitch.fleet.members import (
     REMOVE_AFTER_S,
     SUSPECT_AFTER_S,
@@ -15,6 +16,7 @@
     MemberTable,
     Role,
 )
+from heatherswitch.fleet.placement import open_pool
 from heatherswitch.statecore.hashing import rendezvous_order
 from heatherswitch.statecore.replica import Entry, ReplicatedEntries
 
@@ -210,14 +212,10 @@
 
 
 def pool_figures(
-    now: float, table: MemberTable, service: str, version: str
+    now: float, table: MemberTable, config: FleetConfig, service: str, version: str
 ) -> PoolFigures:
-    """Sums the load of the agents of a pool that were heard recently."""
-    heard = [
-        member
-        for member in table.agents(service, version)
-        if not table.suspect(now, member.id)
-    ]
+    """Sums the load of the agents of a pool that take new work."""
+    heard = open_pool(now, table, config, service, version)
     total = sum(member.load.total for member in heard)
     age_s = max((table.unheard_s(now, m.id) for m in heard), default=0.0)
     return PoolFigures(total, len(heard), age_s)
@@ -231,12 +229,14 @@
     def __init__(self) -> None:
         self._figures: dict[tuple[str, str], tuple[float, PoolFigures]] = {}
 
-    def figures(self, now: float, table: MemberTable, agent: Member) -> PoolFigures:
+    def figures(
+        self, now: float, table: MemberTable, config: FleetConfig, agent: Member
+    ) -> PoolFigures:
         """Returns the figures of an agent's pool."""
         pool = (agent.service, agent.version)
         computed_at, figures = self._figures.get(pool, (0.0, None))
         if figures is None or not 0 <= now - computed_at < POOL_CACHE_S:
-            figures = pool_figures(now, table, *pool)
+            figures = pool_figures(now, table, config, *pool)
             self._figures[pool] = (now, figures)
         return figures
 
--- a/heatherswitch/fleet/members.py
+++ b/heatherswitch/fleet/members.py
@@ -77,11 +77,13 @@
 class MemberTable:
     """Keeps the newest record of each member and when it was received."""
 
-    __slots__ = ("_heard", "_members")
+    __slots__ = ("_heard", "_load_at", "_members")
 
     def __init__(self) -> None:
         self._members: dict[str, Member] = {}
         self._heard: dict[str, float] = {}
+        # When a member itself reported its load.
+        self._load_at: dict[str, float] = {}
 
     def __len__(self) -> int:
         return len(self._members)
@@ -115,12 +117,17 @@
         if known is not None:
             self._members[member_id] = replace(known, load=load)
             self._heard[member_id] = now
+            self._load_at[member_id] = now
 
     def hear(self, now: float, member_id: str) -> None:
         """Notes that a known member is alive, although its record is unchanged."""
         if member_id in self._members:
             self._heard[member_id] = now
 
+    def load_at(self, member_id: str) -> float:
+        """Returns when a member itself reported its load; minus infinity if never."""
+        return self._load_at.get(member_id, float("-inf"))
+
     def unheard_s(self, now: float, member_id: str) -> float:
         """Returns the seconds since a member was heard of; infinite if never."""
         heard = self._heard.get(member_id)
@@ -144,6 +151,7 @@
         for member in removed:
             del self._members[member.id]
             del self._heard[member.id]
+            self._load_at.pop(member.id, None)
         return removed
 
     def agents(self, service: str, version: str | None = None) -> list[Member]:
--- a/heatherswitch/fleet/placement.py
+++ b/heatherswitch/fleet/placement.py
@@ -7,7 +7,23 @@
 from heatherswitch.fleet.policies import POLICIES, PlacementKey
 from heatherswitch.statecore.hashing import unit_hash
 
-__all__ = ["Placement", "PlacementKey"]
+__all__ = ["Placement", "PlacementKey", "open_pool"]
+
+
+def open_pool(
+    now: float, members: MemberTable, config: FleetConfig, service: str, version: str
+) -> list[Member]:
+    """Returns the agents over which the mean load of a pool is taken.
+
+    Agents in zones that are out and agents that are suspect take no new work. They
+    would lower the mean and with it the load that the others may carry.
+
+    :param now: seconds since the epoch.
+    """
+    pool = members.agents(service, version)
+    zones = {member.zone for member in pool}
+    out = {zone for zone in zones if config.zone_is_out(service, zone, now)}
+    return [m for m in pool if m.zone not in out and not members.suspect(now, m.id)]
 
 
 class Placement:
--- a/heatherswitch/router/pool_load.py
+++ b/heatherswitch/router/pool_load.py
@@ -1,12 +1,13 @@
-"""What this router saw of the load of a pool, from the answers of its agents."""
+"""What this router saw of the load of a pool, from answers and the exchange."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from heatherswitch.fleet.members import Load, Member
 from heatherswitch.protocol import heatherswitch_pb2 as pb
 
-# Older figures say less than the exchange, which runs every 0.5 s.
-MAX_AGE_S = 0.5
+# Figures from the exchange are up to 0.6 s old, its period with its jitter. Older
+# ones say less than the report that the agent itself gets from its home routers.
+MAX_AGE_S = 0.65
 
 
 class PoolLoads:
@@ -32,16 +33,26 @@
         for agent_id in self._seen.keys() - agent_ids:
             del self._seen[agent_id]
 
-    def observed(self, now: float, pool: Sequence[Member]) -> pb.PoolLoad | None:
+    def observed(
+        self,
+        now: float,
+        pool: Sequence[Member],
+        load_at: Callable[[str], float] = lambda agent_id: float("-inf"),
+    ) -> pb.PoolLoad | None:
         """Returns the load of a pool, or None unless all of it was seen lately.
 
-        A part of the pool would give a wrong mean.
+        A part of the pool would give a wrong mean. In a pool with little load, most
+        agents gave no answer lately, so their loads from the exchange count too.
+
+        :param load_at: returns when an agent reported the load in its record.
         """
         total = 0
         oldest = now
         for member in pool:
-            seen_at, load = self._seen.get(member.id, (0.0, None))
-            if load is None or now - seen_at > MAX_AGE_S:
+            seen_at, load = load_at(member.id), member.load
+            if member.id in self._seen and self._seen[member.id][0] >= seen_at:
+                seen_at, load = self._seen[member.id]
+            if now - seen_at > MAX_AGE_S:
                 return None
             total += load.total
             oldest = min(oldest, seen_at)
--- a/heatherswitch/router/runner.py
+++ b/heatherswitch/router/runner.py
@@ -20,6 +20,7 @@
     OutcomeUnknown,
     Reason,
 )
+from heatherswitch.fleet.placement import open_pool
 from heatherswitch.protocol import heatherswitch_pb2 as pb
 from heatherswitch.router import events
 from heatherswitch.router.answers import CallerAnswer
@@ -288,7 +289,8 @@
     def _add_observed_load(
         self, message: pb.ExecuteRequest, agent: Member, now: float
     ) -> None:
-        pool = self._fleet.members.agents(agent.service, agent.version)
-        observed = self._pool_loads.observed(now, pool)
+        members = self._fleet.members
+        pool = open_pool(now, members, self._fleet.config, agent.service, agent.version)
+        observed = self._pool_loads.observed(now, pool, members.load_at)
         if observed is not None:
             message.observed_load.CopyFrom(observed)
--- a/test/test_placement.py
+++ b/test/test_placement.py
@@ -1,7 +1,7 @@
 import unittest
 
 from heatherswitch.fleet.members import Load
-from heatherswitch.fleet.placement import Placement, PlacementKey
+from heatherswitch.fleet.placement import Placement, PlacementKey, open_pool
 from test.router_fakes import agent, fleet_config, table
 
 POOL = [agent(f"a{i}", zone=f"z{i % 3}") for i in range(6)]
@@ -69,6 +69,14 @@
         self.assertNotIn("a1", order(placement, owner="a1"))
 
 
+class OpenPoolTest(unittest.TestCase):
+    def test_zone_that_is_out_does_not_lower_the_mean(self):
+        # Guards against refusals by the agents that take over a zone's load.
+        config = fleet_config({"/zone=z1": {"zone_state": "out"}})
+        found = open_pool(0.0, table(*POOL), config, "chat", "v1")
+        self.assertEqual([m.id for m in found], ["a0", "a2", "a3", "a5"])
+
+
 class PolicyTest(unittest.TestCase):
     def first(self, policy, members=None, request_id=""):
         node = {"/service=chat": {"routing": {"policy": policy}}}
--- a/test/test_pool_load.py
+++ b/test/test_pool_load.py
@@ -23,3 +23,10 @@
         self.loads.note(10.0, "a1", Load(9), age_s=5.0)
         self.assertEqual(self.loads.observed(10.0, self.pool[:1]).total, 4)
         self.assertIsNone(self.loads.observed(10.6, self.pool[:1]))
+
+    def test_idle_agents_count_with_their_load_from_the_exchange(self):
+        # Guards against no view at all in a pool where few agents answer.
+        at = {"a2": 9.9}.get
+        seen = self.loads.observed(10.0, self.pool, lambda a: at(a, 0.0))
+        self.assertEqual((seen.total, seen.agents), (4, 2))
+        self.assertIsNone(self.loads.observed(10.6, self.pool, lambda a: at(a, 0.0)))
