--- a/heatherswitch/fleet/placement.py
+++ b/heatherswitch/fleet/placement.py
@@ -1,25 +1,29 @@
 """The order in which a router tries the agents of a pool for a request."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
 
 from heatherswitch.fleet.config import FleetConfig, VersionSplit
 from heatherswitch.fleet.members import Member, MemberTable
-from heatherswitch.statecore.hashing import hash64, rendezvous_score, unit_hash
+from heatherswitch.fleet.policies import POLICIES, PlacementKey
+from heatherswitch.statecore.hashing import unit_hash
 
+__all__ = ["Placement", "PlacementKey", "open_pool"]
 
-@dataclass(frozen=True, slots=True)
-class PlacementKey:
-    """What decides the preference order.
 
-    :param chat_key: chat of the request, or the partition of its claim.
-    :param owner: agent that owns the claim partition; empty for none.
-    """
+def open_pool(
+    now: float, members: MemberTable, config: FleetConfig, service: str, version: str
+) -> list[Member]:
+    """Returns the agents over which the mean load of a pool is taken.
+
+    Agents in zones that are out and agents that are suspect take no new work. They
+    would lower the mean and with it the load that the others may carry.
 
-    service: str
-    workspace: str
-    chat_key: str
-    owner: str = ""
+    :param now: seconds since the epoch.
+    """
+    pool = members.agents(service, version)
+    zones = {member.zone for member in pool}
+    out = {zone for zone in zones if config.zone_is_out(service, zone, now)}
+    return [m for m in pool if m.zone not in out and not members.suspect(now, m.id)]
 
 
 class Placement:
@@ -54,7 +58,7 @@
         """Returns the agents to try, most preferred first.
 
         The owner of the claim partition comes first. Then come the agents of the
-        chat's version by weighted rendezvous; agents of the active version follow
+        chat's version by the policy of the service; agents of the active version follow
         when the chat belongs to a starting one. Agents to avoid and suspect ones
         are ranked last.
 
@@ -66,7 +70,8 @@
         # A chat moves to the starting version once its position is below the share.
         position = unit_hash(key.service, key.workspace, key.chat_key)
         starts = position < split.share
-        score_key = f"{hash64(key.workspace, key.chat_key):016x}"
+        settings = self._config.settings(service=key.service)
+        score = POLICIES[settings.get("routing.policy")].scorer(key)
         weights: dict[tuple[str, str], float] = {}
         ranked = []
         for member in eligible:
@@ -79,8 +84,8 @@
             place = (member.zone, member.version)
             if place not in weights:
                 weights[place] = self._weight(member)
-            score = rendezvous_score(score_key, member.id, weights[place])
-            ranked.append((last and rank >= 0, rank, -score, member.id, member))
+            points = score(member, weights[place])
+            ranked.append((last and rank >= 0, rank, -points, member.id, member))
         ranked.sort(key=lambda item: item[:4])
         return [item[4] for item in ranked]
 
--- a/test/test_placement.py
+++ b/test/test_placement.py
@@ -1,6 +1,7 @@
 import unittest
 
-from heatherswitch.fleet.placement import Placement, PlacementKey
+from heatherswitch.fleet.members import Load
+from heatherswitch.fleet.placement import Placement, PlacementKey, open_pool
 from test.router_fakes import agent, fleet_config, table
 
 POOL = [agent(f"a{i}", zone=f"z{i % 3}") for i in range(6)]
@@ -66,3 +67,35 @@
             placement = Placement(fleet_config(nodes), table(*POOL))
             self.assertEqual(order(placement, owner=owner)[0], owner)
         self.assertNotIn("a1", order(placement, owner="a1"))
+
+
+class OpenPoolTest(unittest.TestCase):
+    def test_zone_that_is_out_does_not_lower_the_mean(self):
+        # Guards against refusals by the agents that take over a zone's load.
+        config = fleet_config({"/zone=z1": {"zone_state": "out"}})
+        found = open_pool(0.0, table(*POOL), config, "chat", "v1")
+        self.assertEqual([m.id for m in found], ["a0", "a2", "a3", "a5"])
+
+
+class PolicyTest(unittest.TestCase):
+    def first(self, policy, members=None, request_id=""):
+        node = {"/service=chat": {"routing": {"policy": policy}}}
+        placement = Placement(fleet_config(node), members or table(*POOL))
+        key = PlacementKey("chat", "w1", "c", request_id=request_id)
+        return placement.candidates(0.0, key)[0].id
+
+    def test_random_spreads_the_requests_of_a_chat(self):
+        # Guards against a baseline that reuses caches like affinity.
+        found = {self.first("random", request_id=f"r{i}") for i in range(100)}
+        self.assertEqual(len(found), len(POOL))
+        self.assertEqual(
+            self.first("affinity", request_id="r1"), self.first("affinity")
+        )
+
+    def test_least_loaded_takes_the_idle_agent(self):
+        # Guards against a baseline that ignores the load.
+        members = table(*POOL)
+        for member in POOL[1:]:
+            members.update_load(0.0, member.id, Load(running=1))
+        found = {self.first("least_loaded", members, f"r{i}") for i in range(20)}
+        self.assertEqual(found, {"a0"})
