--- a/emulator/engine.py
+++ b/emulator/engine.py
@@ -203,8 +203,9 @@
     def _load(self) -> int:
         return self._batcher.running + self._batcher.waiting
 
-    def _pick(self, kind: str) -> Fault | None:
-        return self.rules.pick(kind, CHAT_PATH, self._load(), self._clock.now())
+    def _pick(self, kind: str, request_class: str = "") -> Fault | None:
+        now, load = self._clock.now(), self._load()
+        return self.rules.pick(kind, CHAT_PATH, load, now, request_class=request_class)
 
     async def _chat(self, request: Request, responder: Responder) -> None:
         body = parse_chat(request)
@@ -213,7 +214,8 @@
         self._record("started", request_id)
         ended = "cancelled"
         try:
-            ended = await self._serve_chat(body, generation, responder)
+            request_class = request.header("x-request-class")
+            ended = await self._serve_chat(body, generation, responder, request_class)
         except AnswerTruncated:
             ended = "failed"
         except (GenerationFailed, AnswerCut):
@@ -223,14 +225,16 @@
             self._batcher.cancel(generation)
             self._record(ended, request_id)
 
-    async def _serve_chat(self, body, generation, responder) -> str:
+    async def _serve_chat(
+        self, body, generation, responder, request_class: str = ""
+    ) -> str:
         """Answers a chat request and returns the event for the history."""
-        delay = self._pick("delay")
+        delay = self._pick("delay", request_class)
         if delay:
             await asyncio.sleep(delay.seconds)
-        if self._pick("hang"):
+        if self._pick("hang", request_class):
             await asyncio.Event().wait()
-        error = self._pick("error") or self._fragile_error()
+        error = self._pick("error", request_class) or self._fragile_error()
         if error:
             await self._send_error(error, generation.request_id, responder)
             return "failed"
--- a/emulator/faults.py
+++ b/emulator/faults.py
@@ -15,6 +15,7 @@
     :param kind: what happens, for example ``delay`` or ``error``.
     :param rate: share of the matching requests that are hit, 0 to 1.
     :param route: path prefix, or an empty string for all routes.
+    :param request_class: class of the request, or an empty string for all.
     :param min_running: applies only with this many requests running.
     :param after_s: applies only this long after the rule was set, in seconds.
     :param seconds: length of a delay.
@@ -30,9 +31,17 @@
     seconds: float = 0.0
     status: int = 500
     when: str = "before"
+    request_class: str = ""
 
 
-_TYPES = {"kind": str, "route": str, "when": str, "min_running": int, "status": int}
+_TYPES = {
+    "kind": str,
+    "route": str,
+    "when": str,
+    "min_running": int,
+    "status": int,
+    "request_class": str,
+}
 
 
 def parse_fault(value: Any, kinds: Iterable[str]) -> Fault:
@@ -82,7 +91,13 @@
         return self._rules
 
     def pick(
-        self, kind: str, path: str, running: int, now: float, when: str = "before"
+        self,
+        kind: str,
+        path: str,
+        running: int,
+        now: float,
+        when: str = "before",
+        request_class: str = "",
     ) -> Fault | None:
         """Returns the first rule of a kind that hits this request, or None."""
         for rule in self._rules:
@@ -92,6 +107,8 @@
                 continue
             if now - self._set_at < rule.after_s:
                 continue
+            if rule.request_class not in ("", request_class):
+                continue
             if rule.rate >= 1 or self._random.random() < rule.rate:
                 return rule
         return None
--- a/heatherswitch/agent/events.py
+++ b/heatherswitch/agent/events.py
@@ -175,6 +175,32 @@
     own: int
 
 
+@dataclass(frozen=True, slots=True)
+class ServiceLoadReported(Event):
+    """A home router reported the load of all versions of the service.
+
+    It is sent to agents of a starting version only.
+
+    :param own: this agent's part of ``total`` when it was sent.
+    """
+
+    total: int
+    agents: int
+    own: int
+
+
+@dataclass(frozen=True, slots=True)
+class VersionAgentsChanged(Event):
+    """The live agents of the own version changed.
+
+    :param rank: position of this agent among them, from 0.
+    :param agents: number of them, with this agent.
+    """
+
+    rank: int
+    agents: int
+
+
 @dataclass(frozen=True, slots=True)
 class ConfigChanged(Event):
     """The configuration in force changed or was received for the first time."""
--- a/heatherswitch/agent/reducer.py
+++ b/heatherswitch/agent/reducer.py
@@ -62,6 +62,8 @@
             ev.HealthReported: self._on_health,
             ev.BackendRestarted: self._on_restarted,
             ev.PoolMeanReported: self._on_pool_mean,
+            ev.ServiceLoadReported: self._on_service_load,
+            ev.VersionAgentsChanged: self._on_version_agents,
             ev.ConfigChanged: self._on_config,
             ev.Tick: self._on_tick,
             ev.StopRequested: self._on_stop,
@@ -289,6 +291,15 @@
         self._admission.pool.update(report)
         return []
 
+    def _on_service_load(self, event: ev.ServiceLoadReported) -> list[Effect]:
+        report = PoolReport(event.total, event.agents, event.own, event.now)
+        self._admission.unproven.update(report)
+        return []
+
+    def _on_version_agents(self, event: ev.VersionAgentsChanged) -> list[Effect]:
+        self._admission.unproven.place(event.rank, event.agents)
+        return []
+
     def _on_config(self, event: ev.ConfigChanged) -> list[Effect]:
         self._gate.set_config(event.config)
         self._warmth.configure(WarmthSettings.from_settings(self._gate.settings()))
--- a/heatherswitch/agent/shell.py
+++ b/heatherswitch/agent/shell.py
@@ -16,6 +16,11 @@
 from heatherswitch.agent.metrics import AgentMetrics
 from heatherswitch.agent.runner import AgentRunner
 from heatherswitch.agent.service import AgentService
+from heatherswitch.agent.version_pool import (
+    ServiceLoadReader,
+    claim_agents,
+    place_in_version,
+)
 from heatherswitch.fleet.config import FleetConfig
 from heatherswitch.fleet.members import Member, MemberState, MemberTable, Role
 from heatherswitch.protocol import heatherswitch_pb2_grpc as pb_grpc
@@ -122,7 +127,7 @@
     """Builds the fleet node of an agent."""
     from heatherswitch.exchange.node import FleetNode
 
-    return FleetNode.from_config(
+    node = FleetNode.from_config(
         own_record=agent.own_record,
         peers=agent.config.peers,
         on_config=lambda entries: agent.config_changed(),
@@ -130,6 +135,8 @@
         on_pool_load=agent.pool_load,
         clock=agent.clock,
     )
+    node.exchange_versions(ServiceLoadReader(agent.config.service, agent.service_load))
+    return node
 
 
 def open_journal(agent: "Agent") -> OwnedJournal | None:
@@ -247,10 +254,13 @@
         return self._http.port
 
     def own_record(self) -> Member:
-        """Returns the agent's record for the fleet."""
+        """Returns the agent's record for the fleet, as it is reported."""
+        record = self._member()
+        self._reported_own = record.load.total
+        return record
+
+    def _member(self) -> Member:
         reducer = self._runner.reducer
-        load = reducer.load
-        self._reported_own = load.total
         return Member(
             id=self._config.id,
             role=Role.AGENT,
@@ -261,7 +271,7 @@
             state=self._state,
             service=self._config.service,
             version=self._config.version,
-            load=load,
+            load=reducer.load,
             cold=reducer.cold,
         )
 
@@ -277,35 +287,30 @@
 
     def members_changed(self) -> None:
         """Takes a change of the members, or the first readiness of the node."""
+        rank, agents = place_in_version(self._node.members, self._member())
+        self._runner.post(ev.VersionAgentsChanged(self._clock.now(), rank, agents))
         if not self._runner.reducer.configured:
             self.config_changed()
         elif self._journal is not None:
             self._journal.on_members()
 
     def live_agents(self) -> list[str]:
-        """Returns the ids of the service's live agents.
-
-        Agents in zones that are out are left out. The own id is among them while
-        this agent may own claim partitions.
-        """
-        agents = self._node.members.agents(self._config.service)
-        zones = {m.id: m.zone for m in agents if m.id != self._config.id}
-        if self._state is MemberState.LIVE:
-            zones[self._config.id] = self._config.zone
+        """Returns the ids of the service's live agents that may own claims."""
         now = self._clock.now()
-        # An agent in a zone that is out refuses claims, so others take over.
-        return [
-            name for name, zone in zones.items() if not self._zone_is_out(zone, now)
-        ]
-
-    def _zone_is_out(self, zone: str, now: float) -> bool:
-        return self._node.config.zone_is_out(self._config.service, zone, now)
+        own = self._member()
+        return claim_agents(self._node.config, self._node.members, own, now)
 
     def pool_load(self, total: int, agents: int) -> None:
         """Takes the load of the agent's pool from a home router."""
         own = min(self._reported_own, total)
         self._runner.post(ev.PoolMeanReported(self._clock.now(), total, agents, own))
 
+    def service_load(self, total: int, agents: int) -> None:
+        """Takes the load of all versions of the service from a home router."""
+        own = min(self._reported_own, total)
+        event = ev.ServiceLoadReported(self._clock.now(), total, agents, own)
+        self._runner.post(event)
+
     async def start(self) -> None:
         """Binds the listeners and starts to take work.
 
--- a/heatherswitch/exchange/messages.py
+++ b/heatherswitch/exchange/messages.py
@@ -2,6 +2,7 @@
 
 import logging
 from collections.abc import Iterable, Sequence
+from typing import Protocol
 
 from heatherswitch.exchange import reducer
 from heatherswitch.fleet.members import Member
@@ -19,6 +20,21 @@
 MAX_MESSAGE_DIGEST = 4 * reducer.MAX_DIGEST
 
 
+class VersionTraffic(Protocol):
+    """What an exchange carries for versions that are starting."""
+
+    def add_to(self, request: pb.ExchangeRequest) -> None:
+        """Adds to a request before it is sent."""
+
+    def take(self, reply: pb.ExchangeReply) -> None:
+        """Takes a reply."""
+
+    def answer(
+        self, sender: Member, request: pb.ExchangeRequest, reply: pb.ExchangeReply
+    ) -> None:
+        """Takes a request and adds to the reply before it is sent."""
+
+
 class MessageBuilder:
     """Builds requests and replies from the state of one process."""
 
--- a/heatherswitch/exchange/node.py
+++ b/heatherswitch/exchange/node.py
@@ -9,6 +9,7 @@
 from heatherswitch.exchange import reducer
 from heatherswitch.exchange.messages import (
     MessageBuilder,
+    VersionTraffic,
     parse_digest,
     parse_entries,
     parse_members,
@@ -59,6 +60,7 @@
         "_rumours",
         "_seeds",
         "_tasks",
+        "_versions",
     )
 
     def __init__(self, own_record: Callable[[], Member], clock: Clock) -> None:
@@ -89,6 +91,7 @@
         self._loop: asyncio.Task | None = None
         self._seeds: list[str] = []
         self._interval_s = INTERVAL_S
+        self._versions: VersionTraffic | None = None
         self._on_config: Callable[[list[Entry]], None] = lambda entries: None
         self._on_members: Callable[[], None] = lambda: None
         self._on_pool_load: Callable[[int, int], None] = lambda total, agents: None
@@ -183,6 +186,10 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._channels.close()
 
+    def exchange_versions(self, traffic: VersionTraffic) -> None:
+        """Lets each exchange carry what concerns versions that are starting."""
+        self._versions = traffic
+
     def exchange_soon(self) -> None:
         """Starts one round at once without waiting for it."""
         task = asyncio.create_task(self.exchange_now())
@@ -274,6 +281,8 @@
             request = self._builder(own).request(
                 digest, self._rumoured(), self._push_base(address)
             )
+            if self._versions is not None:
+                self._call(self._versions.add_to, request)
             reply = await self._channels.exchange(self._clock.now(), address, request)
             self._take_reply(address, own, reply)
         except (PeerError, convert.ConvertError) as error:
@@ -306,6 +315,8 @@
                 sender.id, reply.ready, sender.config_revision
             )
         self._update_readiness(own)
+        if self._versions is not None:
+            self._call(self._versions.take, reply)
         if own.role is Role.AGENT:
             for pool in reply.pool_loads:
                 if (pool.service, pool.version) == (own.service, own.version):
@@ -328,9 +339,12 @@
         figures = None
         if sender.role is Role.AGENT:
             figures = self._pools.figures(now, self._members, sender)
-        return self._builder(own).reply(
+        reply = self._builder(own).reply(
             request.config_revision, sender, records, figures, self.ready
         )
+        if self._versions is not None:
+            self._call(self._versions.answer, sender, request, reply)
+        return reply
 
     def _take_offer(self, request: pb.ExchangeRequest) -> None:
         """Takes offered entries; they are complete only above their base."""
--- a/heatherswitch/fleet/admission.py
+++ b/heatherswitch/fleet/admission.py
@@ -92,6 +92,44 @@
         return self._report.others
 
 
+class UnprovenBudget:
+    """Requests that an agent of an unproven version may carry.
+
+    The agents of the version share one budget: a part of the load of all versions
+    of the service, at least one request.
+    """
+
+    __slots__ = ("_agents", "_rank", "_service")
+
+    def __init__(self) -> None:
+        # Load of all versions of the service.
+        self._service = PoolMean()
+        self._rank = 0
+        self._agents = 1
+
+    def update(self, report: PoolReport) -> None:
+        """Takes the load of all versions of the service."""
+        self._service.update(report)
+
+    def place(self, rank: int, agents: int) -> None:
+        """Sets the agent's position among the agents of its version.
+
+        :param rank: from 0; lower ones take what cannot be divided evenly.
+        """
+        self._rank = rank
+        self._agents = max(1, agents)
+
+    def allowed(self, now: float, own: int, share: float) -> int:
+        """Returns the load that the agent may carry.
+
+        :param own: the agent's load, with the request that asks for admission.
+        :param share: largest share of the service's load for the whole version.
+        """
+        total = max(1, math.floor(share * self._service.total(now, own)))
+        each, rest = divmod(total, self._agents)
+        return each + (1 if self._rank < rest else 0)
+
+
 class ServiceTimes:
     """Recent service times by class, in seconds."""
 
@@ -123,7 +161,7 @@
 
     :param running: requests that may run at once, from the warmth.
     :param cold: True during a cold start, when nothing may wait.
-    :param unproven_share: share of the pool's load for a version that is not
+    :param unproven_share: share of the service's load for a version that is not
         proven; None when the version is proven.
     """
 
@@ -156,18 +194,24 @@
 class Admission:
     """Decides whether a request may enter the agent."""
 
-    __slots__ = ("_pool", "_queue", "_times")
+    __slots__ = ("_pool", "_queue", "_times", "_unproven")
 
     def __init__(self) -> None:
         self._pool = PoolMean()
         self._queue = FairQueue()
         self._times = ServiceTimes()
+        self._unproven = UnprovenBudget()
 
     @property
     def pool(self) -> PoolMean:
         """The pool's load."""
         return self._pool
 
+    @property
+    def unproven(self) -> UnprovenBudget:
+        """The bound while the agent's version is not proven."""
+        return self._unproven
+
     @property
     def queue(self) -> FairQueue:
         """Requests waiting and running."""
@@ -208,8 +252,8 @@
         if limits.cold and own > limits.running:
             return Reason.COLD_START
         if limits.unproven_share is not None:
-            pool_load = self._pool.total(now, own)
-            if own > max(1, math.floor(limits.unproven_share * pool_load)):
+            share = limits.unproven_share
+            if own > self._unproven.allowed(now, own, share):
                 return Reason.UNPROVEN_SHARE
         bound = self._pool.bound(now, own, limits.load_bound, limits.load_bound_extra)
         if own > bound:
--- a/heatherswitch/fleet/moves.py
+++ b/heatherswitch/fleet/moves.py
@@ -1,16 +1,17 @@
 """Decides zone moves and version moves: the reducer of the move owner.
 
-A move's record holds all that another router needs to resume it. Evidence is kept
-in memory only, so that a new owner collects it again before the next step.
+A move's record holds all that another router needs to resume it. The evidence about
+a version is kept by every router, see :mod:`heatherswitch.fleet.evidence`.
 """
 
 import math
 from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
-from enum import Enum
-from typing import Any, Protocol
+from typing import Any
 
+from heatherswitch.fleet.evidence import Judgement
 from heatherswitch.fleet.records import Move, MoveKind, MoveState
+from heatherswitch.fleet.rollout import Verdict
 from heatherswitch.fleet.settings import format_path
 from heatherswitch.statecore.reducer import Effect, Event
 
@@ -22,48 +23,13 @@
 # Part of the pool's mean load from which a server carries its share.
 SHARE_CARRIED = 0.8
 # Shares of a version after it is proven, and the first part of the unproven share.
-PROVEN_STEPS = (0.25, 0.5, 1.0)
+# The last one leaves the old version enough requests to compare with.
+PROVEN_STEPS = (0.25, 0.5, 0.9)
 FIRST_PART = 0.2
 # Shortest time at one share, in seconds: a share reaches all routers in 4 s.
 MIN_STEP_S = 4.0
 
 
-class Verdict(Enum):
-    """What the evidence says of a version."""
-
-    CONTINUE = "continue"
-    GOOD = "good"
-    BAD = "bad"
-
-
-@dataclass(frozen=True, slots=True)
-class Evidence:
-    """Sums over answers of one version.
-
-    :param slow: answers slower than the old version's usual latency.
-    """
-
-    requests: int = 0
-    failures: int = 0
-    slow: int = 0
-
-    def __add__(self, other: "Evidence") -> "Evidence":
-        return Evidence(
-            self.requests + other.requests,
-            self.failures + other.failures,
-            self.slow + other.slow,
-        )
-
-
-class VersionTest(Protocol):
-    """Compares a new version with the old one."""
-
-    def verdict(
-        self, new: Mapping[str, Evidence], old: Mapping[str, Evidence]
-    ) -> Verdict:
-        """Judges evidence by route."""
-
-
 @dataclass(frozen=True, slots=True)
 class ZoneAgent:
     """What the owner knows of one live agent.
@@ -85,21 +51,13 @@
     """Time has passed; ``now`` is in seconds since the epoch.
 
     :param unproven: service to the largest share of an unproven version.
+    :param judgements: move id to what the evidence says.
     """
 
     moves: tuple[Move, ...]
     agents: tuple[ZoneAgent, ...] = ()
     unproven: Mapping[str, float] = field(default_factory=dict)
-
-
-@dataclass(frozen=True, slots=True)
-class EvidenceReported(Event):
-    """A router reports evidence about one version and route since its last report."""
-
-    service: str
-    version: str
-    route: str
-    evidence: Evidence
+    judgements: Mapping[str, Judgement] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -113,55 +71,26 @@
     settings: Mapping[str, Mapping[str, Any]] = field(default_factory=dict)
 
 
-class _Progress:
-    """Evidence of one version move at its present share."""
-
-    __slots__ = ("new", "old", "share", "since")
-
-    def __init__(self, now: float, share: float) -> None:
-        self.since = now
-        self.share = share
-        self.new: dict[str, Evidence] = {}
-        self.old: dict[str, Evidence] = {}
-
-
 class MoveReducer:
     """Decides over the running moves."""
 
-    __slots__ = ("_owner", "_progress", "_running", "_test")
+    __slots__ = ("_owner", "_steps")
 
-    def __init__(self, owner: str, test: VersionTest) -> None:
+    def __init__(self, owner: str) -> None:
         self._owner = owner
-        self._test = test
-        self._running: dict[str, Move] = {}
-        self._progress: dict[str, _Progress] = {}
+        # Version move to its share and the time since when it was seen.
+        self._steps: dict[str, tuple[float, float]] = {}
 
     def apply(self, event: Event) -> list[Effect]:
         """Takes one event and returns the writes that follow."""
-        if isinstance(event, EvidenceReported):
-            self._collect(event)
-            return []
         if isinstance(event, MoveTick):
             return self._tick(event)
         return []
 
-    def _collect(self, event: EvidenceReported) -> None:
-        for move in self._running.values():
-            progress = self._progress.get(move.id)
-            if progress is None or move.service != event.service:
-                continue
-            if event.version == move.to_version:
-                sums = progress.new
-            elif event.version == move.from_version or not move.from_version:
-                sums = progress.old
-            else:
-                continue
-            sums[event.route] = sums.get(event.route, Evidence()) + event.evidence
-
     def _tick(self, event: MoveTick) -> list[Effect]:
         running = [m for m in event.moves if m.state is MoveState.RUNNING]
-        self._running = {move.id: move for move in running}
-        self._progress = {i: p for i, p in self._progress.items() if i in self._running}
+        ids = {move.id for move in running}
+        self._steps = {i: step for i, step in self._steps.items() if i in ids}
         effects = []
         for move in running:
             if move.kind is MoveKind.ZONE_OUT:
@@ -202,29 +131,29 @@
         return self._decide(event, move, MoveState.DONE, reason)
 
     def _version(self, event: MoveTick, move: Move) -> Effect | None:
-        progress = self._progress.get(move.id)
-        if progress is None or progress.share != move.share:
-            former = progress
-            progress = _Progress(event.now, move.share)
-            if former is not None:
-                # At a share of 1 the old version gives no evidence any more.
-                progress.old = former.old
-            self._progress[move.id] = progress
+        share, since = self._steps.get(move.id, (None, event.now))
+        if share != move.share:
+            since = event.now
+            self._steps[move.id] = (move.share, since)
+        judgement = event.judgements.get(move.id, Judgement())
+        if judgement.verdict is Verdict.BAD:
+            reason = f"evidence: {judgement.reason}; {_text(judgement)}"
+            return self._take_back(event, move, reason)
         if event.now >= move.deadline_at - DECIDE_BEFORE_S:
             reason = f"deadline: not proven at a share of {move.share:g}"
-            return self._take_back(event, move, reason)
-        verdict = self._test.verdict(progress.new, progress.old)
-        if verdict is Verdict.BAD:
-            return self._take_back(event, move, f"evidence: {_text(progress.new)}")
+            return self._take_back(event, move, f"{reason}; {_text(judgement)}")
         unproven = event.unproven.get(move.service, 0.0)
         if move.share <= 0.0:
             return WriteMove(self._with_share(move, FIRST_PART * unproven, unproven))
-        if verdict is not Verdict.GOOD or event.now < progress.since + MIN_STEP_S:
+        # The first part shows gross faults; only the whole unproven share is large
+        # enough for a proof in time.
+        proven = judgement.verdict is Verdict.PROVEN or move.share < unproven
+        if not proven or event.now < since + MIN_STEP_S:
             return None
-        if move.share < 1.0:
-            share = _next_share(move.share, unproven)
-            return WriteMove(self._with_share(move, share, unproven))
-        return self._finish_version(event, move, _text(progress.new))
+        following = _next_share(move.share, unproven)
+        if following is not None:
+            return WriteMove(self._with_share(move, following, unproven))
+        return self._finish_version(event, move, _text(judgement))
 
     def _with_share(self, move: Move, share: float, unproven: float) -> Move:
         if unproven <= 0.0:
@@ -263,13 +192,13 @@
     return not agent.cold or agent.work >= math.floor(SHARE_CARRIED * agent.pool_mean)
 
 
-def _next_share(share: float, unproven: float) -> float:
-    """Returns the next larger share: up to the unproven share, then in steps."""
+def _next_share(share: float, unproven: float) -> float | None:
+    """Returns the next larger share, or None after the last one."""
     if share < unproven:
         return unproven
-    return next(step for step in PROVEN_STEPS if step > share)
+    return next((step for step in PROVEN_STEPS if step > share), None)
 
 
-def _text(evidence: Mapping[str, Evidence]) -> str:
-    total = sum(evidence.values(), Evidence())
-    return f"{total.requests} requests, {total.failures} failures, {total.slow} slow"
+def _text(judgement: Judgement) -> str:
+    seen = judgement.seen
+    return f"{seen.requests} requests, {seen.failures} failures, {seen.slow} slow"
--- a/heatherswitch/fleet/rollout.py
+++ b/heatherswitch/fleet/rollout.py
@@ -4,8 +4,9 @@
 alike. Each window gives a 2x2 table (version, outcome) and a factor of an
 e-process; by Ville's inequality the chance that the process ever reaches 1/alpha
 for a version that is as good as the active one is at most alpha, however often
-it is looked at. Source: Turner, Ly and Gruenwald, "Generic E-variables for exact
-sequential k-sample tests that allow for optional stopping" (2024).
+it is looked at. A mixture over start windows finds faults that begin late. Source:
+Turner, Ly and Gruenwald, "Generic E-variables for exact sequential k-sample tests
+that allow for optional stopping" (2024).
 """
 
 import math
@@ -13,12 +14,13 @@
 from enum import Enum
 from typing import Protocol
 
-# Alternatives for the starting version's rate: p + lift * (1 - p).
-LIFTS = (0.03, 0.1, 0.3, 0.7)
 # A version whose failure rate is higher by this much must not count as proven.
 TOLERATED_EXCESS = 0.1
 # Chance that a version beyond TOLERATED_EXCESS counts as proven.
 FALSE_PROOF_RATE = 0.01
+# Answers with a known first byte that a step needs to count as proven. An answer
+# of a server in cold start has none.
+MIN_TIMED = 10
 # Pseudo counts of the rate estimate, so that the first window is usable.
 PRIOR_BAD = 0.5
 PRIOR_TOTAL = 50.0
@@ -39,18 +41,51 @@
     SLOW = "slow"
 
 
+# Alternatives for the starting version's rate: p + lift * (1 - p). A new version
+# has colder caches and a smaller pool, so only a large excess of slow answers counts.
+LIFTS = {Signal.FAILURE: (0.03, 0.1, 0.3, 0.7), Signal.SLOW: (0.3, 0.7)}
+
+
 @dataclass(frozen=True, slots=True)
 class Counts:
-    """Answers of one version in one window.
+    """Answers of one version.
 
-    :param slow: answers whose first byte took longer than the threshold that
-        the router applied to both versions in this window.
+    :param requests: requests that ended.
+    :param timed: requests whose first byte came, or is later than the threshold.
+    :param slow: timed requests whose first byte took longer than the threshold
+        that the router applied to both versions in the same window.
     """
 
     requests: int = 0
     failures: int = 0
+    timed: int = 0
     slow: int = 0
 
+    def __add__(self, other: "Counts") -> "Counts":
+        return Counts(
+            self.requests + other.requests,
+            self.failures + other.failures,
+            self.timed + other.timed,
+            self.slow + other.slow,
+        )
+
+    def __sub__(self, other: "Counts") -> "Counts":
+        return Counts(
+            self.requests - other.requests,
+            self.failures - other.failures,
+            self.timed - other.timed,
+            self.slow - other.slow,
+        )
+
+    @property
+    def valid(self) -> bool:
+        """True when no part is larger than its whole."""
+        return 0 <= self.failures <= self.requests and 0 <= self.slow <= self.timed
+
+    def total(self, signal: Signal) -> int:
+        """Returns the number of answers that count for a signal."""
+        return self.requests if signal is Signal.FAILURE else self.timed
+
     def bad(self, signal: Signal) -> int:
         """Returns the number of bad answers for a signal."""
         return self.failures if signal is Signal.FAILURE else self.slow
@@ -70,7 +105,7 @@
 
     @property
     def verdict(self) -> Verdict:
-        """The verdict so far; ``BAD`` is final."""
+        """The verdict so far; ``BAD`` is final, ``PROVEN`` holds for this step."""
 
     @property
     def reason(self) -> str:
@@ -79,15 +114,24 @@
     def add(self, window: Window) -> Verdict:
         """Takes one window and returns the verdict."""
 
+    def start_step(self) -> None:
+        """The share grew: the version must be proven again at the new share."""
+
 
 class _Stream:
-    """E-process of one route and signal."""
+    """E-process of one route and signal.
 
-    __slots__ = ("_bad", "_logs", "_total")
+    It is a mixture of e-processes that start at each window, with weights
+    1/(k(k+1)). Without it, good answers would outweigh a fault that begins late.
+    """
+
+    __slots__ = ("_bad", "_logs", "_signal", "_total", "_windows")
 
-    def __init__(self) -> None:
+    def __init__(self, signal: Signal) -> None:
+        self._signal = signal
         # One log e-value for each alternative; their mean is an e-value too.
-        self._logs = [0.0] * len(LIFTS)
+        self._logs = [-math.inf] * len(LIFTS[signal])
+        self._windows = 0
         # Answers of the active version, for the rate estimate.
         self._bad = PRIOR_BAD
         self._total = PRIOR_TOTAL
@@ -100,20 +144,30 @@
     @property
     def log_e(self) -> float:
         """Logarithm of the e-value."""
-        top = max(self._logs)
-        return top + math.log(
-            sum(math.exp(value - top) for value in self._logs) / len(self._logs)
-        )
-
-    def add(self, active: Counts, starting: Counts, signal: Signal) -> None:
-        rate = self.rate
-        for index, lift in enumerate(LIFTS):
-            alternative = rate + lift * (1.0 - rate)
-            self._logs[index] += _log_factor(
-                active, starting, signal, rate, alternative
-            )
+        mean = _log_sum(*self._logs) - math.log(len(self._logs))
+        # Weight of the processes that have not started yet.
+        return _log_sum(mean, -math.log(self._windows + 1))
+
+    def add(self, active: Counts, starting: Counts) -> None:
+        """Takes the counts of one window."""
+        rate, signal = self.rate, self._signal
+        if active.total(signal) and starting.total(signal):
+            self._windows += 1
+            weight = -math.log(self._windows * (self._windows + 1))
+            for index, lift in enumerate(LIFTS[signal]):
+                alternative = rate + lift * (1.0 - rate)
+                factor = _log_factor(active, starting, signal, rate, alternative)
+                self._logs[index] = _log_sum(self._logs[index], weight) + factor
         self._bad += active.bad(signal)
-        self._total += active.requests
+        self._total += active.total(signal)
+
+
+def _log_sum(*logs: float) -> float:
+    """Returns the logarithm of the sum of numbers given by their logarithms."""
+    top = max(logs)
+    if top == -math.inf:
+        return top
+    return top + math.log(sum(math.exp(value - top) for value in logs))
 
 
 def _log_factor(
@@ -124,10 +178,8 @@
     The rates come from earlier windows, and the sizes do not depend on outcomes
     of this window, as the source requires.
     """
-    total = active.requests + starting.requests
-    if not active.requests or not starting.requests:
-        return 0.0
-    common = (active.requests * rate + starting.requests * alternative) / total
+    ours, theirs = starting.total(signal), active.total(signal)
+    common = (theirs * rate + ours * alternative) / (theirs + ours)
     return _log_ratio(active, signal, rate, common) + _log_ratio(
         starting, signal, alternative, common
     )
@@ -135,7 +187,7 @@
 
 def _log_ratio(counts: Counts, signal: Signal, rate: float, common: float) -> float:
     bad = counts.bad(signal)
-    good = counts.requests - bad
+    good = counts.total(signal) - bad
     return bad * math.log(rate / common) + good * math.log((1 - rate) / (1 - common))
 
 
@@ -147,11 +199,12 @@
     """
 
     __slots__ = (
+        "_bad",
         "_proof",
         "_reason",
         "_streams",
         "_threshold",
-        "_verdict",
+        "_timed",
         "_weights",
     )
 
@@ -161,45 +214,56 @@
         self._weights: dict[tuple[str, Signal], float] = {}
         # Log e-value against "the failure rate is too high by the tolerated excess".
         self._proof = 0.0
-        self._verdict = Verdict.UNDECIDED
+        # Answers of the starting version at this step with a known first byte.
+        self._timed = 0
+        self._bad = False
         self._reason = ""
 
     @property
     def verdict(self) -> Verdict:
-        """The verdict so far; ``BAD`` is final."""
-        return self._verdict
+        """The verdict so far; ``BAD`` is final, ``PROVEN`` holds for this step."""
+        if self._bad:
+            return Verdict.BAD
+        if self._timed >= MIN_TIMED and self._proof >= -math.log(FALSE_PROOF_RATE):
+            return Verdict.PROVEN
+        return Verdict.UNDECIDED
 
     @property
     def reason(self) -> str:
         """Route and signal that led to ``BAD``, or an empty string."""
         return self._reason
 
+    def start_step(self) -> None:
+        """The share grew: the version must be proven again at the new share.
+
+        Evidence of a fault is kept.
+        """
+        self._proof = 0.0
+        self._timed = 0
+
     def add(self, window: Window) -> Verdict:
         """Takes one window and returns the verdict."""
-        if self._verdict is Verdict.BAD:
-            return self._verdict
-        for signal in Signal:
-            self._add_signal(window, signal)
-        if self._verdict is Verdict.UNDECIDED and self._proof >= -math.log(
-            FALSE_PROOF_RATE
-        ):
-            self._verdict = Verdict.PROVEN
-        return self._verdict
+        if not self._bad:
+            self._timed += window.starting.timed
+            for signal in Signal:
+                self._add_signal(window, signal)
+        return self.verdict
 
     def _add_signal(self, window: Window, signal: Signal) -> None:
         key = (window.route, signal)
         stream = self._streams.get(key)
         if stream is None:
-            stream = self._streams[key] = _Stream()
+            stream = self._streams[key] = _Stream(signal)
             # Weights 6/(pi k)^2 sum to at most 1, so the false-alarm rate holds
             # over all streams without knowing their number.
             rank = len(self._streams)
             self._weights[key] = 6.0 / (math.pi * rank) ** 2
         if signal is Signal.FAILURE:
             self._add_proof(window.starting, stream.rate)
-        stream.add(window.active, window.starting, signal)
-        if stream.log_e + math.log(self._weights[key]) >= self._threshold:
-            self._verdict = Verdict.BAD
+        stream.add(window.active, window.starting)
+        enough = stream.log_e + math.log(self._weights[key]) >= self._threshold
+        if enough and not self._bad:
+            self._bad = True
             self._reason = f"{signal.value} on {window.route}"
 
     def _add_proof(self, starting: Counts, rate: float) -> None:
--- a/heatherswitch/fleet/thresholds.py
+++ b/heatherswitch/fleet/thresholds.py
@@ -1,12 +1,10 @@
-"""Judges a version by the rates of its failures and slow answers.
+"""Judges a version by fixed thresholds, or not at all.
 
-This is a comparison with fixed thresholds; the sequential test with a stated
-false-alarm rate will replace it behind the same interface.
+These are baselines of measurements only; the system decides with the sequential
+test of :mod:`heatherswitch.fleet.rollout`.
 """
 
-from collections.abc import Mapping
-
-from heatherswitch.fleet.moves import Evidence, Verdict
+from heatherswitch.fleet.rollout import Counts, Signal, Verdict, Window
 
 # Answers of the new version that one step needs.
 MIN_REQUESTS = 50
@@ -19,30 +17,71 @@
 
 
 class ThresholdTest:
-    """Compares rates by route and over all routes with fixed thresholds."""
+    """Compares error rates by route and over all routes with fixed thresholds."""
 
-    __slots__ = ()
+    __slots__ = ("_new", "_old", "_reason")
 
-    def verdict(
-        self, new: Mapping[str, Evidence], old: Mapping[str, Evidence]
-    ) -> Verdict:
-        """Judges the evidence of one step."""
-        new_sum = sum(new.values(), Evidence())
-        old_sum = sum(old.values(), Evidence())
-        pairs = [(new_sum, old_sum)]
-        pairs += [(new[route], old.get(route, Evidence())) for route in new]
-        if any(_is_worse(ours, theirs) for ours, theirs in pairs):
+    def __init__(self) -> None:
+        self._new: dict[str, Counts] = {}
+        self._old: dict[str, Counts] = {}
+        self._reason = ""
+
+    @property
+    def verdict(self) -> Verdict:
+        """The verdict so far; ``BAD`` is final, ``PROVEN`` holds for this step."""
+        if self._reason:
             return Verdict.BAD
-        if new_sum.requests < MIN_REQUESTS:
-            return Verdict.CONTINUE
-        return Verdict.GOOD
-
-
-def _is_worse(new: Evidence, old: Evidence) -> bool:
-    counts = ((new.failures, old.failures), (new.slow, old.slow))
-    return any(
-        bad >= MIN_BAD
-        and bad / max(new.requests, 1)
-        > RATE_FACTOR * old_bad / max(old.requests, 1) + RATE_DIFFERENCE
-        for bad, old_bad in counts
-    )
+        total = sum(self._new.values(), Counts())
+        proven = total.requests >= MIN_REQUESTS
+        return Verdict.PROVEN if proven else Verdict.UNDECIDED
+
+    @property
+    def reason(self) -> str:
+        """What led to ``BAD``, or an empty string."""
+        return self._reason
+
+    def start_step(self) -> None:
+        """Starts to count the new version anew."""
+        self._new.clear()
+
+    def add(self, window: Window) -> Verdict:
+        """Takes one window and returns the verdict."""
+        route = window.route
+        self._new[route] = self._new.get(route, Counts()) + window.starting
+        self._old[route] = self._old.get(route, Counts()) + window.active
+        pairs = [(self._new[route], self._old[route])]
+        new, old = (sum(sums.values(), Counts()) for sums in (self._new, self._old))
+        pairs.append((new, old))
+        if any(_is_worse(ours, theirs) for ours, theirs in pairs):
+            self._reason = self._reason or f"error threshold on {route}"
+        return self.verdict
+
+
+class FixedSchedule:
+    """Lets the share grow by time alone, without monitoring."""
+
+    __slots__ = ()
+
+    @property
+    def verdict(self) -> Verdict:
+        """Always ``PROVEN``."""
+        return Verdict.PROVEN
+
+    @property
+    def reason(self) -> str:
+        """Always empty."""
+        return ""
+
+    def start_step(self) -> None:
+        """Does nothing."""
+
+    def add(self, window: Window) -> Verdict:
+        """Ignores the window."""
+        return self.verdict
+
+
+def _is_worse(new: Counts, old: Counts) -> bool:
+    bad, old_bad = new.bad(Signal.FAILURE), old.bad(Signal.FAILURE)
+    rate = bad / max(new.requests, 1)
+    bound = RATE_FACTOR * old_bad / max(old.requests, 1) + RATE_DIFFERENCE
+    return bad >= MIN_BAD and rate > bound
--- a/heatherswitch/router/control.py
+++ b/heatherswitch/router/control.py
@@ -8,6 +8,8 @@
 from heatherswitch.fleet.records import MOVE_OWNER_KEY
 from heatherswitch.router.move_owner import LEASE_TTL_S, MoveOwner
 from heatherswitch.router.operators import OperatorApi
+from heatherswitch.router.runner import RequestRunner
+from heatherswitch.router.version_watch import VersionWatch
 from heatherswitch.statecore.lease import Lease
 from heatherswitch.statecore.store import StoreClient
 from heatherswitch.util.clock import Clock
@@ -22,25 +24,31 @@
 class ControlParts:
     """Starts and stops the parts that need the store, in order."""
 
-    __slots__ = ("_feed", "_listen", "_operators", "_owner", "_store")
+    __slots__ = ("_feed", "_listen", "_operators", "_owner", "_store", "_watch")
 
     def __init__(
         self,
         store: StoreClient,
         feed: StoreFeed,
         owner: MoveOwner,
+        watch: VersionWatch,
         operators: OperatorApi,
         listen: str,
     ) -> None:
         self._store = store
         self._feed = feed
         self._owner = owner
+        self._watch = watch
         self._operators = operators.server()
         self._listen = listen
 
     @classmethod
     def from_config(
-        cls, config: "RouterConfig", node: FleetNode, clock: Clock
+        cls,
+        config: "RouterConfig",
+        node: FleetNode,
+        runner: RequestRunner,
+        clock: Clock,
     ) -> "ControlParts":
         """Builds the parts of one router.
 
@@ -51,11 +59,14 @@
         options = {} if config.peers else {"peers_first_s": 0.0}
         feed = StoreFeed.from_config(store, node, clock, **options)
         lease = Lease(store, MOVE_OWNER_KEY, config.id, LEASE_TTL_S, clock)
-        owner = MoveOwner.from_config(store, node, lease, config.id, clock)
+        watch = VersionWatch(node, runner, config.id, clock, config.version_test)
+        owner = MoveOwner.from_config(
+            store, node, lease, config.id, clock, lambda: watch.judgements
+        )
         operators = OperatorApi.from_config(
             store, node, config.operator_token, config.id, clock
         )
-        return cls(store, feed, owner, operators, config.operator_listen)
+        return cls(store, feed, owner, watch, operators, config.operator_listen)
 
     @property
     def addresses(self) -> Mapping[str, str]:
@@ -67,6 +78,7 @@
         """Starts the feed, the move owner and the operator listener."""
         host, _, port = self._listen.rpartition(":")
         await self._feed.start()
+        await self._watch.start()
         await self._owner.start()
         await self._operators.start(host, int(port))
 
@@ -74,5 +86,6 @@
         """Stops the operator listener first, so that no order is cut."""
         await self._operators.stop(OPERATOR_GRACE_S)
         await self._owner.stop()
+        await self._watch.stop()
         await self._feed.stop()
         self._store.close()
--- a/heatherswitch/router/dispatch.py
+++ b/heatherswitch/router/dispatch.py
@@ -64,6 +64,7 @@
     :param on_accepted: called when the agent admitted the request.
     :param on_load: called with the load that the agent reports and its age
         in seconds.
+    :param on_head: called when the head of the answer arrives.
     """
 
     __slots__ = (
@@ -73,6 +74,7 @@
         "_head_passed",
         "_incarnation",
         "_on_accepted",
+        "_on_head",
         "_on_load",
         "_replayed",
         "_request",
@@ -90,6 +92,7 @@
         progress_timeout_s: float,
         on_accepted: Callable[[], None] = lambda: None,
         on_load: LoadObserver = lambda agent_id, load, age_s: None,
+        on_head: Callable[[], None] = lambda: None,
     ) -> None:
         request.agent_id = agent.id
         request.incarnation = agent.incarnation
@@ -101,6 +104,7 @@
         self._timeout_s = progress_timeout_s
         self._on_accepted = on_accepted
         self._on_load = on_load
+        self._on_head = on_head
         self._check = AnswerCheck(request.request_id)
         self._incarnation = agent.incarnation
         self._replayed = False
@@ -203,6 +207,7 @@
         if self._head_passed:
             return
         self._head_passed = True
+        self._on_head()
         self._status = head.status
         headers = [(header.name, header.value) for header in head.headers]
         await self._sink.head(head.status, headers, self._replayed)
--- a/heatherswitch/router/events.py
+++ b/heatherswitch/router/events.py
@@ -98,15 +98,16 @@
 
 @dataclass(frozen=True, slots=True)
 class VersionCut(Event):
-    """This router's evidence suffices to stop sending work to a version.
+    """The evidence known here suffices to stop sending work to a version.
 
     :param until: deadline of the move, when its outcome is known everywhere, in
-        seconds since the epoch.
+        seconds since the epoch; a past time ends the cut.
     """
 
     service: str
     version: str
     until: float
+    reason: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/heatherswitch/router/move_owner.py
+++ b/heatherswitch/router/move_owner.py
@@ -3,22 +3,15 @@
 import asyncio
 import json
 import logging
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Protocol
 
 from heatherswitch.exchange.node import FleetNode
+from heatherswitch.fleet.evidence import Judgement
 from heatherswitch.fleet.members import Member, MemberState, Role
-from heatherswitch.fleet.moves import (
-    EvidenceReported,
-    MoveReducer,
-    MoveTick,
-    VersionTest,
-    WriteMove,
-    ZoneAgent,
-)
+from heatherswitch.fleet.moves import MoveReducer, MoveTick, WriteMove, ZoneAgent
 from heatherswitch.fleet.records import MOVE_OWNER_KEY, MoveKind, MoveState
 from heatherswitch.fleet.settings import merge, node_key
-from heatherswitch.fleet.thresholds import ThresholdTest
 from heatherswitch.router.store_writer import (
     Conflict,
     StoreWriter,
@@ -43,6 +36,9 @@
 # the watch may have missed the end of its lease.
 BLIND_ATTEMPT_S = 10.0
 
+# Returns move ids and what the evidence of this router says of them.
+Judgements = Callable[[], Mapping[str, Judgement]]
+
 
 class OwnerLease(Protocol):
     """The part of ``statecore.lease.Lease`` that the owner needs."""
@@ -69,13 +65,13 @@
 
     __slots__ = (
         "_clock",
+        "_judgements",
         "_lease",
         "_next_blind",
         "_node",
         "_reducer",
         "_router_id",
         "_task",
-        "_test",
         "_tick_s",
         "_writer",
     )
@@ -93,8 +89,8 @@
         self._lease = lease
         self._router_id = router_id
         self._clock = clock
-        self._test: VersionTest = ThresholdTest()
-        self._reducer = MoveReducer(router_id, self._test)
+        self._judgements: Judgements = dict
+        self._reducer = MoveReducer(router_id)
         self._tick_s = TICK_S
         self._next_blind = 0.0
         self._task: asyncio.Task | None = None
@@ -107,17 +103,18 @@
         lease: OwnerLease,
         router_id: str,
         clock: Clock | None = None,
-        test: VersionTest | None = None,
+        judgements: Judgements | None = None,
         tick_s: float = TICK_S,
     ) -> "MoveOwner":
         """Builds the move owner of one router.
 
         :param lease: a lease on :data:`MOVE_OWNER_KEY`.
-        :param test: judges versions; by default with fixed thresholds.
+        :param judgements: tells what the evidence says; without it no version is
+            ever proven.
         :param tick_s: seconds between two decisions.
         """
         owner = cls(store, node, lease, router_id, clock or Clock())
-        owner._test = test or owner._test
+        owner._judgements = judgements or owner._judgements
         owner._tick_s = tick_s
         return owner
 
@@ -126,10 +123,6 @@
         """True while this router is the move owner by its own clock."""
         return self._lease.held(self._clock.now())
 
-    def report(self, event: EvidenceReported) -> None:
-        """Takes evidence about a version."""
-        self._reducer.apply(event)
-
     async def start(self) -> None:
         """Starts to try for the lease."""
         self._task = asyncio.create_task(self._run())
@@ -181,8 +174,8 @@
         :raises LeaseLost: when another router may be the owner.
         """
         log.info("move lease taken", extra={"router": self._router_id})
-        # Evidence from an earlier ownership may have gaps.
-        self._reducer = MoveReducer(self._router_id, self._test)
+        # Times from an earlier ownership may be old.
+        self._reducer = MoveReducer(self._router_id)
         keeper = asyncio.create_task(self._lease.keep())
         try:
             while not keeper.done():
@@ -212,7 +205,7 @@
             for service in services
         }
         agents = self._zone_agents(now) if moves else ()
-        return MoveTick(now, moves, agents, unproven)
+        return MoveTick(now, moves, agents, unproven, self._judgements())
 
     def _zone_agents(self, now: float) -> tuple[ZoneAgent, ...]:
         agents = [
--- a/heatherswitch/router/reducer.py
+++ b/heatherswitch/router/reducer.py
@@ -2,6 +2,7 @@
 
 import heapq
 import logging
+from collections import Counter
 
 from heatherswitch.fleet.config import FleetConfig
 from heatherswitch.fleet.members import Member, MemberTable
@@ -26,6 +27,9 @@
 DEADLINE_GRACE_S = 0.1
 # Suggested pause before a request is repeated, in milliseconds.
 RETRY_AFTER_MS = 500
+# After this many refusals by agents of one version, those of another one are tried
+# first: an unproven version refuses all but a few requests.
+MAX_VERSION_REFUSALS = 2
 # Refusals that no other agent would answer differently.
 FINAL_REASONS = frozenset({Reason.KEY_REUSED, Reason.STORE_UNAVAILABLE})
 
@@ -42,6 +46,8 @@
         "refusal",
         "resumes",
         "tried",
+        "version",
+        "version_refusals",
     )
 
     def __init__(self, arrived: events.RequestArrived) -> None:
@@ -49,6 +55,9 @@
         self.attempt = 0
         self.agent_id = ""
         self.tried: set[str] = set()
+        # Version of the last attempt, and refusals by version.
+        self.version = ""
+        self.version_refusals: Counter[str] = Counter()
         # Owner named by the last NOT_OWNER refusal.
         self.hint = ""
         self.resumes = 0
@@ -155,6 +164,7 @@
         else:
             self._avoided.refused(event.now, state.agent_id, refusal.reason)
         state.note_refusal(refusal)
+        state.version_refusals[state.version] += 1
         line = self._log(
             "attempt refused",
             state,
@@ -206,6 +216,9 @@
     def _on_version_cut(self, event: events.VersionCut) -> list[Effect]:
         self._placement.cut_version(event.service, event.version, event.until)
         fields = {"service": event.service, "version": event.version}
+        if event.until <= event.now:
+            return [Log("cut of a version ended", fields)]
+        fields["reason"] = event.reason
         return [Log("version cut by this router", fields, logging.WARNING)]
 
     def _on_tick(self, event: events.Tick) -> list[Effect]:
@@ -248,6 +261,7 @@
         state.attempt += 1
         state.resumes = 0
         state.agent_id = agent.id
+        state.version = agent.version
         state.tried.add(agent.id)
         return [Dispatch(arrived.request_id, state.attempt, agent.id)]
 
@@ -266,6 +280,9 @@
         candidates = self._placement.candidates(
             now, key, lambda agent_id: self._avoided.avoids(now, agent_id)
         )
+        if arrived.idempotent:
+            refusals = state.version_refusals
+            candidates.sort(key=lambda m: refusals[m.version] >= MAX_VERSION_REFUSALS)
         for member in candidates:
             # A hint is followed even to an agent that refused before, because it
             # may have become the owner since.
--- a/heatherswitch/router/runner.py
+++ b/heatherswitch/router/runner.py
@@ -43,6 +43,30 @@
 _Work = Callable[[], Awaitable[AttemptResult]]
 
 
+@dataclass(frozen=True, slots=True)
+class AttemptStarted:
+    """An attempt was dispatched.
+
+    :param cold: the backend server was in cold start by its last record.
+    """
+
+    request_id: str
+    attempt: int
+    service: str
+    version: str
+    route: str
+    request_class: str
+    cold: bool
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptFirstByte:
+    """The head of an answer arrived."""
+
+    request_id: str
+    attempt: int
+
+
 @dataclass(frozen=True, slots=True)
 class AttemptReport:
     """How one attempt ended, as evidence about the version of its agent.
@@ -56,6 +80,11 @@
     agent_id: str
     result: AttemptResult
     seconds: float
+    request_id: str = ""
+    attempt: int = 0
+
+
+AttemptProgress = AttemptStarted | AttemptFirstByte
 
 
 class FleetState(Protocol):
@@ -102,6 +131,7 @@
         "_fleet",
         "_observers",
         "_pool_loads",
+        "_progress_observers",
         "_reducer",
         "_running",
         "_tasks",
@@ -124,6 +154,7 @@
         self._tasks: set[asyncio.Task] = set()
         self._pool_loads = PoolLoads()
         self._observers: list[Callable[[AttemptReport], None]] = []
+        self._progress_observers: list[Callable[[AttemptProgress], None]] = []
 
     @property
     def stopping(self) -> bool:
@@ -134,6 +165,10 @@
         """Calls ``observer`` with the result of each attempt."""
         self._observers.append(observer)
 
+    def observe_progress(self, observer: Callable[[AttemptProgress], None]) -> None:
+        """Calls ``observer`` with the start and the first byte of each attempt."""
+        self._progress_observers.append(observer)
+
     async def run(self, call: Call, answer: CallerAnswer) -> None:
         """Runs a request to its end.
 
@@ -190,16 +225,34 @@
         running.answer.restart()
         running.agent = agent
         running.dispatched_at = now
+        running.attempt = self._attempt(running, effect.attempt, agent, message)
+        notice = AttemptStarted(
+            call.request_id,
+            effect.attempt,
+            call.service,
+            agent.version,
+            call.route,
+            call.request_class,
+            agent.cold,
+        )
+        _notify(self._progress_observers, notice)
+        self._start(running, effect.attempt, running.attempt.execute)
+
+    def _attempt(
+        self, running: _Running, number: int, agent: Member, message: pb.ExecuteRequest
+    ) -> Attempt:
+        call = running.call
         settings = self._fleet.config.settings(service=call.service)
 
         def accepted() -> None:
-            self.post(
-                events.AttemptAccepted(
-                    self._clock.now(), call.request_id, effect.attempt
-                )
-            )
+            now = self._clock.now()
+            self.post(events.AttemptAccepted(now, call.request_id, number))
+
+        def first_byte() -> None:
+            notice = AttemptFirstByte(call.request_id, number)
+            _notify(self._progress_observers, notice)
 
-        running.attempt = Attempt(
+        return Attempt(
             self._channels,
             agent,
             message,
@@ -207,8 +260,8 @@
             settings.get("limits.progress_timeout_s"),
             accepted,
             self._take_load,
+            first_byte,
         )
-        self._start(running, effect.attempt, running.attempt.execute)
 
     def _start(self, running: _Running, attempt: int, work: _Work) -> None:
         running.task = self._spawn(self._watch(running, attempt, work))
@@ -224,23 +277,26 @@
                 extra={"request_id": running.call.request_id, "error": repr(error)},
             )
             result = OutcomeUnknown("router_error", "the answer was not passed on")
-        self._report(running, result)
+        self._report(running, attempt, result)
         self.post(self._event(running, attempt, result))
 
-    def _report(self, running: _Running, result: AttemptResult) -> None:
+    def _report(self, running: _Running, attempt: int, result: AttemptResult) -> None:
         call, agent = running.call, running.agent
         self._telemetry.attempt(call, type(result).__name__)
         if isinstance(result, NotRun):
             self._telemetry.refusal(call, result.reason.value)
         seconds = self._clock.now() - running.dispatched_at
         report = AttemptReport(
-            call.service, agent.version, call.route, agent.id, result, seconds
+            call.service,
+            agent.version,
+            call.route,
+            agent.id,
+            result,
+            seconds,
+            call.request_id,
+            attempt,
         )
-        for observer in self._observers:
-            try:
-                observer(report)
-            except Exception:
-                log.exception("observer of attempts failed")
+        _notify(self._observers, report)
 
     def _event(
         self, running: _Running, attempt: int, result: AttemptResult
@@ -292,3 +348,12 @@
         observed = self._pool_loads.observed(now, pool)
         if observed is not None:
             message.observed_load.CopyFrom(observed)
+
+
+def _notify(observers, notice: AttemptProgress | AttemptReport) -> None:
+    """Calls observers; their faults must not end a request."""
+    for observer in observers:
+        try:
+            observer(notice)
+        except Exception:
+            log.exception("observer of attempts failed")
--- a/heatherswitch/router/shell.py
+++ b/heatherswitch/router/shell.py
@@ -53,6 +53,8 @@
     :param drain_delay_s: seconds between a failing ``/readyz`` and the end of
         accepting, so that the load balancer notices.
     :param grace_s: seconds that running requests get after that.
+    :param version_test: how starting versions are judged, a name in
+        ``version_watch.TESTS``.
     :param log_level: used before the router is built.
     :param ready_file: used after the router has started.
     """
@@ -70,6 +72,7 @@
     drain_delay_s: float = 5.0
     grace_s: float = 60.0
     caller_limits: HttpLimits = field(default_factory=HttpLimits)
+    version_test: str = "sequential"
     log_level: str = "info"
     ready_file: str = ""
 
@@ -191,7 +194,10 @@
 
         router = cls(config, FleetNode.from_config, Metrics())
         if config.store:
-            router.add_part(ControlParts.from_config(config, router.node, router.clock))
+            parts = ControlParts.from_config(
+                config, router.node, router.runner, router.clock
+            )
+            router.add_part(parts)
         return router
 
     @property
--- a/heatherswitch/ui/daemon.py
+++ b/heatherswitch/ui/daemon.py
@@ -29,6 +29,8 @@
 
 ENVIRONMENT_PREFIX = "HEATHERSWITCH_"
 MAX_PORT = 65535
+# Values of --version-test.
+VERSION_TESTS = ("sequential", "threshold", "fixed")
 # Longest drain delay, in seconds.
 MAX_DRAIN_DELAY_S = 3600.0
 
@@ -127,6 +129,13 @@
     return value
 
 
+def version_test(text: str) -> str:
+    """Parses the name of a test of versions."""
+    if text not in VERSION_TESTS:
+        raise ValueError("one of " + ", ".join(VERSION_TESTS))
+    return text
+
+
 def log_level(text: str) -> str:
     """Parses a log level."""
     if text not in LEVELS:
--- a/heatherswitch/ui/router.py
+++ b/heatherswitch/ui/router.py
@@ -46,6 +46,13 @@
             daemon.drain_delay,
             "5",
         ),
+        Flag(
+            "version-test",
+            "How starting versions are judged: sequential; threshold and fixed are "
+            "baselines of measurements.",
+            daemon.version_test,
+            "sequential",
+        ),
         Flag("log-level", "debug, info, warning or error.", daemon.log_level, "info"),
         Flag("ready-file", "File for the bound addresses.", daemon.text, ""),
     )
--- a/test/test_admission.py
+++ b/test/test_admission.py
@@ -7,6 +7,7 @@
     Admitted,
     PoolMean,
     PoolReport,
+    UnprovenBudget,
 )
 from heatherswitch.fleet.fair_queue import FairQueue, Ticket
 from heatherswitch.fleet.outcomes import Reason
@@ -137,6 +138,19 @@
         fill(made, [ticket(n) for n in range(2)], running=2)
         self.assertEqual(self.reason(made, ticket(9), limits), Reason.UNPROVEN_SHARE)
 
+    def test_agents_of_an_unproven_version_share_one_budget(self):
+        # Guards against P4: each of several agents taking the whole share, or a
+        # part of its own version's load only.
+        for service, agents in ((0, 3), (39, 3), (60, 3), (200, 4), (200, 30)):
+            allowed = 0
+            for rank in range(agents):
+                budget = UnprovenBudget()
+                budget.update(PoolReport(service, 9, 0, 0.0))
+                budget.place(rank, agents)
+                allowed += budget.allowed(0.0, 0, 0.05)
+            with self.subTest(service=service, agents=agents):
+                self.assertEqual(allowed, max(1, service // 20))
+
 
 class SurgeTest(unittest.TestCase):
     def test_tenfold_surge_does_not_make_others_late(self):
--- a/test/test_router_reducer.py
+++ b/test/test_router_reducer.py
@@ -47,6 +47,24 @@
         self.assertEqual(sorted(tried), ["a0", "a1", "a2"])
         self.assertEqual(self.refuse(3), [Answer("r", BUSY)])
 
+    def test_request_of_a_starting_version_falls_back_to_the_active_one(self):
+        # Guards against requests that are refused because each agent of an unproven
+        # or cold version refuses, while the active version has room.
+        versions = {
+            "/service=chat/version=v1": {"version_state": "active"},
+            "/service=chat/version=v2": {
+                "version_state": "starting",
+                "version_share": 1.0,
+            },
+        }
+        starting = [agent(f"b{i}", version="v2") for i in range(6)]
+        members = table(agent("a0"), *starting)
+        self.reducer = RouterReducer(fleet_config(versions), members)
+        full = NotRun(Reason.UNPROVEN_SHARE)
+        tried = [self.arrive()[0].agent_id]
+        tried += [self.refuse(n, full)[0].agent_id for n in (1, 2)]
+        self.assertEqual([name[0] for name in tried], ["b", "b", "a"])
+
     def test_not_run_is_not_claimed_after_an_attempt_that_may_have_run(self):
         # Guards against P6: refusals of the retries hide an unknown first attempt.
         self.arrive()
