--- a/heatherswitch/exchange/reducer.py
+++ b/heatherswitch/exchange/reducer.py
@@ -214,7 +214,10 @@
 def pool_figures(
     now: float, table: MemberTable, config: FleetConfig, service: str, version: str
 ) -> PoolFigures:
-    """Sums the load of the agents of a pool that take new work."""
+    """Sums the load of the agents of a pool that take new work.
+
+    :param version: empty for all versions of the service.
+    """
     heard = open_pool(now, table, config, service, version)
     total = sum(member.load.total for member in heard)
     age_s = max((table.unheard_s(now, m.id) for m in heard), default=0.0)
--- a/heatherswitch/fleet/placement.py
+++ b/heatherswitch/fleet/placement.py
@@ -20,7 +20,7 @@
 
     :param now: seconds since the epoch.
     """
-    pool = members.agents(service, version)
+    pool = members.agents(service, version or None)
     zones = {member.zone for member in pool}
     out = {zone for zone in zones if config.zone_is_out(service, zone, now)}
     return [m for m in pool if m.zone not in out and not members.suspect(now, m.id)]
--- a/heatherswitch/router/shell.py
+++ b/heatherswitch/router/shell.py
@@ -54,6 +54,8 @@
     :param drain_delay_s: seconds between a failing ``/readyz`` and the end of
         accepting, so that the load balancer notices.
     :param grace_s: seconds that running requests get after that.
+    :param version_test: how starting versions are judged, a name in
+        ``version_watch.TESTS``.
     :param log_level: used before the router is built.
     :param ready_file: used after the router has started.
     """
@@ -72,6 +74,7 @@
     grace_s: float = 60.0
     caller_limits: HttpLimits = field(default_factory=HttpLimits)
     transport: TransportConfig = TransportConfig()
+    version_test: str = "sequential"
     log_level: str = "info"
     ready_file: str = ""
 
@@ -196,7 +199,10 @@
 
         router = cls(config, FleetNode.from_config, Metrics())
         if config.store:
-            router.add_part(ControlParts.from_config(config, router.node, router.clock))
+            parts = ControlParts.from_config(
+                config, router.node, router.runner, router.clock
+            )
+            router.add_part(parts)
         return router
 
     @property
