--- a/Makefile
+++ b/Makefile
@@ -29,9 +29,12 @@
 up: $(BIN)/.installed
 	$(BIN)/python -m emulator.up $(ARGS)
 
+soak: $(BIN)/.installed
+	$(BIN)/python -m emulator.soak --seed $(SEED) --minutes $(MINUTES) $(ARGS)
+
 proto: $(BIN)/.installed
 	$(BIN)/python -m grpc_tools.protoc -I. --python_out=. --grpc_python_out=. \
 	    heatherswitch/protocol/heatherswitch.proto
 
 clean:
-	rm -rf $(VENV) .run build *.egg-info
+	rm -rf $(VENV) .run .run-soak build *.egg-info
--- a/emulator/caller.py
+++ b/emulator/caller.py
@@ -151,6 +151,10 @@
                 await asyncio.sleep(min(MAX_RETRY_WAIT_S, wait_s))
         return result
 
+    def take_out(self, address: str, seconds: float) -> None:
+        """Sends a router nothing for a while, as when its readiness check failed."""
+        self._down_until[address] = time.monotonic() + seconds
+
     def _pick_address(self, number: int) -> str:
         """Returns a router, without those that refused a connection lately."""
         now = time.monotonic()
@@ -173,6 +177,7 @@
             "path": call.path,
             "key": call.key,
             "router": address,
+            "connected": True,
         }
         self._history.write("asked", **noted)
         result = CallResult()
@@ -181,6 +186,8 @@
         except ConnectFailed as error:
             result.problem = str(error)
             self._down_until[address] = time.monotonic() + DOWN_S
+            # The request was certainly not taken.
+            noted["connected"] = False
         except (ConnectionLost, TimeoutError) as error:
             result.outcome = "no_answer"
             result.problem = str(error) or "timeout"
--- a/emulator/engine.py
+++ b/emulator/engine.py
@@ -95,6 +95,8 @@
         self._new_incarnation()
         if config.warm:
             self._batcher.make_warm()
+        else:
+            self._history.write("cold", announced=True)
 
     @property
     def history(self) -> History:
@@ -127,6 +129,8 @@
     def on_faults(self, rules: tuple[Fault, ...]) -> None:
         """Carries out the rules that are events: a silent loss, a restart."""
         for rule in rules:
+            if rule.kind in ("go_cold", "restart"):
+                self._history.write("cold", announced=False)
             if rule.kind == "go_cold":
                 self._batcher.make_cold()
                 self._cache.clear(self._clock.now(), publish=False)
--- a/emulator/launch.py
+++ b/emulator/launch.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 from emulator.deployments import LEAFLINE, Deployment, ServiceShape, bearer, demo_key
+from emulator.links import Links
 from emulator.processes import LaunchError, ManagedProcess, free_address, run_all
 from heatherswitch.util.http import HttpError
 from heatherswitch.util.http_client import HttpClient
@@ -34,6 +35,7 @@
 
     :param run_directory: takes logs, ready files and histories.
     :param extra_arguments: further arguments by process name or service name.
+    :param proxied: puts a fault proxy into each link; see :mod:`emulator.links`.
     """
 
     deployment: Deployment = LEAFLINE
@@ -42,6 +44,7 @@
     agent_module: str = "heatherswitch.ui.agent"
     store_module: str = "emulator.store"
     extra_arguments: dict[str, tuple[str, ...]] = field(default_factory=dict)
+    proxied: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,6 +66,7 @@
         "_backends",
         "_config",
         "_directory",
+        "_links",
         "_numbers",
         "_routers",
         "_router_peers",
@@ -74,6 +78,7 @@
     def __init__(self, config: LaunchConfig) -> None:
         self._config = config
         self._directory = config.run_directory.resolve()
+        self._links = Links(config.proxied)
         self._token = secrets.token_hex(16)
         self._store: ManagedProcess | None = None
         self._routers: list[ManagedProcess] = []
@@ -98,6 +103,11 @@
         """Absolute path of the logs, ready files and histories."""
         return self._directory
 
+    @property
+    def links(self) -> Links:
+        """The network links, with their proxies if the launch is proxied."""
+        return self._links
+
     @property
     def store(self) -> ManagedProcess:
         """The stand-in store."""
@@ -172,6 +182,7 @@
         for stage in stages:
             ended = await asyncio.gather(*(item.stop(grace_s) for item in stage))
             late += [item.name for item, ok in zip(stage, ended, strict=True) if not ok]
+        await self._links.stop()
         return late
 
     async def add_backend(
@@ -188,7 +199,7 @@
         """
         server = self._start_server(service, version, arguments)
         await server.wait_ready()
-        agent = self._start_agent(service, zone, version, server)
+        agent = await self._start_agent(service, zone, version, server)
         history = self._history(server.name)
         backend = Backend(service, zone, version, server, agent, history)
         self._backends.append(backend)
@@ -250,7 +261,7 @@
         self._store = self._process("store", self._config.store_module, ["--port", "0"])
         self._store.start()
         await self._store.wait_ready()
-        self._start_routers()
+        await self._start_routers()
         places = [
             (service, self._zone(index))
             for service in self.deployment.services
@@ -270,25 +281,30 @@
     def _zone(self, index: int) -> str:
         return self.deployment.zones[index % len(self.deployment.zones)]
 
-    def _start_routers(self) -> None:
+    async def _start_routers(self) -> None:
+        names = [f"r{index + 1}" for index in range(self.deployment.routers)]
+        listeners = [free_address() for _ in names]
         peers = self._router_peers = [
-            free_address() for _ in range(self.deployment.routers)
+            await self._links.link(f"peer:{name}", own)
+            for name, own in zip(names, listeners, strict=True)
         ]
         environment = {"HEATHERSWITCH_OPERATOR_TOKEN": self._token}
-        for index, own in enumerate(peers):
-            name = f"r{index + 1}"
+        for index, name in enumerate(names):
+            others = [peer for peer in peers if peer != peers[index]]
             arguments = ["--id", name, "--zone", self._zone(index)]
             arguments += ["--listen", ANY_PORT]
             arguments += ["--operator-listen", ANY_PORT, "--metrics-listen", ANY_PORT]
-            arguments += ["--peer-listen", own, "--store", self._store_address()]
-            arguments += ["--peers", ",".join(peer for peer in peers if peer != own)]
+            arguments += ["--peer-listen", listeners[index]]
+            arguments += ["--advertise", peers[index], "--peers", ",".join(others)]
+            arguments += ["--store", await self._store_link(name)]
             module = self._config.router_module
             router = self._process(name, module, arguments, environment=environment)
             router.start()
             self._routers.append(router)
 
-    def _store_address(self) -> str:
-        return self._store.addresses["address"]
+    async def _store_link(self, name: str) -> str:
+        address = self._store.addresses["address"]
+        return await self._links.link(f"store:{name}", address)
 
     def _start_server(
         self, service: ServiceShape, version: str, arguments: tuple[str, ...]
@@ -308,14 +324,18 @@
     def _history(self, name: str) -> Path:
         return self._directory / f"{name}.jsonl"
 
-    def _start_agent(
+    async def _start_agent(
         self, service: ServiceShape, zone: str, version: str, server: ManagedProcess
     ) -> ManagedProcess:
-        name = f"agent-{server.name}"
+        name, listen = f"agent-{server.name}", free_address()
+        backend = server.addresses["address"]
+        backend = await self._links.link(f"backend:{name}", backend)
+        advertised = await self._links.link(f"agent:{name}", listen)
         arguments = ["--id", name, "--zone", zone, "--service", service.name]
-        arguments += ["--version", version, "--backend", server.addresses["address"]]
-        arguments += ["--listen", free_address(), "--metrics-listen", ANY_PORT]
-        arguments += ["--store", self._store_address()]
+        arguments += ["--version", version, "--backend", backend]
+        arguments += ["--listen", listen, "--metrics-listen", ANY_PORT]
+        arguments += ["--advertise", advertised]
+        arguments += ["--store", await self._store_link(name)]
         arguments += ["--peers", ",".join(self._router_peers)]
         agent = self._process(name, self._config.agent_module, arguments)
         agent.start()
--- a/emulator/proxy.py
+++ b/emulator/proxy.py
@@ -105,6 +105,16 @@
         """``host:port`` of the listener."""
         return f"{LOOPBACK}:{self._server.sockets[0].getsockname()[1]}"
 
+    @property
+    def connections(self) -> int:
+        """Connections that are open."""
+        return len(self._links)
+
+    def retarget(self, target: str) -> None:
+        """Sends new connections to another ``host:port``."""
+        host, _, port = target.rpartition(":")
+        self._target = (host, int(port))
+
     async def start(self, port: int = 0) -> None:
         """Binds the listener on loopback; port 0 picks a free one."""
         self._server = await asyncio.start_server(self._on_client, LOOPBACK, port)
--- /dev/null
+++ b/emulator/sampler.py
@@ -0,0 +1,121 @@
+"""Samples what processes have in force: configuration revision, marker, moves."""
+
+import asyncio
+import contextlib
+import json
+import re
+from typing import Any
+
+from emulator.deployments import bearer
+from emulator.launch import Launch
+from emulator.processes import ManagedProcess
+from emulator.standin import History
+from heatherswitch.util.clock import Clock
+from heatherswitch.util.http import HttpError
+from heatherswitch.util.http_client import HttpClient
+
+# A workspace that nobody uses; its share is the marker.
+MARKER_WORKSPACE = "marker"
+PERIOD_S = 0.5
+TIMEOUT_S = 2.0
+_REVISION = re.compile(rb"^\w+_config_revision(?:{})? ([0-9.e+]+)$", re.MULTILINE)
+
+
+class Sampler:
+    """Writes ``revision`` and ``move`` events twice a second."""
+
+    __slots__ = (
+        "_clock",
+        "_followed",
+        "_headers",
+        "_history",
+        "_launch",
+        "_paused",
+        "_task",
+    )
+
+    def __init__(
+        self, launch: Launch, history: History, clock: Clock, paused: set[str]
+    ) -> None:
+        """:param paused: names of processes that are not asked; changes over time."""
+        self._launch = launch
+        self._history = history
+        self._clock = clock
+        self._paused = paused
+        self._followed: set[str] = set()
+        self._headers = bearer(launch.endpoints()["operator_token"])
+        self._task: asyncio.Task | None = None
+
+    def start(self) -> None:
+        """Starts to sample."""
+        self._task = asyncio.create_task(self._run())
+
+    async def stop(self) -> None:
+        """Ends sampling."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    def follow(self, move: str) -> None:
+        """Records the states of a move from now on."""
+        self._followed.add(move)
+
+    async def _run(self) -> None:
+        while True:
+            processes = [*self._launch.routers]
+            processes += [backend.agent for backend in self._launch.backends]
+            present = [p for p in processes if p.alive and p.name not in self._paused]
+            await asyncio.gather(*(self._sample(process) for process in present))
+            await asyncio.sleep(PERIOD_S)
+
+    async def _sample(self, process: ManagedProcess) -> None:
+        """Records one process; one that does not answer or is not ready is left out."""
+        with contextlib.suppress(HttpError, TimeoutError, KeyError, ValueError):
+            pid, before = process.pid, self._clock.now()
+            metrics = process.addresses["metrics"]
+            ready, _ = await self._get(metrics, "/readyz")
+            status, body = await self._get(metrics, "/metrics")
+            found = _REVISION.search(body)
+            if ready != 200 or status != 200 or not found:
+                return
+            values: dict[str, Any] = {"revision": int(float(found[1]))}
+            if process in self._launch.routers:
+                values |= await self._ask_router(process)
+            self._history.write(
+                "revision", time=before, process=process.name, pid=pid, **values
+            )
+
+    async def _ask_router(self, router: ManagedProcess) -> dict[str, Any]:
+        address = router.addresses["operator"]
+        client = HttpClient.from_address(address)
+        path = f"/v1/effective?workspace={MARKER_WORKSPACE}"
+        try:
+            answer = await client.request("GET", path, self._headers, b"", TIMEOUT_S)
+            effective = json.loads(await answer.read())
+            if self._followed:
+                answer = await client.request(
+                    "GET", "/v1/moves", self._headers, b"", TIMEOUT_S
+                )
+                self._note_moves(router, json.loads(await answer.read())["moves"])
+        finally:
+            client.close()
+        return {"marker": int(effective["settings"]["share"])}
+
+    def _note_moves(self, router: ManagedProcess, moves: list[dict[str, Any]]) -> None:
+        for move in moves:
+            if move["id"] in self._followed:
+                self._history.write(
+                    "move",
+                    process=router.name,
+                    move=move["id"],
+                    state=move["effective_state"],
+                    share=move.get("share") or 0,
+                )
+
+    async def _get(self, address: str, path: str) -> tuple[int, bytes]:
+        client = HttpClient.from_address(address)
+        try:
+            answer = await client.request("GET", path, timeout=TIMEOUT_S)
+            return answer.status, await answer.read()
+        finally:
+            client.close()
--- /dev/null
+++ b/emulator/soak.py
@@ -0,0 +1,187 @@
+"""Runs a deployment under a seeded schedule of operations and faults, then checks it.
+
+``python -m emulator.soak --seed 1 --minutes 5`` ends with 0 only if the histories show
+no violation of P1 to P11. The seed fixes the schedule, not the timing of processes.
+"""
+
+import argparse
+import asyncio
+import random
+import sys
+import time
+from dataclasses import dataclass
+from pathlib import Path
+
+from emulator.deployments import DEPLOYMENTS
+from emulator.injection import INJECTIONS
+from emulator.launch import LaunchConfig
+from emulator.processes import LaunchError
+from emulator.standin import INTERRUPTED, cancel_on_sigterm
+from emulator.trial import Trial
+from heatherswitch.util.logs import configure_logs
+
+# Time after the last fault in which the deployment settles, in seconds.
+SETTLE_S = 12.0
+# Deadline of zone moves, in seconds.
+MOVE_DEADLINE_S = 20.0
+# Share of the settlements that their caller repeats after the answer.
+REPEAT_SHARE = 0.3
+MAX_SHOWN = 20
+
+
+@dataclass(frozen=True, slots=True)
+class SoakConfig:
+    """What a soak does. Times are in seconds, rates per second.
+
+    :param faults: names of the injections to draw from.
+    """
+
+    launch: LaunchConfig
+    seed: int = 1
+    minutes: float = 2.0
+    chats_per_s: float = 6.0
+    settlements_per_s: float = 4.0
+    orders_per_s: float = 0.3
+    fault_pause_s: float = 2.0
+    faults: tuple[str, ...] = tuple(INJECTIONS)
+
+
+class Soak:
+    """One run."""
+
+    __slots__ = ("_calls", "_config", "_ends_at", "_trial", "_workspaces")
+
+    def __init__(self, config: SoakConfig) -> None:
+        self._config = config
+        self._trial = Trial.from_config(config.launch)
+        self._workspaces = list(config.launch.deployment.workspaces())
+        self._calls: set[asyncio.Task] = set()
+        self._ends_at = 0.0
+
+    async def run(self) -> bool:
+        """Runs the schedule and prints the verdict; returns True without violations.
+
+        :raises LaunchError: if a process does not start.
+        """
+        config, trial = self._config, self._trial
+        await trial.start()
+        try:
+            self._ends_at = time.monotonic() + 60 * config.minutes
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._repeat("chats", config.chats_per_s, self._chat))
+                rate = config.settlements_per_s
+                group.create_task(self._repeat("settle", rate, self._settle))
+                rate = config.orders_per_s
+                group.create_task(self._repeat("orders", rate, self._order))
+                # Two schedules, so that faults also come in pairs.
+                group.create_task(self._faults("first"))
+                group.create_task(self._faults("second"))
+            await asyncio.sleep(SETTLE_S)
+            await asyncio.gather(*self._calls)
+        finally:
+            for task in self._calls:
+                task.cancel()
+            await trial.stop()
+        return self._report()
+
+    def _rng(self, name: str) -> random.Random:
+        return random.Random(f"{self._config.seed}/{name}")
+
+    async def _repeat(self, name: str, rate: float, operation) -> None:
+        rng, number = self._rng(name), 0
+        while time.monotonic() < self._ends_at:
+            number += 1
+            task = asyncio.create_task(operation(rng, number))
+            self._calls.add(task)
+            task.add_done_callback(self._drop_good)
+            await asyncio.sleep(rng.expovariate(rate))
+
+    def _drop_good(self, task: asyncio.Task) -> None:
+        """Keeps failed tasks, so that their errors end the run."""
+        if not task.cancelled() and task.exception() is None:
+            self._calls.discard(task)
+
+    async def _chat(self, rng: random.Random, number: int) -> None:
+        chat = rng.randrange(40)
+        words = " ".join(f"w{chat}-{i}" for i in range(rng.randint(20, 120)))
+        workspace = rng.choice(self._workspaces)
+        stream = rng.random() < 0.5
+        tokens = rng.randint(8, 64)
+        call = self._trial.chat(f"{words} q{number}", workspace, tokens, stream)
+        await self._trial.call(call)
+
+    async def _settle(self, rng: random.Random, number: int) -> None:
+        key, workspace = f"key-{number}", rng.choice(self._workspaces)
+        repeat, pause = rng.random() < REPEAT_SHARE, rng.uniform(0.0, 5.0)
+        if rng.random() < REPEAT_SHARE:
+            # The same request through two routers at the same time.
+            calls = [self._trial.settlement(key, workspace) for _ in range(2)]
+            await asyncio.gather(*(self._trial.call(call) for call in calls))
+        else:
+            await self._trial.call(self._trial.settlement(key, workspace))
+        if repeat:
+            await asyncio.sleep(pause)
+            await self._trial.call(self._trial.settlement(key, workspace))
+
+    async def _order(self, rng: random.Random, number: int) -> None:
+        zone = rng.choice(self._config.launch.deployment.zones)
+        if rng.random() < 0.6:
+            await self._trial.set_marker()
+        elif await self._trial.move_zone(zone, True, MOVE_DEADLINE_S):
+            await asyncio.sleep(rng.uniform(4.0, 10.0))
+            while not await self._trial.move_zone(zone, False, MOVE_DEADLINE_S):
+                await asyncio.sleep(1.0)
+
+    async def _faults(self, name: str) -> None:
+        rng = self._rng(f"faults/{name}")
+        while time.monotonic() < self._ends_at:
+            await asyncio.sleep(rng.expovariate(1 / self._config.fault_pause_s))
+            kind = rng.choice(self._config.faults)
+            print(f"{name}: {kind}", flush=True)
+            await INJECTIONS[kind](self._trial, rng)
+
+    def _report(self) -> bool:
+        for name, count in sorted(self._trial.counts.items()):
+            print(f"{count:6d} {name}")
+        violations = self._trial.verdict()
+        for violation in violations[:MAX_SHOWN]:
+            print(violation)
+        print(f"{len(violations)} violations with seed {self._config.seed}")
+        return not violations
+
+
+async def _main(options: argparse.Namespace) -> int:
+    cancel_on_sigterm()
+    deployment = DEPLOYMENTS[options.deployment]
+    launch = LaunchConfig(deployment, Path(options.run_directory), proxied=True)
+    faults = tuple(options.faults.split(",")) if options.faults else tuple(INJECTIONS)
+    config = SoakConfig(launch, options.seed, options.minutes, faults=faults)
+    try:
+        return 0 if await Soak(config).run() else 1
+    except* LaunchError as errors:
+        for error in errors.exceptions:
+            print(f"soak: {error}", file=sys.stderr)
+    return 1
+
+
+def main() -> int:
+    """Runs the soak and returns its exit code."""
+    parser = argparse.ArgumentParser(prog="soak", description=__doc__)
+    parser.add_argument("--deployment", choices=DEPLOYMENTS, default="leafline")
+    parser.add_argument("--run-directory", default=".run-soak")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--minutes", type=float, default=2.0)
+    parser.add_argument("--faults", help=f"comma separated: {', '.join(INJECTIONS)}")
+    options = parser.parse_args()
+    unknown = set((options.faults or "").split(",")) - {""} - set(INJECTIONS)
+    if unknown:
+        parser.error(f"unknown faults: {', '.join(sorted(unknown))}")
+    configure_logs("soak", options.deployment, "warning")
+    try:
+        return asyncio.run(_main(options))
+    except (KeyboardInterrupt, asyncio.CancelledError):
+        return INTERRUPTED
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
--- a/heatherswitch/agent/metrics.py
+++ b/heatherswitch/agent/metrics.py
@@ -77,6 +77,12 @@
         for name, (value, doc) in values.items():
             self._metrics.gauge(f"heatherswitch_agent_{name}", doc, {}, value)
 
+    def set_config_revision(self, revision: int) -> None:
+        """Sets the gauge of the newest configuration entry in force."""
+        name = "heatherswitch_agent_config_revision"
+        doc = "Store revision of the newest configuration entry in force."
+        self._metrics.gauge(name, doc, {}, revision)
+
     def set_server_load(self, load: ServerLoad) -> None:
         """Sets the gauges of what the backend server reports of itself."""
         doc = "Requests by state, as the backend server reports them."
--- a/heatherswitch/agent/shell.py
+++ b/heatherswitch/agent/shell.py
@@ -92,6 +92,7 @@
 
     :param id: unique in the fleet.
     :param backend: ``host:port`` of the backend server.
+    :param advertise: ``host:port`` that routers connect to; empty for the bound one.
     :param peers: ``host:port`` of routers to start from.
     :param store: ``host:port`` of the store's endpoints; empty for a service
         without claims.
@@ -109,6 +110,7 @@
     backend: str
     region: str = ""
     listen: str = ANY_PORT
+    advertise: str = ""
     metrics_listen: str = ANY_PORT
     peers: Sequence[str] = ()
     store: Sequence[str] = ()
@@ -231,7 +233,7 @@
 
     @property
     def address(self) -> str:
-        """``host:port`` that routers connect to."""
+        """``host:port`` of the listener for routers."""
         host = self._config.listen.rpartition(":")[0]
         return f"{host}:{self._port}"
 
@@ -255,7 +257,7 @@
             id=self._config.id,
             role=Role.AGENT,
             zone=self._config.zone,
-            address=self.address,
+            address=self._config.advertise or self.address,
             incarnation=self._incarnation,
             region=self._config.region,
             state=self._state,
@@ -401,6 +403,7 @@
         reducer = self._runner.reducer
         if request.path == "/metrics":
             self._metrics.set_state(reducer.load, reducer.cold, reducer.backend_up)
+            self._metrics.set_config_revision(self._node.config.revision)
             body, content_type = self._metrics.render()
             await responder.send(200, body, [("Content-Type", content_type)])
         elif request.path == "/livez":
--- a/heatherswitch/router/shell.py
+++ b/heatherswitch/router/shell.py
@@ -49,6 +49,7 @@
     :param listen: listener for callers.
     :param store: ``host:port`` of the store's endpoints.
     :param peers: ``host:port`` of other routers' gRPC listeners.
+    :param advertise: ``host:port`` that peers connect to; empty for the bound one.
     :param operator_token: bearer token of operators; an empty one refuses all.
     :param drain_delay_s: seconds between a failing ``/readyz`` and the end of
         accepting, so that the load balancer notices.
@@ -64,6 +65,7 @@
     operator_listen: str = ANY_PORT
     metrics_listen: str = ANY_PORT
     peer_listen: str = ANY_PORT
+    advertise: str = ""
     store: Sequence[str] = ()
     peers: Sequence[str] = ()
     operator_token: str = field(default="", repr=False)
@@ -284,7 +286,7 @@
             role=Role.ROUTER,
             zone=self._config.zone,
             region=self._config.region,
-            address=self._peer_address,
+            address=self._config.advertise or self._peer_address,
             incarnation=self._incarnation,
             state=self._state,
         )
@@ -293,6 +295,9 @@
         return self._node.ready and not self._runner.stopping
 
     def _on_config(self, entries: Sequence[Any]) -> None:
+        name = "router_config_revision"
+        doc = "Store revision of the newest configuration entry in force."
+        self._metrics.gauge(name, doc, {}, self._node.config.revision)
         self._runner.post(events.ConfigChanged(self._clock.now()))
 
     def _on_members(self) -> None:
--- a/heatherswitch/ui/agent.py
+++ b/heatherswitch/ui/agent.py
@@ -24,6 +24,12 @@
         Flag("version", "Version of the service.", daemon.name),
         Flag("backend", "Address of the backend server.", daemon.address),
         Flag("listen", "Address for routers.", daemon.address, "127.0.0.1:0"),
+        Flag(
+            "advertise",
+            "Address that routers connect to, if it is not the bound one.",
+            daemon.optional_address,
+            "",
+        ),
         Flag(
             "metrics-listen",
             "Address for metrics and health.",
--- a/heatherswitch/ui/daemon.py
+++ b/heatherswitch/ui/daemon.py
@@ -110,6 +110,11 @@
     return text
 
 
+def optional_address(text: str) -> str:
+    """Parses ``host:port``, which may be empty."""
+    return address(text) if text else ""
+
+
 def addresses(text: str) -> list[str]:
     """Parses addresses that are separated by commas."""
     return [address(part.strip()) for part in text.split(",") if part.strip()]
--- a/heatherswitch/ui/router.py
+++ b/heatherswitch/ui/router.py
@@ -31,6 +31,12 @@
             "127.0.0.1:0",
         ),
         Flag("peer-listen", "Address for peers.", daemon.address, "127.0.0.1:0"),
+        Flag(
+            "advertise",
+            "Address that peers connect to, if it is not the bound one.",
+            daemon.optional_address,
+            "",
+        ),
         Flag("store", "Store addresses, comma separated.", daemon.addresses, ""),
         Flag("peers", "Routers to start from.", daemon.addresses, ""),
         Flag(
--- a/test/fake_fleet.py
+++ b/test/fake_fleet.py
@@ -15,6 +15,7 @@
 from heatherswitch.util.http_server import HttpServer
 
 FLAGS = ["id", "zone", "service", "version", "backend", "store", "peers", "ready-file"]
+FLAGS += ["advertise"]
 LISTENERS = ["listen", "operator-listen", "metrics-listen", "peer-listen"]
 
 
