Add trace: what a router decided on one request

Cause: 'why did this request go there' needed a search through the logs of a router.

An answered request has a line too, with its agent and cached tokens.

Ruled out: a trace over all routers, since a request is decided by the one that took it; agents' lines stay in their logs under the same request id.

--- a/heatherswitch/router/control.py
+++ b/heatherswitch/router/control.py
@@ -1,5 +1,6 @@
 """The parts of a router that need the store: feed, move owner and operators."""
 
+import logging
 from collections.abc import Mapping
 from typing import TYPE_CHECKING
 
@@ -13,6 +14,7 @@
 from heatherswitch.statecore.lease import Lease
 from heatherswitch.statecore.store import StoreClient
 from heatherswitch.util.clock import Clock
+from heatherswitch.util.traces import RequestTraces
 
 if TYPE_CHECKING:
     from heatherswitch.router.shell import RouterConfig
@@ -63,8 +65,10 @@
         owner = MoveOwner.from_config(
             store, node, lease, config.id, clock, lambda: watch.judgements
         )
+        traces = RequestTraces()
+        logging.getLogger("heatherswitch").addHandler(traces)
         operators = OperatorApi.from_config(
-            store, node, config.operator_token, config.id, clock
+            store, node, config.operator_token, config.id, clock, traces
         )
         return cls(store, feed, owner, watch, operators, config.operator_listen)
 
--- a/heatherswitch/router/operators.py
+++ b/heatherswitch/router/operators.py
@@ -3,6 +3,7 @@
 import hmac
 import logging
 import math
+from dataclasses import asdict
 from typing import Any
 from urllib.parse import parse_qsl, unquote
 
@@ -22,6 +23,7 @@
 from heatherswitch.util.clock import Clock
 from heatherswitch.util.http import BadRequest, HttpLimits, Request
 from heatherswitch.util.http_server import HttpServer, Responder
+from heatherswitch.util.traces import RequestTraces
 
 log = logging.getLogger("heatherswitch.operators")
 
@@ -51,15 +53,21 @@
 class OperatorApi:
     """Serves the operator listener of one router."""
 
-    __slots__ = ("_clock", "_node", "_orders", "_token")
+    __slots__ = ("_clock", "_node", "_orders", "_token", "_traces")
 
     def __init__(
-        self, node: FleetNode, orders: Orders, token: str, clock: Clock
+        self,
+        node: FleetNode,
+        orders: Orders,
+        token: str,
+        clock: Clock,
+        traces: RequestTraces | None = None,
     ) -> None:
         self._node = node
         self._orders = orders
         self._token = token
         self._clock = clock
+        self._traces = traces or RequestTraces()
 
     @classmethod
     def from_config(
@@ -69,14 +77,17 @@
         token: str,
         router_id: str,
         clock: Clock | None = None,
+        traces: RequestTraces | None = None,
     ) -> "OperatorApi":
         """Builds the API.
 
+        :param traces: log lines of this router's latest requests.
+
         :param token: bearer token of the operators; an empty one refuses all.
         """
         clock = clock or Clock()
         orders = Orders(StoreWriter(store), node, router_id, clock)
-        return cls(node, orders, token, clock)
+        return cls(node, orders, token, clock, traces)
 
     def server(self) -> HttpServer:
         """Returns a listener for this API; the caller starts it."""
@@ -121,6 +132,8 @@
                 return {"moves": moves}
             case ["GET", "v1", "moves", move_id]:
                 return self._move(move_id)
+            case ["GET", "v1", "requests", request_id]:
+                return self._trace(request_id)
         return await self._accepted(await self._order(method, parts, request))
 
     async def _order(self, method: str, parts: list[str], request: Request):
@@ -164,6 +177,13 @@
                 return views.move_view(move, self._clock.now())
         raise OperatorError(404, "not_found", f"no move {move_id!r}")
 
+    def _trace(self, request_id: str) -> dict[str, Any]:
+        lines = [asdict(line) for line in self._traces.lines(request_id)]
+        if not lines:
+            message = f"this router has no lines of request {request_id!r}"
+            raise OperatorError(404, "not_found", message)
+        return {"request_id": request_id, "lines": lines}
+
     async def _put_settings(self, request: Request) -> Accepted:
         path = _path(_query(request, "path"))
         body = _body(request, "overrides", "revision")
--- a/heatherswitch/router/reducer.py
+++ b/heatherswitch/router/reducer.py
@@ -298,7 +298,17 @@
         request_id = state.arrived.request_id
         self._requests.pop(request_id, None)
         effects: list[Effect] = [Answer(request_id, outcome)]
-        if not isinstance(outcome, Finished):
+        if isinstance(outcome, Finished):
+            effects.append(
+                self._log(
+                    "request answered",
+                    state,
+                    status=outcome.status,
+                    prompt_tokens=outcome.prompt_tokens,
+                    cached_tokens=outcome.cached_tokens,
+                )
+            )
+        else:
             detail = getattr(outcome, "reason", None)
             cause = detail.value if detail else outcome.code
             name = type(outcome).__name__
--- a/heatherswitch/ui/operator.py
+++ b/heatherswitch/ui/operator.py
@@ -29,6 +29,7 @@
     order_commands.MoveListCommand,
     order_commands.MoveWatchCommand,
     order_commands.StatusCommand,
+    order_commands.TraceCommand,
     *RESOURCE_COMMANDS,
 )
 
--- a/heatherswitch/ui/order_commands.py
+++ b/heatherswitch/ui/order_commands.py
@@ -187,6 +187,30 @@
             self.print(_member_line(member))
 
 
+class TraceCommand(OperatorCommand):
+    """Prints what a router decided on one request."""
+
+    name = "trace"
+    description = "Prints what the router decided on one of its latest requests."
+    arguments = [argument("request", "Id that the caller saw in X-Request-Id.")]
+    help = examples("trace 6d13b6726e924fc49085a5b56db460dc --router 10.0.0.7:9100")
+
+    def run_command(self, client: Caller) -> tuple[Any, ExitCode]:
+        """Reads the log lines that the router keeps."""
+        request = quote(self.argument("request"), safe="")
+        return client.call("GET", f"/v1/requests/{request}", {}), ExitCode.OK
+
+    def show(self, answer: Any) -> None:
+        """Prints one line a decision, with the time since the first."""
+        start = answer["lines"][0]["at"]
+        for line in answer["lines"]:
+            fields = line["fields"] | {"request_id": None}
+            text = " ".join(
+                f"{k}={v}" for k, v in fields.items() if v not in (None, "")
+            )
+            self.print(f"+{line['at'] - start:.3f}s {line['message']}: {text}")
+
+
 def _newest_move(client: Caller) -> str:
     moves = client.call("GET", "/v1/moves", {})["moves"]
     if not moves:
