Give the router's test doubles the product's progress timeout

Cause: test doubles had a progress timeout of 0.3 s. At a load average of 47 a fake agent that waits for the test was silent for longer, so the router resumed and test_stop_finishes_running_requests got 'outcome unknown'.

Change: the doubles use 3 s, the product's default. Tests of silence pass their own timeout, so nothing that they check changes.

Ruled out: a fault of the graceful stop; the answer was lost to the resume attempts, before the listener closed.

--- a/test/router_fakes.py
+++ b/test/router_fakes.py
@@ -22,7 +22,7 @@
     {"path": "/lots", "methods": ["GET"], "idempotent": True},
 ]
 NODES = {
-    "/service=chat": {"kind": "engine", "limits": {"progress_timeout_s": 0.3}},
+    "/service=chat": {"kind": "engine", "limits": {"progress_timeout_s": 3}},
     "/service=ledger": {"kind": "plain", "routes": ROUTES},
     "/workspace=w1": {
         "api_key_digests": [hashlib.sha256(API_KEY.encode()).hexdigest()],
