Bound the writes of a claim partition

Cause: group commit had no lower bound on the time between two appends, so a few saturated partitions wrote as fast as the store answered. Change: two appends of one partition start at least 25 ms apart, so 8 partitions of one service write at most 320 times a second. A stopping owner does not wait. The reducer's own default is no gap, so that its tests with a standing clock stay as they are. python -m emulator.capacity claims measures it. Ruled out: 10 ms, because 8 partitions would then write 800 times a second. Conclusion: the writes of one service are bounded; two saturated services with 8 partitions each would still exceed several hundred a second.

--- a/emulator/capacity.py
+++ b/emulator/capacity.py
@@ -15,6 +15,7 @@
 from contextlib import asynccontextmanager
 from pathlib import Path
 
+from emulator.capacity_claims import measure_claims
 from emulator.capacity_fleet import FleetOptions, measure_fleet
 from emulator.capacity_probe import Feeder, cpu_s, rss_mb
 from emulator.processes import ManagedProcess
@@ -135,11 +136,18 @@
     report("fleet", **await measure_fleet(fleet))
 
 
+async def run_claims(options: argparse.Namespace) -> None:
+    """Store writes of 1 and 8 claim partitions that callers saturate."""
+    for partitions in options.sizes or (1, 8):
+        report("claims", **await measure_claims(partitions, 8, options.seconds))
+
+
 PARTS = {
     "startup": measure_startup,
     "members": measure_members,
     "settings": measure_settings,
     "fleet": run_fleet,
+    "claims": run_claims,
 }
 
 
--- a/heatherswitch/agent/journal.py
+++ b/heatherswitch/agent/journal.py
@@ -29,6 +29,7 @@
     WriteRejected,
 )
 from heatherswitch.fleet.claims import (
+    APPEND_GAP_S,
     Claimed,
     ClaimReducer,
     ClaimResult,
@@ -86,6 +87,7 @@
         "_tasks",
         "_ticker",
         "_waiters",
+        "_waking",
     )
 
     def __init__(
@@ -104,6 +106,8 @@
         self._numbers = itertools.count(1)
         self._waiters: dict[int, asyncio.Future[ClaimResult]] = {}
         self._tasks: set[asyncio.Task] = set()
+        # Partition to the task that waits for its next append.
+        self._waking: dict[int, asyncio.Task] = {}
         self._released: dict[int, asyncio.Event] = {}
         self._ticker: asyncio.Task | None = None
         self._stopping = False
@@ -205,7 +209,8 @@
         await self._stop_tasks()
 
     async def _stop_tasks(self) -> None:
-        tasks = [*self._tasks, *([self._ticker] if self._ticker else [])]
+        tasks = [*self._tasks, *self._waking.values()]
+        tasks += [self._ticker] if self._ticker else []
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
@@ -253,6 +258,7 @@
                 config.incarnation,
                 settings.get("claim_start_limit_s"),
                 settings.get("claim_retention_s"),
+                APPEND_GAP_S,
             )
             self._reducers[partition] = reducer
             now = self._clock.now()
@@ -262,8 +268,13 @@
         return reducer
 
     def _apply(self, partition: int, event: Event) -> None:
-        for effect in self._reducer(partition).apply(event):
+        reducer = self._reducer(partition)
+        for effect in reducer.apply(event):
             self._run(partition, effect)
+        if reducer.append_at is not None and partition not in self._waking:
+            # The ticker alone would hold a claim back for up to 0.1 s.
+            task = asyncio.create_task(self._wake(partition, reducer.append_at))
+            self._waking[partition] = task
         if self._ticker is None and not self._stopping:
             self._ticker = asyncio.create_task(self._tick())
 
@@ -284,6 +295,12 @@
                 self._tasks.add(task)
                 task.add_done_callback(self._tasks.discard)
 
+    async def _wake(self, partition: int, at: float) -> None:
+        """Lets a partition append once the gap after its last append has passed."""
+        await asyncio.sleep(max(0.0, at - self._clock.now()))
+        self._waking.pop(partition, None)
+        self._apply(partition, Ticked(self._clock.now()))
+
     async def _call_store(self, partition: int, effect: Effect) -> None:
         match effect:
             case CommitWrite():
--- a/heatherswitch/fleet/claim_ownership.py
+++ b/heatherswitch/fleet/claim_ownership.py
@@ -43,6 +43,7 @@
     SegmentWrite,
     Write,
     journal_prefix,
+    same_owner,
 )
 from heatherswitch.fleet.partitions import preferred_owner
 from heatherswitch.fleet.records import PartitionHead, RecordError
@@ -58,6 +59,8 @@
     __slots__ = (
         "_agent_id",
         "_agents",
+        "_append_at",
+        "_append_gap",
         "_busy",
         "_flush_at",
         "_head",
@@ -92,11 +95,17 @@
         self._retry_at = 0.0
         # Outcomes wait until then for a claim to share a write with.
         self._flush_at = 0.0
+        self._append_gap = 0.0
+        self._append_at = 0.0
 
     def _on_claim(self, event: ClaimRequested) -> list[Effect]:
         """Handles a request; called again for those that waited for the journal."""
         raise NotImplementedError
 
+    def _may_append(self, now: float) -> bool:
+        """Whether the queue may be written now."""
+        raise NotImplementedError
+
     def _advance(self, now: float) -> list[Effect]:
         if self._busy:
             return []
@@ -109,9 +118,7 @@
         if self._mode is Mode.LOADING:
             return self._read_journal() if now >= self._retry_at else []
         if self._mode is Mode.OWNED and self._queue:
-            claims = any(isinstance(record, ClaimRecord) for record in self._queue)
-            due = now >= self._retry_at and (self._stopping or now >= self._flush_at)
-            return self._append(now) if claims or due else []
+            return self._append(now) if self._may_append(now) else []
         if self._mode is Mode.OWNED and self._stopping:
             self._mode = Mode.RELEASING
             head = replace(self._head, owner="", incarnation=0)
@@ -143,6 +150,7 @@
         return [ReadJournal(journal_prefix(self._head))]
 
     def _append(self, now: float) -> list[Effect]:
+        self._append_at = now + self._append_gap
         write = self._segments.plan(self._queue, now, self._retention)
         del self._queue[: len(write.records)]
         head = replace(self._head, segment=write.number)
@@ -266,7 +274,7 @@
         write = self._write
         segment = write.segment
         if segment is None:
-            applied = _same_owner(head, write.head) and (
+            applied = same_owner(head, write.head) and (
                 head.mod_revision > self._head.mod_revision
             )
             revision = head.mod_revision
@@ -379,15 +387,7 @@
 
     def _is_own(self, head: PartitionHead) -> bool:
         mine = self._write.head if self._write else self._head
-        return head.owner == self._agent_id and _same_owner(head, mine)
-
-
-def _same_owner(one: PartitionHead, other: PartitionHead) -> bool:
-    return (one.owner, one.incarnation, one.epoch) == (
-        other.owner,
-        other.incarnation,
-        other.epoch,
-    )
+        return head.owner == self._agent_id and same_owner(head, mine)
 
 
 def _fields(head: PartitionHead) -> dict[str, object]:
--- a/heatherswitch/fleet/claim_table.py
+++ b/heatherswitch/fleet/claim_table.py
@@ -266,3 +266,12 @@
 def journal_prefix(head: PartitionHead) -> str:
     """Returns the prefix of the keys of a partition's segments."""
     return head.segment_key(0).rpartition("/")[0] + "/"
+
+
+def same_owner(one: PartitionHead, other: PartitionHead) -> bool:
+    """Whether two heads name the same owner at the same epoch."""
+    return (one.owner, one.incarnation, one.epoch) == (
+        other.owner,
+        other.incarnation,
+        other.epoch,
+    )
--- a/heatherswitch/fleet/claims.py
+++ b/heatherswitch/fleet/claims.py
@@ -66,6 +66,10 @@
 # Outcomes wait this long for a claim to share a write with, in seconds. If the owner
 # dies within this time, a repeat of the request gets "outcome unknown".
 OUTCOME_DELAY_S = 0.1
+# Shortest time between two appends of one partition, in seconds. Without it group
+# commit writes as fast as the store answers. At 40 appends/s the 8 partitions of a
+# saturated service take at most 320 of the store's several hundred writes/s.
+APPEND_GAP_S = 0.025
 
 
 class ClaimReducer(PartitionOwner):
@@ -73,6 +77,7 @@
 
     :param start_limit_s: seconds after which a waiting claim is given up.
     :param retention_s: seconds for which a claim is kept.
+    :param append_gap_s: shortest time between the starts of two appends, in seconds.
     """
 
     __slots__ = ("_sequence", "_start_limit")
@@ -85,11 +90,13 @@
         incarnation: int,
         start_limit_s: float = 2.0,
         retention_s: float = 86400.0,
+        append_gap_s: float = 0.0,
     ) -> None:
         super().__init__(
             PartitionHead(service, partition), agent_id, incarnation, retention_s
         )
         self._start_limit = start_limit_s
+        self._append_gap = append_gap_s
         self._sequence = 0
 
     @property
@@ -107,6 +114,13 @@
         """Number of claims held in memory."""
         return len(self._table)
 
+    @property
+    def append_at(self) -> float | None:
+        """Time at which a waiting claim can be appended, or None without one."""
+        free = self._mode is Mode.OWNED and not self._busy and self._write is None
+        claims = any(isinstance(record, ClaimRecord) for record in self._queue)
+        return self._append_at if free and claims else None
+
     @property
     def needs_tick(self) -> bool:
         """Whether something waits for time to pass."""
@@ -118,6 +132,11 @@
         effects = _HANDLERS[type(event)](self, event)
         return effects + self._advance(event.now)
 
+    def _may_append(self, now: float) -> bool:
+        claims = any(isinstance(record, ClaimRecord) for record in self._queue)
+        due = now >= self._retry_at and (self._stopping or now >= self._flush_at)
+        return (claims or due) and (self._stopping or now >= self._append_at)
+
     # Requests.
 
     def _on_claim(self, event: ClaimRequested) -> list[Effect]:
--- a/test/test_claims.py
+++ b/test/test_claims.py
@@ -139,6 +139,19 @@
         self.owner.finish()
         self.assertEqual(self.owner.claim(3, body=OTHER_BODY), KeyReused())
 
+    def test_saturated_partition_keeps_the_shortest_time_between_appends(self):
+        # Guards against group commit that writes as fast as the store answers: a
+        # few saturated partitions would take all of its writes.
+        owner = Owner(self.store, append_gap_s=0.025)
+        owner.claim(0, key="first")
+        writes = self.store.writes
+        for number in range(1, 1001):
+            owner.tick(0.001)
+            owner.claim(number, key=f"k{number}")
+        self.assertLessEqual(self.store.writes - writes, 40)
+        owner.tick(0.025)
+        self.assertEqual(owner.results, dict.fromkeys(range(1001), Claimed(1)))
+
     def test_claims_that_arrive_during_a_write_share_the_next(self):
         # Guards against a write to the store for each request.
         self.owner.claim(0, key="first")
--- a/test/test_journal.py
+++ b/test/test_journal.py
@@ -1,8 +1,10 @@
 import asyncio
+import time
 import unittest
 
-from heatherswitch.agent.journal import ClaimJournal, JournalConfig
+from heatherswitch.agent.journal import TICK_S, ClaimJournal, JournalConfig
 from heatherswitch.fleet.claims import (
+    APPEND_GAP_S,
     Claimed,
     ClaimUnknown,
     JournalUnavailable,
@@ -47,6 +49,23 @@
         replay = Replay(200, (("a", "b"),), b"ok")
         self.assertEqual(await self.claim(self.first), replay)
 
+    async def test_waiting_claim_is_appended_as_soon_as_the_gap_allows(self):
+        # Guards against claims that wait for the journal's slow tick, and against
+        # appends without a lower bound on the time between them.
+        await self.claim(self.first, "warm")
+        before = (await self.process.stats())["total"]["kv/txn"]
+        started = time.monotonic()
+        waits = []
+        for number in range(20):
+            asked = time.monotonic()
+            await self.claim(self.first, f"k{number}")
+            waits.append(time.monotonic() - asked)
+        elapsed = time.monotonic() - started
+        writes = (await self.process.stats())["total"]["kv/txn"] - before
+        self.assertLessEqual(writes, elapsed / APPEND_GAP_S + 1)
+        # A claim that waited for the tick would take a whole one.
+        self.assertLess(min(waits), TICK_S / 2)
+
     async def test_restarted_agent_knows_the_claims(self):
         # Guards against a repeat after an agent was replaced (F1, P7).
         await self.claim(self.first, "open")
