Keep settings nodes as JSON

Cause: a router with 28,000 settings nodes took 99 MB, 1.6 KB a node. Change: the tree keeps the bytes of the replicated entry and parses a node on use; digests of API keys are kept as bytes; a search for names parses only the paths that name the level. Ruled out: keeping parsed nodes with interned strings, because the objects themselves take most of the memory (not measured).

--- a/heatherswitch/fleet/settings.py
+++ b/heatherswitch/fleet/settings.py
@@ -2,7 +2,8 @@
 
 import json
 import math
-from collections.abc import Iterable, Mapping
+import sys
+from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass
 from functools import cache
 from itertools import product
@@ -235,16 +236,45 @@
         return best
 
 
+class NodeMap(Mapping[str, dict[str, Any]]):
+    """Overrides by node path, kept as JSON and parsed on use, to save memory."""
+
+    __slots__ = ("_json",)
+
+    def __init__(self) -> None:
+        self._json: dict[str, bytes] = {}
+
+    def __getitem__(self, path: str) -> dict[str, Any]:
+        return json.loads(self._json[path])
+
+    def __contains__(self, path: object) -> bool:
+        return path in self._json
+
+    def __iter__(self) -> Iterator[str]:
+        return iter(self._json)
+
+    def __len__(self) -> int:
+        return len(self._json)
+
+    def put(self, path: str, value: bytes) -> None:
+        """Sets the JSON form of a node."""
+        self._json[path] = value
+
+    def remove(self, path: str) -> None:
+        """Removes a node if it exists."""
+        self._json.pop(path, None)
+
+
 class SettingsTree:
     """All nodes of the tree, with cached effective settings."""
 
     __slots__ = ("_effective", "_keys", "_names", "_nodes")
 
     def __init__(self) -> None:
-        self._nodes: dict[str, dict[str, Any]] = {}
+        self._nodes = NodeMap()
         self._effective: dict[Selector, Settings] = {}
-        # API key digest to workspace.
-        self._keys: dict[str, str] = {}
+        # API key digest to workspace; as bytes a digest takes half the memory.
+        self._keys: dict[bytes, str] = {}
         # Level to its sorted names, because each request asks for the services.
         self._names: dict[str, list[str]] = {}
 
@@ -267,16 +297,22 @@
 
     def set_node(self, path: str, overrides: dict[str, Any] | None) -> None:
         """Replaces the overrides of a node; None removes the node."""
-        workspace = parse_path(path).get("workspace", "")
+        value = None if overrides is None else json.dumps(overrides).encode()
+        self._replace(path, value, overrides or {})
+
+    def _replace(
+        self, path: str, value: bytes | None, overrides: Mapping[str, Any]
+    ) -> None:
+        workspace = sys.intern(parse_path(path).get("workspace", ""))
         for digest in self._nodes.get(path, {}).get("api_key_digests", ()):
-            self._keys.pop(digest, None)
-        if overrides is None:
-            self._nodes.pop(path, None)
+            self._keys.pop(bytes.fromhex(digest), None)
+        if value is None:
+            self._nodes.remove(path)
         else:
-            self._nodes[path] = overrides
-            if workspace:
-                for digest in overrides.get("api_key_digests", ()):
-                    self._keys[digest] = workspace
+            self._nodes.put(path, value)
+        if workspace:
+            for digest in overrides.get("api_key_digests", ()):
+                self._keys[bytes.fromhex(digest)] = workspace
         self._effective.clear()
         self._names.clear()
 
@@ -293,14 +329,18 @@
         except (ValueError, RecursionError) as error:
             raise SettingsError(path, "", f"not valid JSON: {error}") from error
         validate_node(path, overrides)
-        self.set_node(path, overrides)
+        # The replicated entry holds the same bytes, so that they take no memory here.
+        self._replace(path, value, overrides)
 
     def workspace_for_key(self, digest: str) -> str | None:
         """Returns the workspace whose callers send a key with this digest.
 
         :param digest: SHA-256 of the key, in hex.
         """
-        return self._keys.get(digest)
+        try:
+            return self._keys.get(bytes.fromhex(digest))
+        except ValueError:
+            return None
 
     def services(self) -> list[str]:
         """Names of the services that a node names."""
@@ -310,7 +350,9 @@
         """Sorted names that nodes give at one level."""
         names = self._names.get(level)
         if names is None:
-            found = {parse_path(path).get(level, "") for path in self._nodes}
+            # Parsing all of 28,000 paths takes 72 ms.
+            named = (path for path in self._nodes if f"/{level}=" in path)
+            found = {parse_path(path).get(level, "") for path in named}
             names = self._names[level] = sorted(found - {""})
         return list(names)
 
