--- a/heatherswitch/router/version_watch.py
+++ b/heatherswitch/router/version_watch.py
@@ -11,10 +11,9 @@
 import random
 import time
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import replace
 
 from heatherswitch.exchange.node import FleetNode
-from heatherswitch.exchange.reducer import PoolCache
+from heatherswitch.exchange.pools import PoolView
 from heatherswitch.fleet.evidence import EvidenceRecord, Judgement, MoveEvidence
 from heatherswitch.fleet.members import Member, Role
 from heatherswitch.fleet.records import Move, MoveKind, MoveState
@@ -87,7 +86,7 @@
         self._test = TESTS[test]
         self._incarnation = time.time_ns()
         self._random = random.Random()
-        self._pools = PoolCache()
+        self._pools = PoolView(node.config)
         # Running version moves by service.
         self._moves: dict[str, Move] = {}
         self._evidence: dict[str, MoveEvidence] = {}
@@ -232,8 +231,14 @@
         if move is None or move.to_version != sender.version:
             return
         now = self._clock.now()
-        service = replace(sender, version="")
-        figures = self._pools.figures(now, self._node.members, service)
+        figures = self._pools.figures(
+            now,
+            self._node.members,
+            (sender.service, ""),
+            self._node.sums_pool_of(sender),
+        )
+        if figures is None:
+            return
         reply.pool_loads.add(
             service=sender.service,
             total=min(figures.total, MAX_UINT32),
