Keep gRPC's own log lines out of standard error

Cause: the programs promise JSON lines on standard error, and gRPC's core writes lines of another form there, for example on a GOAWAY.

Change: GRPC_VERBOSITY defaults to NONE in the daemons and the test runner.

--- a/heatherswitch/ui/daemon.py
+++ b/heatherswitch/ui/daemon.py
@@ -293,6 +293,8 @@
 
     Without a cleo application, because that one takes ``--version`` for itself.
     """
+    # gRPC writes its own lines to standard error, which takes only JSON lines.
+    os.environ.setdefault("GRPC_VERBOSITY", "NONE")
     output, errors = StreamOutput(sys.stdout), StreamOutput(sys.stderr)
     io = IO(ArgvInput([command.name or "", *arguments]), output, errors)
     if "--help" in arguments or "-h" in arguments:
--- a/test/__main__.py
+++ b/test/__main__.py
@@ -3,10 +3,14 @@
 A test listed in KNOWN-RED.txt may fail; it is printed and does not fail the run.
 """
 
+import os
 import pathlib
 import sys
 import unittest
 
+# Set before any test imports grpc, whose own log lines would fill the output.
+os.environ.setdefault("GRPC_VERBOSITY", "NONE")
+
 KNOWN_RED = pathlib.Path(__file__).parent.parent / "KNOWN-RED.txt"
 
 
