--- a/emulator/bench_reuse.py
+++ b/emulator/bench_reuse.py
@@ -46,14 +46,15 @@
     "least loaded": {"policy": "least_loaded", **NO_BOUND},
     "random": {"policy": "random", **NO_BOUND},
 }
-# Share of the run at which each phase starts. Servers warm up in the first one.
+# Share of the run at which each phase starts. The cold limits of all agents have
+# grown to the full one only after about 12 s at the default rate.
 PHASES = {
     "warm-up": 0.0,
-    "steady": 0.15,
-    "lost": 0.40,
-    "joined": 0.55,
-    "surge": 0.70,
-    "zone": 0.82,
+    "steady": 0.30,
+    "lost": 0.50,
+    "joined": 0.62,
+    "surge": 0.74,
+    "zone": 0.84,
 }
 # The zone returns after this share of its phase.
 ZONE_OUT_SHARE = 0.4
@@ -65,7 +66,7 @@
     """What one run does. Times are in seconds."""
 
     deployment: Deployment = LEAFLINE
-    seconds: float = 40.0
+    seconds: float = 48.0
     chats_per_s: float = 4.0
     seed: int = 1
     cache_blocks: int = EngineConfig().cache_blocks
@@ -332,7 +333,7 @@
     parser.add_argument("--seed", type=int, default=defaults.seed)
     parser.add_argument("--cache-blocks", type=int, default=defaults.cache_blocks)
     parser.add_argument("--placement", choices=PLACEMENTS, action="append")
-    parser.add_argument("--parallel", type=int, default=2, help="runs at once")
+    parser.add_argument("--parallel", type=int, default=4, help="runs at once")
     parser.add_argument("--out", type=Path, help="directory for CSV and plot")
     return parser
 
