Send displaced chats to the server that ran them

An agent that ran a chat holds its requests as the preferred one does. Ruled out: a table of chats in the routers, which sees only its own requests.

--- a/heatherswitch/agent/events.py
+++ b/heatherswitch/agent/events.py
@@ -49,6 +49,7 @@
     priority: int | None = None
     observed: ObservedLoad | None = None
     attempt: int = 0
+    chat_key: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/heatherswitch/agent/messages.py
+++ b/heatherswitch/agent/messages.py
@@ -45,6 +45,7 @@
         priority=request.priority,
         observed=observed,
         attempt=request.attempt,
+        chat_key=request.chat_key,
     )
 
 
--- a/heatherswitch/agent/reducer.py
+++ b/heatherswitch/agent/reducer.py
@@ -7,7 +7,7 @@
 from heatherswitch.agent import events as ev
 from heatherswitch.agent.gate import Gate, Identity, denial, not_run
 from heatherswitch.agent.holding import Holding
-from heatherswitch.agent.work import Phase, Work, finish_in
+from heatherswitch.agent.work import Phase, Work, find_same, finish_in
 from heatherswitch.fleet.admission import Admission, Admitted, PoolReport
 from heatherswitch.fleet.members import Load
 from heatherswitch.fleet.outcomes import Failed, NotRun, OutcomeUnknown, Reason
@@ -106,13 +106,12 @@
     # Admission.
 
     def _on_execute(self, event: ev.ExecuteReceived) -> list[Effect]:
-        same = None
-        if event.idempotency_key and not event.idempotent:
-            same = self._find_key(event.workspace, event.idempotency_key)
+        same = find_same(event, self._works.values())
         if same is not None:
             return self._join(event, same)
         made = self._fetch_if_behind(event)
         refusal = self._gate.refusal(event) or self._down()
+        refusal = refusal or self._holding.elsewhere(event)
         if refusal is not None:
             return [*made, fx.Refuse(event.work_id, refusal)]
         self._observe(event)
@@ -132,6 +131,7 @@
             displaced = self._works[decision.displaced.id]
             made += self._not_started(displaced, Reason.FAIR_SHARE)
         self._works[event.work_id] = Work(event, ticket)
+        self._holding.note_admitted(event)
         self._admission.queue.add(ticket)
         return [*made, fx.Admit(event.work_id)]
 
@@ -347,8 +347,8 @@
         return []
 
     def _on_caller_returned(self, event: ev.CallerReturned) -> list[Effect]:
-        if (work := self._works.get(event.work_id)) is not None:
-            work.detached_at = None
+        if event.work_id in self._works:
+            self._works[event.work_id].detached_at = None
         return []
 
     def _on_tick(self, event: ev.Tick) -> list[Effect]:
@@ -388,12 +388,6 @@
         del self._works[work.id]
         self._admission.queue.remove(work.id)
 
-    def _find_key(self, workspace: str, key: str) -> Work | None:
-        for work in self._works.values():
-            if work.key == (workspace, key) and not work.request.idempotent:
-                return work
-        return None
-
 
 def _cold_log(reason: str) -> Log:
     return Log("backend server is cold", {"reason": reason}, logging.WARNING)
--- a/heatherswitch/agent/work.py
+++ b/heatherswitch/agent/work.py
@@ -58,6 +58,15 @@
         return 0.0 if self.detached_at is None else now - self.detached_at
 
 
+def find_same(event: ExecuteReceived, works: Iterable[Work]) -> Work | None:
+    """Returns the non-idempotent work with the key of a request, or None."""
+    if event.idempotent or not event.idempotency_key:
+        return None
+    key = (event.workspace, event.idempotency_key)
+    found = (w for w in works if w.key == key and not w.request.idempotent)
+    return next(found, None)
+
+
 def finish_in(now: float, works: Iterable[Work], times: ServiceTimes) -> list[float]:
     """Returns the expected seconds until each running request ends.
 
--- a/heatherswitch/fleet/admission.py
+++ b/heatherswitch/fleet/admission.py
@@ -30,6 +30,7 @@
     Reason.NOT_OWNER: 250,
     Reason.WRONG_INCARNATION: 100,
     Reason.KEY_REUSED: 0,
+    Reason.PREFIX_ELSEWHERE: 0,
 }
 
 
--- a/heatherswitch/fleet/outcomes.py
+++ b/heatherswitch/fleet/outcomes.py
@@ -25,6 +25,7 @@
     NOT_READY = "NOT_READY"
     KEY_REUSED = "KEY_REUSED"
     UNPROVEN_SHARE = "UNPROVEN_SHARE"
+    PREFIX_ELSEWHERE = "PREFIX_ELSEWHERE"
 
 
 class Retry(Enum):
--- a/heatherswitch/router/reducer.py
+++ b/heatherswitch/router/reducer.py
@@ -26,6 +26,8 @@
 DEADLINE_GRACE_S = 0.1
 # Suggested pause before a request is repeated, in milliseconds.
 RETRY_AFTER_MS = 500
+# Refusals that only say which agent to ask.
+DIRECTIONS = frozenset({Reason.NOT_OWNER, Reason.PREFIX_ELSEWHERE})
 # Refusals that no other agent would answer differently.
 FINAL_REASONS = frozenset({Reason.KEY_REUSED, Reason.STORE_UNAVAILABLE})
 
@@ -41,6 +43,7 @@
         "ran",
         "refusal",
         "resumes",
+        "sent_on_by",
         "tried",
     )
 
@@ -53,17 +56,24 @@
         self.hint = ""
         self.resumes = 0
         self.refusal: NotRun | None = None
+        # Agents that sent the request on, because the chat ran elsewhere last.
+        self.sent_on_by: set[str] = set()
         # Outcome of an earlier attempt that ran or may have run.
         self.ran: Failed | OutcomeUnknown | None = None
 
+    def return_to_senders(self) -> None:
+        """Lets the agents be asked again that sent the request on."""
+        self.tried -= self.sent_on_by
+        self.sent_on_by.clear()
+
     def note_ran(self, outcome: Failed | OutcomeUnknown) -> None:
         """Keeps the outcome that says least: unknown outranks failed."""
         if not isinstance(self.ran, OutcomeUnknown):
             self.ran = outcome
 
     def note_refusal(self, refusal: NotRun) -> None:
-        """Keeps the first refusal that says more than which agent owns a claim."""
-        if self.refusal is None or self.refusal.reason is Reason.NOT_OWNER:
+        """Keeps the first refusal that says more than which agent to ask."""
+        if self.refusal is None or self.refusal.reason in DIRECTIONS:
             self.refusal = refusal
 
 
@@ -155,6 +165,10 @@
         else:
             self._avoided.refused(event.now, state.agent_id, refusal.reason)
         state.note_refusal(refusal)
+        if refusal.reason is Reason.PREFIX_ELSEWHERE:
+            state.sent_on_by.add(state.agent_id)
+        else:
+            state.return_to_senders()
         line = self._log(
             "attempt refused",
             state,
@@ -240,6 +254,9 @@
         agent = None
         if state.attempt < settings.get("routing.max_attempts"):
             agent = self._pick(now, state)
+            if agent is None and state.sent_on_by:
+                state.return_to_senders()
+                agent = self._pick(now, state)
         if agent is None:
             nobody = NotRun(
                 Reason.BACKEND_DOWN, RETRY_AFTER_MS, "no agent is available"
--- a/test/test_holding.py
+++ b/test/test_holding.py
@@ -10,13 +10,18 @@
 WAIT_S = 0.25
 
 
+def idle_pool_agent():
+    """An agent of an idle pool of four that has its one request of the bound."""
+    reducer = AgentReducer(Identity("a1", 7, "chat", "v1", "z1"))
+    reducer.apply(ev.ConfigChanged(0.0, config()))
+    reducer.apply(ev.PoolMeanReported(0.0, 0, 4, 0))
+    reducer.apply(execute("runs", attempt=1))
+    return reducer
+
+
 class HoldingTest(unittest.TestCase):
     def setUp(self):
-        self.reducer = AgentReducer(Identity("a1", 7, "chat", "v1", "z1"))
-        self.apply(ev.ConfigChanged(0.0, config()))
-        # An idle pool of four, in which one request an agent is the bound.
-        self.apply(ev.PoolMeanReported(0.0, 0, 4, 0))
-        self.apply(execute("runs", attempt=1))
+        self.reducer = idle_pool_agent()
 
     def apply(self, event):
         return self.reducer.apply(event)
@@ -76,3 +81,38 @@
         self.apply(execute("held", now=0.1, attempt=1))
         made = self.apply(execute("more", now=0.1, attempt=1))
         self.assertEqual(self.found(made, fx.Refuse), ["more"])
+
+
+class DisplacedChatTest(unittest.TestCase):
+    def setUp(self):
+        self.reducer = idle_pool_agent()
+        self.apply = self.reducer.apply
+        off = config(2, **{"/service_chat": {"routing": {"affinity_wait_s": 0}}})
+        self.apply(ev.ConfigChanged(0.0, off))
+        self.apply(execute("turned away", now=0.1, attempt=1, chat_key="c"))
+        self.apply(ev.BackendFinished(0.2, "runs", 200))
+
+    def ask(self, attempt, chat="c"):
+        name = f"{chat}{attempt}"
+        made = self.apply(execute(name, now=0.3, attempt=attempt, chat_key=chat))
+        refused = [e.outcome.reason for e in made if isinstance(e, fx.Refuse)]
+        return refused[0] if refused else None
+
+    def test_chat_is_sent_to_the_agent_that_ran_it(self):
+        # Guards against a second cache miss when a displaced chat returns.
+        self.assertEqual(self.ask(1), Reason.PREFIX_ELSEWHERE)
+        self.assertIsNone(self.ask(1, chat="other"))
+
+    def test_chat_displaced_twice_is_sent_on_twice(self):
+        # Guards against a cache miss at the second agent when the third has it.
+        self.apply(execute("runs too", now=0.2, attempt=1))
+        self.assertEqual(self.ask(2, chat="d"), Reason.OVER_LOAD_BOUND)
+        self.apply(ev.BackendFinished(0.3, "runs too", 200))
+        self.assertEqual(self.ask(2, chat="d"), Reason.PREFIX_ELSEWHERE)
+        self.assertIsNone(self.ask(4, chat="d"))
+
+    def test_chat_returns_when_the_other_agent_has_no_room(self):
+        # Guards against a refusal of a request that this agent has room for.
+        self.assertIsNone(self.ask(3))
+        self.apply(ev.BackendFinished(0.4, "c3", 200))
+        self.assertIsNone(self.ask(1))
--- a/test/test_router_reducer.py
+++ b/test/test_router_reducer.py
@@ -55,6 +55,32 @@
             self.refuse(1, NotRun(reason))
             self.assertEqual(self.arrive("other", now=0.01)[0].agent_id, first)
 
+    def test_agent_that_sent_a_request_on_is_asked_again(self):
+        # Guards against a refusal by all others while the preferred agent has room.
+        home = self.arrive()[0].agent_id
+        other = self.refuse(1, NotRun(Reason.PREFIX_ELSEWHERE))[0].agent_id
+        self.assertNotEqual(other, home)
+        self.assertEqual(self.refuse(2)[0].agent_id, home)
+        third = self.refuse(3)[0].agent_id
+        self.assertNotIn(third, (home, other))
+        self.assertEqual(self.refuse(4), [Answer("r", BUSY)])
+
+    def test_agents_that_sent_a_request_on_are_asked_again_in_order(self):
+        # Guards against a return to the first agent before the one with the cache.
+        elsewhere = NotRun(Reason.PREFIX_ELSEWHERE)
+        home = self.arrive()[0].agent_id
+        second = self.refuse(1, elsewhere)[0].agent_id
+        third = self.refuse(2, elsewhere)[0].agent_id
+        self.assertEqual(len({home, second, third}), 3)
+        self.assertEqual(self.refuse(3)[0].agent_id, home)
+
+    def test_agent_that_sent_a_request_on_takes_it_when_it_is_alone(self):
+        # Guards against a refusal in a pool of one agent that has room.
+        self.reducer = RouterReducer(fleet_config({}), table(agent("a0")))
+        self.arrive()
+        made = self.refuse(1, NotRun(Reason.PREFIX_ELSEWHERE))
+        self.assertEqual(made, [Dispatch("r", 2, "a0")])
+
     def test_not_run_is_not_claimed_after_an_attempt_that_may_have_run(self):
         # Guards against P6: refusals of the retries hide an unknown first attempt.
         self.arrive()
