Allow in the load bound for what may have ended since the report

Cause: the bound used reports up to 0.6 s old, about one service time, as if they were exact; starts above P1 were mostly one request too many in a pool of 6. Change: the others' load is reduced by one standard deviation of its change since the report; a home router's sum counts as 0.25 s old.

--- a/heatherswitch/agent/reducer.py
+++ b/heatherswitch/agent/reducer.py
@@ -18,6 +18,8 @@
 DOWN_AFTER_PROBES = 2
 # Code of a request that HTTP does not allow; nothing of it was sent.
 INVALID_REQUEST = "invalid_request"
+# Mean age of the loads that a home router adds up, in seconds: half a period.
+POOL_REPORT_AGE_S = 0.25
 # Shortest time between two exchanges that a newer router revision causes, in
 # seconds.
 FETCH_CONFIG_EVERY_S = 0.5
@@ -309,7 +311,8 @@
         return [_cold_log("restart reported")]
 
     def _on_pool_mean(self, event: ev.PoolMeanReported) -> list[Effect]:
-        report = PoolReport(event.total, event.agents, event.own, event.now)
+        at = event.now - POOL_REPORT_AGE_S
+        report = PoolReport(event.total, event.agents, event.own, at)
         self._admission.pool.update(report)
         return []
 
--- a/heatherswitch/fleet/admission.py
+++ b/heatherswitch/fleet/admission.py
@@ -74,19 +74,42 @@
         """Returns the pool's load with the agent's present load."""
         return self._others(now) + own
 
-    def bound(self, now: float, own: int, multiple: float, extra: int) -> int:
+    def bound(
+        self,
+        now: float,
+        own: int,
+        multiple: float,
+        extra: int,
+        service_s: float = 0.0,
+    ) -> int:
         """Returns the load that the agent may carry.
 
         :param own: the agent's load, with the request that asks for admission.
         :param multiple: multiple of the mean.
         :param extra: requests above it.
+        :param service_s: mean service time, or 0 when it is unknown.
         """
         if self._report is None:
             return max(1, extra)
-        mean = (self._others(now) + own) / max(1, self._report.agents)
+        others = self._least_others(now, service_s)
+        mean = (others + own) / max(1, self._report.agents)
         # Without an extra request an idle pool could never take its first one.
         return max(1, math.floor(multiple * mean) + extra)
 
+    def _least_others(self, now: float, service_s: float) -> float:
+        """Returns the load of the others less what it may have fallen since.
+
+        Of ``n`` requests, the share that ended since the report was replaced by
+        about as many new ones; the difference has a standard deviation of about the
+        square root of their number. Small pools broke the bound without this.
+        """
+        others = self._others(now)
+        if others <= 0 or service_s <= 0.0:
+            return others
+        age_s = max(0.0, now - self._report.at)
+        ended = others * (1.0 - math.exp(-age_s / service_s))
+        return max(0.0, others - math.sqrt(ended))
+
     def _others(self, now: float) -> int:
         if self._report is None or now - self._report.at > POOL_LOAD_VALID_S:
             return 0
@@ -212,7 +235,13 @@
             pool_load = self._pool.total(now, own)
             if own > max(1, math.floor(limits.unproven_share * pool_load)):
                 return Reason.UNPROVEN_SHARE
-        bound = self._pool.bound(now, own, limits.load_bound, limits.load_bound_extra)
+        bound = self._pool.bound(
+            now,
+            own,
+            limits.load_bound,
+            limits.load_bound_extra,
+            self._times.overall(),
+        )
         if own > bound:
             return Reason.OVER_LOAD_BOUND
         if self._queue.running >= limits.running and (
--- a/test/test_admission.py
+++ b/test/test_admission.py
@@ -46,6 +46,13 @@
         self.assertGreater(mean.bound(1.0, 2, 1.25, 1), 20)
         self.assertEqual(mean.bound(5.0, 2, 1.25, 1), 1)
 
+    def test_bound_allows_for_load_that_may_have_ended(self):
+        # Guards against P1 broken in a small pool by a report some 100 ms old.
+        mean = PoolMean()
+        mean.update(PoolReport(total=9, agents=6, own=2, at=0.0))
+        self.assertEqual(mean.bound(0.0, 3, 1.25, 1, service_s=0.5), 3)
+        self.assertEqual(mean.bound(0.4, 3, 1.25, 1, service_s=0.5), 2)
+
     def test_only_a_fresher_observation_replaces_the_report(self):
         # Guards against a late report reviving a load that has ended.
         mean = PoolMean()
