--- a/heatherswitch/agent/reducer.py
+++ b/heatherswitch/agent/reducer.py
@@ -7,7 +7,7 @@
 from heatherswitch.agent import events as ev
 from heatherswitch.agent.gate import Gate, Identity, denial, not_run
 from heatherswitch.agent.holding import Holding
-from heatherswitch.agent.work import Phase, Work, finish_in
+from heatherswitch.agent.work import Phase, Work, find_same, finish_in
 from heatherswitch.fleet.admission import Admission, Admitted, PoolReport
 from heatherswitch.fleet.members import Load
 from heatherswitch.fleet.outcomes import Failed, NotRun, OutcomeUnknown, Reason
@@ -18,6 +18,8 @@
 DOWN_AFTER_PROBES = 2
 # Code of a request that HTTP does not allow; nothing of it was sent.
 INVALID_REQUEST = "invalid_request"
+# Mean age of the loads that a home router adds up, in seconds: half a period.
+POOL_REPORT_AGE_S = 0.25
 # Shortest time between two exchanges that a newer router revision causes, in
 # seconds.
 FETCH_CONFIG_EVERY_S = 0.5
@@ -108,13 +110,12 @@
     # Admission.
 
     def _on_execute(self, event: ev.ExecuteReceived) -> list[Effect]:
-        same = None
-        if event.idempotency_key and not event.idempotent:
-            same = self._find_key(event.workspace, event.idempotency_key)
+        same = find_same(event, self._works.values())
         if same is not None:
             return self._join(event, same)
         made = self._fetch_if_behind(event)
         refusal = self._gate.refusal(event) or self._down()
+        refusal = refusal or self._holding.elsewhere(event)
         if refusal is not None:
             return [*made, fx.Refuse(event.work_id, refusal)]
         self._observe(event)
@@ -134,6 +135,7 @@
             displaced = self._works[decision.displaced.id]
             made += self._not_started(displaced, Reason.FAIR_SHARE)
         self._works[event.work_id] = Work(event, ticket)
+        self._holding.note_admitted(event)
         self._admission.queue.add(ticket)
         return [*made, fx.Admit(event.work_id)]
 
@@ -312,7 +314,8 @@
         return [_cold_log("restart reported")]
 
     def _on_pool_mean(self, event: ev.PoolMeanReported) -> list[Effect]:
-        report = PoolReport(event.total, event.agents, event.own, event.now)
+        at = event.now - POOL_REPORT_AGE_S
+        report = PoolReport(event.total, event.agents, event.own, at)
         self._admission.pool.update(report)
         return []
 
@@ -359,8 +362,8 @@
         return []
 
     def _on_caller_returned(self, event: ev.CallerReturned) -> list[Effect]:
-        if (work := self._works.get(event.work_id)) is not None:
-            work.detached_at = None
+        if event.work_id in self._works:
+            self._works[event.work_id].detached_at = None
         return []
 
     def _on_tick(self, event: ev.Tick) -> list[Effect]:
@@ -400,12 +403,6 @@
         del self._works[work.id]
         self._admission.queue.remove(work.id)
 
-    def _find_key(self, workspace: str, key: str) -> Work | None:
-        for work in self._works.values():
-            if work.key == (workspace, key) and not work.request.idempotent:
-                return work
-        return None
-
 
 def _cold_log(reason: str) -> Log:
     return Log("backend server is cold", {"reason": reason}, logging.WARNING)
