--- a/emulator/injection.py
+++ b/emulator/injection.py
@@ -39,9 +39,10 @@
 
 
 async def _kill(trial: Trial, rng: random.Random, process: ManagedProcess) -> None:
-    await trial.kill(process)
-    await asyncio.sleep(rng.uniform(0.5, 6.0))
-    await trial.restart(process)
+    async with trial.hold(process.name):
+        await trial.kill(process)
+        await asyncio.sleep(rng.uniform(0.5, 6.0))
+        await trial.restart(process)
 
 
 async def kill_router(trial: Trial, rng: random.Random) -> None:
@@ -60,11 +61,12 @@
 
 
 async def _pause(trial: Trial, process: ManagedProcess, seconds: float) -> None:
-    trial.pause(process)
-    try:
-        await asyncio.sleep(seconds)
-    finally:
-        trial.resume(process)
+    async with trial.hold(process.name):
+        trial.pause(process)
+        try:
+            await asyncio.sleep(seconds)
+        finally:
+            trial.resume(process)
 
 
 async def pause_router(trial: Trial, rng: random.Random) -> None:
@@ -81,11 +83,12 @@
 @asynccontextmanager
 async def broken_link(trial: Trial, link: str, faults: dict[str, Any], kind: str):
     """Keeps faults on a link while the block runs."""
-    trial.cut(link, faults, kind)
-    try:
-        yield
-    finally:
-        trial.heal(link, kind)
+    async with trial.hold(link):
+        trial.cut(link, faults, kind)
+        try:
+            yield
+        finally:
+            trial.heal(link, kind)
 
 
 def _link(trial: Trial, rng: random.Random, kinds: str) -> str:
@@ -124,11 +127,12 @@
 
 
 async def _store(trial: Trial, seconds: float, **faults: Any) -> None:
-    await trial.store_faults(**faults)
-    try:
-        await asyncio.sleep(seconds)
-    finally:
-        await trial.store_faults()
+    async with trial.hold("store"):
+        await trial.store_faults(**faults)
+        try:
+            await asyncio.sleep(seconds)
+        finally:
+            await trial.store_faults()
 
 
 async def store_down(trial: Trial, rng: random.Random) -> None:
@@ -150,13 +154,10 @@
 
 async def store_stale(trial: Trial, rng: random.Random) -> None:
     """F8: the store answers from the past, in half the cases to a new process."""
-    await trial.store_faults(stale=STALE_REVISIONS)
-    try:
-        if rng.random() < 0.5:
-            await kill_router(trial, rng)
-        await asyncio.sleep(3.0)
-    finally:
-        await trial.store_faults()
+    stale = asyncio.create_task(_store(trial, 9.0, stale=STALE_REVISIONS))
+    if rng.random() < 0.5:
+        await kill_router(trial, rng)
+    await stale
 
 
 async def go_cold(trial: Trial, rng: random.Random) -> None:
@@ -187,9 +188,10 @@
 async def terminate(trial: Trial, rng: random.Random) -> None:
     """P9: a planned restart of a router or agent under load."""
     process = rng.choice([_router(trial, rng), _backend(trial, rng).agent])
-    await trial.terminate(process)
-    await asyncio.sleep(rng.uniform(0.0, 2.0))
-    await trial.restart(process, "stopped")
+    async with trial.hold(process.name):
+        await trial.terminate(process)
+        await asyncio.sleep(rng.uniform(0.0, 2.0))
+        await trial.restart(process, "stopped")
 
 
 INJECTIONS: dict[str, Injection] = {
--- a/emulator/launch.py
+++ b/emulator/launch.py
@@ -217,10 +217,16 @@
         return stopped
 
     async def operator_request(
-        self, method: str, path: str, body: Any = None, timeout_s: float = 5.0
+        self,
+        method: str,
+        path: str,
+        body: Any = None,
+        timeout_s: float = 5.0,
+        only: str = "",
     ) -> tuple[int, Any]:
         """Sends an operator's request to the first router that answers.
 
+        :param only: name of the only router to ask; empty for all.
         :returns: status and parsed answer.
         :raises LaunchError: if no router answers.
         """
@@ -228,7 +234,7 @@
         headers = [*bearer(self._token), ("Content-Type", "application/json")]
         last: Exception | None = None
         for router in self._routers:
-            if not router.alive:
+            if not router.alive or only not in ("", router.name):
                 continue
             client = HttpClient.from_address(router.addresses["operator"])
             try:
--- a/emulator/processes.py
+++ b/emulator/processes.py
@@ -1,8 +1,10 @@
 """Starts and stops processes on loopback, by their process id only."""
 
 import asyncio
+import contextlib
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -25,6 +27,9 @@
     """A process did not start, or ended too early."""
 
 
+# Listeners with fixed ports use these; ephemeral ports start at 32768 on Linux.
+FIXED_PORTS = (15000, 32000)
+_random = random.SystemRandom()
 # Ports handed out by this process, so that none is handed out twice.
 _picked: set[int] = set()
 
@@ -32,14 +37,16 @@
 def free_address() -> str:
     """Picks a free loopback address for a listener that others must know beforehand.
 
-    Another process can still take the port before it is used.
+    Another process can still take the port before it is used, and while the listener
+    is down. Ports that the system hands to outgoing connections are left out.
     """
     while True:
-        with socket.socket() as bound:
-            bound.bind((LOOPBACK, 0))
-            port = bound.getsockname()[1]
-        if port not in _picked:
-            _picked.add(port)
+        port = _random.randrange(*FIXED_PORTS)
+        if port in _picked:
+            continue
+        _picked.add(port)
+        with socket.socket() as bound, contextlib.suppress(OSError):
+            bound.bind((LOOPBACK, port))
             return f"{LOOPBACK}:{port}"
 
 
--- a/emulator/proxy.py
+++ b/emulator/proxy.py
@@ -159,7 +159,7 @@
         self._tasks.add(task)
         try:
             target_reader, target_writer = await asyncio.open_connection(*self._target)
-        except OSError:
+        except (OSError, asyncio.CancelledError):
             writer.transport.abort()
             self._tasks.discard(task)
             return
--- a/emulator/sampler.py
+++ b/emulator/sampler.py
@@ -31,13 +31,22 @@
         "_history",
         "_launch",
         "_paused",
+        "_period_s",
         "_task",
     )
 
     def __init__(
-        self, launch: Launch, history: History, clock: Clock, paused: set[str]
+        self,
+        launch: Launch,
+        history: History,
+        clock: Clock,
+        paused: set[str],
+        period_s: float = PERIOD_S,
     ) -> None:
-        """:param paused: names of processes that are not asked; changes over time."""
+        """:param paused: names of processes that are not asked; changes over time.
+        :param period_s: seconds between two samples of each process.
+        """
+        self._period_s = period_s
         self._launch = launch
         self._history = history
         self._clock = clock
@@ -66,7 +75,7 @@
             processes += [backend.agent for backend in self._launch.backends]
             present = [p for p in processes if p.alive and p.name not in self._paused]
             await asyncio.gather(*(self._sample(process) for process in present))
-            await asyncio.sleep(PERIOD_S)
+            await asyncio.sleep(self._period_s)
 
     async def _sample(self, process: ManagedProcess) -> None:
         """Records one process; one that does not answer or is not ready is left out."""
