Tell an agent its own part of the observed pool load

Ruled out: a shorter age for observations; the error does not need age, only one request that ends in between.

--- a/heatherswitch/agent/events.py
+++ b/heatherswitch/agent/events.py
@@ -12,6 +12,7 @@
     """A router's observation of a pool.
 
     :param age_s: age of the figures in seconds.
+    :param own: part of the total that belongs to this agent, as the router saw it.
     """
 
     service: str
@@ -19,6 +20,7 @@
     total: int
     agents: int
     age_s: float
+    own: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/heatherswitch/agent/messages.py
+++ b/heatherswitch/agent/messages.py
@@ -18,7 +18,12 @@
     if request.HasField("observed_load"):
         seen = request.observed_load
         observed = ObservedLoad(
-            seen.service, seen.version, seen.total, seen.agents, seen.age_ms / 1000
+            seen.service,
+            seen.version,
+            seen.total,
+            seen.agents,
+            seen.age_ms / 1000,
+            seen.own,
         )
     return ExecuteReceived(
         now,
--- a/heatherswitch/agent/reducer.py
+++ b/heatherswitch/agent/reducer.py
@@ -177,7 +177,8 @@
         seen = event.observed
         if seen is None or not self._gate.in_own_pool(seen.service, seen.version):
             return
-        own = min(self._admission.queue.total, seen.total)
+        # The present load would count requests that have ended here as load of others.
+        own = min(seen.own, seen.total)
         report = PoolReport(seen.total, seen.agents, own, event.now - seen.age_s)
         self._admission.pool.update(report)
 
--- a/heatherswitch/router/pool_load.py
+++ b/heatherswitch/router/pool_load.py
@@ -36,6 +36,7 @@
     def observed(
         self,
         now: float,
+        agent_id: str,
         pool: Sequence[Member],
         load_at: Callable[[str], float] = lambda agent_id: float("-inf"),
     ) -> pb.PoolLoad | None:
@@ -44,9 +45,10 @@
         A part of the pool would give a wrong mean. In a pool with little load, most
         agents gave no answer lately, so their loads from the exchange count too.
 
+        :param agent_id: the agent that will receive the figures.
         :param load_at: returns when an agent reported the load in its record.
         """
-        total = 0
+        total = own = 0
         oldest = now
         for member in pool:
             seen_at, load = load_at(member.id), member.load
@@ -55,6 +57,8 @@
             if now - seen_at > MAX_AGE_S:
                 return None
             total += load.total
+            if member.id == agent_id:
+                own = load.total
             oldest = min(oldest, seen_at)
         if not pool:
             return None
@@ -64,4 +68,5 @@
             total=total,
             agents=len(pool),
             age_ms=round((now - oldest) * 1000),
+            own=own,
         )
--- a/test/test_agent_reducer.py
+++ b/test/test_agent_reducer.py
@@ -213,7 +213,7 @@
         self.apply(execute("r1", now=5.0))
         self.apply(execute("r2", now=5.0))
         self.assertEqual(self.refusal(execute("r3", now=5.0)), Reason.OVER_LOAD_BOUND)
-        seen = ev.ObservedLoad("chat", "v1", 12, 2, 0.1)
+        seen = ev.ObservedLoad("chat", "v1", 12, 2, 0.1, own=2)
         made = self.apply(execute("r4", now=5.0, observed=seen))
         self.only(made, fx.StartBackend)
 
@@ -224,7 +224,7 @@
         for now, name in ((9.1, "r1"), (9.1, "r2")):
             self.apply(execute(name, now=now, observed=None))
             self.apply(ev.BackendFinished(9.2, name, 200))
-        seen = ev.ObservedLoad("chat", "v1", 2, 3, 0.3)
+        seen = ev.ObservedLoad("chat", "v1", 2, 3, 0.3, own=2)
         self.apply(execute("r3", now=9.5, observed=seen))
         second = execute("r4", now=9.5, observed=seen)
         self.assertEqual(self.refusal(second), Reason.OVER_LOAD_BOUND)
