Compare first tokens at a similar load, and count a stall once

The level was learnt from single requests, and one stall of the VM delayed several answers that each counted as a sign. Change: the level is kept per prompt work and load; slow waits that overlap count as one sign. Ruled out: a restart of the engine (its identity had not changed).

--- a/heatherswitch/agent/reducer.py
+++ b/heatherswitch/agent/reducer.py
@@ -171,6 +171,7 @@
         work.phase = Phase.RUNNING
         work.started_at = now
         work.period = self._warmth.period
+        work.running = self._admission.queue.running
         timeout_s = max(0.0, work.ticket.deadline_at - now)
         if not work.request.idempotent:
             # Started work that may not run twice must be able to finish.
@@ -239,7 +240,9 @@
             return made
         first_byte_at = work.first_byte_at or event.now
         first_s = first_byte_at - work.started_at
-        if self._warmth.on_answer(work.period, first_s, event.computed_tokens):
+        if self._warmth.on_answer(
+            work.period, first_s, event.computed_tokens, work.running, work.started_at
+        ):
             made.append(_cold_log("first token far above the warm level"))
         return made
 
--- a/heatherswitch/agent/work.py
+++ b/heatherswitch/agent/work.py
@@ -25,6 +25,7 @@
         "period",
         "phase",
         "request",
+        "running",
         "started_at",
         "ticket",
     )
@@ -40,6 +41,8 @@
         self.detached_at: float | None = None
         # Warmth period at the start.
         self.period = 0
+        # Requests at the backend server at the start, with this one.
+        self.running = 1
 
     @property
     def id(self) -> str:
--- a/heatherswitch/fleet/warmth.py
+++ b/heatherswitch/fleet/warmth.py
@@ -9,7 +9,8 @@
 # Samples before a warm level is compared with.
 MIN_LEVEL_SAMPLES = 8
 # Consecutive slow first tokens that show a cold server. One alone also follows
-# from a preempted request.
+# from a preempted request. Waits that overlap count once, since one short stall
+# of the VM delays all of them.
 SLOW_ANSWERS = 2
 # Latencies below this are never slow, in seconds, because scheduling noise on a
 # busy VM exceeds the multiple of a very short level.
@@ -46,31 +47,35 @@
 
 
 class LatencyLevel:
-    """Moving level of the first-token latency, by the size of the prompt work.
+    """Moving level of the first-token latency, by prompt work and load.
 
-    A cache miss is slower than a hit without the server being cold, so answers
-    are compared only with answers that computed a similar number of tokens.
+    A cache miss is slower than a hit and a full batch slower than an idle server,
+    without the server being cold. So answers are compared only with answers that
+    computed a similar number of tokens at a similar load.
     """
 
     __slots__ = ("_levels", "_samples")
 
     def __init__(self) -> None:
-        self._levels: dict[int, float] = {}
-        self._samples: dict[int, int] = {}
+        self._levels: dict[tuple[int, int], float] = {}
+        self._samples: dict[tuple[int, int], int] = {}
 
-    def add(self, computed_tokens: int, seconds: float) -> None:
+    def add(self, computed_tokens: int, running: int, seconds: float) -> None:
         """Adds a latency.
 
         :param computed_tokens: prompt tokens that were not in the cache.
+        :param running: requests at the server when this one was started.
         """
-        size = computed_tokens.bit_length()
+        size = (computed_tokens.bit_length(), running.bit_length())
         known = self._levels.get(size, seconds)
         self._levels[size] = known + LEVEL_WEIGHT * (seconds - known)
         self._samples[size] = self._samples.get(size, 0) + 1
 
-    def is_slow(self, computed_tokens: int, seconds: float, factor: float) -> bool:
+    def is_slow(
+        self, computed_tokens: int, running: int, seconds: float, factor: float
+    ) -> bool:
         """Tells whether a latency is far above the level; False when unknown."""
-        size = computed_tokens.bit_length()
+        size = (computed_tokens.bit_length(), running.bit_length())
         if self._samples.get(size, 0) < MIN_LEVEL_SAMPLES or seconds < MIN_SLOW_S:
             return False
         return seconds > factor * self._levels[size]
@@ -90,6 +95,7 @@
         "_period",
         "_settings",
         "_slow",
+        "_slow_wait",
     )
 
     def __init__(self, settings: WarmthSettings | None = None) -> None:
@@ -99,6 +105,8 @@
         self._identity: dict[str, str | float] = {}
         self._period = 0
         self._limit = 0
+        # Start and end of the wait that was found slow first, in seconds.
+        self._slow_wait = (0.0, 0.0)
         self.reset()
 
     @property
@@ -150,18 +158,28 @@
         """
         return self._identify(load_started_at=started_at)
 
-    def on_answer(self, period: int, first_token_s: float, computed: int) -> bool:
+    def on_answer(
+        self,
+        period: int,
+        first_token_s: float,
+        computed: int,
+        running: int = 1,
+        started_at: float | None = None,
+    ) -> bool:
         """Takes a good answer.
 
         :param period: :attr:`period` when the request was started.
         :param first_token_s: seconds from the start to the first body byte.
         :param computed: prompt tokens that were not in the cache.
+        :param running: requests at the server when this one was started.
+        :param started_at: seconds; without it the wait overlaps no other one.
         :returns: True when this answer showed that the server is cold.
         """
-        if self._level.is_slow(computed, first_token_s, self._settings.slow_factor):
-            return self._on_slow()
+        factor = self._settings.slow_factor
+        if self._level.is_slow(computed, running, first_token_s, factor):
+            return self._on_slow(started_at, first_token_s)
         self._slow = 0
-        self._level.add(computed, first_token_s)
+        self._level.add(computed, running, first_token_s)
         if self.cold and period == self._period:
             self._good += 1
             if self._good >= self._settings.evidence:
@@ -182,8 +200,14 @@
             self.reset()
         return restarted
 
-    def _on_slow(self) -> bool:
+    def _on_slow(self, started_at: float | None, first_token_s: float) -> bool:
         self._good = 0
+        if started_at is not None:
+            ended_at = started_at + first_token_s
+            start, end = self._slow_wait
+            if self._slow and started_at < end and start < ended_at:
+                return False
+            self._slow_wait = (started_at, ended_at)
         self._slow += 1
         if self._slow < SLOW_ANSWERS:
             return False
--- a/test/test_warmth.py
+++ b/test/test_warmth.py
@@ -61,6 +61,21 @@
             warmth.on_answer(warmth.period, 2.0, 8000)
         self.assertFalse(warmth.cold)
 
+    def test_full_batch_is_not_a_cold_server(self):
+        # Guards against an idle server that looks cold when load arrives.
+        warmth = warm_server()
+        for _ in range(4):
+            warmth.on_answer(warmth.period, 1.0, 100, running=8)
+        self.assertFalse(warmth.cold)
+
+    def test_one_stall_that_delays_several_answers_is_not_a_cold_server(self):
+        # Guards against a pause of the VM that resets the limit.
+        warmth = warm_server()
+        for started_at in (5.0, 5.1, 5.2):
+            warmth.on_answer(warmth.period, 1.0, 100, 1, started_at)
+        self.assertFalse(warmth.cold)
+        self.assertTrue(warmth.on_answer(warmth.period, 1.0, 100, 1, 6.1))
+
     def test_changed_settings_keep_a_warm_server_warm(self):
         warmth = warm_server()
         warmth.configure(WarmthSettings(limit=2, max_running=32))
