--- a/test/test_pool_load.py
+++ b/test/test_pool_load.py
@@ -30,4 +30,6 @@
         at = {"a2": 9.9}.get
         seen = self.loads.observed(10.0, "a1", self.pool, lambda a: at(a, 0.0))
         self.assertEqual((seen.total, seen.agents), (4, 2))
-        self.assertIsNone(self.loads.observed(10.6, "a1", self.pool, lambda a: at(a, 0.0)))
+        self.assertIsNone(
+            self.loads.observed(10.6, "a1", self.pool, lambda a: at(a, 0.0))
+        )
