Count running requests only for the unproven share

Change: only running requests count. Messages carry at most 12 totals, own ones first.

Ruled out: a race of the growing share, since both agents ran one 8 s before it.

--- a/emulator/bench_versions.py
+++ b/emulator/bench_versions.py
@@ -20,6 +20,7 @@
 from emulator.launch import Backend, Launch, LaunchConfig
 from emulator.load import LoadGenerator, LoadReport, class_deadlines, workload_for
 from emulator.processes import LaunchError
+from emulator.standin import cancel_on_sigterm
 from emulator.version_audit import (
     Histories,
     MoveFigures,
@@ -50,6 +51,9 @@
 }
 TESTS = ("sequential", "threshold", "fixed")
 POLL_S = 0.1
+# Deployments that are started for one run at most: deployments that run side by side
+# can take a port that another one has picked.
+START_ATTEMPTS = 3
 # Load before the move and after its decision, in seconds.
 BEFORE_S = 4.0
 AFTER_S = 2.0
@@ -252,16 +256,25 @@
 
         :raises LaunchError: if a deployment does not start.
         """
+        cancel_on_sigterm()
         config = self._config
         pairs = [(fault, test) for fault in config.faults for test in config.tests]
         return await asyncio.gather(*(self._one(*pair) for pair in pairs))
 
     async def _one(self, fault: str, test: str) -> dict[str, Any]:
         async with self._slots:
-            row = await VersionRun(self._config, fault, test).run()
+            row = await self._attempt(fault, test)
             print(_line(row), flush=True)
             return row
 
+    async def _attempt(self, fault: str, test: str) -> dict[str, Any]:
+        for _ in range(START_ATTEMPTS - 1):
+            try:
+                return await VersionRun(self._config, fault, test).run()
+            except LaunchError as error:
+                print(f"{fault} {test} starts again: {error}", file=sys.stderr)
+        return await VersionRun(self._config, fault, test).run()
+
 
 def _line(row: dict[str, Any]) -> str:
     """Returns one line of the table."""
--- a/heatherswitch/agent/events.py
+++ b/heatherswitch/agent/events.py
@@ -177,7 +177,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ServiceLoadReported(Event):
-    """A home router reported the load of all versions of the service.
+    """A home router reported the running requests of all versions of the service.
 
     It is sent to agents of a starting version only.
 
--- a/heatherswitch/agent/shell.py
+++ b/heatherswitch/agent/shell.py
@@ -180,6 +180,7 @@
         self._metrics = AgentMetrics()
         self._state = MemberState.STARTING
         self._reported_own = 0
+        self._reported_running = 0
         self._tasks: list[asyncio.Task] = []
         self._server: grpc.aio.Server | None = None
         self._port = 0
@@ -257,6 +258,7 @@
         """Returns the agent's record for the fleet, as it is reported."""
         record = self._member()
         self._reported_own = record.load.total
+        self._reported_running = record.load.running
         return record
 
     def _member(self) -> Member:
@@ -306,8 +308,8 @@
         self._runner.post(ev.PoolMeanReported(self._clock.now(), total, agents, own))
 
     def service_load(self, total: int, agents: int) -> None:
-        """Takes the load of all versions of the service from a home router."""
-        own = min(self._reported_own, total)
+        """Takes the running requests of all versions from a home router."""
+        own = min(self._reported_running, total)
         event = ev.ServiceLoadReported(self._clock.now(), total, agents, own)
         self._runner.post(event)
 
--- a/heatherswitch/exchange/reducer.py
+++ b/heatherswitch/exchange/reducer.py
@@ -212,13 +212,10 @@
 def pool_figures(
     now: float, table: MemberTable, service: str, version: str
 ) -> PoolFigures:
-    """Sums the load of the agents of a pool that were heard recently.
-
-    :param version: empty for all versions of the service.
-    """
+    """Sums the load of the agents of a pool that were heard recently."""
     heard = [
         member
-        for member in table.agents(service, version or None)
+        for member in table.agents(service, version)
         if not table.suspect(now, member.id)
     ]
     total = sum(member.load.total for member in heard)
--- a/heatherswitch/fleet/admission.py
+++ b/heatherswitch/fleet/admission.py
@@ -95,20 +95,20 @@
 class UnprovenBudget:
     """Requests that an agent of an unproven version may carry.
 
-    The agents of the version share one budget: a part of the load of all versions
-    of the service, at least one request.
+    The agents of the version share one budget: a part of the running requests of all
+    versions of the service, at least one request.
     """
 
     __slots__ = ("_agents", "_rank", "_service")
 
     def __init__(self) -> None:
-        # Load of all versions of the service.
+        # Running requests of all versions of the service.
         self._service = PoolMean()
         self._rank = 0
         self._agents = 1
 
     def update(self, report: PoolReport) -> None:
-        """Takes the load of all versions of the service."""
+        """Takes the running requests of all versions of the service."""
         self._service.update(report)
 
     def place(self, rank: int, agents: int) -> None:
--- a/heatherswitch/router/version_messages.py
+++ b/heatherswitch/router/version_messages.py
@@ -6,8 +6,12 @@
 from heatherswitch.fleet.rollout import Counts
 from heatherswitch.protocol import heatherswitch_pb2 as pb
 
-# Totals that one message may carry: about 3 KB, only while a version move runs.
-MAX_EVIDENCE = 24
+# Totals that one message may carry, about 130 bytes each and only while a version
+# move runs. A daemon sends about 12 messages a second and may use 14 KB/s in all.
+MAX_EVIDENCE = 12
+# Of them, totals of the sender itself; those of others reach routers that do not
+# exchange with their sender.
+MAX_OWN_EVIDENCE = 8
 # Cuts that one message may carry.
 MAX_CUTS = 16
 # Longest reason that is passed on, in characters.
--- a/heatherswitch/router/version_watch.py
+++ b/heatherswitch/router/version_watch.py
@@ -11,10 +11,8 @@
 import random
 import time
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import replace
 
 from heatherswitch.exchange.node import FleetNode
-from heatherswitch.exchange.reducer import PoolCache
 from heatherswitch.fleet.evidence import EvidenceRecord, Judgement, MoveEvidence
 from heatherswitch.fleet.members import Member, Role
 from heatherswitch.fleet.records import Move, MoveKind, MoveState
@@ -28,6 +26,7 @@
 from heatherswitch.router.version_messages import (
     MAX_CUTS,
     MAX_EVIDENCE,
+    MAX_OWN_EVIDENCE,
     Cut,
     cut_from_message,
     cut_to_message,
@@ -64,7 +63,6 @@
         "_incarnation",
         "_moves",
         "_node",
-        "_pools",
         "_random",
         "_router_id",
         "_runner",
@@ -87,7 +85,6 @@
         self._test = TESTS[test]
         self._incarnation = time.time_ns()
         self._random = random.Random()
-        self._pools = PoolCache()
         # Running version moves by service.
         self._moves: dict[str, Move] = {}
         self._evidence: dict[str, MoveEvidence] = {}
@@ -196,16 +193,21 @@
     def add_to(self, request: pb.ExchangeRequest | pb.ExchangeReply) -> None:
         """Adds the totals that changed a short time ago, and the cuts."""
         now = self._clock.now()
-        records: list[EvidenceRecord] = []
+        own: list[EvidenceRecord] = []
+        others: list[EvidenceRecord] = []
         for evidence in self._evidence.values():
-            records += evidence.offers(now)
-        if len(records) > MAX_EVIDENCE:
-            # A random part, so that all spread when many routers report.
-            records = self._random.sample(records, MAX_EVIDENCE)
+            for record in evidence.offers(now):
+                (own if record.router == self._router_id else others).append(record)
+        records = self._some(own, MAX_OWN_EVIDENCE)
+        records += self._some(others, MAX_EVIDENCE - MAX_OWN_EVIDENCE)
         request.evidence.extend(map(record_to_message, records))
         cuts = list(self._cuts.values())[:MAX_CUTS]
         request.cuts.extend(map(cut_to_message, cuts))
 
+    def _some(self, records: list[EvidenceRecord], most: int) -> list[EvidenceRecord]:
+        """Returns a random part, so that all spread when many routers report."""
+        return self._random.sample(records, min(most, len(records)))
+
     def take(self, reply: pb.ExchangeReply | pb.ExchangeRequest) -> None:
         """Takes totals and cuts of another router."""
         if not reply.evidence and not reply.cuts:
@@ -231,14 +233,14 @@
         move = self._moves.get(sender.service)
         if move is None or move.to_version != sender.version:
             return
-        now = self._clock.now()
-        service = replace(sender, version="")
-        figures = self._pools.figures(now, self._node.members, service)
+        now, members = self._clock.now(), self._node.members
+        heard = [
+            m for m in members.agents(sender.service) if not members.suspect(now, m.id)
+        ]
+        # Waiting requests do not count: the share is one of the running requests.
+        running = sum(member.load.running for member in heard)
         reply.pool_loads.add(
-            service=sender.service,
-            total=min(figures.total, MAX_UINT32),
-            agents=figures.agents,
-            age_ms=min(int(figures.age_s * 1000), MAX_UINT32),
+            service=sender.service, total=min(running, MAX_UINT32), agents=len(heard)
         )
 
     def _take_cuts(self, now: float, cuts: Iterable[Cut]) -> None:
--- a/test/test_version_watch.py
+++ b/test/test_version_watch.py
@@ -2,7 +2,7 @@
 from dataclasses import replace
 
 from heatherswitch.exchange.node import FleetNode
-from heatherswitch.fleet.members import Member, Role
+from heatherswitch.fleet.members import Load, Member, Role
 from heatherswitch.fleet.outcomes import Failed, Finished, NotRun, Reason
 from heatherswitch.fleet.placement import Placement, PlacementKey
 from heatherswitch.fleet.records import Move, MoveKind, MoveState
@@ -181,6 +181,19 @@
             router.second(bad=1, result=GOOD, first_byte_s=1.0, cold=True)
         self.assertIn("slow on /c", router.cuts[0].reason)
 
+    def test_agents_of_the_starting_version_learn_what_runs_in_the_service(self):
+        # Guards against P4: an unproven share of waiting requests, or of the new
+        # version's own pool.
+        router = Process("r1", self.clock)
+        old = replace(agent("a1"), load=Load(running=20, queued=400))
+        new = replace(agent("b1", version="v2"), load=Load(running=1))
+        router.node.members.merge(0.0, [old, new])
+        for member, expected in ((old, []), (new, [("", 21, 2)])):
+            reply = pb.ExchangeReply()
+            router.watch.answer(member, pb.ExchangeRequest(), reply)
+            loads = [(p.version, p.total, p.agents) for p in reply.pool_loads]
+            self.assertEqual(loads, expected)
+
     def test_cut_in_placement_holds_for_a_stale_configuration(self):
         # Guards against P4: a router that still believes in a large share.
         nodes = {
