Hold the cold limit after a lost connection until the server is known

Cause: a server that was killed and restarted got 3 and 4 requests at a cold limit of 2 (test_p2_cold_engines_get_no_more_than_their_limit, seen once at a load average of 40). The agent reset the warmth only after a refused connection or a health report, and reports are a second apart; a connection that broke during a request changed nothing.

Change: such a break puts the cold limit in force until the next health report, which confirms the server or starts a cold start.

Ruled out: a cold start at each broken connection; one bad request would then cost a warm server its capacity for many answers.

--- a/heatherswitch/agent/reducer.py
+++ b/heatherswitch/agent/reducer.py
@@ -14,6 +14,8 @@
 from heatherswitch.fleet.warmth import Warmth, WarmthSettings
 from heatherswitch.statecore.reducer import Effect, Event, Log
 
+# Failures of the backend client that mean a broken connection.
+CONNECTION_LOST = frozenset({"backend_closed", "truncated"})
 # Consecutive failed health probes after which the server counts as down.
 DOWN_AFTER_PROBES = 2
 # Code of a request that HTTP does not allow; nothing of it was sent.
@@ -289,6 +291,8 @@
             self._warmth.reset()
             made = self._not_started(work, Reason.BACKEND_DOWN, event.detail)
             return [*made, _cold_log("connection refused")]
+        if event.code in CONNECTION_LOST:
+            self._warmth.on_connection_lost()
         self._forget(work)
         if work.request.idempotent:
             return [fx.Fail(work.id, Failed(event.code, event.detail))]
--- a/heatherswitch/fleet/warmth.py
+++ b/heatherswitch/fleet/warmth.py
@@ -96,6 +96,7 @@
         "_settings",
         "_slow",
         "_slow_wait",
+        "_suspect",
     )
 
     def __init__(self, settings: WarmthSettings | None = None) -> None:
@@ -107,12 +108,15 @@
         self._limit = 0
         # Start and end of the wait that was found slow first, in seconds.
         self._slow_wait = (0.0, 0.0)
+        # True from a lost connection to the next health report.
+        self._suspect = False
         self.reset()
 
     @property
     def limit(self) -> int:
         """Requests that the server may run at once."""
-        return min(self._limit, self._settings.max_running)
+        limit = min(self._limit, self._settings.max_running)
+        return min(limit, self._settings.limit) if self._suspect else limit
 
     @property
     def cold(self) -> bool:
@@ -137,6 +141,7 @@
     def reset(self) -> None:
         """Starts a cold start; the latency level of earlier runs is kept."""
         self._limit = min(self._settings.limit, self._settings.max_running)
+        self._suspect = False
         self._begin_period()
 
     def on_health(self, incarnation: str | None, started_at: float | None) -> bool:
@@ -144,8 +149,14 @@
 
         :param incarnation: None when the server does not report one.
         :param started_at: seconds since the epoch, or None.
-        :returns: True when the server was restarted.
+        :returns: True when the server was restarted, or may have been and does not
+            report an identity.
         """
+        unknown = incarnation is None and started_at is None
+        if self._suspect and unknown:
+            self.reset()
+            return True
+        self._suspect = False
         return self._identify(incarnation=incarnation, health_started_at=started_at)
 
     def on_load_report(self, started_at: float | None) -> bool:
@@ -186,6 +197,15 @@
                 self._grow()
         return False
 
+    def on_connection_lost(self) -> None:
+        """Takes a connection that broke during a request.
+
+        The server may have been restarted. The cold limit holds until a health
+        report tells, since probes are a second apart.
+        """
+        self._good = 0
+        self._suspect = True
+
     def on_failure(self) -> None:
         """Takes a failed answer: the evidence at this limit starts again."""
         self._good = 0
--- a/test/test_warmth.py
+++ b/test/test_warmth.py
@@ -39,6 +39,18 @@
                 self.assertTrue(warmth.on_health(*sign))
                 self.assertEqual(warmth.limit, 2)
 
+    def test_lost_connection_holds_the_cold_limit_until_the_server_is_known(self):
+        # Guards against a restarted server receiving the load of a warm one until
+        # the next probe, a second later.
+        for report, limit in ((("i1", 10.0), 8), (("i2", 20.0), 2), ((None, None), 2)):
+            with self.subTest(report=report):
+                warmth = warm_server()
+                warmth.on_health("i1", 10.0)
+                warmth.on_connection_lost()
+                self.assertEqual(warmth.limit, 2)
+                warmth.on_health(*report)
+                self.assertEqual(warmth.limit, limit)
+
     def test_start_times_of_two_sources_may_differ(self):
         # Guards against a cold start with each probe.
         warmth = warm_server()
