Define the flags that both daemons have once

Cause: nine flags stood twice, in the router's and the agent's command.

Change: COMMON_FLAGS in ui/daemon.py; names, defaults and checks are the same.

Ruled out: a base command with both listeners, since they differ in meaning.

--- a/heatherswitch/ui/agent.py
+++ b/heatherswitch/ui/agent.py
@@ -17,36 +17,18 @@
         "--version v1 --backend 127.0.0.1:8000 --peers 127.0.0.1:9101"
     )
     flags = (
-        Flag("id", "Unique id of the agent.", daemon.name),
-        Flag("zone", "Availability zone.", daemon.name),
-        Flag("region", "Region.", daemon.optional_name, ""),
         Flag("service", "Service of the backend server.", daemon.name),
         Flag("version", "Version of the service.", daemon.name),
         Flag("backend", "Address of the backend server.", daemon.address),
         Flag("listen", "Address for routers.", daemon.address, "127.0.0.1:0"),
-        Flag(
-            "advertise",
-            "Address that routers connect to, if it is not the bound one.",
-            daemon.optional_address,
-            "",
-        ),
-        Flag(
-            "metrics-listen",
-            "Address for metrics and health.",
-            daemon.address,
-            "127.0.0.1:0",
-        ),
-        Flag("store", "Store addresses, comma separated.", daemon.addresses, ""),
-        Flag("peers", "Routers to start from.", daemon.addresses, ""),
         Flag(
             "drain-delay-s",
             "Seconds to stay after SIGTERM before the listeners close.",
             daemon.drain_delay,
             "0",
         ),
+        *daemon.COMMON_FLAGS,
         *daemon.TRANSPORT_FLAGS,
-        Flag("log-level", "debug, info, warning or error.", daemon.log_level, "info"),
-        Flag("ready-file", "File for the bound addresses.", daemon.text, ""),
     )
 
     def build(self, values: dict[str, Any]) -> Program:
--- a/heatherswitch/ui/daemon.py
+++ b/heatherswitch/ui/daemon.py
@@ -183,6 +183,24 @@
             raise UserError(f"--{self.name}: {error}") from error
 
 
+# Flags that every daemon has.
+COMMON_FLAGS = (
+    Flag("id", "Unique id of the process in the fleet.", name),
+    Flag("zone", "Availability zone.", name),
+    Flag("region", "Region.", optional_name, ""),
+    Flag("metrics-listen", "Address for metrics and health.", address, "127.0.0.1:0"),
+    Flag(
+        "advertise",
+        "Address that other processes connect to, if it is not the bound one.",
+        optional_address,
+        "",
+    ),
+    Flag("store", "Store addresses, comma separated.", addresses, ""),
+    Flag("peers", "Routers to start from.", addresses, ""),
+    Flag("log-level", "debug, info, warning or error.", log_level, "info"),
+    Flag("ready-file", "File for the bound addresses.", text, ""),
+)
+
 # Flags of the connections between the fleet's processes.
 TRANSPORT_FLAGS = (
     SecretFlag(
--- a/heatherswitch/ui/router.py
+++ b/heatherswitch/ui/router.py
@@ -17,35 +17,17 @@
         "--store 127.0.0.1:2379 --peers 127.0.0.1:9101,127.0.0.1:9102"
     )
     flags = (
-        Flag("id", "Unique id of the router.", daemon.name),
-        Flag("zone", "Availability zone.", daemon.name),
-        Flag("region", "Region.", daemon.optional_name, ""),
         Flag("listen", "Address for callers.", daemon.address, "127.0.0.1:8080"),
         Flag(
             "operator-listen", "Address for operators.", daemon.address, "127.0.0.1:0"
         ),
-        Flag(
-            "metrics-listen",
-            "Address for metrics and health.",
-            daemon.address,
-            "127.0.0.1:0",
-        ),
         Flag("peer-listen", "Address for peers.", daemon.address, "127.0.0.1:0"),
-        Flag(
-            "advertise",
-            "Address that peers connect to, if it is not the bound one.",
-            daemon.optional_address,
-            "",
-        ),
-        Flag("store", "Store addresses, comma separated.", daemon.addresses, ""),
-        Flag("peers", "Routers to start from.", daemon.addresses, ""),
         SecretFlag(
             "operator-token-file",
             "File with the token of operators; without one all are refused.",
             str,
             "",
         ),
-        *daemon.TRANSPORT_FLAGS,
         Flag(
             "drain-delay-s",
             "Seconds to serve on after SIGTERM, for the load balancer.",
@@ -59,8 +41,8 @@
             daemon.version_test,
             "sequential",
         ),
-        Flag("log-level", "debug, info, warning or error.", daemon.log_level, "info"),
-        Flag("ready-file", "File for the bound addresses.", daemon.text, ""),
+        *daemon.COMMON_FLAGS,
+        *daemon.TRANSPORT_FLAGS,
     )
 
     def build(self, values: dict[str, Any]) -> Program:
