Copy cached prompt parts from a server that holds them

Cause: a chat that moves, because a server joined or left or is above the load bound, had its shared parts read anew.

--- a/heatherswitch/gateway/events.py
+++ b/heatherswitch/gateway/events.py
@@ -82,11 +82,13 @@
     """The head of an answer arrived.
 
     :param first_s: seconds from the send to the head.
+    :param success: the server has begun to run the request.
     """
 
     serial: int
     load: Load | None
     first_s: float
+    success: bool
     cold_s: float = 0.0
 
 
@@ -185,11 +187,13 @@
     :param deadline_at: time at which the caller gets its final answer.
     :param silence_s: seconds without progress after which the attempt is given up;
         None to wait until the deadline.
+    :param source: server that holds more of the prompt, to copy it from, or None.
     :param reason: what decided the choice, for the log.
     """
 
     serial: int
     server: Server
+    source: Server | None
     route: Route
     workspace: str
     priority: int
--- a/heatherswitch/gateway/model.py
+++ b/heatherswitch/gateway/model.py
@@ -160,11 +160,15 @@
     parts: tuple[PromptPart, ...] = ()
     last_event_id: str = ""
 
+    @property
+    def shared(self) -> tuple[PromptPart, ...]:
+        """The parts that other requests share."""
+        return self.parts[:-1] or self.parts
+
     @property
     def affinity(self) -> str:
-        """The longest part that other requests share, or an empty string."""
-        shared = self.parts[:-1] or self.parts
-        return shared[-1].id if shared else ""
+        """The last part that other requests share, or an empty string."""
+        return self.shared[-1].id if self.parts else ""
 
 
 @dataclass(slots=True)
--- a/heatherswitch/gateway/reducer.py
+++ b/heatherswitch/gateway/reducer.py
@@ -16,6 +16,7 @@
     Service,
     Workspace,
 )
+from heatherswitch.gateway.prefix_index import PrefixIndex
 from heatherswitch.gateway.selection import (
     Choice,
     Constraints,
@@ -111,6 +112,7 @@
         "_fleet",
         "_limits",
         "_pending",
+        "_prefixes",
         "_queues",
         "_regions",
         "_selector",
@@ -129,7 +131,8 @@
         self._limits = limits
         self._regions = regions
         self._fleet = FleetView(own_id)
-        self._selector = Selector(self._fleet, zone)
+        self._prefixes = PrefixIndex()
+        self._selector = Selector(self._fleet, self._prefixes, zone)
         self._servers = ServerTable()
         self._configuration = CurrentConfiguration(limits.key_max_age_s)
         self._zones_out: frozenset[str] = frozenset()
@@ -178,7 +181,8 @@
             case ev.CallerLeft():
                 return self._on_caller_left(now, event)
             case ev.ServerListed():
-                self._servers.list(now, event.server)
+                if self._servers.list(now, event.server):
+                    self._prefixes.forget(event.server.id)
             case ev.ServerRemoved():
                 self._servers.remove(now, event.server_id, event.after_outage)
             case ev.ConfigurationRead():
@@ -284,6 +288,7 @@
         return ev.Forward(
             serial,
             state.record,
+            choice.source.record if choice.source else None,
             pending.route,
             pending.workspace.name if pending.workspace else "",
             pending.priority,
@@ -348,6 +353,8 @@
         if event.load is not None:
             pending.at.note_load(now, event.load)
         pending.at.note_cold(now, event.cold_s)
+        if event.success:
+            self._prefixes.note(pending.request.shared, pending.at.record.id)
         return []
 
     def _on_ended(self, now: float, event: ev.AttemptEnded) -> list[ev.Effect]:
--- a/heatherswitch/gateway/relay.py
+++ b/heatherswitch/gateway/relay.py
@@ -149,12 +149,14 @@
 
     def _send(self, connection, forward: ev.Forward, now: float) -> None:
         resumed = "" if self._last_event_id is None else str(self._last_event_id)
+        source = forward.source
         upstream = Upstream(
             forward.server.id,
             forward.deadline_at - now,
             forward.workspace,
             forward.priority,
             resumed,
+            f"{source.host}:{source.port}" if source else "",
         )
         headers = self._codec.encode_request(self._request, upstream)
         request = self._request
--- a/heatherswitch/gateway/selection.py
+++ b/heatherswitch/gateway/selection.py
@@ -1,10 +1,11 @@
 """Chooses the backend server of a request. Pure decisions, no input or output."""
 
 from collections.abc import Callable, Collection
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from heatherswitch.fleet.shares import FleetView
 from heatherswitch.gateway.model import CallerRequest, Service
+from heatherswitch.gateway.prefix_index import PrefixIndex
 from heatherswitch.gateway.servers import CONNECTION_SHARE, ServerState
 from heatherswitch.statecore.hashing import hash64, unit_hash
 
@@ -32,10 +33,12 @@
     """The chosen server.
 
     :param reason: what decided, for the log.
+    :param source: another server that holds more of the prompt, to copy it from.
     """
 
     server: ServerState
     reason: str
+    source: ServerState | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,10 +71,11 @@
     :param zone: zone of the gateway.
     """
 
-    __slots__ = ("_fleet", "_zone")
+    __slots__ = ("_fleet", "_prefixes", "_zone")
 
-    def __init__(self, fleet: FleetView, zone: str) -> None:
+    def __init__(self, fleet: FleetView, prefixes: PrefixIndex, zone: str) -> None:
         self._fleet = fleet
+        self._prefixes = prefixes
         self._zone = zone
 
     def choose(
@@ -99,7 +103,8 @@
             return NoChoice(len(usable), min(waits.values()) or float("inf"))
         healthy = [s for s in ready if not s.avoided(now)]
         if service.model:
-            return self._by_affinity(now, request, healthy or ready, open_servers)
+            choice = self._by_affinity(now, request, healthy or ready, open_servers)
+            return replace(choice, source=self._source(request, choice, servers))
         return self._by_latency(now, request, healthy or ready)
 
     def _has_room(self, now: float, state: ServerState, service: Service) -> bool:
@@ -116,14 +121,33 @@
         loads = {s.record.id: s.load(now) for s in ready}
         mean = sum(s.load(now) for s in open_servers) / len(open_servers)
         bound = LOAD_FACTOR * mean + LOAD_SLACK
-        key = request.affinity or request.id
-        ranked = sorted(ready, key=lambda s: -hash64(key, s.record.id))
-        for rank, state in enumerate(ranked):
-            if loads[state.record.id] < bound:
-                return Choice(state, "affinity" if rank == 0 else "load bound")
+        ranked = sorted(ready, key=_ranking(request))
+        if loads[ranked[0].record.id] < bound:
+            return Choice(ranked[0], "affinity")
+        below = [s for s in ranked if loads[s.record.id] < bound]
+        holders = self._prefixes.holders(request.affinity)
+        for state in below:
+            if state.record.id in holders:
+                return Choice(state, "load bound, prompt cached")
+        if below:
+            return Choice(below[0], "load bound")
         least = min(ranked, key=lambda s: loads[s.record.id])
         return Choice(least, "least loaded")
 
+    def _source(self, request, choice: Choice, servers) -> ServerState | None:
+        """Returns a server to copy the shared parts from; reading costs more."""
+        if not request.parts:
+            return None
+        chosen = choice.server.record.id
+        holders = self._prefixes.holders(request.affinity)
+        if chosen in holders:
+            return None
+        alive = {s.record.id: s for s in servers if not s.gone}
+        for server_id in reversed(holders):
+            if server_id in alive:
+                return alive[server_id]
+        return None
+
     def _by_latency(self, now, request, ready) -> Choice:
         def cost(state: ServerState) -> float:
             penalty = 1 + FAILURE_COST * state.failure_rate
@@ -136,3 +160,9 @@
             return latency * (1 + 0.05 * unit_hash(request.id, state.record.id))
 
         return Choice(min(ready, key=cost), "least expected latency")
+
+
+def _ranking(request: CallerRequest) -> Callable[[ServerState], int]:
+    """Ranks servers for the chat of a request, the preferred one first."""
+    key = request.affinity or request.id
+    return lambda state: -hash64(key, state.record.id)
--- a/heatherswitch/gateway/shell.py
+++ b/heatherswitch/gateway/shell.py
@@ -220,7 +220,9 @@
             asked.id,
             responder,
             lambda head, first_s: self._apply(
-                ev.AnswerStarted(serial, head.load, first_s, head.cold_s)
+                ev.AnswerStarted(
+                    serial, head.load, first_s, head.status < 300, head.cold_s
+                )
             ),
         )
         arrived_at = self._clock.now()
@@ -299,7 +301,9 @@
                 "request": asked.id,
                 "route": forward.route.name,
                 "server": forward.server.id,
+                "copy_from": forward.source.id if forward.source else "",
                 "reason": forward.reason,
+                "prompt": ",".join(f"{p.id}:{p.tokens}" for p in asked.parts),
                 "time_left_s": round(
                     forward.deadline_at - self._clock.now(), LOG_DIGITS
                 ),
--- a/heatherswitch/gateway/upstream.py
+++ b/heatherswitch/gateway/upstream.py
@@ -47,6 +47,7 @@
 
     :param time_left_s: seconds until the caller's deadline.
     :param last_event_id: the stream goes on after this event; empty for a new one.
+    :param copy_from: ``host:port`` of a server that holds more of the prompt.
     """
 
     server_id: str
@@ -54,6 +55,7 @@
     workspace: str
     priority: int | None
     last_event_id: str = ""
+    copy_from: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/heatherswitch/platform/headers.py
+++ b/heatherswitch/platform/headers.py
@@ -101,6 +101,8 @@
         sent.append((names.WORKSPACE, upstream.workspace))
     if upstream.priority is not None:
         sent.append((names.PRIORITY, str(upstream.priority)))
+    if upstream.copy_from:
+        sent.append((names.COPY_FROM, upstream.copy_from))
     if upstream.last_event_id:
         sent.append(("Last-Event-Id", upstream.last_event_id))
     if request.body or request.method not in ("GET", "HEAD", "DELETE"):
--- a/heatherswitch/platform/names.py
+++ b/heatherswitch/platform/names.py
@@ -12,6 +12,8 @@
 EXPECT_INSTANCE = "X-Expect-Instance"
 WORKSPACE = "X-Tenant"
 PRIORITY = "X-Request-Priority"
+# The server first copies the prompt's cached parts from this address.
+COPY_FROM = "Kv-Fetch"
 
 # Answers of backend servers.
 SEAL = "x-response-seal"
--- a/heatherswitch/util/http_server.py
+++ b/heatherswitch/util/http_server.py
@@ -110,6 +110,7 @@
         "_connections",
         "_draining",
         "_handler",
+        "_last_request_at",
         "_port",
         "_server",
         "_stopping",
@@ -121,6 +122,8 @@
         # May be replaced while the server runs; holds from the next request on.
         self.limits = limits or HttpLimits()
         self._draining = False
+        # Loop time up to which a request may still begin once the listener closed.
+        self._last_request_at = float("inf")
         self._server: asyncio.Server | None = None
         self._port = 0
         self._stopping = False
@@ -141,6 +144,12 @@
         """True once answers tell the caller to open a new connection."""
         return self._draining or self._stopping
 
+    @property
+    def idle_timeout_s(self) -> float:
+        """Seconds for which a connection may wait for its next request."""
+        left_s = self._last_request_at - asyncio.get_running_loop().time()
+        return min(self.limits.idle_timeout_s, left_s)
+
     def drain(self) -> None:
         """Goes on serving, but ends each connection with its next answer."""
         self._draining = True
@@ -165,6 +174,8 @@
         :param grace_s: seconds after which running requests are cancelled.
         """
         self._stopping = True
+        now = asyncio.get_running_loop().time()
+        self._last_request_at = now + STOP_LINGER_S
         self._server.close()
         if self._connections:
             await asyncio.sleep(min(STOP_LINGER_S, grace_s))
@@ -245,11 +256,13 @@
         """Reads a request with its body; None when no further one comes."""
         event = self._http.next_event()
         if event is h11.NEED_DATA:
-            idle_s = self._server.limits.idle_timeout_s
+            idle_s = self._server.idle_timeout_s
+            if idle_s <= 0:
+                # The answer before may have begun before the stop, and so did not
+                # tell the caller to leave. A request would outlive the grace period.
+                return None
             try:
-                async with asyncio.timeout(
-                    STOP_LINGER_S if self._server.stopping else idle_s
-                ):
+                async with asyncio.timeout(idle_s):
                     data = await self._reader.read(READ_SIZE)
             except TimeoutError:
                 return None
