--- a/heatherswitch/gateway/selection.py
+++ b/heatherswitch/gateway/selection.py
@@ -135,7 +135,13 @@
         return Choice(least, "least loaded")
 
     def _source(self, request, choice: Choice, servers) -> ServerState | None:
-        """Returns a server to copy the shared parts from; reading costs more."""
+        """Returns a server to copy the shared parts from; reading costs more.
+
+        Without a known holder it is the server that ranks highest beside the chosen
+        one: all gateways sent the chat there before the chosen server joined, before
+        it began to leave, or before it reached its load bound. Asking a server that
+        holds nothing costs nothing.
+        """
         if not request.parts:
             return None
         chosen = choice.server.record.id
@@ -143,10 +149,11 @@
         if chosen in holders:
             return None
         alive = {s.record.id: s for s in servers if not s.gone}
+        alive.pop(chosen, None)
         for server_id in reversed(holders):
             if server_id in alive:
                 return alive[server_id]
-        return None
+        return min(alive.values(), key=_ranking(request), default=None)
 
     def _by_latency(self, now, request, ready) -> Choice:
         def cost(state: ServerState) -> float:
