Send callers to another gateway at once while this one is out of reach of the store

Change: not ready above 2 s of age, answers end their connection, Retry-After 0.05 s. Ruled out: getting the configuration's age from another gateway, since it would add a protocol for requests that another one serves.

--- a/heatherswitch/gateway/reducer.py
+++ b/heatherswitch/gateway/reducer.py
@@ -33,6 +33,10 @@
 )
 from heatherswitch.statecore.hashing import unit_hash
 
+# Age of the configuration, in seconds, above which callers should use another
+# gateway: three times the age with a store that answers, and well before keys are no
+# longer accepted.
+READY_AGE_S = 2.0
 # Servers that one request is sent to at most, with those that did not run it.
 MAX_SENDS = 4
 # A repeat needs at least this much time before the deadline, in seconds.
@@ -48,10 +52,10 @@
 # A stream that can go on elsewhere is given up after this silence, in seconds.
 # Callers leave after 2 s.
 STREAM_SILENCE_S = 1.2
-# Retry-After, in seconds: the time in which a lost server is replaced or a queue is
-# worked off, and that of an outage of the store.
+# Retry-After, in seconds: the time in which a queue is worked off, and that where
+# only this gateway cannot serve and the next attempt reaches another one.
 RETRY_BUSY_S = 0.3
-RETRY_OUTAGE_S = 1.0
+RETRY_ELSEWHERE_S = 0.05
 
 
 @dataclass(frozen=True, slots=True)
@@ -162,8 +166,9 @@
 
     def ready(self, now: float) -> bool:
         """Tells whether new callers should be sent here."""
-        configuration = self._configuration.configuration
-        return configuration is not None and self._configuration.accepts_keys(now)
+        if self._configuration.configuration is None:
+            return False
+        return self._configuration.age_s(now) < READY_AGE_S
 
     def apply(self, now: float, event: ev.Event) -> list[ev.Effect]:
         """Takes one event.
@@ -217,7 +222,7 @@
         current = self._configuration
         request, serial = event.request, event.serial
         if current.configuration is None:
-            return ev.Refuse(serial, 503, "no configuration yet", RETRY_OUTAGE_S)
+            return ev.Refuse(serial, 503, "no configuration yet", RETRY_ELSEWHERE_S)
         route = current.routes.find(request.host, request.path)
         if route is None:
             return self._unknown(now, serial, 404, "no such route")
@@ -225,7 +230,7 @@
         if current.configuration.needs_key and not route.anonymous:
             if not current.accepts_keys(now):
                 reason = "the configuration is too old to accept keys"
-                return ev.Refuse(serial, 503, reason, RETRY_OUTAGE_S)
+                return ev.Refuse(serial, 503, reason, RETRY_ELSEWHERE_S)
             workspace = current.configuration.keys.get(request.key)
             if workspace is None:
                 return self._unknown(now, serial, 401, "unknown API key")
@@ -244,7 +249,7 @@
         if self._configuration.refuses(now):
             return ev.Refuse(serial, status, reason)
         reason += ", but the configuration may be out of date"
-        return ev.Refuse(serial, 503, reason, RETRY_OUTAGE_S)
+        return ev.Refuse(serial, 503, reason, RETRY_ELSEWHERE_S)
 
     # Placement
 
--- a/heatherswitch/gateway/shell.py
+++ b/heatherswitch/gateway/shell.py
@@ -148,7 +148,7 @@
         """Lets the balancer take this gateway out, then lets requests end."""
         self._stopping = True
         log.info("gateway stops", extra={"pending": self._reducer.pending})
-        self._callers.drain()
+        self._callers.draining = True
         linger_s = min(LINGER_S, self._config.grace_s / 2)
         await asyncio.sleep(linger_s)
         await self._callers.stop(self._config.grace_s - linger_s)
@@ -335,6 +335,8 @@
             await asyncio.sleep(HOUSEKEEPING_S)
             self._apply(ev.Tick())
             self._pool.expire(self._clock.now())
+            # Callers on open connections do not see the status checks fail.
+            self._callers.draining = not self._is_ready()
 
 
 async def _bind(server: HttpServer, address: str) -> None:
--- a/heatherswitch/util/http_server.py
+++ b/heatherswitch/util/http_server.py
@@ -108,12 +108,12 @@
 
     __slots__ = (
         "_connections",
-        "_draining",
         "_handler",
         "_last_request_at",
         "_port",
         "_server",
         "_stopping",
+        "draining",
         "limits",
     )
 
@@ -121,7 +121,8 @@
         self._handler = handler
         # May be replaced while the server runs; holds from the next request on.
         self.limits = limits or HttpLimits()
-        self._draining = False
+        # While true, each connection ends with its next answer.
+        self.draining = False
         # Loop time up to which a request may still begin once the listener closed.
         self._last_request_at = float("inf")
         self._server: asyncio.Server | None = None
@@ -142,7 +143,7 @@
     @property
     def closing(self) -> bool:
         """True once answers tell the caller to open a new connection."""
-        return self._draining or self._stopping
+        return self.draining or self._stopping
 
     @property
     def idle_timeout_s(self) -> float:
@@ -150,10 +151,6 @@
         left_s = self._last_request_at - asyncio.get_running_loop().time()
         return min(self.limits.idle_timeout_s, left_s)
 
-    def drain(self) -> None:
-        """Goes on serving, but ends each connection with its next answer."""
-        self._draining = True
-
     async def start(
         self, host: str, port: int, tls: ssl.SSLContext | None = None
     ) -> None:
