--- /dev/null
+++ b/emulator/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the users' platform: its store, its backend servers, a deployment."""
--- /dev/null
+++ b/emulator/platform/server.py
@@ -0,0 +1,222 @@
+"""Stand-in for a backend server of the platform: a plain service or a model engine.
+
+It works on raw sockets, since its faults break HTTP.
+"""
+
+import asyncio
+from dataclasses import dataclass, field
+
+import h11
+
+from emulator.standin import LOOPBACK
+from heatherswitch.util.http import READ_SIZE
+
+
+@dataclass(slots=True)
+class Arrival:
+    """A request that reached the server.
+
+    :param headers: names in lower case.
+    """
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def id(self) -> str:
+        """The caller's id of the request."""
+        return self.headers.get("x-attempt-id", "")
+
+
+@dataclass(slots=True)
+class Behaviour:
+    """How the server answers; a test replaces it.
+
+    :param status: status of answers; 503 says that the request did not run.
+    :param delay_s: seconds before the head.
+    :param events: events of a stream; 0 for a plain answer.
+    :param event_gap_s: seconds between two events.
+    :param cut_after: closes the connection after so many events, or after the head
+        of a plain answer; None for never.
+    :param silent: sends nothing after the request.
+    :param reset_unread: closes each connection when a request arrives.
+    :param stray: sends another request's answer first.
+    :param unframed: the answer has no length and ends with the connection.
+    :param seal: the answer carries the signature.
+    """
+
+    status: int = 200
+    body: bytes = b"done"
+    delay_s: float = 0.0
+    events: int = 0
+    event_gap_s: float = 0.0
+    cut_after: int | None = None
+    silent: bool = False
+    reset_unread: bool = False
+    stray: bool = False
+    unframed: bool = False
+    seal: bool = True
+    headers: list[tuple[str, str]] = field(default_factory=list)
+
+
+class PlatformServer:
+    """One backend server.
+
+    :ivar arrivals: requests that reached it.
+    :ivar cancelled: requests whose connection closed before the answer's end.
+    """
+
+    def __init__(self, server_id: str, behaviour: Behaviour | None = None) -> None:
+        self.id = server_id
+        self.behaviour = behaviour or Behaviour()
+        self.arrivals: list[Arrival] = []
+        self.cancelled: list[str] = []
+        self.connections = 0
+        self._server: asyncio.Server | None = None
+
+    @property
+    def address(self) -> str:
+        """``host:port`` of the listener."""
+        port = self._server.sockets[0].getsockname()[1]
+        return f"{LOOPBACK}:{port}"
+
+    def entry(self, service: str, zone: str = "a", **changes) -> dict:
+        """Returns the server's entry in the store."""
+        return {
+            "service": service,
+            "address": self.address,
+            "zone": zone,
+            "version": "v1",
+            "slots": 8,
+            "state": "ready",
+            "cold_remaining_ms": 0,
+            "seq": 1,
+            "born": 1000,
+        } | changes
+
+    async def start(self) -> None:
+        """Binds the listener."""
+        self._server = await asyncio.start_server(self._serve, LOOPBACK, 0)
+
+    async def stop(self) -> None:
+        """Closes the listener."""
+        self._server.close()
+
+    async def _serve(self, reader, writer) -> None:
+        self.connections += 1
+        try:
+            while await self._one(reader, writer):
+                pass
+        except (OSError, h11.RemoteProtocolError):
+            pass
+        finally:
+            writer.close()
+
+    async def _one(self, reader, writer) -> bool:
+        arrival = await _read_request(reader)
+        if arrival is None:
+            return False
+        behaviour = self.behaviour
+        self.arrivals.append(arrival)
+        expected = arrival.headers.get("x-expect-instance", self.id)
+        if behaviour.reset_unread:
+            writer.transport.abort()
+            return False
+        if expected != self.id:
+            writer.write(
+                b"HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n"
+            )
+            return True
+        gone = asyncio.ensure_future(reader.read(1))
+        answer = asyncio.ensure_future(self._answer(arrival, behaviour, writer))
+        await asyncio.wait({gone, answer}, return_when=asyncio.FIRST_COMPLETED)
+        if not answer.done():
+            self.cancelled.append(arrival.id)
+            answer.cancel()
+            return False
+        keep = answer.result()
+        if keep:
+            gone.cancel()
+            await asyncio.gather(gone, return_exceptions=True)
+        return keep
+
+    async def _answer(self, arrival: Arrival, behaviour: Behaviour, writer) -> bool:
+        await asyncio.sleep(behaviour.delay_s)
+        if behaviour.silent:
+            await asyncio.Event().wait()
+        if behaviour.stray:
+            writer.write(_head(200, "another", self.id, 5, behaviour) + b"stray")
+        if behaviour.events:
+            return await self._stream(arrival, behaviour, writer)
+        return await self._plain(arrival, behaviour, writer)
+
+    async def _plain(self, arrival, behaviour, writer) -> bool:
+        length = None if behaviour.unframed else len(behaviour.body)
+        head = _head(behaviour.status, arrival.id, self.id, length, behaviour)
+        if behaviour.cut_after is not None:
+            writer.write(head)
+            await writer.drain()
+            writer.transport.abort()
+            return False
+        writer.write(head + behaviour.body)
+        await writer.drain()
+        return length is not None
+
+    async def _stream(self, arrival, behaviour, writer) -> bool:
+        head = _head(200, arrival.id, self.id, None, behaviour, chunked=True)
+        first = int(arrival.headers.get("last-event-id") or 0) + 1
+        writer.write(head)
+        for sent, number in enumerate(range(first, behaviour.events + 1)):
+            if behaviour.cut_after is not None and sent >= behaviour.cut_after:
+                # Breaks off in the middle of an event.
+                writer.write(_chunk(b"id: %d\ndata: half" % number))
+                await writer.drain()
+                writer.close()
+                return False
+            writer.write(_chunk(b"id: %d\ndata: piece %d\n\n" % (number, number)))
+            await writer.drain()
+            await asyncio.sleep(behaviour.event_gap_s)
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
+        return True
+
+
+async def _read_request(reader) -> Arrival | None:
+    connection = h11.Connection(h11.SERVER)
+    head, body = None, b""
+    while True:
+        event = connection.next_event()
+        if event is h11.NEED_DATA:
+            data = await reader.read(READ_SIZE)
+            if not data:
+                return None
+            connection.receive_data(data)
+        elif isinstance(event, h11.Request):
+            head = event
+        elif isinstance(event, h11.Data):
+            body += bytes(event.data)
+        elif isinstance(event, h11.EndOfMessage):
+            headers = {k.decode(): v.decode() for k, v in head.headers}
+            return Arrival(head.method.decode(), head.target.decode(), headers, body)
+        else:
+            return None
+
+
+def _head(status, request_id, server_id, length, behaviour, chunked=False) -> bytes:
+    lines = [f"HTTP/1.1 {status} Status", f"X-Attempt-Id: {request_id}"]
+    if status == 503:
+        lines.append("X-Not-Executed: 1")
+    elif behaviour.seal:
+        lines.append(f"X-Response-Seal: seal-of-{server_id}")
+    if length is not None:
+        lines.append(f"Content-Length: {length}")
+    if chunked:
+        lines.append("Transfer-Encoding: chunked")
+    lines += [f"{name}: {value}" for name, value in behaviour.headers]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode()
+
+
+def _chunk(data: bytes) -> bytes:
+    return b"%x\r\n%s\r\n" % (len(data), data)
--- /dev/null
+++ b/emulator/platform/store.py
@@ -0,0 +1,226 @@
+"""Stand-in for the platform's key-value store, over the published HTTP calls."""
+
+import asyncio
+import base64
+import json
+import time
+from collections.abc import Callable
+from urllib.parse import parse_qs
+
+from emulator.standin import LOOPBACK
+from emulator.store_data import CallStats, DataError, Stored, StoreData
+from heatherswitch.util.http import Request
+from heatherswitch.util.http_server import HttpServer, Responder
+
+# Items of one page; small, so that tests of a few entries see several.
+PAGE_ITEMS = 50
+# Pause between two looks of a waiting watch, in seconds.
+WATCH_POLL_S = 0.005
+# Keys that only operators and backend servers write.
+FOREIGN_PREFIXES = ("op/", "servers/")
+
+
+class PlatformStoreServer:
+    """Serves the calls of the platform's store.
+
+    Faults are attributes that a test sets; each holds until it is set back.
+
+    :ivar refuse: status that every call gets, 503 or 429; 0 for none.
+    :ivar silent: calls are read and never answered.
+    :ivar lose_writes: writes whose answer is lost after they took effect.
+    :ivar late_writes_s: lost writes take effect this much later, in seconds.
+    :ivar deaf: watches hear nothing.
+    :ivar delay_s: delay before a call is handled, in seconds.
+    """
+
+    def __init__(self) -> None:
+        self.data = StoreData()
+        self.stats = CallStats()
+        self.refuse = 0
+        self.silent = False
+        self.lose_writes = 0
+        self.late_writes_s = 0.0
+        self.deaf = False
+        self.delay_s = 0.0
+        # Watches from before this revision are told that the history is gone.
+        self._history_from = 0
+        self._server = HttpServer(self._handle)
+        self._expiry: asyncio.Task | None = None
+        self._late: set[asyncio.Task] = set()
+
+    @property
+    def address(self) -> str:
+        """``host:port`` of the listener."""
+        return f"{LOOPBACK}:{self._server.port}"
+
+    async def start(self) -> None:
+        """Binds the listener."""
+        await self._server.start(LOOPBACK, 0)
+        self._expiry = asyncio.create_task(self._expire())
+
+    async def stop(self) -> None:
+        """Closes the listener and all connections."""
+        self._expiry.cancel()
+        await self._server.stop(0)
+
+    def put(self, key: str, value: object) -> int:
+        """Writes as an operator or a backend server would; returns the revision."""
+        data = value if isinstance(value, bytes) else json.dumps(value).encode()
+        self.data.write([(key.encode(), data, 0)], [])
+        return self.data.revision
+
+    def delete(self, key: str) -> None:
+        """Removes a key."""
+        self.data.write([], [(key.encode(), b"")])
+
+    def read(self, key: str) -> bytes | None:
+        """Returns the value of a key."""
+        found = self.data.range(key.encode(), b"")
+        return found[0].value if found else None
+
+    def forget_history(self) -> None:
+        """Drops the history and cuts the watches."""
+        self._history_from = self.data.revision + 1
+
+    async def _expire(self) -> None:
+        while True:
+            await asyncio.sleep(0.02)
+            self.data.expire(time.monotonic())
+
+    async def _handle(self, request: Request, responder: Responder) -> None:
+        path = request.path
+        self.stats.count(time.monotonic(), path.split("/")[1])
+        if self.delay_s:
+            await asyncio.sleep(self.delay_s)
+        if self.silent:
+            await asyncio.Event().wait()
+        if self.refuse:
+            await responder.send(self.refuse)
+            return
+        query = {name: values[-1] for name, values in parse_qs(request.query).items()}
+        if path == "/kv-key":
+            await self._get(query, responder)
+        elif path == "/kv-range":
+            await self._range(query, responder)
+        elif path == "/kv-watch":
+            await self._watch(query, responder)
+        else:
+            await self._write(request, responder)
+
+    async def _get(self, query: dict, responder: Responder) -> None:
+        found = self.data.range(query["key"].encode(), b"")
+        if not found:
+            await responder.send_json(404, {"as_of": self.data.revision})
+            return
+        await responder.send_json(200, _item(found[0]) | {"as_of": self.data.revision})
+
+    async def _range(self, query: dict, responder: Responder) -> None:
+        start = query.get("prefix", "").encode()
+        after = query.get("after", "").encode()
+        found = [
+            item for item in self.data.range(start, _end(start)) if item.key > after
+        ]
+        page = found[:PAGE_ITEMS]
+        await responder.send_json(
+            200,
+            {
+                "items": [_item(item) for item in page],
+                "truncated": len(found) > len(page),
+                "as_of": self.data.revision,
+            },
+        )
+
+    async def _watch(self, query: dict, responder: Responder) -> None:
+        start = query.get("prefix", "").encode()
+        after = int(query["after"])
+        until = time.monotonic() + int(query["wait_ms"]) / 1000
+        while True:
+            if after < self._history_from - 1:
+                await responder.send(410)
+                return
+            changes = self.data.changes(start, _end(start), after + 1)
+            if self.deaf:
+                changes = []
+            if changes or time.monotonic() >= until:
+                events = [_item(change) for change in changes]
+                body = {"events": events, "as_of": self.data.revision}
+                await responder.send_json(200, body)
+                return
+            await asyncio.sleep(WATCH_POLL_S)
+
+    async def _write(self, request: Request, responder: Responder) -> None:
+        apply = self._operation(request)
+        if self.lose_writes > 0:
+            self.lose_writes -= 1
+            task = asyncio.create_task(self._apply_late(apply))
+            self._late.add(task)
+            task.add_done_callback(self._late.discard)
+            await asyncio.Event().wait()
+        status, body = apply()
+        await responder.send_json(status, body)
+
+    async def _apply_late(self, apply: Callable) -> None:
+        await asyncio.sleep(self.late_writes_s)
+        apply()
+
+    def _operation(self, request: Request) -> Callable[[], tuple[int, dict]]:
+        path = request.path
+        if path == "/kv-txn":
+            return lambda: self._transaction(request.json())
+        if path == "/kv-lease":
+            return lambda: self._grant(request.json())
+        lease = int(path.rpartition("/")[2])
+        if path.startswith("/kv-keep/"):
+            return lambda: self._keep(lease)
+        return lambda: self._end_lease(lease)
+
+    def _transaction(self, body: dict) -> tuple[int, dict]:
+        keys = [write["key"] for write in body.get("writes", ())]
+        keys += body.get("remove", ())
+        if any(key.startswith(FOREIGN_PREFIXES) for key in keys):
+            return 403, {}
+        for row in body.get("expected", ()):
+            if not self.data.compare(row["key"].encode(), "EQUAL", row["revision"]):
+                return 412, {"items": []}
+        puts = [
+            (w["key"].encode(), base64.b64decode(w["value"]), w.get("lease", 0))
+            for w in body.get("writes", ())
+        ]
+        deletes = [(key.encode(), b"") for key in body.get("remove", ())]
+        try:
+            self.data.write(puts, deletes)
+        except DataError:
+            return 404, {}
+        return 200, {"revision": self.data.revision}
+
+    def _grant(self, body: dict) -> tuple[int, dict]:
+        ttl_s = body["ttl_ms"] / 1000
+        lease = self.data.grant(time.monotonic(), ttl_s)
+        return 200, {"lease": lease, "ttl_ms": body["ttl_ms"]}
+
+    def _keep(self, lease: int) -> tuple[int, dict]:
+        ttl_s = self.data.keep_alive(time.monotonic(), lease)
+        return (200, {"ttl_ms": int(ttl_s * 1000)}) if ttl_s else (404, {})
+
+    def _end_lease(self, lease: int) -> tuple[int, dict]:
+        try:
+            self.data.revoke(lease)
+        except DataError:
+            return 404, {}
+        return 200, {}
+
+
+def _end(prefix: bytes) -> bytes:
+    """End of the range of all keys with a prefix."""
+    return prefix[:-1] + bytes([prefix[-1] + 1]) if prefix else b"\0"
+
+
+def _item(stored: Stored) -> dict:
+    item = {"key": stored.key.decode(), "revision": stored.mod_revision}
+    if stored.value is None:
+        return item | {"tombstone": True}
+    return item | {
+        "value": base64.b64encode(stored.value).decode(),
+        "created": stored.create_revision,
+        "lease": stored.lease,
+    }
--- a/heatherswitch/gateway/reducer.py
+++ b/heatherswitch/gateway/reducer.py
@@ -159,6 +159,11 @@
         """Requests that wait for a server."""
         return sum(len(queue) for queue in self._queues.values())
 
+    @property
+    def zones_out(self) -> frozenset[str]:
+        """Zones whose backend servers get no new work."""
+        return self._zones_out
+
     @property
     def pending(self) -> int:
         """Requests without their final answer."""
@@ -170,6 +175,11 @@
             return False
         return self._configuration.age_s(now) < READY_AGE_S
 
+    def knows(self, now: float, server_id: str) -> bool:
+        """Tells whether a server would get work."""
+        state = self._servers.get(server_id)
+        return state is not None and state.takes_work(now)
+
     def apply(self, now: float, event: ev.Event) -> list[ev.Effect]:
         """Takes one event.
 
--- a/heatherswitch/gateway/shell.py
+++ b/heatherswitch/gateway/shell.py
@@ -123,6 +123,20 @@
             "ready": f"{ready_host}:{self._ready_server.port}",
         }
 
+    @property
+    def ready(self) -> bool:
+        """True when callers should be sent here."""
+        return not self._stopping and self._reducer.ready(self._clock.now())
+
+    @property
+    def zones_out(self) -> frozenset[str]:
+        """Zones whose backend servers get no new work."""
+        return self._reducer.zones_out
+
+    def knows(self, server_id: str) -> bool:
+        """Tells whether the gateway would send work to a backend server."""
+        return self._reducer.knows(self._clock.now(), server_id)
+
     async def start(self) -> None:
         """Binds the listeners and starts to follow the store."""
         await _bind(self._callers, self._config.listen)
@@ -130,7 +144,7 @@
         if self._config.metrics_port >= 0:
             from heatherswitch.router.health import HealthPages
 
-            pages = HealthPages(self._metrics, self._is_ready)
+            pages = HealthPages(self._metrics, lambda: self.ready)
             self._metrics_server = HttpServer(pages.handle)
             await self._metrics_server.start(
                 self._config.metrics_host, self._config.metrics_port
@@ -152,18 +166,22 @@
         linger_s = min(LINGER_S, self._config.grace_s / 2)
         await asyncio.sleep(linger_s)
         await self._callers.stop(self._config.grace_s - linger_s)
+        await self.close()
+        log.info("gateway stopped", extra={"pending": self._reducer.pending})
+
+    async def close(self) -> None:
+        """Closes what is open at once."""
+        await self._callers.stop(0)
         await self._ready_server.stop(0)
+        if self._metrics_server is not None:
+            await self._metrics_server.stop(0)
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         self._pool.close()
-        log.info("gateway stopped", extra={"pending": self._reducer.pending})
-
-    def _is_ready(self) -> bool:
-        return not self._stopping and self._reducer.ready(self._clock.now())
 
     async def _handle_ready(self, request: Request, responder: Responder) -> None:
-        await responder.send(200 if self._is_ready() else 503)
+        await responder.send(200 if self.ready else 503)
 
     # Events and effects
 
@@ -336,7 +354,7 @@
             self._apply(ev.Tick())
             self._pool.expire(self._clock.now())
             # Callers on open connections do not see the status checks fail.
-            self._callers.draining = not self._is_ready()
+            self._callers.draining = not self.ready
 
 
 async def _bind(server: HttpServer, address: str) -> None:
--- /dev/null
+++ b/test/gateway_fakes.py
@@ -0,0 +1,144 @@
+"""Builders of gateway records and a driver of its reducer, without I/O."""
+
+from heatherswitch.gateway import events as ev
+from heatherswitch.gateway.model import (
+    CallerLimits,
+    CallerRequest,
+    Configuration,
+    PromptPart,
+    RequestKind,
+    Route,
+    Server,
+    Service,
+    Workspace,
+)
+from heatherswitch.gateway.reducer import GatewayReducer, Limits
+
+HOST = "auction.example"
+KEY = "key-1"
+
+
+def server(server_id: str, service: str = "ledger", **changes) -> Server:
+    """Returns a backend server's record."""
+    fields = {
+        "id": server_id,
+        "incarnation": 1,
+        "service": service,
+        "host": "10.0.0.1",
+        "port": 8000,
+        "zone": "a",
+        "version": "v1",
+        "slots": 8,
+        "draining": False,
+        "cold_for_s": 0.0,
+    }
+    return Server(**fields | changes)
+
+
+def route(prefix: str, kind: RequestKind, service: str = "ledger", **changes) -> Route:
+    """Returns a route."""
+    fields = {
+        "name": prefix,
+        "host": HOST,
+        "prefix": prefix,
+        "kind": kind,
+        "split": ((service, 1.0),),
+        "timeout_s": 2.0,
+        "objective_s": 0.2,
+        "priority": 2,
+        "max_servers": 2,
+    }
+    return Route(**fields | changes)
+
+
+ROUTES = (
+    route("/safe/", RequestKind.SAFE),
+    route("/urgent/", RequestKind.SAFE, priority=0),
+    route("/once/", RequestKind.NON_IDEMPOTENT, max_servers=1),
+    route("/chat/", RequestKind.STREAMING, "engine", max_servers=1),
+    route("/live/", RequestKind.STREAMING, "engine", resumable=True),
+    route("/open/", RequestKind.SAFE, anonymous=True),
+    route("/west/", RequestKind.SAFE, regions=frozenset({"west"})),
+)
+
+
+def configuration(version: int = 1, **changes) -> Configuration:
+    """Returns a configuration with the routes above."""
+    fields = {
+        "version": version,
+        "routes": ROUTES,
+        "services": {
+            "ledger": Service("ledger", 64, 0.0, 0.0, False),
+            "engine": Service("engine", 64, 12.0, 3.0, True, 8),
+        },
+        "limits": CallerLimits(),
+        "keys": {KEY: Workspace("huon")},
+        "needs_key": True,
+    }
+    return Configuration(**fields | changes)
+
+
+class Driver:
+    """Feeds a reducer and keeps what it decided.
+
+    :ivar now: the clock that the reducer is given.
+    :ivar effects: effects since the last :meth:`take`.
+    """
+
+    def __init__(self, limits: Limits | None = None, routers=("me",), **changes):
+        self.now = 100.0
+        self.effects: list[ev.Effect] = []
+        self.reducer = GatewayReducer(
+            self.now, "me", "a", {"a": "east", "b": "west"}, limits or Limits()
+        )
+        self._serial = 0
+        self.apply(ev.ConfigurationRead(configuration(**changes)))
+        self.apply(ev.StoreConfirmed(self.now))
+        self.apply(ev.RoutersCounted(tuple(routers)))
+
+    def apply(self, event: ev.Event) -> None:
+        """Gives one event to the reducer."""
+        self.effects += self.reducer.apply(self.now, event)
+
+    def advance(self, seconds: float) -> None:
+        """Lets time pass while the store stays in reach."""
+        self.now += seconds
+        self.apply(ev.StoreConfirmed(self.now))
+        self.apply(ev.Tick())
+
+    def take(self) -> list[ev.Effect]:
+        """Returns the effects so far and forgets them."""
+        taken, self.effects = self.effects, []
+        return taken
+
+    def list(self, *servers: Server) -> None:
+        """Lists backend servers."""
+        for record in servers:
+            self.apply(ev.ServerListed(record))
+
+    def arrive(self, path: str, key: str = KEY, parts=(), deadline_s=2.0) -> int:
+        """Lets a request arrive and returns its serial number."""
+        self._serial += 1
+        request = CallerRequest(
+            f"r{self._serial}", HOST, path, deadline_s, key, tuple(parts)
+        )
+        self.apply(ev.RequestArrived(self._serial, request))
+        return self._serial
+
+    def decide(self, path: str, **options) -> ev.Effect:
+        """Lets a request arrive and returns the decision on it."""
+        self.take()
+        self.arrive(path, **options)
+        (effect,) = self.take()
+        return effect
+
+    def end(self, serial: int, outcome: ev.Outcome) -> ev.Effect:
+        """Ends an attempt and returns the decision on its request."""
+        self.take()
+        self.apply(ev.AttemptEnded(serial, outcome))
+        return next(e for e in self.take() if e.serial == serial)
+
+
+def chat(name: str, tokens: int = 1000) -> tuple[PromptPart, ...]:
+    """Returns the parts of a prompt that shares one part with others."""
+    return (PromptPart(name, tokens), PromptPart(f"{name}-own", 50))
--- /dev/null
+++ b/test/test_gateway_reducer.py
@@ -0,0 +1,368 @@
+"""The gateway's decisions, and replays of the load patterns that they answer."""
+
+import random
+import unittest
+
+from heatherswitch.gateway import events as ev
+from heatherswitch.gateway.model import Load, Service
+from heatherswitch.gateway.reducer import READY_AGE_S, Limits
+from heatherswitch.gateway.servers import LOAD_VALID_S, REAPPEAR_S
+from test.gateway_fakes import Driver, chat, configuration, server
+
+
+class AdmissionTest(unittest.TestCase):
+    def test_nothing_is_refused_for_good_before_the_first_configuration(self):
+        driver = Driver(version=0)
+        refusal = driver.decide("/nowhere/")
+        self.assertEqual(refusal.status, 503)
+        self.assertFalse(driver.reducer.ready(driver.now))
+
+    def test_unknown_route_and_key(self):
+        driver = Driver()
+        self.assertEqual(driver.decide("/nowhere/").status, 404)
+        self.assertEqual(driver.decide("/safe/1", key="forged").status, 401)
+
+    def test_unknown_route_is_not_refused_for_good_by_an_old_configuration(self):
+        """The newest configuration may have added it."""
+        driver = Driver()
+        driver.now += 2.5
+        self.assertEqual(driver.decide("/nowhere/").status, 503)
+        self.assertEqual(driver.decide("/safe/1", key="new").status, 503)
+
+    def test_keys_are_not_accepted_by_a_configuration_past_its_age(self):
+        """A withdrawn key must not be served after the platform's bound."""
+        driver = Driver(Limits(key_max_age_s=4.5))
+        driver.list(server("l1"))
+        driver.now += 4.4
+        self.assertIsInstance(driver.decide("/safe/1"), ev.Forward)
+        driver.now += 0.2
+        self.assertEqual(driver.decide("/safe/1").status, 503)
+        self.assertIsInstance(driver.decide("/open/1"), ev.Forward)
+
+    def test_callers_go_elsewhere_before_keys_are_refused(self):
+        driver = Driver()
+        driver.now += READY_AGE_S + 0.1
+        self.assertFalse(driver.reducer.ready(driver.now))
+
+    def test_version_never_goes_back(self):
+        driver = Driver(version=5)
+        driver.apply(ev.ConfigurationRead(configuration(4, routes=())))
+        self.assertEqual(driver.reducer.configuration.version, 5)
+
+    def test_longest_prefix_wins(self):
+        table = Driver().reducer.configuration.routes
+        self.assertEqual(table.find("auction.example", "/safe/a/b?").prefix, "/safe/")
+        self.assertIsNone(table.find("auction.example", "/safe"))
+        self.assertIsNone(table.find("other.example", "/safe/1"))
+
+
+class PlacementRulesTest(unittest.TestCase):
+    def test_leaving_removed_and_replaced_servers_get_nothing(self):
+        driver = Driver()
+        driver.list(server("l1", draining=True), server("l2"))
+        driver.apply(ev.ServerRemoved("l2", after_outage=False))
+        self.assertEqual(driver.decide("/safe/1").status, 503)
+
+    def test_entry_that_lapsed_in_an_outage_is_used_until_it_must_be_back(self):
+        driver = Driver()
+        driver.list(server("l1"))
+        driver.apply(ev.ServerRemoved("l1", after_outage=True))
+        self.assertIsInstance(driver.decide("/safe/1"), ev.Forward)
+        driver.advance(REAPPEAR_S + 0.1)
+        self.assertEqual(driver.decide("/safe/1").status, 503)
+
+    def test_draining_server_that_lapsed_in_an_outage_is_gone(self):
+        driver = Driver()
+        driver.list(server("l1", draining=True))
+        driver.apply(ev.ServerRemoved("l1", after_outage=True))
+        self.assertEqual(driver.decide("/safe/1").status, 503)
+
+    def test_zone_that_is_out_gets_nothing(self):
+        driver = Driver()
+        driver.list(server("l1"), server("l2", zone="b"))
+        driver.apply(ev.ZonesOut(frozenset({"a"})))
+        for _ in range(5):
+            self.assertEqual(driver.decide("/safe/1").server.id, "l2")
+
+    def test_route_with_a_home_stays_there(self):
+        driver = Driver()
+        driver.list(server("l1"), server("l2", zone="b"))
+        for _ in range(5):
+            self.assertEqual(driver.decide("/west/1").server.id, "l2")
+
+    def test_chat_follows_its_prompt(self):
+        driver = Driver()
+        driver.list(*(server(f"e{n}", "engine") for n in range(5)))
+        chosen = set()
+        for _ in range(6):
+            effect = driver.decide("/chat/1", parts=chat("guide"))
+            chosen.add(effect.server.id)
+            driver.end(effect.serial, ev.Completed(200, 0.1))
+        self.assertEqual(len(chosen), 1)
+
+    def test_moved_chat_copies_its_prompt_from_the_server_that_has_it(self):
+        driver = Driver()
+        driver.list(*(server(f"e{n}", "engine") for n in range(3)))
+        first = driver.decide("/chat/1", parts=chat("guide"))
+        driver.apply(ev.AnswerStarted(first.serial, None, 0.1, True))
+        driver.list(server(first.server.id, "engine", draining=True))
+        second = driver.decide("/chat/1", parts=chat("guide"))
+        self.assertNotEqual(second.server.id, first.server.id)
+        self.assertEqual(second.source.id, first.server.id)
+
+    def test_server_that_holds_the_prompt_copies_nothing(self):
+        driver = Driver()
+        driver.list(*(server(f"e{n}", "engine") for n in range(3)))
+        first = driver.decide("/chat/1", parts=chat("guide"))
+        driver.apply(ev.AnswerStarted(first.serial, None, 0.1, True))
+        self.assertIsNone(driver.decide("/chat/1", parts=chat("guide")).source)
+
+
+class RepeatTest(unittest.TestCase):
+    def setUp(self):
+        self.driver = Driver()
+        self.driver.list(*(server(f"l{n}") for n in range(4)))
+        self.driver.list(*(server(f"e{n}", "engine") for n in range(4)))
+
+    def test_settlement_that_may_have_run_is_never_sent_again(self):
+        sent = self.driver.decide("/once/1")
+        refusal = self.driver.end(sent.serial, ev.Broken("reset"))
+        self.assertEqual(refusal.status, 502)
+        self.assertIsNone(refusal.retry_after_s)
+
+    def test_rejected_settlement_is_sent_to_another_server(self):
+        sent = self.driver.decide("/once/1")
+        again = self.driver.end(sent.serial, ev.Rejected(503, False))
+        self.assertIsInstance(again, ev.Forward)
+        self.assertNotEqual(again.server.id, sent.server.id)
+
+    def test_refusal_after_a_run_never_promises_that_it_did_not_run(self):
+        sent = self.driver.decide("/safe/1")
+        again = self.driver.end(sent.serial, ev.Broken("reset"))
+        self.assertIsInstance(again, ev.Forward)
+        refusal = self.driver.end(again.serial, ev.Rejected(503, False))
+        if isinstance(refusal, ev.Refuse):
+            self.assertNotIn(refusal.status, (408, 421, 429, 503))
+
+    def test_route_bounds_the_servers_that_run_a_request(self):
+        sent = self.driver.decide("/safe/1")
+        again = self.driver.end(sent.serial, ev.Broken("reset"))
+        refusal = self.driver.end(again.serial, ev.Broken("reset"))
+        self.assertEqual(refusal.status, 502)
+
+    def test_error_of_the_last_server_is_delivered(self):
+        sent = self.driver.decide("/safe/1")
+        again = self.driver.end(sent.serial, ev.FailedAnswer(500))
+        last = self.driver.end(again.serial, ev.FailedAnswer(500))
+        self.assertIsInstance(last, ev.Relay)
+
+    def test_stream_goes_on_elsewhere_only_where_the_route_allows(self):
+        sent = self.driver.decide("/live/1", parts=chat("x"))
+        again = self.driver.end(sent.serial, ev.Broken("reset", started=True))
+        self.assertIsInstance(again, ev.Forward)
+        sent = self.driver.decide("/chat/1", parts=chat("x"))
+        cut = self.driver.end(sent.serial, ev.Broken("reset", started=True))
+        self.assertIsInstance(cut, ev.Cut)
+
+    def test_request_whose_connection_was_refused_is_sent_elsewhere(self):
+        sent = self.driver.decide("/once/1")
+        again = self.driver.end(sent.serial, ev.NotSent("refused"))
+        self.assertIsInstance(again, ev.Forward)
+
+    def test_caller_that_left_frees_its_place(self):
+        sent = self.driver.decide("/safe/1")
+        self.driver.apply(ev.CallerLeft(sent.serial))
+        self.assertEqual(self.driver.reducer.pending, 0)
+        self.driver.apply(ev.AttemptEnded(sent.serial, ev.Completed(200, 0.1)))
+
+
+class WaitingTest(unittest.TestCase):
+    def full(self, routers=("me",)) -> Driver:
+        """A driver whose one plain server has no room."""
+        driver = Driver(routers=routers)
+        driver.list(server("l1", slots=2))
+        while isinstance(driver.decide_or_wait("/safe/1"), ev.Forward):
+            pass
+        return driver
+
+    def setUp(self):
+        def decide_or_wait(driver, path):
+            driver.take()
+            driver.arrive(path)
+            effects = driver.take()
+            return effects[0] if effects else None
+
+        Driver.decide_or_wait = decide_or_wait
+        self.addCleanup(delattr, Driver, "decide_or_wait")
+
+    def test_request_without_any_server_is_refused_at_once(self):
+        refusal = Driver().decide("/safe/1")
+        self.assertEqual(refusal.status, 503)
+        self.assertGreater(refusal.retry_after_s, 0)
+
+    def test_waiting_request_is_sent_when_a_place_frees(self):
+        driver = self.full()
+        running = 1
+        driver.take()
+        driver.apply(ev.AttemptEnded(running, ev.Completed(200, 0.05)))
+        forwarded = [e for e in driver.take() if isinstance(e, ev.Forward)]
+        self.assertEqual(len(forwarded), 1)
+
+    def test_more_urgent_request_is_sent_first(self):
+        driver = self.full()
+        driver.arrive("/safe/late")
+        urgent = driver.arrive("/urgent/1")
+        driver.take()
+        driver.apply(ev.AttemptEnded(1, ev.Completed(200, 0.05)))
+        forwarded = [e for e in driver.take() if isinstance(e, ev.Forward)]
+        self.assertEqual([e.serial for e in forwarded], [urgent])
+
+    def test_full_queue_refuses_at_once_and_the_least_urgent_yields(self):
+        driver = self.full()
+        refused = None
+        while refused is None:
+            refused = driver.decide_or_wait("/safe/1")
+        self.assertEqual((refused.status, refused.reason), (503, "the queue is full"))
+        driver.take()
+        urgent = driver.arrive("/urgent/1")
+        (displaced,) = driver.take()
+        self.assertNotEqual(displaced.serial, urgent)
+        self.assertEqual(displaced.status, 503)
+
+    def test_waiting_request_is_refused_long_before_its_deadline(self):
+        driver = self.full()
+        driver.advance(0.51)
+        refusals = driver.take()
+        self.assertTrue(refusals)
+        self.assertEqual({r.status for r in refusals}, {503})
+
+
+class FleetShareTest(unittest.TestCase):
+    """All gateways together stay within fleet-wide limits."""
+
+    def fleet(self, size: int, **options) -> list[Driver]:
+        ids = tuple(f"r{n}" for n in range(size))
+        drivers = []
+        for own in ids:
+            driver = Driver(routers=ids, **options)
+            driver.reducer._fleet._own = own
+            drivers.append(driver)
+        return drivers
+
+    def test_cold_server_gets_its_rate_from_all_gateways_together(self):
+        """Replays a burst at a server that has just returned cold (FAILBACK)."""
+        rate, slack = 12.0, 5
+        for size in (1, 3, 5, 31):
+            arrivals = []
+            for driver in self.fleet(size):
+                driver.list(server("e1", "engine", cold_for_s=30.0, slots=64))
+                for _ in range(300):
+                    driver.arrive("/chat/1", parts=chat("guide"))
+                    driver.advance(0.01)
+                    arrivals += [
+                        driver.now for e in driver.take() if isinstance(e, ev.Forward)
+                    ]
+            worst = max(sum(a <= b < a + 1 for b in arrivals) for a in arrivals)
+            self.assertLessEqual(worst, rate * 1.5 + slack, f"{size} gateways")
+
+    def test_repeats_stay_within_the_budget_of_the_fleet(self):
+        """Replays servers that reject everything for ten seconds (BUDGET)."""
+        limits = Limits(budget_ratio=0.2, budget_slack=50.0)
+        for size in (1, 5, 31):
+            requests = repeats = 0
+            for driver in self.fleet(size, limits=limits):
+                driver.list(*(server(f"l{n}") for n in range(6)))
+                for _ in range(100):
+                    sent = driver.decide("/safe/1")
+                    requests += 1
+                    while isinstance(sent, ev.Forward):
+                        rejected = ev.Rejected(503, False)
+                        sent = driver.end(sent.serial, rejected)
+                        repeats += isinstance(sent, ev.Forward)
+                    driver.advance(0.1)
+            self.assertLessEqual(repeats, 0.2 * requests + 50, f"{size} gateways")
+
+    def test_router_without_a_list_of_the_fleet_takes_a_small_share(self):
+        driver = Driver(Limits(budget_slack=50.0), routers=())
+        driver.list(*(server(f"l{n}") for n in range(6)))
+        repeats = 0
+        for _ in range(10):
+            sent = driver.decide("/safe/1")
+            again = driver.end(sent.serial, ev.Rejected(503, False))
+            repeats += isinstance(again, ev.Forward)
+        self.assertLessEqual(repeats, 3)
+
+
+class LoadReplayTest(unittest.TestCase):
+    """Replays of load patterns against the reducer."""
+
+    def run_load(self, driver, arrivals, duration_s=1.2, servers=6):
+        """Serves (time, path, parts) with servers that answer in ``duration_s``.
+
+        :returns: the loads seen by each send, and the mean at that time.
+        """
+        running: list[tuple[float, int, str]] = []
+        load = {f"e{n}": 0 for n in range(servers)}
+        seen = []
+        for at, path, parts in arrivals:
+            for done in sorted(r for r in running if r[0] <= at):
+                running.remove(done)
+                load[done[2]] -= 1
+                driver.now = done[0]
+                driver.apply(ev.AttemptEnded(done[1], ev.Completed(200, duration_s)))
+            driver.now = at
+            driver.apply(ev.StoreConfirmed(at))
+            driver.take()
+            driver.arrive(path, parts=parts, deadline_s=10.0)
+            for effect in driver.take():
+                if isinstance(effect, ev.Forward):
+                    mean = sum(load.values()) / servers
+                    seen.append((load[effect.server.id], mean))
+                    load[effect.server.id] += 1
+                    running.append((at + duration_s, effect.serial, effect.server.id))
+                    report = Load(load[effect.server.id], 0, 64)
+                    driver.apply(ev.AnswerStarted(effect.serial, report, 0.01, True))
+        return seen
+
+    def test_hot_chat_spreads_before_its_server_exceeds_the_load_bound(self):
+        """Replays a third of all requests about one prompt (LIMIT)."""
+        driver = Driver()
+        driver.list(*(server(f"e{n}", "engine", slots=64) for n in range(6)))
+        rng = random.Random(7)
+        arrivals = []
+        for number in range(900):
+            subject = "hot" if rng.random() < 0.35 else f"s{rng.randrange(60)}"
+            arrivals.append((100 + number * 0.02, "/chat/1", chat(subject)))
+        seen = self.run_load(driver, arrivals)
+        over = sum(load > 2 * mean + 3 for load, mean in seen)
+        self.assertEqual(over, 0)
+
+    def test_lost_server_in_a_burst_refuses_nobody(self):
+        """Replays a burst in which one of six servers disappears."""
+        driver = Driver()
+        driver.list(*(server(f"e{n}", "engine", slots=64) for n in range(6)))
+        arrivals = [(100 + n * 0.01, "/chat/1", chat(f"s{n % 40}")) for n in range(300)]
+        first = self.run_load(driver, arrivals[:150])
+        driver.apply(ev.ServerRemoved("e3", after_outage=False))
+        second = self.run_load(driver, arrivals[150:])
+        self.assertEqual(len(first) + len(second), 300)
+
+    def test_report_that_is_too_old_does_not_count(self):
+        driver = Driver()
+        driver.list(server("e1", "engine"), server("e2", "engine"))
+        sent = driver.decide("/chat/1", parts=chat("x"))
+        driver.apply(ev.AnswerStarted(sent.serial, Load(60, 0, 64), 0.1, True))
+        driver.end(sent.serial, ev.Completed(200, 0.1))
+        moved = driver.decide("/chat/1", parts=chat("x"))
+        self.assertNotEqual(moved.server.id, sent.server.id)
+        driver.end(moved.serial, ev.Completed(200, 0.1))
+        driver.advance(LOAD_VALID_S + 0.1)
+        back = driver.decide("/chat/1", parts=chat("x"))
+        self.assertEqual(back.server.id, sent.server.id)
+
+    def test_cold_limit_of_zero_is_no_limit(self):
+        driver = Driver(services={"engine": Service("engine", 64, 0.0, 3.0, True, 8)})
+        driver.list(server("e1", "engine", cold_for_s=3.0))
+        for _ in range(5):
+            effect = driver.decide("/chat/1", parts=chat("x"))
+            self.assertIsInstance(effect, ev.Forward)
--- /dev/null
+++ b/test/test_gateway_service.py
@@ -0,0 +1,309 @@
+"""The gateway with its store and backend servers, over real sockets."""
+
+import asyncio
+import unittest
+
+from emulator.platform.deployment import Deployment, configuration
+from emulator.platform.server import Behaviour
+from heatherswitch.gateway.reducer import Limits
+from heatherswitch.util.http import ConnectionLost
+
+
+class GatewayCase(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.deployment = Deployment()
+        self.addAsyncCleanup(self.deployment.stop)
+
+    async def started(self, **options):
+        await self.deployment.start(**options)
+        return self.deployment
+
+    async def ledger(self, behaviour=None, **entry):
+        await self.started()
+        return await self.deployment.add("l1", "ledger", behaviour, **entry)
+
+
+class ForwardingTest(GatewayCase):
+    async def test_answer_and_signature_come_back_unchanged(self):
+        await self.ledger()
+        status, body, headers = await self.deployment.call("/lookup/7?lot=3")
+        self.assertEqual((status, body), (200, b"done"))
+        self.assertEqual(headers["x-response-seal"], "seal-of-l1")
+
+    async def test_server_gets_workspace_and_instance_but_not_the_key(self):
+        server = await self.ledger()
+        await self.deployment.call(
+            "/lookup/7?lot=3", X_Tenant="forged", X_Hold="9", X_Kv_Backup="1.2.3.4:1"
+        )
+        arrival = server.arrivals[0]
+        self.assertEqual(arrival.target, "/lookup/7?lot=3")
+        self.assertEqual(arrival.headers["x-tenant"], "huon-leaf")
+        self.assertEqual(arrival.headers["x-expect-instance"], "l1")
+        for name in ("authorization", "x-hold", "x-kv-backup"):
+            self.assertNotIn(name, arrival.headers)
+        self.assertLessEqual(int(arrival.headers["x-deadline-ms"]), 3000)
+
+    async def test_body_is_forwarded_whole(self):
+        server = await self.ledger()
+        await self.deployment.call("/settle/1", method="POST", body=b"x" * 50_000)
+        self.assertEqual(server.arrivals[0].body, b"x" * 50_000)
+
+    async def test_unknown_key_and_route_are_refused(self):
+        await self.ledger()
+        status, _, _ = await self.deployment.call("/lookup/1", Authorization="Bearer x")
+        self.assertEqual(status, 401)
+        status, _, _ = await self.deployment.call("/nowhere/1")
+        self.assertEqual(status, 404)
+
+    async def test_anonymous_route_needs_no_key(self):
+        server = await self.ledger()
+        status, _, _ = await self.deployment.call("/open/1", Authorization=None)
+        self.assertEqual(status, 200)
+        self.assertNotIn("x-tenant", server.arrivals[0].headers)
+
+    async def test_connection_is_used_again(self):
+        server = await self.ledger()
+        for _ in range(3):
+            await self.deployment.call("/lookup/1")
+        self.assertEqual(server.connections, 1)
+
+    async def test_answer_of_another_request_is_skipped(self):
+        await self.ledger(Behaviour(stray=True))
+        _, body, _ = await self.deployment.call("/settle/1", method="POST")
+        self.assertEqual(body, b"done")
+
+    async def test_answer_without_signature_is_not_a_success(self):
+        await self.ledger(Behaviour(seal=False))
+        status, _, _ = await self.deployment.call("/settle/1", method="POST")
+        self.assertEqual(status, 502)
+
+    async def test_answer_without_length_is_whole_when_the_connection_ends(self):
+        await self.ledger(Behaviour(unframed=True))
+        status, body, _ = await self.deployment.call("/lookup/1")
+        self.assertEqual((status, body), (200, b"done"))
+
+    async def test_server_that_was_replaced_gets_no_request(self):
+        server = await self.ledger()
+        server.id = "someone-else"
+        status, _, headers = await self.deployment.call("/settle/1", method="POST")
+        self.assertEqual(status, 503)
+        self.assertIn("retry-after", headers)
+
+
+class RepeatTest(GatewayCase):
+    async def two(self, bad: Behaviour):
+        await self.started()
+        first = await self.deployment.add("l1", "ledger", bad)
+        second = await self.deployment.add("l2", "ledger", zone="b")
+        return first, second
+
+    async def test_safe_request_is_sent_again_after_a_cut(self):
+        first, second = await self.two(Behaviour(cut_after=0))
+        for _ in range(4):
+            status, _, _ = await self.deployment.call("/lookup/1")
+            self.assertEqual(status, 200)
+        self.assertGreaterEqual(len(first.arrivals), 1)
+
+    async def test_settlement_is_not_sent_again_after_a_cut(self):
+        first, second = await self.two(Behaviour(reset_unread=True))
+        second.behaviour = first.behaviour
+        status, _, _ = await self.deployment.call("/settle/1", method="POST")
+        self.assertEqual(status, 502)
+        self.assertEqual(len(first.arrivals) + len(second.arrivals), 1)
+
+    async def test_settlement_goes_on_after_a_rejection(self):
+        """A rejected request has not run, so another server may run it."""
+        first, second = await self.two(Behaviour(status=503))
+        for _ in range(3):
+            status, _, _ = await self.deployment.call("/settle/1", method="POST")
+            self.assertEqual(status, 200)
+
+    async def test_server_error_is_delivered_with_its_signature(self):
+        await self.ledger(Behaviour(status=500, body=b"oops"))
+        status, body, headers = await self.deployment.call("/settle/1", method="POST")
+        self.assertEqual((status, body), (500, b"oops"))
+        self.assertEqual(headers["x-response-seal"], "seal-of-l1")
+
+    async def test_refused_connection_costs_no_request(self):
+        first, second = await self.two(Behaviour())
+        await first.stop()
+        for _ in range(4):
+            status, _, _ = await self.deployment.call("/settle/1", method="POST")
+            self.assertEqual(status, 200)
+
+    async def test_silent_server_is_left_for_another(self):
+        first, second = await self.two(Behaviour(silent=True))
+        for _ in range(3):
+            status, _, _ = await self.deployment.call("/lookup/1")
+            self.assertEqual(status, 200)
+
+    async def test_silent_server_of_a_settlement_is_a_timeout(self):
+        await self.ledger(Behaviour(silent=True))
+        status, _, _ = await self.deployment.call(
+            "/settle/1", method="POST", X_Deadline_Ms="300"
+        )
+        self.assertEqual(status, 504)
+
+
+class StreamTest(GatewayCase):
+    async def engine(self, *behaviours):
+        await self.started()
+        for number, behaviour in enumerate(behaviours):
+            await self.deployment.add(f"e{number}", "appraiser", behaviour)
+        return list(self.deployment.servers.values())
+
+    def whole(self, events: int) -> bytes:
+        return b"".join(
+            b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, events + 1)
+        )
+
+    async def test_events_are_forwarded(self):
+        await self.engine(Behaviour(events=5))
+        _, body, _ = await self.deployment.call("/draft/1", method="POST")
+        self.assertEqual(body, self.whole(5))
+
+    async def test_first_event_does_not_wait_for_the_second(self):
+        await self.engine(Behaviour(events=2, event_gap_s=0.8))
+        response = await self.deployment.send("/draft/1", method="POST")
+        async with asyncio.timeout(0.5):
+            first = await anext(response.chunks())
+        self.assertEqual(first, self.whole(1))
+        response.close()
+
+    async def test_cut_stream_goes_on_at_another_server(self):
+        await self.engine(Behaviour(events=6, cut_after=3), Behaviour(events=6))
+        for _ in range(4):
+            _, body, _ = await self.deployment.call("/answer/1", method="POST")
+            self.assertEqual(body, self.whole(6))
+
+    async def test_cut_stream_that_may_not_go_on_does_not_look_complete(self):
+        await self.engine(Behaviour(events=6, cut_after=3))
+        with self.assertRaises(ConnectionLost):
+            await self.deployment.call("/draft/1", method="POST")
+
+    async def test_caller_that_leaves_cancels_the_stream(self):
+        (server,) = await self.engine(Behaviour(events=100, event_gap_s=0.1))
+        response = await self.deployment.send("/draft/1", method="POST")
+        await anext(response.chunks())
+        response.close()
+        await self.deployment.until(lambda: server.cancelled, timeout_s=1.0)
+
+    async def test_caller_that_leaves_does_not_cut_a_settlement(self):
+        """Breaking off a booking that has begun leaves its outcome open."""
+        server = await self.ledger(Behaviour(delay_s=0.3))
+        call = asyncio.create_task(self.deployment.call("/settle/1", method="POST"))
+        await self.deployment.until(lambda: server.arrivals)
+        call.cancel()
+        await asyncio.sleep(0.5)
+        self.assertEqual(server.cancelled, [])
+
+
+class ConfigurationTest(GatewayCase):
+    async def test_new_configuration_is_in_force_within_two_seconds(self):
+        await self.ledger()
+        changed = configuration(2)
+        changed["routes"] = changed["routes"][:1]
+        self.deployment.store.put("op/config", changed)
+
+        async def settled():
+            status, _, _ = await self.deployment.call("/settle/1", method="POST")
+            return status == 404
+
+        async with asyncio.timeout(2.0):
+            while not await settled():
+                await asyncio.sleep(0.05)
+
+    async def test_older_version_does_not_come_back(self):
+        await self.started(version=5)
+        await self.deployment.add("l1", "ledger")
+        self.deployment.store.put("op/config", configuration(4, routes=[]))
+        await asyncio.sleep(1.2)
+        status, _, _ = await self.deployment.call("/lookup/1")
+        self.assertEqual(status, 200)
+
+    async def test_keys_are_refused_when_the_store_is_out_of_reach(self):
+        """A key may have been withdrawn; the refusal says that nothing ran."""
+        await self.started(limits=Limits(key_max_age_s=1.5))
+        await self.deployment.add("l1", "ledger")
+        self.deployment.store.refuse = 503
+        await asyncio.sleep(2.6)
+        self.assertFalse(self.deployment.gateway.ready)
+        status, _, headers = await self.deployment.call("/lookup/1")
+        self.assertEqual(status, 503)
+        self.assertIn("retry-after", headers)
+        status, _, _ = await self.deployment.call("/open/1")
+        self.assertEqual(status, 200)
+        status, _, _ = await self.deployment.call("/nowhere/1")
+        self.assertEqual(status, 503)
+        self.deployment.store.refuse = 0
+        await self.deployment.until(lambda: self.deployment.gateway.ready)
+
+    async def test_zone_that_is_out_gets_no_work(self):
+        await self.ledger()
+        self.deployment.store.put("op/evacuate/a", {})
+        await self.deployment.until(lambda: not self.gateway_knows_zone())
+        status, _, _ = await self.deployment.call("/lookup/1")
+        self.assertEqual(status, 503)
+        self.deployment.store.delete("op/evacuate/a")
+        await self.deployment.until(self.gateway_knows_zone)
+        status, _, _ = await self.deployment.call("/lookup/1")
+        self.assertEqual(status, 200)
+
+    def gateway_knows_zone(self):
+        return "a" not in self.deployment.gateway.zones_out
+
+    async def test_dropped_history_is_made_good(self):
+        await self.started()
+        store = self.deployment.store
+        store.deaf = True
+        server = await self._listed_unheard()
+        store.deaf = False
+        store.forget_history()
+        await self.deployment.until(lambda: self.deployment.gateway.knows(server))
+
+    async def _listed_unheard(self):
+        from emulator.platform.server import PlatformServer
+
+        server = PlatformServer("late")
+        await server.start()
+        self.addAsyncCleanup(server.stop)
+        self.deployment.store.put("servers/late", server.entry("ledger"))
+        return "late"
+
+    async def test_entries_of_other_writers_are_left_out(self):
+        server = await self.ledger()
+        store = self.deployment.store
+        store.put("servers/x1", b"\xff\x00")
+        store.put("servers/x2", {"service": 7, "address": "nowhere"})
+        store.put("servers/x3", server.entry("ledger", state="dreaming"))
+        await asyncio.sleep(1.0)
+        for _ in range(3):
+            status, _, _ = await self.deployment.call("/lookup/1")
+            self.assertEqual(status, 200)
+
+
+class StopTest(GatewayCase):
+    async def test_planned_stop_cuts_no_request(self):
+        server = await self.ledger(Behaviour(delay_s=0.5))
+        call = asyncio.create_task(self.deployment.call("/lookup/1"))
+        await self.deployment.until(lambda: server.arrivals)
+        stop = asyncio.create_task(self.deployment.gateway.stop())
+        await asyncio.sleep(0.1)
+        self.assertFalse(self.deployment.gateway.ready)
+        status, _, headers = await self.deployment.call("/lookup/2")
+        self.assertEqual((status, headers["connection"]), (200, "close"))
+        self.assertEqual((await call)[0], 200)
+        await stop
+
+    async def test_no_request_is_taken_after_the_last_answer_of_a_stop(self):
+        """The answer began before the stop, so it does not announce the close."""
+        await self.started()
+        await self.deployment.add(
+            "e1", "appraiser", Behaviour(events=26, event_gap_s=0.1)
+        )
+        response = await self.deployment.send("/draft/1", method="POST")
+        stop = asyncio.create_task(self.deployment.gateway.stop())
+        await response.read()
+        with self.assertRaises(ConnectionLost):
+            await response._client.request("GET", "/lookup/1", [("Host", "x")])
+        await stop
--- /dev/null
+++ b/test/test_platform_formats.py
@@ -0,0 +1,210 @@
+"""The platform's formats: headers, records, settings."""
+
+import json
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from emulator.platform.deployment import configuration
+from heatherswitch.gateway.model import Load, PromptPart, RequestKind
+from heatherswitch.gateway.upstream import Upstream
+from heatherswitch.platform.headers import (
+    decode_answer,
+    decode_request,
+    encode_request,
+)
+from heatherswitch.platform.reader import PlatformReader
+from heatherswitch.platform.records import (
+    RecordError,
+    decode_configuration,
+    decode_server,
+)
+from heatherswitch.platform.settings import SettingsError, gateway_config
+from heatherswitch.statecore.replica import Entry
+from heatherswitch.util.http import BadRequest, Request
+
+ENTRY = {
+    "service": "ledger",
+    "address": "10.1.2.3:8080",
+    "zone": "a",
+    "version": "v1",
+    "slots": 6,
+    "state": "ready",
+    "cold_remaining_ms": 1500,
+    "seq": 4,
+    "born": 1700000000000,
+}
+SETTINGS = {
+    "node_name": "edge-a-1",
+    "zone": "a",
+    "zones": {"a": "east"},
+    "ip": "10.1.0.40",
+    "listen": {"front": "10.1.0.40:8227", "ready": "10.1.0.40:8220"},
+    "limits": {"max_fds": 4100},
+    "bounds": {"grace_s": 8, "revoke_ms": 5000, "retry_budget_slack": 58},
+    "platform": {"address": "10.200.1.7:8223"},
+    "a_new_field": 1,
+}
+
+
+def request(*headers, target="/draft/1?x=1", method="POST", body=b"abc") -> Request:
+    given_headers = [("host", "Auction.example:80"), ("x-attempt-id", "a1"), *headers]
+    return Request(method, target, given_headers, body)
+
+
+class RequestTest(unittest.TestCase):
+    def test_fields(self):
+        decoded = decode_request(
+            request(
+                ("x-deadline-ms", "1500"),
+                ("authorization", "Bearer k1"),
+                ("x-prompt-prefix", "5c1e:800,91bd:410,e440:250"),
+            )
+        )
+        self.assertEqual(decoded.host, "auction.example")
+        self.assertEqual((decoded.path, decoded.deadline_s), ("/draft/1", 1.5))
+        self.assertEqual(decoded.key, "k1")
+        self.assertEqual(decoded.affinity, "91bd")
+        self.assertEqual(decoded.parts[0], PromptPart("5c1e", 800))
+
+    def test_bad_fields_are_refused(self):
+        for header in (
+            ("x-deadline-ms", "soon"),
+            ("x-deadline-ms", "-1"),
+            ("x-deadline-ms", "inf"),
+            ("x-attempt-id", "a2"),
+            ("host", "other.example"),
+        ):
+            with self.subTest(header), self.assertRaises(BadRequest):
+                decode_request(request(header))
+        with self.assertRaises(BadRequest):
+            decode_request(Request("GET", "/", [("host", "x")]))
+
+    def test_malformed_prompt_parts_cost_only_the_affinity(self):
+        decoded = decode_request(request(("x-prompt-prefix", "5c1e,zz")))
+        self.assertEqual((decoded.parts, decoded.affinity), ((), ""))
+
+    def test_forwarded_headers(self):
+        upstream = Upstream("i-1", 1.25, "huon", 2, "7", "10.0.0.9:80")
+        sent = encode_request(
+            request(
+                ("connection", "close, X-Extra, X-Prompt-Prefix"),
+                ("x-extra", "1"),
+                ("x-prompt-prefix", "5c1e:800"),
+                ("transfer-encoding", "chunked"),
+                ("x-tenant", "forged"),
+                ("x-hold", "forged"),
+                ("kv-from", "forged"),
+                ("x-request-priority", "0"),
+                ("authorization", "Bearer k1"),
+                ("last-event-id", "3"),
+                ("x-model", "m"),
+            ),
+            upstream,
+        )
+        fields = {name.lower(): value for name, value in sent}
+        self.assertEqual(len(fields), len(sent), "a header is sent twice")
+        self.assertEqual(
+            fields,
+            {
+                "host": "Auction.example:80",
+                "x-attempt-id": "a1",
+                "x-prompt-prefix": "5c1e:800",
+                "x-model": "m",
+                "x-deadline-ms": "1250",
+                "x-expect-instance": "i-1",
+                "x-tenant": "huon",
+                "x-request-priority": "2",
+                "kv-fetch": "10.0.0.9:80",
+                "last-event-id": "7",
+                "content-length": "3",
+            },
+        )
+
+    def test_answer(self):
+        head = decode_answer(
+            200,
+            [
+                ("x-attempt-id", "a1"),
+                ("x-response-seal", "s"),
+                ("x-server-load", "3,1,8"),
+                ("connection", "close"),
+                ("content-length", "5"),
+            ],
+        )
+        self.assertTrue(head.sealed)
+        self.assertEqual((head.load, head.length), (Load(3, 1, 8), 5))
+        self.assertNotIn("connection", dict(head.headers))
+        self.assertTrue(decode_answer(503, [("x-not-executed", "1")]).not_run)
+        self.assertFalse(decode_answer(503, []).not_run)
+        self.assertTrue(decode_answer(421, []).other_instance)
+        self.assertIsNone(decode_answer(200, [("x-server-load", "many")]).load)
+
+
+class RecordTest(unittest.TestCase):
+    def test_configuration(self):
+        decoded = decode_configuration(json.dumps(configuration(7)).encode())
+        self.assertEqual(decoded.version, 7)
+        kinds = {r.prefix: (r.kind, r.repeatable) for r in decoded.routes}
+        self.assertEqual(kinds["/answer/"], (RequestKind.STREAMING, True))
+        self.assertEqual(kinds["/draft/"], (RequestKind.STREAMING, False))
+        self.assertTrue(decoded.services["appraiser"].model)
+        self.assertEqual(decoded.keys["key-huon-leaf"].name, "huon-leaf")
+        self.assertEqual(decoded.limits.head_s, 0.5)
+
+    def test_unknown_kind_may_run_only_once(self):
+        tree = configuration()
+        tree["routes"][0]["kind"] = "something_new"
+        decoded = decode_configuration(json.dumps(tree).encode())
+        self.assertFalse(decoded.routes[0].repeatable)
+
+    @given(st.binary(max_size=60))
+    def test_bytes_that_are_no_configuration(self, data):
+        with self.assertRaises(RecordError):
+            decode_configuration(data)
+
+    def test_server(self):
+        decoded = decode_server("i-1", json.dumps(ENTRY).encode())
+        self.assertEqual((decoded.host, decoded.port), ("10.1.2.3", 8080))
+        self.assertEqual(decoded.cold_for_s, 1.5)
+        self.assertEqual(decoded.incarnation, 1700000000000)
+
+    @given(
+        st.sampled_from(sorted(ENTRY)),
+        st.one_of(st.none(), st.integers(), st.lists(st.text()), st.text()),
+    )
+    def test_entry_of_another_writer_never_raises(self, name, value):
+        decode_server("i-1", json.dumps(ENTRY | {name: value}).encode())
+
+    def test_unusable_entries(self):
+        for change in (
+            {"service": 3},
+            {"address": "nowhere"},
+            {"state": "dreaming"},
+            {"zone": None},
+        ):
+            data = json.dumps(ENTRY | change).encode()
+            self.assertIsNone(decode_server("i-1", data), change)
+        self.assertIsNone(decode_server("i-1", b"\xff"))
+
+    def test_unusable_configuration_changes_nothing(self):
+        reader = PlatformReader()
+        self.assertEqual(reader.read(Entry("op/config", 3, b"{"), False), [])
+        self.assertEqual(reader.read(Entry("op/config", 4, None), False), [])
+
+
+class SettingsTest(unittest.TestCase):
+    def test_settings(self):
+        config = gateway_config(SETTINGS)
+        self.assertEqual(config.listen, "10.1.0.40:8227")
+        self.assertEqual(config.limits.key_max_age_s, 4.5)
+        self.assertEqual(config.limits.budget_slack, 58)
+        self.assertLess(config.grace_s, 8)
+        self.assertEqual(config.http.connections, 1950)
+
+    def test_missing_field_is_named(self):
+        for name in ("node_name", "zone", "ip", "listen", "platform"):
+            tree = {key: value for key, value in SETTINGS.items() if key != name}
+            with self.subTest(name), self.assertRaisesRegex(SettingsError, name):
+                gateway_config(tree)
--- /dev/null
+++ b/test/test_platform_store.py
@@ -0,0 +1,107 @@
+"""The platform's store: its client, leases over it, and how it fails."""
+
+import asyncio
+import unittest
+
+from emulator.platform.store import PAGE_ITEMS, PlatformStoreServer
+from heatherswitch.platform.store import PlatformStore
+from heatherswitch.statecore.lease import Lease
+from heatherswitch.statecore.store import (
+    AmbiguousWrite,
+    Compacted,
+    CompareFailed,
+    StoreError,
+    StoreUnavailable,
+)
+from heatherswitch.util.clock import Clock
+
+
+class PlatformStoreTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.server = PlatformStoreServer()
+        await self.server.start()
+        self.addAsyncCleanup(self.server.stop)
+        self.clock = Clock()
+        self.store = PlatformStore.from_address(self.server.address, self.clock)
+        self.addCleanup(self.store.close)
+
+    async def test_compare_and_swap(self):
+        first = await self.store.commit({"a": 0}, {"a": b"1"})
+        with self.assertRaises(CompareFailed):
+            await self.store.commit({"a": 0}, {"a": b"2"})
+        await self.store.commit({"a": first}, {"a": b"2"})
+        self.assertEqual((await self.store.get("a")).value, b"2")
+        self.assertIsNone(await self.store.get("b"))
+
+    async def test_snapshot_reads_all_pages(self):
+        for number in range(PAGE_ITEMS * 2 + 5):
+            self.server.put(f"servers/{number:04}", {})
+        self.server.put("op/config", {})
+        snapshot = await self.store.snapshot(["op/", "servers/"])
+        self.assertEqual(len(snapshot.entries), PAGE_ITEMS * 2 + 6)
+        self.assertLessEqual(snapshot.current_at, self.clock.now())
+
+    async def test_watch_tells_changes_and_deletions(self):
+        revision = self.server.put("op/a", {})
+        watch = self.store.watch("", revision + 1)
+        self.server.put("op/b", {"x": 1})
+        self.server.delete("op/a")
+        batch = await anext(watch)
+        self.assertEqual([e.key for e in batch.entries], ["op/b", "op/a"])
+        self.assertIsNone(batch.entries[1].value)
+
+    async def test_watch_without_a_change_confirms_the_time_of_its_answer(self):
+        watch = self.store.watch("", self.server.data.revision + 1)
+        sent_at = self.clock.now()
+        batch = await anext(watch)
+        self.assertEqual(batch.entries, ())
+        self.assertGreater(batch.current_at, sent_at + 0.5)
+        self.assertLessEqual(batch.current_at, self.clock.now())
+
+    async def test_dropped_history(self):
+        self.server.put("op/a", {})
+        self.server.forget_history()
+        with self.assertRaises(Compacted):
+            await anext(self.store.watch("", 1))
+
+    async def test_refused_write_was_not_done(self):
+        for status in (503, 429):
+            self.server.refuse = status
+            with self.assertRaises(StoreUnavailable):
+                await self.store.commit({}, {"a": b"1"})
+        self.server.refuse = 0
+        self.assertIsNone(await self.store.get("a"))
+
+    async def test_lost_answer_leaves_the_outcome_open(self):
+        self.server.lose_writes = 1
+        with self.assertRaises(AmbiguousWrite):
+            await self.store.commit({}, {"a": b"1"})
+        self.assertIsNotNone(await self.store.get("a"))
+
+    async def test_write_to_foreign_keys_is_refused(self):
+        with self.assertRaises(StoreError):
+            await self.store.commit({}, {"op/config": b"{}"})
+
+    async def test_lease_holds_one_owner_and_survives_a_lost_answer(self):
+        self.server.lose_writes = 0
+        first = Lease(self.store, "owners/x", "a", 2.0, self.clock)
+        second = Lease(self.store, "owners/x", "b", 2.0, self.clock)
+        self.assertTrue(await first.acquire())
+        self.assertFalse(await second.acquire())
+        await first.keep_alive()
+        await first.release()
+        self.assertTrue(await second.acquire())
+
+    async def test_late_write_of_a_lost_transaction_does_not_overwrite(self):
+        """The compare fences a write that the store executes seconds later."""
+        self.server.lose_writes, self.server.late_writes_s = 1, 1.2
+        with self.assertRaises(AmbiguousWrite):
+            await self.store.commit({"a": 0}, {"a": b"late"})
+        await self.store.commit({"a": 0}, {"a": b"new"})
+        await asyncio.sleep(0.5)
+        self.assertEqual((await self.store.get("a")).value, b"new")
+
+    async def test_silent_store_is_noticed(self):
+        self.server.silent = True
+        with self.assertRaises(StoreUnavailable):
+            await self.store.get("a")
