--- a/heatherswitch/gateway/events.py
+++ b/heatherswitch/gateway/events.py
@@ -13,9 +13,14 @@
 
 @dataclass(frozen=True, slots=True)
 class NotSent:
-    """No connection to the backend server could be opened; nothing was sent."""
+    """No connection to the backend server could be opened; nothing was sent.
+
+    :param unreachable: the server did not answer at all; a refused connection is an
+        answer.
+    """
 
     reason: str
+    unreachable: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/heatherswitch/gateway/reducer.py
+++ b/heatherswitch/gateway/reducer.py
@@ -17,6 +17,7 @@
     Workspace,
 )
 from heatherswitch.gateway.prefix_index import PrefixIndex
+from heatherswitch.gateway.reach import ZoneReach
 from heatherswitch.gateway.selection import (
     Choice,
     Constraints,
@@ -118,6 +119,7 @@
         "_pending",
         "_prefixes",
         "_queues",
+        "_reach",
         "_regions",
         "_selector",
         "_servers",
@@ -136,7 +138,8 @@
         self._regions = regions
         self._fleet = FleetView(own_id)
         self._prefixes = PrefixIndex()
-        self._selector = Selector(self._fleet, self._prefixes, zone)
+        self._reach = ZoneReach()
+        self._selector = Selector(self._fleet, self._prefixes, self._reach, zone)
         self._servers = ServerTable()
         self._configuration = CurrentConfiguration(limits.key_max_age_s)
         self._zones_out: frozenset[str] = frozenset()
@@ -368,6 +371,7 @@
         if event.load is not None:
             pending.at.note_load(now, event.load)
         pending.at.note_cold(now, event.cold_s)
+        self._reach.note_reached(pending.at.record.zone)
         if event.success:
             self._prefixes.note(pending.request.shared, pending.at.record.id)
         return []
@@ -389,6 +393,9 @@
                 return [ev.Finish(serial)]
             case ev.NotSent():
                 state.note_failure(now)
+                if outcome.unreachable:
+                    record = state.record
+                    self._reach.note_unreachable(now, record.zone, record.id)
                 return self._repeat(now, serial, pending, ran=False, arrived=False)
             case ev.Rejected(_, other_instance):
                 state.note_failure(now)
