--- a/heatherswitch/gateway/events.py
+++ b/heatherswitch/gateway/events.py
@@ -13,14 +13,9 @@
 
 @dataclass(frozen=True, slots=True)
 class NotSent:
-    """No connection to the backend server could be opened; nothing was sent.
-
-    :param unreachable: the server did not answer at all; a refused connection is an
-        answer.
-    """
+    """No connection to the backend server could be opened; nothing was sent."""
 
     reason: str
-    unreachable: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/heatherswitch/gateway/reducer.py
+++ b/heatherswitch/gateway/reducer.py
@@ -17,7 +17,6 @@
     Workspace,
 )
 from heatherswitch.gateway.prefix_index import PrefixIndex
-from heatherswitch.gateway.reach import ZoneReach
 from heatherswitch.gateway.selection import (
     Choice,
     Constraints,
@@ -119,7 +118,6 @@
         "_pending",
         "_prefixes",
         "_queues",
-        "_reach",
         "_regions",
         "_selector",
         "_servers",
@@ -138,8 +136,7 @@
         self._regions = regions
         self._fleet = FleetView(own_id)
         self._prefixes = PrefixIndex()
-        self._reach = ZoneReach()
-        self._selector = Selector(self._fleet, self._prefixes, self._reach, zone)
+        self._selector = Selector(self._fleet, self._prefixes, zone)
         self._servers = ServerTable()
         self._configuration = CurrentConfiguration(limits.key_max_age_s)
         self._zones_out: frozenset[str] = frozenset()
@@ -371,7 +368,6 @@
         if event.load is not None:
             pending.at.note_load(now, event.load)
         pending.at.note_cold(now, event.cold_s)
-        self._reach.note_reached(pending.at.record.zone)
         if event.success:
             self._prefixes.note(pending.request.shared, pending.at.record.id)
         return []
@@ -393,9 +389,6 @@
                 return [ev.Finish(serial)]
             case ev.NotSent():
                 state.note_failure(now)
-                if outcome.unreachable:
-                    record = state.record
-                    self._reach.note_unreachable(now, record.zone, record.id)
                 return self._repeat(now, serial, pending, ran=False, arrived=False)
             case ev.Rejected(_, other_instance):
                 state.note_failure(now)
--- a/heatherswitch/gateway/relay.py
+++ b/heatherswitch/gateway/relay.py
@@ -18,13 +18,7 @@
     ServerConnection,
     Upstream,
 )
-from heatherswitch.util.http import (
-    ConnectFailed,
-    ConnectionLost,
-    ConnectTimedOut,
-    Headers,
-    Request,
-)
+from heatherswitch.util.http import ConnectFailed, ConnectionLost, Headers, Request
 from heatherswitch.util.http_server import Responder
 
 log = logging.getLogger("heatherswitch.gateway.relay")
@@ -114,7 +108,7 @@
         try:
             connection, _ = await self._pool.acquire(sent_at, forward.server, once)
         except ConnectFailed as error:
-            return ev.NotSent(str(error), isinstance(error, ConnectTimedOut))
+            return ev.NotSent(str(error))
         whole = False
         try:
             outcome, whole = await self._exchange(connection, forward, sent_at)
--- a/heatherswitch/gateway/selection.py
+++ b/heatherswitch/gateway/selection.py
@@ -6,7 +6,6 @@
 from heatherswitch.fleet.shares import FleetView
 from heatherswitch.gateway.model import CallerRequest, Service
 from heatherswitch.gateway.prefix_index import PrefixIndex
-from heatherswitch.gateway.reach import ZoneReach
 from heatherswitch.gateway.servers import CONNECTION_SHARE, ServerState
 from heatherswitch.statecore.hashing import hash64, unit_hash
 
@@ -72,14 +71,11 @@
     :param zone: zone of the gateway.
     """
 
-    __slots__ = ("_fleet", "_prefixes", "_reach", "_zone")
+    __slots__ = ("_fleet", "_prefixes", "_zone")
 
-    def __init__(
-        self, fleet: FleetView, prefixes: PrefixIndex, reach: ZoneReach, zone: str
-    ) -> None:
+    def __init__(self, fleet: FleetView, prefixes: PrefixIndex, zone: str) -> None:
         self._fleet = fleet
         self._prefixes = prefixes
-        self._reach = reach
         self._zone = zone
 
     def choose(
@@ -105,14 +101,10 @@
         ready = [s for s in ready if self._has_room(now, s, service)]
         if not ready:
             return NoChoice(len(usable), min(waits.values()) or float("inf"))
-        healthy = [
-            s
-            for s in ready
-            if not s.avoided(now) and not self._reach.is_cut_off(now, s.record.zone)
-        ]
+        healthy = [s for s in ready if not s.avoided(now)]
         if service.model:
             choice = self._by_affinity(now, request, healthy or ready, open_servers)
-            return replace(choice, source=self._source(now, request, choice, servers))
+            return replace(choice, source=self._source(request, choice, servers))
         return self._by_latency(now, request, healthy or ready)
 
     def _has_room(self, now: float, state: ServerState, service: Service) -> bool:
@@ -142,7 +134,7 @@
         least = min(ranked, key=lambda s: loads[s.record.id])
         return Choice(least, "least loaded")
 
-    def _source(self, now, request, choice: Choice, servers) -> ServerState | None:
+    def _source(self, request, choice: Choice, servers) -> ServerState | None:
         """Returns a server to copy the shared parts from; reading costs more.
 
         Without a known holder it is the server that ranks highest beside the chosen
@@ -156,11 +148,7 @@
         holders = self._prefixes.holders(request.affinity)
         if chosen in holders:
             return None
-        alive = {
-            s.record.id: s
-            for s in servers
-            if not s.gone and not self._reach.is_cut_off(now, s.record.zone)
-        }
+        alive = {s.record.id: s for s in servers if not s.gone}
         alive.pop(chosen, None)
         for server_id in reversed(holders):
             if server_id in alive:
--- a/heatherswitch/gateway/upstream.py
+++ b/heatherswitch/gateway/upstream.py
@@ -11,19 +11,13 @@
 import h11
 
 from heatherswitch.gateway.model import Load, Server
-from heatherswitch.util.http import (
-    ConnectFailed,
-    ConnectionLost,
-    ConnectTimedOut,
-    Headers,
-)
+from heatherswitch.util.http import ConnectFailed, ConnectionLost, Headers
 
 log = logging.getLogger("heatherswitch.gateway.upstream")
 
-# Seconds for a connection to open. Zones are a millisecond apart and servers take a
-# few milliseconds, so a longer wait means a lost packet or a server out of reach, and
-# another server is tried while the answer can still be on time.
-CONNECT_TIMEOUT_S = 0.25
+# Seconds for a connection to open. Zones are a millisecond apart, so a longer wait
+# means a lost packet or a server out of reach, and another server is tried.
+CONNECT_TIMEOUT_S = 0.5
 # Seconds for which data may stay unacknowledged before the kernel gives a
 # connection up; finds connections that have gone silent.
 TCP_USER_TIMEOUT_S = 2.0
@@ -284,11 +278,7 @@
                 _, connection = await loop.create_connection(
                     ServerConnection, server.host, server.port
                 )
-        except TimeoutError as error:
-            raise ConnectTimedOut(
-                f"no answer from {server.host}:{server.port} in {CONNECT_TIMEOUT_S} s"
-            ) from error
-        except OSError as error:
+        except (OSError, TimeoutError) as error:
             raise ConnectFailed(
                 f"cannot connect to {server.host}:{server.port}: {error!r}"
             ) from error
--- a/heatherswitch/util/http.py
+++ b/heatherswitch/util/http.py
@@ -22,10 +22,6 @@
     """No connection was made, so nothing of the request was sent."""
 
 
-class ConnectTimedOut(ConnectFailed):
-    """The other side did not answer while a connection was opened."""
-
-
 class ConnectionLost(HttpError):
     """The connection broke or timed out after the request may have been sent."""
 
--- a/test/test_gateway_reducer.py
+++ b/test/test_gateway_reducer.py
@@ -347,33 +347,6 @@
         second = self.run_load(driver, arrivals[150:])
         self.assertEqual(len(first) + len(second), 300)
 
-    def test_cut_between_zones_costs_few_requests_a_connect_timeout(self):
-        """Replays a cut of 3 s that silences two of six servers (inc-befd)."""
-        driver = Driver()
-        driver.list(
-            *(
-                server(f"e{n}", "engine", slots=64, zone="ab"[n % 3 == 0])
-                for n in range(6)
-            )
-        )
-        timeouts = 0
-        for number in range(150):
-            driver.advance(0.02)
-            effect = driver.decide("/chat/1", parts=chat(f"s{number % 40}"))
-            while isinstance(effect, ev.Forward) and effect.server.zone == "b":
-                timeouts += 1
-                effect = driver.end(effect.serial, ev.NotSent("no answer", True))
-            self.assertIsInstance(effect, ev.Forward)
-            driver.end(effect.serial, ev.Completed(200, 0.1))
-        self.assertLessEqual(timeouts, 12)
-
-    def test_one_silent_server_does_not_cut_off_its_zone(self):
-        driver = Driver()
-        driver.list(*(server(f"l{n}", zone="b") for n in range(3)))
-        sent = driver.decide("/safe/1")
-        again = driver.end(sent.serial, ev.NotSent("no answer", True))
-        self.assertEqual(again.server.zone, "b")
-
     def test_report_that_is_too_old_does_not_count(self):
         driver = Driver()
         driver.list(server("e1", "engine"), server("e2", "engine"))
