Move services between versions by evidence that all gateways share

Cause: an operator's order was not read, so a bad new version would have received its share of the pool. Design: three stages; the first one is bounded by the exposure rule, later ones need answers of their own stage and stop at suspicion; the owner holds a lease that every write compares; evidence and progress lie in the store. The sequential test, the evidence records and the slowness threshold are those of the routers. Also: the fleet view held the gateway's id without its random part, so with more than four gateways none counted itself among those that may use a cold server.

--- a/deploy/install.py
+++ b/deploy/install.py
@@ -6,7 +6,14 @@
 import tomllib
 
 # Libraries of the gateway; the other daemons need more.
-GATEWAY_LIBRARIES = ("aioprometheus", "h11", "python-json-logger", "PyYAML", "xxhash")
+GATEWAY_LIBRARIES = (
+    "aioprometheus",
+    "h11",
+    "hdrhistogram",
+    "python-json-logger",
+    "PyYAML",
+    "xxhash",
+)
 
 
 def requirements(project: pathlib.Path) -> list[str]:
--- a/heatherswitch/gateway/events.py
+++ b/heatherswitch/gateway/events.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from heatherswitch.fleet.evidence import EvidenceRecord
 from heatherswitch.gateway.model import (
     CallerRequest,
     Configuration,
@@ -9,6 +10,8 @@
     Route,
     Server,
 )
+from heatherswitch.gateway.rollout_records import Progress
+from heatherswitch.gateway.rollouts import MoveState, RolloutOrder
 
 
 @dataclass(frozen=True, slots=True)
@@ -160,6 +163,42 @@
     ids: tuple[str, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class RolloutOrdered:
+    """An operator orders a move between versions.
+
+    :param order: None when the order was taken away.
+    """
+
+    service: str
+    order: RolloutOrder | None
+
+
+@dataclass(frozen=True, slots=True)
+class RolloutStatusRead:
+    """The recorded state of a move."""
+
+    service: str
+    target: str
+    state: MoveState
+
+
+@dataclass(frozen=True, slots=True)
+class ProgressRead:
+    """The owner's record of a move."""
+
+    service: str
+    progress: Progress
+
+
+@dataclass(frozen=True, slots=True)
+class EvidenceRead:
+    """What another gateway saw of a move."""
+
+    service: str
+    records: tuple[EvidenceRecord, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class Tick:
     """Time has passed."""
@@ -176,6 +215,10 @@
     | ServerRemoved
     | ZonesOut
     | RoutersCounted
+    | RolloutOrdered
+    | RolloutStatusRead
+    | ProgressRead
+    | EvidenceRead
     | Tick
 )
 
--- a/heatherswitch/gateway/reducer.py
+++ b/heatherswitch/gateway/reducer.py
@@ -4,6 +4,7 @@
 and when it is refused. It does no input or output and reads no clock.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from heatherswitch.fleet.shares import FleetView, TokenBucket
@@ -17,6 +18,12 @@
     Workspace,
 )
 from heatherswitch.gateway.prefix_index import PrefixIndex
+from heatherswitch.gateway.rollouts import (
+    Exposure,
+    MoveState,
+    VersionMove,
+    order_id,
+)
 from heatherswitch.gateway.selection import (
     Choice,
     Constraints,
@@ -65,11 +72,13 @@
     :param key_max_age_s: age of the configuration up to which keys are accepted.
     :param budget_ratio: repeats for each request, over the whole fleet.
     :param budget_slack: repeats in a window that are free, over the whole fleet.
+    :param exposure: requests that an unproven version may get.
     """
 
     key_max_age_s: float = 4.5
     budget_ratio: float = 0.2
     budget_slack: float = 50.0
+    exposure: Exposure = Exposure()
 
 
 @dataclass(slots=True)
@@ -93,6 +102,8 @@
     # Part of an answer was delivered.
     started: bool = False
     waiting: bool = False
+    # Seconds to the head of the present attempt's answer.
+    first_s: float | None = None
 
     @property
     def priority(self) -> int:
@@ -114,7 +125,10 @@
         "_budget",
         "_configuration",
         "_fleet",
+        "_incarnation",
         "_limits",
+        "_moves",
+        "_own_id",
         "_pending",
         "_prefixes",
         "_queues",
@@ -134,6 +148,11 @@
     ) -> None:
         self._limits = limits
         self._regions = regions
+        self._own_id = own_id
+        # Orders the evidence of two runs of the same gateway.
+        self._incarnation = int(now * 1000)
+        # Newest move between versions of each service.
+        self._moves: dict[str, VersionMove] = {}
         self._fleet = FleetView(own_id)
         self._prefixes = PrefixIndex()
         self._selector = Selector(self._fleet, self._prefixes, zone)
@@ -154,6 +173,11 @@
         """Routers among which limits are divided."""
         return self._fleet.size
 
+    @property
+    def moves(self) -> dict[str, VersionMove]:
+        """Newest move between versions of each service."""
+        return self._moves
+
     @property
     def waiting(self) -> int:
         """Requests that wait for a server."""
@@ -210,13 +234,72 @@
             case ev.RoutersCounted():
                 self._fleet.update(event.ids)
                 self._budget.limit(now, 0.0, self._budget_burst())
+            case ev.RolloutOrdered():
+                self._on_order(now, event)
+            case ev.RolloutStatusRead():
+                self._on_rollout_status(event)
+            case ev.ProgressRead():
+                self._on_progress(now, event)
+            case ev.EvidenceRead():
+                move = self._moves.get(event.service)
+                for record in event.records if move else ():
+                    move.take_evidence(now, record)
             case ev.Tick():
                 self._servers.expire(now)
+                for move in self._moves.values():
+                    move.advance_evidence(now)
         return self._serve_waiting(now)
 
     def _budget_burst(self) -> float:
         return max(1.0, BUDGET_MARGIN * self._limits.budget_slack / self._fleet.size)
 
+    # Moves between versions
+
+    def _on_order(self, now: float, event: ev.RolloutOrdered) -> None:
+        known = self._moves.get(event.service)
+        if event.order is None:
+            self._moves.pop(event.service, None)
+        elif known is None or known.order.revision != event.order.revision:
+            self._moves[event.service] = VersionMove(
+                now,
+                event.order,
+                self._own_id,
+                self._incarnation,
+                self._limits.exposure,
+            )
+
+    def _on_rollout_status(self, event: ev.RolloutStatusRead) -> None:
+        move = self._moves.get(event.service)
+        if move is None or move.order.target != event.target:
+            return
+        if event.state is not MoveState.RUNNING:
+            move.state = event.state
+
+    def _on_progress(self, now: float, event: ev.ProgressRead) -> None:
+        move = self._moves.get(event.service)
+        if move is not None and event.progress.move == order_id(move.order):
+            move.resume(now, event.progress.stage, event.progress.elapsed_s)
+
+    def _version_rule(self, pending: _Pending) -> Callable[[str], bool]:
+        """Returns which versions may serve a request."""
+        move = self._moves.get(pending.service.name)
+        if move is None:
+            return lambda version: True
+        target = move.order.target
+        position = unit_hash("rollout", pending.request.id)
+        if position < move.share(self._fleet.size):
+            return lambda version: version == target
+        return lambda version: version != target
+
+    def _count_version(
+        self, now: float, pending: _Pending, state: ServerState, failed: bool
+    ) -> None:
+        move = self._moves.get(pending.service.name)
+        if move is not None:
+            move.count_answer(
+                now, pending.route.name, state.record.version, failed, pending.first_s
+            )
+
     # Arrival
 
     def _on_arrival(self, now: float, event: ev.RequestArrived) -> list[ev.Effect]:
@@ -264,12 +347,29 @@
     # Placement
 
     def _choose(self, now: float, pending: _Pending) -> Choice | NoChoice:
+        servers = self._servers.of_service(pending.service.name)
+        fits = self._version_rule(pending)
         constraints = Constraints(
             pending.service,
-            lambda state: self._allowed(state, pending),
+            lambda state: fits(state.record.version) and self._allowed(state, pending),
+            pending.tried,
+        )
+        choice = self._selector.choose(now, pending.request, servers, constraints)
+        move = self._moves.get(pending.service.name)
+        if not isinstance(choice, NoChoice) or choice.known or move is None:
+            return choice
+        # No server of the request's version is left. The new version stands in for
+        # the old one only when it may take all requests.
+        target = move.order.target
+        full = move.share(self._fleet.size) >= 1.0
+        constraints = Constraints(
+            pending.service,
+            lambda state: (
+                (full or state.record.version != target)
+                and self._allowed(state, pending)
+            ),
             pending.tried,
         )
-        servers = self._servers.of_service(pending.service.name)
         return self._selector.choose(now, pending.request, servers, constraints)
 
     def _allowed(self, state: ServerState, pending: _Pending) -> bool:
@@ -298,7 +398,11 @@
         state.take_cold_token(now)
         state.in_flight += 1
         pending.at = state
+        pending.first_s = None
         pending.waiting = False
+        move = self._moves.get(pending.service.name)
+        if move is not None:
+            move.count_request(state.record.version == move.order.target)
         pending.tried.append(state.record.id)
         return ev.Forward(
             serial,
@@ -365,6 +469,7 @@
         pending = self._pending.get(event.serial)
         if pending is None or pending.at is None:
             return []
+        pending.first_s = event.first_s
         if event.load is not None:
             pending.at.note_load(now, event.load)
         pending.at.note_cold(now, event.cold_s)
@@ -385,6 +490,7 @@
         match outcome:
             case ev.Completed(_, total_s):
                 state.note_success(total_s)
+                self._count_version(now, pending, state, failed=False)
                 del self._pending[serial]
                 return [ev.Finish(serial)]
             case ev.NotSent():
@@ -396,10 +502,12 @@
                 return self._repeat(now, serial, pending, ran=False)
             case ev.FailedAnswer():
                 state.note_failure(now, avoid=False)
+                self._count_version(now, pending, state, failed=True)
                 pending.held = outcome
                 return self._repeat(now, serial, pending, ran=True)
             case ev.Broken():
                 state.note_failure(now)
+                self._count_version(now, pending, state, failed=True)
                 pending.held = None
                 pending.broken = outcome
                 pending.started = pending.started or outcome.started
--- /dev/null
+++ b/heatherswitch/gateway/rollout_owner.py
@@ -0,0 +1,155 @@
+"""Publishes a gateway's evidence and, where it owns the moves, drives them.
+
+One gateway owns all moves under a lease. Every write compares the lease's key, so that
+a paused or replaced owner changes nothing.
+"""
+
+import asyncio
+import logging
+import random
+from collections.abc import Callable
+from typing import Protocol
+
+from heatherswitch.gateway.rollout_records import (
+    EVIDENCE_PREFIX,
+    PROGRESS_PREFIX,
+    Progress,
+    encode_evidence,
+    encode_progress,
+)
+from heatherswitch.gateway.rollouts import MoveState, Step, VersionMove, order_id
+from heatherswitch.statecore.lease import Lease, LeaseLost, LeaseStore
+from heatherswitch.statecore.store import StoreError
+from heatherswitch.util.clock import Clock
+
+log = logging.getLogger("heatherswitch.gateway.rollout_owner")
+
+OWNER_KEY = "heatherswitch/owners/rollouts"
+# Time to live of the ownership, in seconds: a dead owner is replaced within half of
+# the shortest move that the platform shows, 12 s.
+OWNER_TTL_S = 4.0
+# Seconds between two looks at the moves. Bad versions must be cut 5 s after their
+# fiftieth bad answer, and the evidence passes through the store in between.
+LOOK_S = 0.5
+
+
+class StatusEncoder(Protocol):
+    """Encodes the status that operators read."""
+
+    def status(self, service: str, state: MoveState, target: str) -> tuple[str, bytes]:
+        """Returns key and value."""
+
+
+class RolloutOwner:
+    """Runs beside the gateway while a move is open.
+
+    :param moves: returns the open moves by service.
+    """
+
+    __slots__ = ("_clock", "_encoder", "_id", "_lease", "_moves", "_store")
+
+    def __init__(
+        self,
+        store: LeaseStore,
+        encoder: StatusEncoder,
+        own_id: str,
+        clock: Clock,
+        moves: Callable[[], dict[str, VersionMove]],
+    ) -> None:
+        self._store = store
+        self._encoder = encoder
+        self._id = own_id
+        self._clock = clock
+        self._moves = moves
+        self._lease: Lease | None = None
+
+    async def run(self) -> None:
+        """Looks after the moves until cancelled."""
+        while True:
+            await asyncio.sleep(LOOK_S * random.uniform(0.8, 1.2))
+            running = {
+                service: move
+                for service, move in self._moves().items()
+                if move.state is MoveState.RUNNING
+            }
+            try:
+                if running:
+                    await self._look(running)
+                elif self._lease is not None:
+                    lease, self._lease = self._lease, None
+                    await lease.release()
+            except LeaseLost as error:
+                log.warning("ownership of moves lost", extra={"error": str(error)})
+                self._lease = None
+            except StoreError as error:
+                log.warning("a move was not recorded", extra={"error": str(error)})
+
+    async def _look(self, running: dict[str, VersionMove]) -> None:
+        now = self._clock.now()
+        for service, move in running.items():
+            records = move.own_evidence(now, self._id)
+            if records:
+                key = f"{EVIDENCE_PREFIX}{service}/{self._id}"
+                await self._store.commit({}, {key: encode_evidence(records)})
+        await self._own()
+        if self._lease is None:
+            return
+        for service, move in running.items():
+            await self._drive(service, move)
+
+    async def _own(self) -> None:
+        """Takes the ownership if it is free, or renews it."""
+        if self._lease is not None:
+            await self._lease.keep_alive()
+            return
+        lease = Lease(self._store, OWNER_KEY, self._id, OWNER_TTL_S, self._clock)
+        if await lease.acquire():
+            log.info("owns the moves between versions")
+            self._lease = lease
+
+    async def _drive(self, service: str, move: VersionMove) -> None:
+        now = self._clock.now()
+        step = move.next_step(now)
+        if step is Step.COMPLETE:
+            await self._decide(service, move, MoveState.COMPLETED)
+        elif step is Step.ROLL_BACK:
+            await self._decide(service, move, MoveState.ROLLED_BACK)
+        else:
+            stage = move.stage + (step is Step.ADVANCE)
+            await self._record(service, move, stage)
+
+    async def _record(self, service: str, move: VersionMove, stage: int) -> None:
+        """Writes progress and status, then follows them."""
+        now = self._clock.now()
+        progress = Progress(order_id(move.order), stage, move.elapsed_s(now))
+        key, value = self._encoder.status(service, MoveState.RUNNING, move.order.target)
+        puts = {PROGRESS_PREFIX + service: encode_progress(progress), key: value}
+        await self._store.commit(self._lease.compare, puts)
+        if stage != move.stage:
+            log.info(
+                "move advances",
+                extra={
+                    "service": service,
+                    "target": move.order.target,
+                    "stage": stage,
+                    "verdict": move.verdict.value,
+                    "elapsed_s": round(progress.elapsed_s, 2),
+                },
+            )
+            move.resume(now, stage, progress.elapsed_s)
+
+    async def _decide(self, service: str, move: VersionMove, state: MoveState) -> None:
+        key, value = self._encoder.status(service, state, move.order.target)
+        await self._store.commit(self._lease.compare, {key: value})
+        move.state = state
+        log.info(
+            "move decided",
+            extra={
+                "service": service,
+                "target": move.order.target,
+                "state": state.value,
+                "reason": move.reason,
+                "verdict": move.verdict.value,
+                "elapsed_s": round(move.elapsed_s(self._clock.now()), 2),
+            },
+        )
--- a/heatherswitch/gateway/shell.py
+++ b/heatherswitch/gateway/shell.py
@@ -12,6 +12,7 @@
 from heatherswitch.gateway.model import CallerRequest, RequestKind
 from heatherswitch.gateway.reducer import GatewayReducer, Limits
 from heatherswitch.gateway.relay import Codec, Relay
+from heatherswitch.gateway.rollouts import VersionMove
 from heatherswitch.gateway.store_sync import StoreSync
 from heatherswitch.gateway.upstream import ConnectionPool
 from heatherswitch.util.clock import Clock
@@ -21,6 +22,9 @@
 
 log = logging.getLogger("heatherswitch.gateway")
 
+# Returns the newest move between versions of each service.
+Moves = Callable[[], dict[str, VersionMove]]
+
 # Seconds between two looks at waiting requests.
 WAIT_TICK_S = 0.02
 # Seconds between two rounds of housekeeping.
@@ -75,9 +79,10 @@
         "_codec",
         "_config",
         "_follow",
+        "_mailboxes",
+        "_member",
         "_metrics",
         "_metrics_server",
-        "_mailboxes",
         "_pool",
         "_ready_server",
         "_reducer",
@@ -92,14 +97,16 @@
         config: GatewayConfig,
         clock: Clock,
         codec: GatewayCodec,
-        follow: Callable[[StoreSync, str], Any],
+        follow: Callable[[StoreSync, str, Moves], Any],
     ) -> None:
         self._config = config
         self._clock = clock
         self._codec = codec
         self._follow = follow
+        # A gateway that starts again is another member of the fleet.
+        self._member = f"{config.id}-{random.getrandbits(32):08x}"
         self._reducer = GatewayReducer(
-            clock.now(), config.id, config.zone, dict(config.regions), config.limits
+            clock.now(), self._member, config.zone, dict(config.regions), config.limits
         )
         self._pool = ConnectionPool()
         self._metrics = Metrics()
@@ -150,9 +157,11 @@
                 self._config.metrics_host, self._config.metrics_port
             )
         sync = StoreSync(self._clock, self._apply)
-        member = f"{self._config.id}-{random.getrandbits(32):08x}"
+        member = self._member
         self._tasks = [
-            asyncio.create_task(self._follow(sync, member)),
+            asyncio.create_task(
+                self._follow(sync, member, lambda: self._reducer.moves)
+            ),
             asyncio.create_task(self._keep_house()),
             asyncio.create_task(self._serve_waiting()),
         ]
--- a/heatherswitch/gateway/store_sync.py
+++ b/heatherswitch/gateway/store_sync.py
@@ -126,7 +126,9 @@
         self._emit(ev.StoreConfirmed(current_at))
         if any(e.key.startswith(reader.member_prefix) for e in changed):
             members = self._entries.with_prefix(reader.member_prefix)
-            self._emit(ev.RoutersCounted(tuple(e.key for e in members)))
+            prefix = reader.member_prefix
+            ids = tuple(e.key.removeprefix(prefix) for e in members)
+            self._emit(ev.RoutersCounted(ids))
 
 
 async def keep_membership(store: LeaseStore, key: str, clock: Clock) -> None:
--- a/heatherswitch/platform/gateway.py
+++ b/heatherswitch/platform/gateway.py
@@ -7,7 +7,8 @@
 import sys
 from dataclasses import replace
 
-from heatherswitch.gateway.shell import Gateway, GatewayConfig
+from heatherswitch.gateway.rollout_owner import RolloutOwner
+from heatherswitch.gateway.shell import Gateway, GatewayConfig, Moves
 from heatherswitch.gateway.store_sync import StoreSync, keep_membership
 from heatherswitch.platform.codec import PlatformCodec
 from heatherswitch.platform.reader import PlatformReader
@@ -35,13 +36,15 @@
     """Builds a gateway that speaks the platform's formats."""
     reader = PlatformReader()
 
-    async def follow(sync: StoreSync, member: str) -> None:
+    async def follow(sync: StoreSync, member: str, moves: Moves) -> None:
         store = PlatformStore.from_address(config.store, clock)
         key = reader.member_prefix + member
         try:
             async with asyncio.TaskGroup() as group:
                 group.create_task(sync.run(store, reader))
                 group.create_task(keep_membership(store, key, clock))
+                owner = RolloutOwner(store, reader, member, clock, moves)
+                group.create_task(owner.run())
         finally:
             store.close()
 
--- a/heatherswitch/platform/reader.py
+++ b/heatherswitch/platform/reader.py
@@ -1,12 +1,22 @@
 """Turns entries of the platform's store into events of the gateway."""
 
+import json
 import logging
 
 from heatherswitch.gateway import events as ev
+from heatherswitch.gateway.rollout_records import (
+    EVIDENCE_PREFIX,
+    PROGRESS_PREFIX,
+    RolloutRecordError,
+    decode_evidence,
+    decode_progress,
+)
+from heatherswitch.gateway.rollouts import MoveState
 from heatherswitch.platform import names
 from heatherswitch.platform.records import (
     RecordError,
     decode_configuration,
+    decode_order,
     decode_server,
 )
 from heatherswitch.statecore.replica import Entry
@@ -20,7 +30,8 @@
     __slots__ = ("_zones_out",)
 
     member_prefix = "heatherswitch/routers/"
-    prefixes = ("op/", names.SERVERS_PREFIX, member_prefix)
+    # An order comes before the status and the records that continue it.
+    prefixes = ("op/", names.SERVERS_PREFIX, "status/", "heatherswitch/")
 
     def __init__(self) -> None:
         self._zones_out: set[str] = set()
@@ -44,6 +55,51 @@
                 "zone order", extra={"zones_out": sorted(self._zones_out), "zone": zone}
             )
             return [ev.ZonesOut(frozenset(self._zones_out))]
+        if key.startswith(names.ROLLOUT_PREFIX):
+            return self._order(entry)
+        if key.startswith(names.ROLLOUT_STATUS_PREFIX) and value is not None:
+            return self._status(key.removeprefix(names.ROLLOUT_STATUS_PREFIX), value)
+        if value is not None:
+            return self._own_record(key, value)
+        return []
+
+    def status(self, service: str, state: MoveState, target: str) -> tuple[str, bytes]:
+        """Returns key and value of a move's status for operators."""
+        value = {"state": state.value, "target": target}
+        return names.ROLLOUT_STATUS_PREFIX + service, json.dumps(value).encode()
+
+    def _order(self, entry: Entry) -> list[ev.Event]:
+        service = entry.key.removeprefix(names.ROLLOUT_PREFIX)
+        if entry.value is None:
+            return [ev.RolloutOrdered(service, None)]
+        try:
+            order = decode_order(service, entry.mod_revision, entry.value)
+        except RecordError as error:
+            log.error("an order of a move is unusable", extra={"error": str(error)})
+            return []
+        log.info("move ordered", extra={"service": service, "target": order.target})
+        return [ev.RolloutOrdered(service, order)]
+
+    def _status(self, service: str, value: bytes) -> list[ev.Event]:
+        try:
+            tree = json.loads(value)
+            state = MoveState(tree["state"])
+            return [ev.RolloutStatusRead(service, str(tree["target"]), state)]
+        except (KeyError, TypeError, ValueError) as error:
+            log.warning("status of a move is unusable", extra={"error": repr(error)})
+            return []
+
+    def _own_record(self, key: str, value: bytes) -> list[ev.Event]:
+        """Reads what the gateways themselves keep about moves."""
+        try:
+            if key.startswith(PROGRESS_PREFIX):
+                service = key.removeprefix(PROGRESS_PREFIX)
+                return [ev.ProgressRead(service, decode_progress(value))]
+            if key.startswith(EVIDENCE_PREFIX):
+                service = key.removeprefix(EVIDENCE_PREFIX).rpartition("/")[0]
+                return [ev.EvidenceRead(service, tuple(decode_evidence(value)))]
+        except RolloutRecordError as error:
+            log.warning("record of a move is unusable", extra={"error": str(error)})
         return []
 
     def _configuration(self, value: bytes | None) -> list[ev.Event]:
--- a/heatherswitch/platform/records.py
+++ b/heatherswitch/platform/records.py
@@ -13,6 +13,7 @@
     Service,
     Workspace,
 )
+from heatherswitch.gateway.rollouts import RolloutOrder
 
 log = logging.getLogger("heatherswitch.platform.records")
 
@@ -114,6 +115,19 @@
     return keys
 
 
+def decode_order(service: str, revision: int, value: bytes) -> RolloutOrder:
+    """Reads an operator's order to move a service to a version.
+
+    :raises RecordError: if it does not have the platform's format.
+    """
+    try:
+        tree = json.loads(value)
+        duration_s = float(tree["duration_s"])
+        return RolloutOrder(service, _text(tree["target"]), duration_s, revision)
+    except (KeyError, TypeError, ValueError) as error:
+        raise RecordError(f"order of a move: {error!r}") from error
+
+
 def decode_server(server_id: str, value: bytes) -> Server | None:
     """Reads the entry of a backend server.
 
--- a/heatherswitch/platform/settings.py
+++ b/heatherswitch/platform/settings.py
@@ -7,6 +7,7 @@
 import yaml
 
 from heatherswitch.gateway.reducer import Limits
+from heatherswitch.gateway.rollouts import Exposure
 from heatherswitch.gateway.shell import GatewayConfig
 from heatherswitch.platform import names
 from heatherswitch.util.http import HttpLimits
@@ -74,6 +75,10 @@
                 key_max_age_s=bounds.get("revoke_ms", 5000) / 1000 * KEY_AGE_SHARE,
                 budget_ratio=float(bounds.get("retry_budget_ratio", 0.2)),
                 budget_slack=float(bounds.get("retry_budget_slack", 50)),
+                exposure=Exposure(
+                    float(bounds.get("canary_share", 0.1)),
+                    float(bounds.get("canary_slack", 50)),
+                ),
             ),
             http=HttpLimits(connections=max(16, (descriptors - RESERVED_FDS) // 2)),
         )
--- /dev/null
+++ b/test/test_rollouts.py
@@ -0,0 +1,216 @@
+"""Moves between versions: exposure of bad ones, completion of good ones."""
+
+import asyncio
+import contextlib
+import random
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from emulator.platform.deployment import Deployment
+from emulator.platform.server import Behaviour
+from heatherswitch.gateway.rollout_records import (
+    Progress,
+    RolloutRecordError,
+    decode_evidence,
+    decode_progress,
+    encode_evidence,
+    encode_progress,
+)
+from heatherswitch.gateway.rollouts import (
+    Exposure,
+    MoveState,
+    RolloutOrder,
+    Step,
+    VersionMove,
+    order_id,
+)
+
+ORDER = RolloutOrder("ledger", "v2", 12.0, 7)
+SHARE, SLACK = 0.1, 50.0
+
+
+class Fleet:
+    """Gateways that see a stream of requests each and share their evidence.
+
+    :ivar exposed: requests that the new version got.
+    :ivar bad_at: times of its bad answers.
+    """
+
+    def __init__(self, gateways: int, rate: float, seed: int) -> None:
+        exposure = Exposure(SHARE, SLACK)
+        self.moves = [
+            VersionMove(0.0, ORDER, f"g{n}", 1, exposure) for n in range(gateways)
+        ]
+        self.rate = rate
+        self.random = random.Random(seed)
+        self.total = self.exposed = 0
+        self.bad_at: list[float] = []
+        self.last_exposed_at = 0.0
+        self.outcome = MoveState.RUNNING
+
+    def run(self, bad) -> None:
+        """Plays the move; ``bad(now, share)`` tells whether an answer of v2 fails."""
+        now, look_at = 0.0, 0.5
+        while now < ORDER.duration_s:
+            now += self.random.expovariate(self.rate)
+            self._request(now, bad)
+            if now >= look_at:
+                look_at = now + 0.5
+                self._look(now)
+
+    def _request(self, now: float, bad) -> None:
+        move = self.random.choice(self.moves)
+        share = move.share(len(self.moves))
+        to_target = self.random.random() < share
+        move.count_request(to_target)
+        self.total += 1
+        failed = self.random.random() < 0.01
+        if to_target:
+            self.exposed += 1
+            self.last_exposed_at = now
+            failed = bad(now, share)
+            if failed:
+                self.bad_at.append(now)
+        move.count_answer(now, "/r/", "v2" if to_target else "v1", failed, 0.05)
+
+    def _look(self, now: float) -> None:
+        for move in self.moves:
+            move.advance_evidence(now)
+        records = [
+            r
+            for n, move in enumerate(self.moves)
+            for r in move.own_evidence(now, f"g{n}")
+        ]
+        for move in self.moves:
+            for record in decode_evidence(encode_evidence(records)):
+                move.take_evidence(now, record)
+        step = self.moves[0].next_step(now)
+        if step is Step.ADVANCE:
+            for move in self.moves:
+                move.resume(now, self.moves[0].stage + 1, now)
+        elif step is not Step.WAIT:
+            completed = step is Step.COMPLETE
+            state = MoveState.COMPLETED if completed else MoveState.ROLLED_BACK
+            self.outcome = state
+            for move in self.moves:
+                move.state = state
+
+
+class FleetTest(unittest.TestCase):
+    def play(self, bad, gateways=5, rate=30.0, seed=1) -> Fleet:
+        fleet = Fleet(gateways, rate, seed)
+        fleet.run(bad)
+        return fleet
+
+    def test_good_version_is_completed_in_time(self):
+        for seed in range(10):
+            rng = random.Random(seed)
+            fleet = self.play(lambda now, share: rng.random() < 0.01, seed=seed)  # noqa: B023
+            self.assertIs(fleet.outcome, MoveState.COMPLETED, seed)
+
+    def test_bad_versions_are_rolled_back_within_their_exposure(self):
+        """Guards EXPOSURE: faults at once, later, and only under load."""
+        kinds = {
+            "at once": lambda rng: lambda now, share: rng.random() < 0.4,
+            "later": lambda rng: lambda now, share: now > 4 and rng.random() < 0.5,
+            "under load": lambda rng: (
+                lambda now, share: share > 0.3 and rng.random() < 0.5
+            ),
+        }
+        for name, kind in kinds.items():
+            for seed in range(10):
+                rng = random.Random(seed)
+                fleet = self.play(kind(rng), seed=seed)
+                with self.subTest(name, seed=seed):
+                    self.assertIs(fleet.outcome, MoveState.ROLLED_BACK)
+                    self.assertLessEqual(fleet.exposed, SHARE * fleet.total + SLACK)
+                    if len(fleet.bad_at) >= 50:
+                        late = fleet.last_exposed_at - fleet.bad_at[49]
+                        self.assertLessEqual(late, 5.0)
+
+    def test_exposure_holds_over_fleets_and_rates(self):
+        for gateways in (1, 5, 31):
+            for rate in (5.0, 60.0):
+                rng = random.Random(3)
+                fleet = self.play(lambda now, share: rng.random() < 0.6, gateways, rate)  # noqa: B023
+                with self.subTest(gateways=gateways, rate=rate):
+                    self.assertLessEqual(fleet.exposed, SHARE * fleet.total + SLACK)
+
+    def test_version_without_answers_is_rolled_back_at_the_end(self):
+        move = VersionMove(0.0, ORDER, "g", 1, Exposure())
+        self.assertIs(move.next_step(5.0), Step.WAIT)
+        self.assertIs(move.next_step(11.5), Step.ROLL_BACK)
+
+    def test_new_owner_goes_on_with_the_recorded_time(self):
+        move = VersionMove(100.0, ORDER, "g", 1, Exposure())
+        move.resume(100.0, 1, 8.0)
+        self.assertEqual((move.stage, move.elapsed_s(101.0)), (1, 9.0))
+        move.resume(100.0, 0, 2.0)
+        self.assertEqual(move.stage, 1, "a record of the past takes nothing back")
+
+    def test_evidence_of_an_earlier_move_does_not_count(self):
+        earlier = VersionMove(
+            0.0, RolloutOrder("ledger", "v2", 12.0, 3), "g1", 1, Exposure()
+        )
+        for _ in range(50):
+            earlier.count_answer(0.1, "/r/", "v2", True, 0.05)
+            earlier.count_answer(0.1, "/r/", "v1", False, 0.05)
+        earlier.advance_evidence(6.0)
+        move = VersionMove(0.0, ORDER, "g2", 1, Exposure())
+        for record in earlier.own_evidence(6.0, "g1"):
+            move.take_evidence(6.0, record)
+        self.assertEqual(move.reason, "")
+
+
+class RecordTest(unittest.TestCase):
+    def test_progress(self):
+        progress = Progress(order_id(ORDER), 2, 3.25)
+        self.assertEqual(decode_progress(encode_progress(progress)), progress)
+
+    @settings(max_examples=50)
+    @given(st.binary(max_size=40))
+    def test_malformed_records(self, data):
+        for decode in (decode_progress, decode_evidence):
+            with contextlib.suppress(RolloutRecordError):
+                decode(data)
+
+
+class RolloutServiceTest(unittest.IsolatedAsyncioTestCase):
+    async def play(self, behaviour: Behaviour) -> str:
+        """Moves a service to v2 under load; returns the status for operators."""
+        deployment = Deployment()
+        self.addAsyncCleanup(deployment.stop)
+        await deployment.start()
+        await deployment.add("l1", "ledger", version="v1")
+        await deployment.add("l2", "ledger", behaviour, version="v2")
+        order = {"service": "ledger", "target": "v2", "duration_s": 5}
+        deployment.store.put("op/rollout/ledger", order)
+
+        async def load():
+            while True:
+                await deployment.call("/lookup/1")
+
+        callers = [asyncio.create_task(load()) for _ in range(4)]
+
+        def status() -> str:
+            value = deployment.store.read("status/rollout/ledger") or b""
+            return value.decode()
+
+        await deployment.until(
+            lambda: "completed" in status() or "rolled_back" in status(), 8.0
+        )
+        for caller in callers:
+            caller.cancel()
+        await asyncio.gather(*callers, return_exceptions=True)
+        return status()
+
+    async def test_good_version_takes_all_requests(self):
+        status = await self.play(Behaviour(delay_s=0.01))
+        self.assertIn("completed", status)
+        self.assertIn('"target": "v2"', status)
+
+    async def test_bad_version_is_rolled_back(self):
+        status = await self.play(Behaviour(status=500, delay_s=0.01))
+        self.assertIn("rolled_back", status)
