Copy the deepest part of a prompt that a server is known to hold

Cause: a new subject read its root again although another server had it, and a server that all gateways prefer was told to copy from its runner-up on each first request.

--- a/heatherswitch/gateway/selection.py
+++ b/heatherswitch/gateway/selection.py
@@ -24,6 +24,9 @@
 # Latency that a hop to another zone adds, in seconds. It decides between servers
 # that are otherwise alike.
 OTHER_ZONE_S = 0.004
+# A server that was listed for less than this, in seconds, was not the preferred one of
+# the chats that it now gets. Prompts that were last used earlier cost nothing to read.
+NEW_SERVER_S = 10.0
 # Slots assumed where neither the entry nor the service says.
 ASSUMED_SLOTS = 16
 
@@ -104,7 +107,8 @@
         healthy = [s for s in ready if not s.avoided(now)]
         if service.model:
             choice = self._by_affinity(now, request, healthy or ready, open_servers)
-            return replace(choice, source=self._source(request, choice, servers))
+            source = self._source(now, request, choice, servers)
+            return replace(choice, source=source)
         return self._by_latency(now, request, healthy or ready)
 
     def _has_room(self, now: float, state: ServerState, service: Service) -> bool:
@@ -134,26 +138,32 @@
         least = min(ranked, key=lambda s: loads[s.record.id])
         return Choice(least, "least loaded")
 
-    def _source(self, request, choice: Choice, servers) -> ServerState | None:
-        """Returns a server to copy the shared parts from; reading costs more.
+    def _source(self, now, request, choice: Choice, servers) -> ServerState | None:
+        """Returns a server to copy shared parts from; reading them costs more.
 
-        Without a known holder it is the server that ranks highest beside the chosen
-        one: all gateways sent the chat there before the chosen server joined, before
-        it began to leave, or before it reached its load bound. Asking a server that
-        holds nothing costs nothing.
+        The deepest part that a server is known to hold decides. Without a known
+        holder of the whole chat, it is the server that ranks highest beside the
+        chosen one, where the chosen one cannot have had the chat before: all
+        gateways sent it there until the chosen server joined, until that server
+        began to leave, or until it reached its load bound.
         """
         if not request.parts:
             return None
-        chosen = choice.server.record.id
-        holders = self._prefixes.holders(request.affinity)
-        if chosen in holders:
-            return None
-        alive = {s.record.id: s for s in servers if not s.gone}
-        alive.pop(chosen, None)
-        for server_id in reversed(holders):
-            if server_id in alive:
-                return alive[server_id]
-        return min(alive.values(), key=_ranking(request), default=None)
+        chosen = choice.server
+        others = {s.record.id: s for s in servers if not s.gone and s is not chosen}
+        for part in reversed(request.shared):
+            holders = self._prefixes.holders(part.id)
+            if chosen.record.id in holders:
+                return None
+            for server_id in reversed(holders):
+                if server_id in others:
+                    return others[server_id]
+            if part is request.shared[-1]:
+                ranked = sorted([chosen, *others.values()], key=_ranking(request))
+                is_new = now - chosen.listed_at < NEW_SERVER_S
+                if len(ranked) > 1 and (is_new or ranked[0] is not chosen):
+                    return ranked[ranked[0] is chosen]
+        return None
 
     def _by_latency(self, now, request, ready) -> Choice:
         def cost(state: ServerState) -> float:
--- a/heatherswitch/gateway/servers.py
+++ b/heatherswitch/gateway/servers.py
@@ -42,12 +42,15 @@
         "gone",
         "in_flight",
         "latency_s",
+        "listed_at",
         "lost_at",
         "record",
     )
 
     def __init__(self, now: float, record: Server) -> None:
         self.record = record
+        # Time at which this gateway first saw the server.
+        self.listed_at = now
         self.in_flight = 0
         self.gone = False
         # Time at which the entry disappeared after an outage of the store.
--- a/test/test_gateway_reducer.py
+++ b/test/test_gateway_reducer.py
@@ -4,7 +4,7 @@
 import unittest
 
 from heatherswitch.gateway import events as ev
-from heatherswitch.gateway.model import Load, Service
+from heatherswitch.gateway.model import Load, PromptPart, Service
 from heatherswitch.gateway.reducer import READY_AGE_S, Limits
 from heatherswitch.gateway.servers import LOAD_VALID_S, REAPPEAR_S
 from test.gateway_fakes import Driver, chat, configuration, server
@@ -118,6 +118,47 @@
         self.assertIsNone(driver.decide("/chat/1", parts=chat("guide")).source)
 
 
+class CopySourceTest(unittest.TestCase):
+    """Where the shared parts of a prompt are copied from."""
+
+    def setUp(self):
+        self.driver = Driver()
+        self.driver.list(*(server(f"e{n}", "engine") for n in range(4)))
+        self.driver.advance(20.0)
+
+    def prompt(self, subject: str):
+        parts = (PromptPart("root", 500), PromptPart(subject, 900))
+        return (*parts, PromptPart(f"{subject}-own", 50))
+
+    def test_new_subject_copies_the_root_that_another_server_has(self):
+        """Else each server reads the root of all subjects again."""
+        first = self.driver.decide("/chat/1", parts=self.prompt("s0"))
+        self.driver.apply(ev.AnswerStarted(first.serial, None, 0.1, True))
+        for number in range(1, 20):
+            sent = self.driver.decide("/chat/1", parts=self.prompt(f"s{number}"))
+            if sent.server.id != first.server.id:
+                self.assertEqual(sent.source.id, first.server.id)
+                return
+        self.fail("all subjects went to one server")
+
+    def test_preferred_server_that_is_long_listed_copies_nothing_it_may_have(self):
+        self.assertIsNone(self.driver.decide("/chat/1", parts=self.prompt("s0")).source)
+
+    def test_new_server_copies_from_the_one_that_was_preferred_before(self):
+        for number in range(40):
+            parts = chat(f"s{number}")
+            before = self.driver.decide("/chat/1", parts=parts)
+            self.driver.end(before.serial, ev.Completed(200, 0.1))
+            self.driver.list(server("new", "engine"))
+            after = self.driver.decide("/chat/1", parts=parts)
+            self.driver.end(after.serial, ev.Completed(200, 0.1))
+            if after.server.id == "new":
+                self.assertEqual(after.source.id, before.server.id)
+                return
+            self.driver.apply(ev.ServerRemoved("new", after_outage=False))
+        self.fail("the new server was never preferred")
+
+
 class RepeatTest(unittest.TestCase):
     def setUp(self):
         self.driver = Driver()
