Count, time and log what a gateway does within bounds; follow a request in the logs

Cause: the gateway had no counters or histograms, its logs could block on a full pipe, and nobody could get from a request's id to its cause. New: metrics by route and workspace with bounded labels, a log handler that drops and counts instead of blocking, 'heatherswitch follow ID FILES' and 'heatherswitch check-settings FILE'.

--- a/heatherswitch/gateway/relay.py
+++ b/heatherswitch/gateway/relay.py
@@ -78,7 +78,7 @@
         request: Request,
         request_id: str,
         responder: Responder,
-        on_started: Callable[[AnswerHead, float], None],
+        on_started: Callable[[ev.Forward, AnswerHead, float], None],
     ) -> None:
         self._codec = codec
         self._pool = pool
@@ -128,7 +128,7 @@
         self._send(connection, forward, sent_at)
         head, wire = await self._head(connection, forward)
         first_s = self._clock() - sent_at
-        self._on_started(head, first_s)
+        self._on_started(forward, head, first_s)
         if head.not_run:
             # Before the body, which nobody needs: the connection is not kept.
             return ev.Rejected(head.status, head.other_instance), False
--- a/heatherswitch/gateway/shell.py
+++ b/heatherswitch/gateway/shell.py
@@ -14,7 +14,8 @@
 from heatherswitch.gateway.relay import Codec, Relay
 from heatherswitch.gateway.rollouts import VersionMove
 from heatherswitch.gateway.store_sync import StoreSync
-from heatherswitch.gateway.upstream import ConnectionPool
+from heatherswitch.gateway.telemetry import Telemetry
+from heatherswitch.gateway.upstream import AnswerHead, ConnectionPool
 from heatherswitch.util.clock import Clock
 from heatherswitch.util.http import HttpLimits, Request
 from heatherswitch.util.http_server import HttpServer, Responder
@@ -89,6 +90,7 @@
         "_serials",
         "_stopping",
         "_tasks",
+        "_telemetry",
         "_version",
     )
 
@@ -110,6 +112,7 @@
         )
         self._pool = ConnectionPool()
         self._metrics = Metrics()
+        self._telemetry = Telemetry(self._metrics)
         self._callers = HttpServer(self._handle, config.http)
         self._ready_server = HttpServer(self._handle_ready)
         self._metrics_server: HttpServer | None = None
@@ -246,10 +249,8 @@
             request,
             asked.id,
             responder,
-            lambda head, first_s: self._apply(
-                ev.AnswerStarted(
-                    serial, head.load, first_s, head.status < 300, head.cold_s
-                )
+            lambda forward, head, first_s: self._on_started(
+                serial, forward, head, first_s
             ),
         )
         arrived_at = self._clock.now()
@@ -270,11 +271,19 @@
             del self._mailboxes[serial]
             if not finished:
                 self._apply(ev.CallerLeft(serial))
+                self._telemetry.caller_left()
                 log.info(
                     "request not finished: the caller left",
                     extra={"request": asked.id, "after_s": self._since(arrived_at)},
                 )
 
+    def _on_started(
+        self, serial: int, forward: ev.Forward, head: AnswerHead, first_s: float
+    ) -> None:
+        self._telemetry.started(forward, first_s)
+        success = head.status < 300
+        self._apply(ev.AnswerStarted(serial, head.load, first_s, success, head.cold_s))
+
     async def _attempt(self, relay: Relay, forward: ev.Forward) -> ev.Outcome:
         """Runs an attempt; one that may run only once outlives its caller."""
         if forward.route.kind is not RequestKind.NON_IDEMPOTENT:
@@ -302,19 +311,20 @@
                 raise ConnectionAbortedError(effect.reason)
             case ev.Finish():
                 pass
-        reason = getattr(effect, "reason", "")
+        total_s = self._clock.now() - arrived_at
+        self._telemetry.ended(effect, status, total_s)
         log.info(
             "request ended",
             extra={
                 "request": asked.id,
                 "effect": type(effect).__name__,
                 "status": status,
-                "reason": reason,
+                "reason": getattr(effect, "reason", ""),
                 "configuration": self._version,
                 "configuration_age_s": round(
                     self._reducer.configuration.age_s(self._clock.now()), 2
                 ),
-                "after_s": self._since(arrived_at),
+                "after_s": round(total_s, LOG_DIGITS),
             },
         )
 
@@ -322,6 +332,7 @@
         return round(self._clock.now() - at, LOG_DIGITS)
 
     def _log_forward(self, asked: CallerRequest, forward: ev.Forward) -> None:
+        self._telemetry.forwarded(forward)
         log.info(
             "request forwarded",
             extra={
@@ -340,6 +351,7 @@
     def _log_outcome(self, asked, forward: ev.Forward, outcome: ev.Outcome) -> None:
         if isinstance(outcome, ev.Completed):
             return
+        self._telemetry.failed(forward, outcome)
         log.info(
             "attempt failed",
             extra={
@@ -361,7 +373,9 @@
         while True:
             await asyncio.sleep(HOUSEKEEPING_S)
             self._apply(ev.Tick())
-            self._pool.expire(self._clock.now())
+            now = self._clock.now()
+            self._pool.expire(now)
+            self._telemetry.state(now, self._reducer, self._pool)
             # Callers on open connections do not see the status checks fail.
             self._callers.draining = not self.ready
 
--- a/heatherswitch/ui/operator.py
+++ b/heatherswitch/ui/operator.py
@@ -3,18 +3,20 @@
 import sys
 
 from cleo.application import Application
+from cleo.commands.command import Command
 from cleo.exceptions import CleoError
 from cleo.io.inputs.argv_input import ArgvInput
 from cleo.io.inputs.input import Input
 from cleo.io.outputs.output import Output
 
 import heatherswitch
-from heatherswitch.ui import order_commands, settings_commands
-from heatherswitch.ui.base import OperatorCommand
+from heatherswitch.ui import gateway_commands, order_commands, settings_commands
 from heatherswitch.ui.errors import ExitCode
 from heatherswitch.ui.resource_commands import RESOURCE_COMMANDS
 
-COMMANDS: tuple[type[OperatorCommand], ...] = (
+COMMANDS: tuple[type[Command], ...] = (
+    gateway_commands.CheckSettingsCommand,
+    gateway_commands.FollowCommand,
     settings_commands.SetCommand,
     settings_commands.GetCommand,
     settings_commands.ExplainCommand,
--- a/heatherswitch/util/logs.py
+++ b/heatherswitch/util/logs.py
@@ -6,6 +6,8 @@
 
 from pythonjsonlogger.json import JsonFormatter
 
+from heatherswitch.util.bounded_logs import handler_for
+
 LEVELS = ("debug", "info", "warning", "error")
 
 
@@ -17,12 +19,13 @@
     :param program: name of the program, put into each line.
     :param instance: id of this process, put into each line.
     :param level: one of :data:`LEVELS`.
-    :param stream: standard error if None.
+    :param stream: takes a bounded number of lines without blocking; without one all
+        lines go to standard error.
     :raises ValueError: if the level is unknown.
     """
     if level not in LEVELS:
         raise ValueError(f"log level {level!r} is not one of {', '.join(LEVELS)}")
-    handler = logging.StreamHandler(stream or sys.stderr)
+    handler = handler_for(stream) if stream else logging.StreamHandler(sys.stderr)
     handler.setFormatter(
         JsonFormatter(
             "%(levelname)s %(name)s %(message)s",
