Take the load bound from the mean over all listed servers

The platform's mean counts the idle servers of the zone that is out; ours left them out, which raised the bound by two thirds.

--- a/heatherswitch/gateway/selection.py
+++ b/heatherswitch/gateway/selection.py
@@ -106,7 +106,8 @@
             return NoChoice(len(usable), min(waits.values()) or float("inf"))
         healthy = [s for s in ready if not s.avoided(now)]
         if service.model:
-            choice = self._by_affinity(now, request, healthy or ready, open_servers)
+            listed = [s for s in servers if not s.gone]
+            choice = self._by_affinity(now, request, healthy or ready, listed)
             source = self._source(now, request, choice, servers)
             return replace(choice, source=source)
         return self._by_latency(now, request, healthy or ready)
@@ -117,13 +118,15 @@
         connections = CONNECTION_SHARE * service.max_connections / self._fleet.size
         return state.load(now) < slots * fill and state.in_flight < max(1, connections)
 
-    def _by_affinity(self, now, request, ready, open_servers) -> Choice:
+    def _by_affinity(self, now, request, ready, listed) -> Choice:
         """Follows the chat unless its server is above the load bound.
 
-        All gateways rank the servers alike, so that a shared part is read at one.
+        All gateways rank the servers alike, so that a shared part is read at one. The
+        mean is over all listed servers, as the platform takes it: those that are out
+        or leaving lower it, and the others must then share their load more evenly.
         """
         loads = {s.record.id: s.load(now) for s in ready}
-        mean = sum(s.load(now) for s in open_servers) / len(open_servers)
+        mean = sum(s.load(now) for s in listed) / len(listed)
         bound = LOAD_FACTOR * mean + LOAD_SLACK
         ranked = sorted(ready, key=_ranking(request))
         if loads[ranked[0].record.id] < bound:
--- a/test/test_gateway_reducer.py
+++ b/test/test_gateway_reducer.py
@@ -407,6 +407,22 @@
             driver.apply(ev.AnswerStarted(effect.serial, report, 0.05, True))
         self.assertLessEqual(over, 0.01 * sends)
 
+    def test_load_bound_counts_the_servers_of_a_zone_that_is_out(self):
+        """The platform's mean is over all servers (LIMIT, zones-lost-and-cut)."""
+        driver = Driver()
+        driver.list(
+            *(server(f"e{n}", "engine", slots=64, zone="ab"[n < 2]) for n in range(5))
+        )
+        driver.apply(ev.ZonesOut(frozenset({"b"})))
+        rng = random.Random(5)
+        arrivals = [
+            (100 + n * 0.015, "/chat/1", chat(f"s{min(rng.randrange(40), 12)}"))
+            for n in range(600)
+        ]
+        seen = self.run_load(driver, arrivals, servers=5)
+        over = sum(load > 2 * mean + 3 for load, mean in seen)
+        self.assertLessEqual(over, 0.01 * len(seen))
+
     def test_lost_server_in_a_burst_refuses_nobody(self):
         """Replays a burst in which one of six servers disappears."""
         driver = Driver()
