--- a/heatherswitch/gateway/events.py
+++ b/heatherswitch/gateway/events.py
@@ -228,9 +228,8 @@
     """Send the request to a backend server.
 
     :param deadline_at: time at which the caller gets its final answer.
-    :param first_silence_s: seconds to the first part of the answer after which the
-        attempt is given up; None to wait until the deadline.
-    :param silence_s: the same for each further part.
+    :param silence_s: seconds without progress after which the attempt is given up;
+        None to wait until the deadline.
     :param source: server that holds more of the prompt, to copy it from, or None.
     :param reason: what decided the choice, for the log.
     """
@@ -242,7 +241,6 @@
     workspace: str
     priority: int
     deadline_at: float
-    first_silence_s: float | None
     silence_s: float | None
     reason: str
 
--- a/heatherswitch/gateway/reducer.py
+++ b/heatherswitch/gateway/reducer.py
@@ -56,13 +56,13 @@
 # Part of the fleet's retry budget that is used, so that routers whose lists of the
 # fleet differ for a moment stay within it together.
 BUDGET_MARGIN = 0.7
-# A repeatable request is given up at a server that has sent nothing after this
-# multiple of its latency objective, ...
+# A repeatable plain request is given up at a silent server after this multiple of
+# its latency objective, ...
 SILENCE_FACTOR = 2.0
 # ... but not before this, in seconds: slow answers of good servers reach 0.25 s.
 MIN_SILENCE_S = 0.4
-# A stream that has begun and can go on elsewhere is given up after this silence, in
-# seconds. Callers leave after 2 s.
+# A stream that can go on elsewhere is given up after this silence, in seconds.
+# Callers leave after 2 s.
 STREAM_SILENCE_S = 1.2
 # Retry-After, in seconds: the time in which a queue is worked off, and that where
 # only this gateway cannot serve and the next attempt reaches another one.
@@ -417,18 +417,16 @@
             pending.workspace.name if pending.workspace else "",
             pending.priority,
             pending.deadline_at,
-            *self._silence_s(pending),
+            self._silence_s(pending),
             f"{choice.reason}; load {state.load(now):.0f}",
         )
 
-    def _silence_s(self, pending: _Pending) -> tuple[float | None, float | None]:
-        """Returns the patience for the first part of an answer and for the others."""
+    def _silence_s(self, pending: _Pending) -> float | None:
         if not pending.route.repeatable:
-            return None, None
-        first_s = max(MIN_SILENCE_S, SILENCE_FACTOR * pending.route.objective_s)
+            return None
         if pending.route.kind is RequestKind.STREAMING:
-            return min(first_s, STREAM_SILENCE_S), STREAM_SILENCE_S
-        return first_s, first_s
+            return max(STREAM_SILENCE_S, pending.route.objective_s)
+        return max(MIN_SILENCE_S, SILENCE_FACTOR * pending.route.objective_s)
 
     def _wait(self, now: float, serial: int, pending: _Pending) -> list[ev.Effect]:
         queue = self._queues.setdefault(pending.service.name, WaitingQueue())
--- a/heatherswitch/gateway/relay.py
+++ b/heatherswitch/gateway/relay.py
@@ -162,19 +162,16 @@
         request = self._request
         connection.send(request.method, request.target, headers, request.body)
 
-    def _patience(self, forward: ev.Forward, first: bool = False) -> float:
-        """Returns the seconds to wait for the next part of the answer.
-
-        :param first: nothing of the answer has arrived.
-        """
+    def _patience(self, forward: ev.Forward) -> float:
         left_s = forward.deadline_at - self._clock()
-        silence_s = forward.first_silence_s if first else forward.silence_s
-        return left_s if silence_s is None else min(left_s, silence_s)
+        if forward.silence_s is None:
+            return left_s
+        return min(left_s, forward.silence_s)
 
     async def _head(self, connection, forward) -> tuple[AnswerHead, Headers]:
         """Waits for the head of this request's answer and skips those of others."""
         for _ in range(MAX_STRAY_ANSWERS + 1):
-            response = await connection.head(self._patience(forward, first=True))
+            response = await connection.head(self._patience(forward))
             wire = [
                 (name.decode("latin-1"), value.decode("latin-1"))
                 for name, value in response.headers
