--- a/emulator/platform/server.py
+++ b/emulator/platform/server.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import time
 from dataclasses import dataclass, field
 
 import h11
@@ -17,12 +18,14 @@
     """A request that reached the server.
 
     :param headers: names in lower case.
+    :param at: seconds of the monotonic clock.
     """
 
     method: str
     target: str
     headers: dict[str, str]
     body: bytes
+    at: float = field(default_factory=time.monotonic)
 
     @property
     def id(self) -> str:
@@ -45,6 +48,7 @@
     :param stray: sends another request's answer first.
     :param unframed: the answer has no length and ends with the connection.
     :param seal: the answer carries the signature.
+    :param echo: the body, or each event, names the request.
     """
 
     status: int = 200
@@ -58,6 +62,7 @@
     stray: bool = False
     unframed: bool = False
     seal: bool = True
+    echo: bool = False
     headers: list[tuple[str, str]] = field(default_factory=list)
 
 
@@ -65,6 +70,7 @@
     """One backend server.
 
     :ivar arrivals: requests that reached it.
+    :ivar runs: requests that it began to run.
     :ivar cancelled: requests whose connection closed before the answer's end.
     """
 
@@ -72,6 +78,7 @@
         self.id = server_id
         self.behaviour = behaviour or Behaviour()
         self.arrivals: list[Arrival] = []
+        self.runs: list[Arrival] = []
         self.cancelled: list[str] = []
         self.connections = 0
         self._server: asyncio.Server | None = None
@@ -109,7 +116,8 @@
         try:
             while await self._one(reader, writer):
                 pass
-        except (OSError, h11.RemoteProtocolError):
+        except (OSError, h11.RemoteProtocolError, asyncio.CancelledError):
+            # The connection broke, or the stand-in ends.
             pass
         finally:
             writer.close()
@@ -129,6 +137,8 @@
                 b"HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n"
             )
             return True
+        if behaviour.status != 503:
+            self.runs.append(arrival)
         gone = asyncio.ensure_future(reader.read(1))
         answer = asyncio.ensure_future(self._answer(arrival, behaviour, writer))
         await asyncio.wait({gone, answer}, return_when=asyncio.FIRST_COMPLETED)
@@ -153,14 +163,15 @@
         return await self._plain(arrival, behaviour, writer)
 
     async def _plain(self, arrival, behaviour, writer) -> bool:
-        length = None if behaviour.unframed else len(behaviour.body)
+        body = arrival.id.encode() if behaviour.echo else behaviour.body
+        length = None if behaviour.unframed else len(body)
         head = _head(behaviour.status, arrival.id, self.id, length, behaviour)
         if behaviour.cut_after is not None:
             writer.write(head)
             await writer.drain()
             writer.transport.abort()
             return False
-        writer.write(head + behaviour.body)
+        writer.write(head + body)
         await writer.drain()
         return length is not None
 
@@ -175,7 +186,8 @@
                 await writer.drain()
                 writer.close()
                 return False
-            writer.write(_chunk(b"id: %d\ndata: piece %d\n\n" % (number, number)))
+            data = arrival.id if behaviour.echo else f"piece {number}"
+            writer.write(_chunk(f"id: {number}\ndata: {data}\n\n".encode()))
             await writer.drain()
             await asyncio.sleep(behaviour.event_gap_s)
         writer.write(b"0\r\n\r\n")
