--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 MINUTES ?= 2
 SEED ?= 1
 
-.PHONY: demo up test lint format proto bench soak clean
+.PHONY: demo up test lint format proto bench soak soak-gateways clean
 
 $(BIN)/.installed: pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -35,6 +35,9 @@
 soak: $(BIN)/.installed
 	$(BIN)/python -m emulator.soak --seed $(SEED) --minutes $(MINUTES) $(ARGS)
 
+soak-gateways: $(BIN)/.installed
+	$(BIN)/python -m emulator.platform.soak --seeds $(SEED) --seconds $$(($(MINUTES) * 60)) $(ARGS)
+
 proto: $(BIN)/.installed
 	$(BIN)/python -m grpc_tools.protoc -I. --python_out=. --grpc_python_out=. \
 	    heatherswitch/protocol/heatherswitch.proto
