--- a/heatherswitch/gateway/servers.py
+++ b/heatherswitch/gateway/servers.py
@@ -5,9 +5,12 @@
 from heatherswitch.fleet.shares import FleetView, TokenBucket
 from heatherswitch.gateway.model import Load, Server, Service
 
-# A reported load counts for this long, in seconds; after that only the gateway's own
-# requests are known.
-LOAD_VALID_S = 3.0
+# A reported load counts for as many times the server's own latency, within these
+# limits in seconds. Later the requests that it counted have ended, and only the
+# gateway's own are known.
+LOAD_VALID_LATENCIES = 2.0
+MIN_LOAD_VALID_S = 0.3
+MAX_LOAD_VALID_S = 3.0
 # A server whose entry disappeared right after an outage of the store keeps its work
 # for this long, in seconds: the platform states that living servers are back within
 # about two seconds.
@@ -34,6 +37,7 @@
     """One backend server."""
 
     __slots__ = (
+        "_answered",
         "_avoid_until",
         "_cold_bucket",
         "_failures_in_row",
@@ -61,6 +65,8 @@
         self.cold_until = now + record.cold_for_s
         self.latency_s = ASSUMED_LATENCY_S
         self.failure_rate = 0.0
+        # True once the latency is a measured one.
+        self._answered = False
         self._avoid_until = 0.0
         self._failures_in_row = 0
         self._load: Load | None = None
@@ -91,7 +97,9 @@
 
     def load(self, now: float) -> float:
         """Estimates the requests at the server, with those of other gateways."""
-        if self._load is None or now - self._load_at > LOAD_VALID_S:
+        valid_s = max(MIN_LOAD_VALID_S, LOAD_VALID_LATENCIES * self.latency_s)
+        age_s = now - self._load_at
+        if self._load is None or age_s > min(MAX_LOAD_VALID_S, valid_s):
             return self.in_flight
         others = max(0, self._load.running + self._load.waiting - self._load_own)
         return self.in_flight + others
@@ -107,7 +115,9 @@
         self._failures_in_row = 0
         self._avoid_until = 0.0
         self.failure_rate *= 1 - AVERAGE_WEIGHT
-        self.latency_s += AVERAGE_WEIGHT * (latency_s - self.latency_s)
+        weight = AVERAGE_WEIGHT if self._answered else 1.0
+        self._answered = True
+        self.latency_s += weight * (latency_s - self.latency_s)
 
     def note_failure(self, now: float, avoid_s: float = AVOID_S) -> None:
         """Counts a failure of the server.
