--- a/heatherswitch/gateway/events.py
+++ b/heatherswitch/gateway/events.py
@@ -16,9 +16,13 @@
 
 @dataclass(frozen=True, slots=True)
 class NotSent:
-    """No connection to the backend server could be opened; nothing was sent."""
+    """No connection to the backend server could be opened; nothing was sent.
+
+    :param refused: the VM answers, but nothing listens at the server's port.
+    """
 
     reason: str
+    refused: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/heatherswitch/gateway/pending.py
@@ -0,0 +1,80 @@
+"""A request without its final answer, and whether it may be sent again."""
+
+from dataclasses import dataclass, field
+
+from heatherswitch.gateway import events as ev
+from heatherswitch.gateway.model import (
+    CallerRequest,
+    RequestKind,
+    Route,
+    Service,
+    Workspace,
+)
+from heatherswitch.gateway.servers import ServerState
+
+# Servers that one request is sent to at most, with those that did not run it.
+MAX_SENDS = 4
+# A repeat needs at least this much time before the deadline, in seconds.
+MIN_REPEAT_S = 0.05
+# A repeatable plain request is given up at a silent server after this multiple of
+# its latency objective, ...
+SILENCE_FACTOR = 2.0
+# ... but not before this, in seconds: slow answers of good servers reach 0.25 s.
+MIN_SILENCE_S = 0.4
+# A stream that can go on elsewhere is given up after this silence, in seconds.
+# Callers leave after 2 s.
+STREAM_SILENCE_S = 1.2
+
+
+@dataclass(slots=True)
+class Pending:
+    """A request without its final answer."""
+
+    request: CallerRequest
+    route: Route
+    service: Service
+    workspace: Workspace | None
+    arrived_at: float
+    deadline_at: float
+    tried: list[str] = field(default_factory=list)
+    # Servers that may have begun to run the request.
+    runs: int = 0
+    at: ServerState | None = None
+    # The held answer of a server that failed.
+    held: ev.FailedAnswer | None = None
+    # The last failure after which the request may have run.
+    broken: ev.Broken | None = None
+    # Part of an answer was delivered.
+    started: bool = False
+    waiting: bool = False
+    # Seconds to the head of the present attempt's answer.
+    first_s: float | None = None
+
+    @property
+    def priority(self) -> int:
+        """0 is the most urgent."""
+        if self.workspace is not None and self.workspace.priority is not None:
+            return self.workspace.priority
+        return self.route.priority
+
+    @property
+    def silence_s(self) -> float | None:
+        """Seconds without progress after which an attempt is given up, or None."""
+        if not self.route.repeatable:
+            return None
+        if self.route.kind is RequestKind.STREAMING:
+            return max(STREAM_SILENCE_S, self.route.objective_s)
+        return max(MIN_SILENCE_S, SILENCE_FACTOR * self.route.objective_s)
+
+    def no_repeat(self, now: float) -> str:
+        """Returns why a request may not be sent again, or an empty string."""
+        route = self.route
+        if self.runs and not route.repeatable:
+            return "the request may have run"
+        if self.runs >= route.max_servers:
+            return "the route allows no further server"
+        if len(self.tried) >= MAX_SENDS:
+            return "too many servers were tried"
+        if self.deadline_at - now < MIN_REPEAT_S:
+            return "the time is up"
+        return ""
--- a/heatherswitch/gateway/reducer.py
+++ b/heatherswitch/gateway/reducer.py
@@ -4,26 +4,19 @@
 and when it is refused. It does no input or output and reads no clock.
 """
 
-from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from heatherswitch.fleet.shares import FleetView, TokenBucket
 from heatherswitch.gateway import events as ev
 from heatherswitch.gateway.freshness import CurrentConfiguration
 from heatherswitch.gateway.model import (
     CallerRequest,
-    RequestKind,
     Route,
     Service,
-    Workspace,
 )
+from heatherswitch.gateway.pending import Pending
 from heatherswitch.gateway.prefix_index import PrefixIndex
-from heatherswitch.gateway.rollouts import (
-    Exposure,
-    MoveState,
-    VersionMove,
-    order_id,
-)
+from heatherswitch.gateway.rollouts import Exposure, VersionMove
 from heatherswitch.gateway.selection import (
     Choice,
     Constraints,
@@ -36,6 +29,7 @@
     ServerState,
     ServerTable,
 )
+from heatherswitch.gateway.version_moves import VersionMoves
 from heatherswitch.gateway.waiting import (
     MAX_WAIT_SHARE,
     MIN_QUEUE,
@@ -49,21 +43,9 @@
 # gateway: three times the age with a store that answers, and well before keys are no
 # longer accepted.
 READY_AGE_S = 2.0
-# Servers that one request is sent to at most, with those that did not run it.
-MAX_SENDS = 4
-# A repeat needs at least this much time before the deadline, in seconds.
-MIN_REPEAT_S = 0.05
 # Part of the fleet's retry budget that is used, so that routers whose lists of the
 # fleet differ for a moment stay within it together.
 BUDGET_MARGIN = 0.7
-# A repeatable plain request is given up at a silent server after this multiple of
-# its latency objective, ...
-SILENCE_FACTOR = 2.0
-# ... but not before this, in seconds: slow answers of good servers reach 0.25 s.
-MIN_SILENCE_S = 0.4
-# A stream that can go on elsewhere is given up after this silence, in seconds.
-# Callers leave after 2 s.
-STREAM_SILENCE_S = 1.2
 # Retry-After, in seconds: the time in which a queue is worked off, and that where
 # only this gateway cannot serve and the next attempt reaches another one.
 RETRY_BUSY_S = 0.3
@@ -86,38 +68,6 @@
     exposure: Exposure = Exposure()
 
 
-@dataclass(slots=True)
-class _Pending:
-    """A request without its final answer."""
-
-    request: CallerRequest
-    route: Route
-    service: Service
-    workspace: Workspace | None
-    arrived_at: float
-    deadline_at: float
-    tried: list[str] = field(default_factory=list)
-    # Servers that may have begun to run the request.
-    runs: int = 0
-    at: ServerState | None = None
-    # The held answer of a server that failed.
-    held: ev.FailedAnswer | None = None
-    # The last failure after which the request may have run.
-    broken: ev.Broken | None = None
-    # Part of an answer was delivered.
-    started: bool = False
-    waiting: bool = False
-    # Seconds to the head of the present attempt's answer.
-    first_s: float | None = None
-
-    @property
-    def priority(self) -> int:
-        """0 is the most urgent."""
-        if self.workspace is not None and self.workspace.priority is not None:
-            return self.workspace.priority
-        return self.route.priority
-
-
 class GatewayReducer:
     """State of one gateway.
 
@@ -130,10 +80,8 @@
         "_budget",
         "_configuration",
         "_fleet",
-        "_incarnation",
         "_limits",
         "_moves",
-        "_own_id",
         "_pending",
         "_prefixes",
         "_queues",
@@ -153,18 +101,14 @@
     ) -> None:
         self._limits = limits
         self._regions = regions
-        self._own_id = own_id
-        # Orders the evidence of two runs of the same gateway.
-        self._incarnation = int(now * 1000)
-        # Newest move between versions of each service.
-        self._moves: dict[str, VersionMove] = {}
+        self._moves = VersionMoves(own_id, int(now * 1000), limits.exposure)
         self._fleet = FleetView(own_id)
         self._prefixes = PrefixIndex()
         self._selector = Selector(self._fleet, self._prefixes, zone)
         self._servers = ServerTable()
         self._configuration = CurrentConfiguration(limits.key_max_age_s)
         self._zones_out: frozenset[str] = frozenset()
-        self._pending: dict[int, _Pending] = {}
+        self._pending: dict[int, Pending] = {}
         self._queues: dict[str, WaitingQueue] = {}
         self._budget = TokenBucket(now, 0.0, self._budget_burst())
 
@@ -181,7 +125,7 @@
     @property
     def moves(self) -> dict[str, VersionMove]:
         """Newest move between versions of each service."""
-        return self._moves
+        return self._moves.by_service
 
     @property
     def waiting(self) -> int:
@@ -240,71 +184,21 @@
                 self._fleet.update(event.ids)
                 self._budget.limit(now, 0.0, self._budget_burst())
             case ev.RolloutOrdered():
-                self._on_order(now, event)
+                self._moves.on_order(now, event)
             case ev.RolloutStatusRead():
-                self._on_rollout_status(event)
+                self._moves.on_status(event)
             case ev.ProgressRead():
-                self._on_progress(now, event)
+                self._moves.on_progress(now, event)
             case ev.EvidenceRead():
-                move = self._moves.get(event.service)
-                for record in event.records if move else ():
-                    move.take_evidence(now, record)
+                self._moves.on_evidence(now, event)
             case ev.Tick():
                 self._servers.expire(now)
-                for move in self._moves.values():
-                    move.advance_evidence(now)
+                self._moves.tick(now)
         return self._serve_waiting(now)
 
     def _budget_burst(self) -> float:
         return max(1.0, BUDGET_MARGIN * self._limits.budget_slack / self._fleet.size)
 
-    # Moves between versions
-
-    def _on_order(self, now: float, event: ev.RolloutOrdered) -> None:
-        known = self._moves.get(event.service)
-        if event.order is None:
-            self._moves.pop(event.service, None)
-        elif known is None or known.order.revision != event.order.revision:
-            self._moves[event.service] = VersionMove(
-                now,
-                event.order,
-                self._own_id,
-                self._incarnation,
-                self._limits.exposure,
-            )
-
-    def _on_rollout_status(self, event: ev.RolloutStatusRead) -> None:
-        move = self._moves.get(event.service)
-        if move is None or move.order.target != event.target:
-            return
-        if event.state is not MoveState.RUNNING:
-            move.state = event.state
-
-    def _on_progress(self, now: float, event: ev.ProgressRead) -> None:
-        move = self._moves.get(event.service)
-        if move is not None and event.progress.move == order_id(move.order):
-            move.resume(now, event.progress.stage, event.progress.elapsed_s)
-
-    def _version_rule(self, pending: _Pending) -> Callable[[str], bool]:
-        """Returns which versions may serve a request."""
-        move = self._moves.get(pending.service.name)
-        if move is None:
-            return lambda version: True
-        target = move.order.target
-        position = unit_hash("rollout", pending.request.id)
-        if position < move.share(self._fleet.size):
-            return lambda version: version == target
-        return lambda version: version != target
-
-    def _count_version(
-        self, now: float, pending: _Pending, state: ServerState, failed: bool
-    ) -> None:
-        move = self._moves.get(pending.service.name)
-        if move is not None:
-            move.count_answer(
-                now, pending.route.name, state.record.version, failed, pending.first_s
-            )
-
     # Arrival
 
     def _on_arrival(self, now: float, event: ev.RequestArrived) -> list[ev.Effect]:
@@ -338,7 +232,7 @@
         timeout_s = route.timeout_s
         if request.deadline_s is not None:
             timeout_s = min(timeout_s, request.deadline_s)
-        self._pending[serial] = _Pending(
+        self._pending[serial] = Pending(
             request, route, service, workspace, now, now + timeout_s
         )
         return None
@@ -351,33 +245,26 @@
 
     # Placement
 
-    def _choose(self, now: float, pending: _Pending) -> Choice | NoChoice:
+    def _choose(self, now: float, pending: Pending) -> Choice | NoChoice:
         servers = self._servers.of_service(pending.service.name)
-        fits = self._version_rule(pending)
-        constraints = Constraints(
-            pending.service,
-            lambda state: fits(state.record.version) and self._allowed(state, pending),
-            pending.tried,
-        )
-        choice = self._selector.choose(now, pending.request, servers, constraints)
-        move = self._moves.get(pending.service.name)
-        if not isinstance(choice, NoChoice) or choice.known or move is None:
-            return choice
-        # No server of the request's version is left. The new version stands in for
-        # the old one only when it may take all requests.
-        target = move.order.target
-        full = move.share(self._fleet.size) >= 1.0
-        constraints = Constraints(
-            pending.service,
-            lambda state: (
-                (full or state.record.version != target)
-                and self._allowed(state, pending)
-            ),
-            pending.tried,
+        rules = self._moves.rules(
+            pending.service.name, pending.request.id, self._fleet.size
         )
-        return self._selector.choose(now, pending.request, servers, constraints)
+        choice: Choice | NoChoice = NoChoice(0, float("inf"))
+        for rule in rules:
+            constraints = Constraints(
+                pending.service,
+                lambda state, fits=rule: (
+                    fits(state.record.version) and self._allowed(state, pending)
+                ),
+                pending.tried,
+            )
+            choice = self._selector.choose(now, pending.request, servers, constraints)
+            if isinstance(choice, Choice) or choice.known:
+                break
+        return choice
 
-    def _allowed(self, state: ServerState, pending: _Pending) -> bool:
+    def _allowed(self, state: ServerState, pending: Pending) -> bool:
         if state.record.zone in self._zones_out:
             return False
         region = self._regions.get(state.record.zone, "")
@@ -389,7 +276,7 @@
                 return False
         return True
 
-    def _place(self, now: float, serial: int, pending: _Pending) -> list[ev.Effect]:
+    def _place(self, now: float, serial: int, pending: Pending) -> list[ev.Effect]:
         """Sends a request, lets it wait or refuses it."""
         choice = self._choose(now, pending)
         if isinstance(choice, Choice):
@@ -398,16 +285,14 @@
             return self._give_up(serial, pending, "no server is available")
         return self._wait(now, serial, pending)
 
-    def _send(self, now, serial: int, pending: _Pending, choice: Choice) -> ev.Forward:
+    def _send(self, now, serial: int, pending: Pending, choice: Choice) -> ev.Forward:
         state = choice.server
         state.take_cold_token(now)
         state.in_flight += 1
         pending.at = state
         pending.first_s = None
         pending.waiting = False
-        move = self._moves.get(pending.service.name)
-        if move is not None:
-            move.count_request(state.record.version == move.order.target)
+        self._moves.count_request(pending.service.name, state.record.version)
         pending.tried.append(state.record.id)
         return ev.Forward(
             serial,
@@ -417,18 +302,11 @@
             pending.workspace.name if pending.workspace else "",
             pending.priority,
             pending.deadline_at,
-            self._silence_s(pending),
+            pending.silence_s,
             f"{choice.reason}; load {state.load(now):.0f}",
         )
 
-    def _silence_s(self, pending: _Pending) -> float | None:
-        if not pending.route.repeatable:
-            return None
-        if pending.route.kind is RequestKind.STREAMING:
-            return max(STREAM_SILENCE_S, pending.route.objective_s)
-        return max(MIN_SILENCE_S, SILENCE_FACTOR * pending.route.objective_s)
-
-    def _wait(self, now: float, serial: int, pending: _Pending) -> list[ev.Effect]:
+    def _wait(self, now: float, serial: int, pending: Pending) -> list[ev.Effect]:
         queue = self._queues.setdefault(pending.service.name, WaitingQueue())
         left_s = pending.deadline_at - now
         waiter = Waiter(pending.priority, now, serial, now + MAX_WAIT_SHARE * left_s)
@@ -500,6 +378,7 @@
                 return [ev.Finish(serial)]
             case ev.NotSent():
                 state.note_failure(now, AVOID_SILENT_S)
+                state.ended = state.ended or outcome.refused
                 return self._repeat(now, serial, pending, ran=False, arrived=False)
             case ev.Rejected(_, other_instance):
                 state.note_failure(now)
@@ -520,7 +399,7 @@
         raise TypeError(f"unknown outcome {outcome!r}")
 
     def _repeat(
-        self, now: float, serial: int, pending: _Pending, ran: bool, arrived=True
+        self, now: float, serial: int, pending: Pending, ran: bool, arrived=True
     ) -> list[ev.Effect]:
         """Sends a request to another server where the rules allow it.
 
@@ -528,7 +407,7 @@
         :param arrived: the request reached the last server.
         """
         pending.runs += ran
-        reason = self._no_repeat(now, pending, ran)
+        reason = pending.no_repeat(now)
         if reason:
             return self._give_up(serial, pending, reason)
         choice = self._choose(now, pending)
@@ -540,20 +419,7 @@
             return self._give_up(serial, pending, "the retry budget is used up")
         return [self._send(now, serial, pending, choice)]
 
-    def _no_repeat(self, now: float, pending: _Pending, ran: bool) -> str:
-        """Returns why a request may not be sent again, or an empty string."""
-        route = pending.route
-        if pending.runs and not route.repeatable:
-            return "the request may have run"
-        if pending.runs >= route.max_servers:
-            return "the route allows no further server"
-        if len(pending.tried) >= MAX_SENDS:
-            return "too many servers were tried"
-        if pending.deadline_at - now < MIN_REPEAT_S:
-            return "the time is up"
-        return ""
-
-    def _give_up(self, serial: int, pending: _Pending, reason: str) -> list[ev.Effect]:
+    def _give_up(self, serial: int, pending: Pending, reason: str) -> list[ev.Effect]:
         """Ends a request with the answer that tells the truth about it."""
         del self._pending[serial]
         if pending.held is not None:
@@ -575,6 +441,18 @@
             pending.at.in_flight -= 1
         return self._serve_waiting(now)
 
+    def _count_version(
+        self, now: float, pending: Pending, state: ServerState, failed: bool
+    ) -> None:
+        self._moves.count_answer(
+            now,
+            pending.service.name,
+            pending.route.name,
+            state.record.version,
+            failed,
+            pending.first_s,
+        )
+
 
 def _split(route: Route, request: CallerRequest) -> str:
     """Returns the service of a request by the weights of its route."""
--- a/heatherswitch/gateway/relay.py
+++ b/heatherswitch/gateway/relay.py
@@ -108,7 +108,8 @@
         try:
             connection, _ = await self._pool.acquire(sent_at, forward.server, once)
         except ConnectFailed as error:
-            return ev.NotSent(str(error))
+            refused = isinstance(error.__cause__, ConnectionRefusedError)
+            return ev.NotSent(str(error), refused)
         whole = False
         try:
             outcome, whole = await self._exchange(connection, forward, sent_at)
--- a/heatherswitch/gateway/servers.py
+++ b/heatherswitch/gateway/servers.py
@@ -45,6 +45,7 @@
         "_load_at",
         "_load_own",
         "cold_until",
+        "ended",
         "failure_rate",
         "gone",
         "in_flight",
@@ -60,6 +61,9 @@
         self.listed_at = now
         self.in_flight = 0
         self.gone = False
+        # True from a refused connection to the next heartbeat: the process has ended,
+        # and its entry stays for three heartbeats.
+        self.ended = False
         # Time at which the entry disappeared after an outage of the store.
         self.lost_at: float | None = None
         self.cold_until = now + record.cold_for_s
@@ -77,6 +81,7 @@
     def update(self, now: float, record: Server) -> None:
         """Takes a newer entry of the same start of the server."""
         self.record = record
+        self.ended = False
         self.lost_at = None
         self.note_cold(now, record.cold_for_s)
 
@@ -87,7 +92,7 @@
 
     def takes_work(self, now: float) -> bool:
         """Tells whether the server is listed, not leaving and not replaced."""
-        if self.gone or self.record.draining:
+        if self.gone or self.ended or self.record.draining:
             return False
         return self.lost_at is None or now - self.lost_at < REAPPEAR_S
 
--- a/test/test_gateway_reducer.py
+++ b/test/test_gateway_reducer.py
@@ -77,6 +77,17 @@
         driver.apply(ev.ServerRemoved("l1", after_outage=True))
         self.assertEqual(driver.decide("/safe/1").status, 503)
 
+    def test_server_that_refused_a_connection_waits_for_its_next_heartbeat(self):
+        """Its entry outlives it by three heartbeats (grown Leafline trouble-1)."""
+        driver = Driver()
+        driver.list(server("l1"))
+        sent = driver.decide("/once/1")
+        driver.end(sent.serial, ev.NotSent("refused", refused=True))
+        driver.advance(2.0)
+        self.assertEqual(driver.decide("/once/1").status, 503)
+        driver.list(server("l1"))
+        self.assertIsInstance(driver.decide("/once/1"), ev.Forward)
+
     def test_zone_that_is_out_gets_nothing(self):
         driver = Driver()
         driver.list(server("l1"), server("l2", zone="b"))
