Hold a new version by the excess of its bad answers over the old one's

Cause: test_good_version_takes_all_requests was rolled back once beside other load. The hold counted slow answers without looking at the old version, which was slow as well. Change: both rates of the stage are compared. Ruled out by tries: ending the open windows at a change of stage (others then skip the record), and dropping them (too little evidence in the last stage of a 12 s move).

--- a/heatherswitch/fleet/evidence.py
+++ b/heatherswitch/fleet/evidence.py
@@ -53,11 +53,13 @@
 
     :param reason: what led to ``BAD``.
     :param seen: answers of the starting version that were counted.
+    :param compared: answers of the active version in the same windows.
     """
 
     verdict: Verdict = Verdict.UNDECIDED
     reason: str = ""
     seen: Counts = Counts()
+    compared: Counts = Counts()
 
 
 class _OpenWindow:
@@ -85,6 +87,7 @@
     """
 
     __slots__ = (
+        "_compared",
         "_incarnation",
         "_move",
         "_open",
@@ -109,11 +112,13 @@
         self._records: dict[tuple[str, str], EvidenceRecord] = {}
         self._updated: dict[tuple[str, str], float] = {}
         self._seen = Counts()
+        self._compared = Counts()
 
     @property
     def judgement(self) -> Judgement:
         """What the evidence says so far."""
-        return Judgement(self._test.verdict, self._test.reason, self._seen)
+        test = self._test
+        return Judgement(test.verdict, test.reason, self._seen, self._compared)
 
     def count(self, now: float, route: str, starting: bool, counts: Counts) -> None:
         """Adds answers that this router saw."""
@@ -182,6 +187,7 @@
 
     def _test_window(self, window: Window) -> None:
         self._seen += window.starting
+        self._compared += window.active
         self._test.add(window)
 
     def offers(self, now: float) -> list[EvidenceRecord]:
--- a/heatherswitch/gateway/rollouts.py
+++ b/heatherswitch/gateway/rollouts.py
@@ -25,9 +25,9 @@
 # ... and at which it ends without a proof, if enough good answers were seen.
 STAGE_LATEST = (0.6, 0.75, 0.92)
 # Answers of the new version in a stage without which it does not end by time alone,
-# and the rate of bad ones among them above which it does not.
+# and the excess of its rate of bad ones over the old version's above which it does not.
 MIN_ANSWERS = 10
-SUSPICIOUS_RATE = 0.15
+SUSPICIOUS_EXCESS = 0.15
 # Bad answers in a later stage from which a suspicious version gets no more requests:
 # the bound on its exposure leaves no time for a proof at a large share.
 HOLD_AFTER_BAD = 4
@@ -83,6 +83,7 @@
     """
 
     __slots__ = (
+        "_compared_before",
         "_evidence",
         "_exposure",
         "_requests",
@@ -108,8 +109,9 @@
         self.stage = 0
         self._started_at = now
         self._exposure = exposure
-        # Answers of the new version that were seen before the present stage.
+        # Answers of both versions that were seen before the present stage.
         self._seen_before = Counts()
+        self._compared_before = Counts()
         self._requests = 0
         self._target_requests = 0
         self._thresholds: dict[str, SlowThreshold] = {}
@@ -135,7 +137,9 @@
         """Takes the progress that the owner has recorded."""
         if stage > self.stage:
             self.stage = min(stage, len(STAGE_SHARES) - 1)
-            self._seen_before = self._evidence.judgement.seen
+            judgement = self._evidence.judgement
+            self._seen_before = judgement.seen
+            self._compared_before = judgement.compared
         self._started_at = min(self._started_at, now - elapsed_s)
 
     def share(self, routers: int) -> float:
@@ -209,18 +213,28 @@
 
     def _looks_good(self) -> bool:
         """Tells whether the answers of this stage speak for the new version."""
-        seen, bad = self._stage_answers()
-        return seen >= MIN_ANSWERS and bad <= SUSPICIOUS_RATE * seen
+        seen = self._evidence.judgement.seen - self._seen_before
+        return seen.requests >= MIN_ANSWERS and self._excess() <= SUSPICIOUS_EXCESS
 
     def _is_held(self) -> bool:
         """Tells whether a suspicious version gets nothing until the move ends."""
-        seen, bad = self._stage_answers()
-        return bad >= HOLD_AFTER_BAD and bad > SUSPICIOUS_RATE * seen
-
-    def _stage_answers(self) -> tuple[int, int]:
-        """Returns the new version's answers in this stage and the bad ones."""
         seen = self._evidence.judgement.seen - self._seen_before
-        return seen.requests, seen.failures + seen.slow
+        bad = seen.failures + seen.slow
+        return bad >= HOLD_AFTER_BAD and self._excess() > SUSPICIOUS_EXCESS
+
+    def _excess(self) -> float:
+        """Returns how much higher the new version's rate of bad answers is.
+
+        Both rates are of this stage, since a slow time affects both versions.
+        """
+        judgement = self._evidence.judgement
+        return _bad_rate(judgement.seen - self._seen_before) - _bad_rate(
+            judgement.compared - self._compared_before
+        )
+
+
+def _bad_rate(counts: Counts) -> float:
+    return (counts.failures + counts.slow) / max(1, counts.requests)
 
 
 def order_id(order: RolloutOrder) -> str:
