Prove the owner's fence and at most once by tests that removal turns red

Taking out the check that a request which may have run is not sent again left all tests green, since the routes of the tests allow one server. A route of two servers is tested now.

--- a/test/gateway_fakes.py
+++ b/test/gateway_fakes.py
@@ -55,6 +55,7 @@
     route("/safe/", RequestKind.SAFE),
     route("/urgent/", RequestKind.SAFE, priority=0),
     route("/once/", RequestKind.NON_IDEMPOTENT, max_servers=1),
+    route("/twice/", RequestKind.NON_IDEMPOTENT, max_servers=2),
     route("/chat/", RequestKind.STREAMING, "engine", max_servers=1),
     route("/live/", RequestKind.STREAMING, "engine", resumable=True),
     route("/open/", RequestKind.SAFE, anonymous=True),
--- a/test/test_gateway_reducer.py
+++ b/test/test_gateway_reducer.py
@@ -182,6 +182,17 @@
         self.assertEqual(refusal.status, 502)
         self.assertIsNone(refusal.retry_after_s)
 
+    def test_number_of_servers_of_a_route_does_not_allow_a_second_run(self):
+        """The kind of a request decides what may be repeated (TWICE)."""
+        for outcome in (ev.Broken("reset"), ev.Broken("silent", silent=True)):
+            sent = self.driver.decide("/twice/1")
+            refusal = self.driver.end(sent.serial, outcome)
+            self.assertIsInstance(refusal, ev.Refuse)
+            self.assertIn(refusal.status, (502, 504))
+        sent = self.driver.decide("/twice/1")
+        held = self.driver.end(sent.serial, ev.FailedAnswer(500))
+        self.assertIsInstance(held, ev.Relay)
+
     def test_rejected_settlement_is_sent_to_another_server(self):
         sent = self.driver.decide("/once/1")
         again = self.driver.end(sent.serial, ev.Rejected(503, False))
--- a/test/test_rollouts.py
+++ b/test/test_rollouts.py
@@ -10,6 +10,8 @@
 
 from emulator.platform.deployment import Deployment
 from emulator.platform.server import Behaviour
+from emulator.platform.store import PlatformStoreServer
+from heatherswitch.gateway.rollout_owner import OWNER_KEY, RolloutOwner
 from heatherswitch.gateway.rollout_records import (
     Progress,
     RolloutRecordError,
@@ -26,6 +28,10 @@
     VersionMove,
     order_id,
 )
+from heatherswitch.platform.reader import PlatformReader
+from heatherswitch.platform.store import PlatformStore
+from heatherswitch.statecore.store import AmbiguousWrite, CompareFailed
+from heatherswitch.util.clock import Clock
 
 ORDER = RolloutOrder("ledger", "v2", 12.0, 7)
 SHARE, SLACK = 0.1, 50.0
@@ -188,6 +194,46 @@
                 decode(data)
 
 
+class OwnerTest(unittest.IsolatedAsyncioTestCase):
+    """A paused or replaced owner does no harm."""
+
+    async def asyncSetUp(self):
+        self.server = PlatformStoreServer()
+        await self.server.start()
+        self.addAsyncCleanup(self.server.stop)
+        self.clock = Clock()
+        self.move = VersionMove(0.0, ORDER, "g", 1, Exposure())
+
+    def owner(self, name: str) -> RolloutOwner:
+        store = PlatformStore.from_address(self.server.address, self.clock)
+        self.addCleanup(store.close)
+        return RolloutOwner(store, PlatformReader(), name, self.clock, dict)
+
+    async def test_replaced_owner_changes_nothing(self):
+        first, second = self.owner("a"), self.owner("b")
+        await first._own()
+        # The store ends the first owner's lease while its process is paused.
+        self.server.delete(OWNER_KEY)
+        await second._own()
+        await second._decide("ledger", self.move, MoveState.ROLLED_BACK)
+        with self.assertRaises(CompareFailed):
+            await first._decide("ledger", self.move, MoveState.COMPLETED)
+        self.assertIn(b"rolled_back", self.server.read("status/rollout/ledger"))
+
+    async def test_late_write_of_a_replaced_owner_changes_nothing(self):
+        """The store executes a lost write seconds later."""
+        first, second = self.owner("a"), self.owner("b")
+        await first._own()
+        self.server.lose_writes, self.server.late_writes_s = 1, 1.3
+        with self.assertRaises(AmbiguousWrite):
+            await first._decide("ledger", self.move, MoveState.COMPLETED)
+        self.server.delete(OWNER_KEY)
+        await second._own()
+        await second._decide("ledger", self.move, MoveState.ROLLED_BACK)
+        await asyncio.sleep(0.6)
+        self.assertIn(b"rolled_back", self.server.read("status/rollout/ledger"))
+
+
 class RolloutServiceTest(unittest.IsolatedAsyncioTestCase):
     async def play(self, behaviour: Behaviour) -> str:
         """Moves a service to v2 under load; returns the status for operators."""
