--- a/heatherswitch/gateway/relay.py
+++ b/heatherswitch/gateway/relay.py
@@ -1,6 +1,5 @@
 """One attempt at a backend server: sends the request and delivers the answer."""
 
-import asyncio
 import logging
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -140,13 +139,12 @@
                 await self._relay_stream(connection, forward, head)
             else:
                 await self._relay_plain(connection, forward, head)
-            status = head.status
         else:
             body = await self._read(connection, forward)
             self._give_back(connection, forward, wire)
             return await self._error_answer(forward, head, body), True
         self._give_back(connection, forward, wire)
-        return ev.Completed(status, self._clock() - sent_at), True
+        return ev.Completed(head.status, self._clock() - sent_at), True
 
     def _send(self, connection, forward: ev.Forward, now: float) -> None:
         resumed = "" if self._last_event_id is None else str(self._last_event_id)
@@ -281,9 +279,3 @@
     async def _write(self, data: bytes) -> None:
         if not self._discarded:
             await self._responder.write(data)
-
-
-async def abandon(task: asyncio.Task) -> None:
-    """Cancels an attempt and waits for its end."""
-    task.cancel()
-    await asyncio.gather(task, return_exceptions=True)
