Ask a gateway process for its status in one place

The two questions of the test harness, whether it answers and whether it is ready, sent the same call with a copy of the same error handling; the second did not read the body. Found on reading the change again.

--- a/emulator/platform/process.py
+++ b/emulator/platform/process.py
@@ -84,24 +84,21 @@
 
     async def answers(self) -> bool:
         """Tells whether the process serves its status check, ready or not."""
-        client = HttpClient.from_address(self.ready_address)
-        try:
-            response = await client.request("GET", "/ready", timeout=1.0, fresh=True)
-            await response.read()
-            return True
-        except HttpError:
-            return False
-        finally:
-            client.close()
+        return await self._status_check() is not None
 
     async def is_ready(self) -> bool:
         """Tells whether the process wants callers."""
+        return await self._status_check() == 200
+
+    async def _status_check(self) -> int | None:
+        """Returns the status of one check over a new connection; None for no answer."""
         client = HttpClient.from_address(self.ready_address)
         try:
             response = await client.request("GET", "/ready", timeout=1.0, fresh=True)
-            return response.status == 200
+            await response.read()
+            return response.status
         except HttpError:
-            return False
+            return None
         finally:
             client.close()
 
