Compare two versions within windows at one share of drawn requests

Cause of two known reds, by a trace of the evidence: a good version was rolled back when all servers were slow just as a stage began. (1) Rates of sums were compared: windows of the old version from before the change stood against answers of the new one after it. (2) Requests sent while the new version's exposure was used up counted as comparison. (3) A gateway keeps one record a route, so the record of the old share was replaced by that of the new one within a look, and its whole stage was dropped as "several shares". (4) Windows of up to 5 s do not end within the last stage of a move of 5 to 12 s.

Change: totals by share; excess by Mantel and Haenszel with Cochran's error, held above 0.15 and two errors; only drawn requests count; windows scale with the move; the owner ends its windows before a decision; last stages 40 % and 75 %.

Test harness: its owner advanced the other four gateways by two stages at once (it read its own stage in the loop); mended. The test that wanted no evidence from totals over several shares is replaced by one that wants each share's totals as a window of its own.

--- a/heatherswitch/gateway/pending.py
+++ b/heatherswitch/gateway/pending.py
@@ -47,6 +47,8 @@
     # Part of an answer was delivered.
     started: bool = False
     waiting: bool = False
+    # The present attempt was drawn between two versions of the service.
+    drawn: bool = False
     # Seconds to the head of the present attempt's answer.
     first_s: float | None = None
 
--- a/heatherswitch/gateway/reducer.py
+++ b/heatherswitch/gateway/reducer.py
@@ -292,7 +292,9 @@
         pending.at = state
         pending.first_s = None
         pending.waiting = False
-        self._moves.count_request(pending.service.name, state.record.version)
+        pending.drawn = self._moves.count_request(
+            pending.service.name, state.record.version, self._fleet.size
+        )
         pending.tried.append(state.record.id)
         return ev.Forward(
             serial,
@@ -451,6 +453,7 @@
             state.record.version,
             failed,
             pending.first_s,
+            pending.drawn,
         )
 
 
--- a/heatherswitch/gateway/rollouts.py
+++ b/heatherswitch/gateway/rollouts.py
@@ -19,15 +19,23 @@
 # Shares of the new version in the three stages of a move. The first one holds only
 # within the exposure bound; the others show faults that need load. The old version
 # keeps a part to the end, since answers are compared in the same window.
-STAGE_SHARES = (0.2, 0.5, 0.85)
+STAGE_SHARES = (0.2, 0.4, 0.75)
 # Part of the move's time from which a stage may end once the version is proven, ...
 STAGE_EARLIEST = (0.25, 0.6, 0.8)
 # ... and at which it ends without a proof, if enough good answers were seen.
 STAGE_LATEST = (0.6, 0.75, 0.92)
+# Lengths of a window of evidence, as parts of the move's time: the shortest one, and
+# that of a window without answers of both versions. The last stage lasts 0.12 to 0.32
+# of the time, and its answers must be counted before it ends.
+WINDOW_SHARE = 0.06
+MAX_WINDOW_SHARE = 0.1
 # Answers of the new version in a stage without which it does not end by time alone,
 # and the excess of its rate of bad ones over the old version's above which it does not.
 MIN_ANSWERS = 10
 SUSPICIOUS_EXCESS = 0.15
+# The excess must also be this many standard errors: among a dozen
+# answers of two equal versions in a slow time, an excess of 0.4 occurs by chance.
+SUSPICIOUS_ERRORS = 2.0
 # Bad answers in a later stage from which a suspicious version gets no more requests:
 # the bound on its exposure leaves no time for a proof at a large share.
 HOLD_AFTER_BAD = 4
@@ -83,11 +91,9 @@
     """
 
     __slots__ = (
-        "_compared_before",
         "_evidence",
         "_exposure",
         "_requests",
-        "_seen_before",
         "_started_at",
         "_target_requests",
         "_thresholds",
@@ -109,14 +115,16 @@
         self.stage = 0
         self._started_at = now
         self._exposure = exposure
-        # Answers of both versions that were seen before the present stage.
-        self._seen_before = Counts()
-        self._compared_before = Counts()
         self._requests = 0
         self._target_requests = 0
         self._thresholds: dict[str, SlowThreshold] = {}
         self._evidence = MoveEvidence(
-            order_id(order), router, incarnation, SequentialTest(FALSE_ALARM_RATE)
+            order_id(order),
+            router,
+            incarnation,
+            SequentialTest(FALSE_ALARM_RATE),
+            WINDOW_SHARE * order.duration_s,
+            MAX_WINDOW_SHARE * order.duration_s,
         )
 
     @property
@@ -137,9 +145,9 @@
         """Takes the progress that the owner has recorded."""
         if stage > self.stage:
             self.stage = min(stage, len(STAGE_SHARES) - 1)
-            judgement = self._evidence.judgement
-            self._seen_before = judgement.seen
-            self._compared_before = judgement.compared
+            # A window that spanned the change would compare answers of the old
+            # version before it with answers of the new one after it.
+            self.advance_evidence(now)
         self._started_at = min(self._started_at, now - elapsed_s)
 
     def share(self, routers: int) -> float:
@@ -164,11 +172,19 @@
         self._target_requests += to_target
 
     def count_answer(
-        self, now: float, route: str, version: str, failed: bool, first_s: float | None
+        self,
+        now: float,
+        route: str,
+        version: str,
+        failed: bool,
+        first_s: float | None,
+        drawn: bool = True,
     ) -> None:
         """Counts an answer of either version.
 
         :param first_s: seconds to the head of the answer; None if none came.
+        :param drawn: the new version could have got the request as well. Others are
+            of times in which it got none, which says nothing of it.
         """
         threshold = self._thresholds.get(route)
         if threshold is None:
@@ -177,6 +193,8 @@
         starting = version == self.order.target
         if not starting and first_s is not None:
             threshold.add(first_s, loaded=self.stage == 0)
+        if not drawn:
+            return
         timed = first_s is not None and limit_s is not None
         slow = timed and first_s > limit_s
         counts = Counts(1, int(failed), int(timed), int(slow))
@@ -202,6 +220,10 @@
         if self.verdict is Verdict.BAD:
             return Step.ROLL_BACK
         part = self.elapsed_s(now) / max(self.order.duration_s, 1e-3)
+        if part >= STAGE_LATEST[self.stage]:
+            self._evidence.end_windows(now)
+            if self.verdict is Verdict.BAD:
+                return Step.ROLL_BACK
         proven = self.verdict is Verdict.PROVEN
         enough = proven or self._looks_good()
         due = part >= (STAGE_EARLIEST if proven else STAGE_LATEST)[self.stage]
@@ -213,30 +235,23 @@
 
     def _looks_good(self) -> bool:
         """Tells whether the answers of this stage speak for the new version."""
-        seen = self._evidence.judgement.seen - self._seen_before
-        return seen.requests >= MIN_ANSWERS and self._excess() <= SUSPICIOUS_EXCESS
+        enough = self._evidence.judgement.step.requests >= MIN_ANSWERS
+        return enough and not self._is_suspicious()
 
     def _is_held(self) -> bool:
         """Tells whether a suspicious version gets nothing until the move ends."""
-        seen = self._evidence.judgement.seen - self._seen_before
-        bad = seen.failures + seen.slow
-        return bad >= HOLD_AFTER_BAD and self._excess() > SUSPICIOUS_EXCESS
-
-    def _excess(self) -> float:
-        """Returns how much higher the new version's rate of bad answers is.
+        step = self._evidence.judgement.step
+        return step.failures + step.slow >= HOLD_AFTER_BAD and self._is_suspicious()
 
-        Both rates are of this stage, since a slow time affects both versions.
-        """
+    def _is_suspicious(self) -> bool:
+        """Tells whether the new version did worse than the old one in this stage."""
         judgement = self._evidence.judgement
-        return _bad_rate(judgement.seen - self._seen_before) - _bad_rate(
-            judgement.compared - self._compared_before
+        return (
+            judgement.excess > SUSPICIOUS_EXCESS
+            and judgement.excess_errors > SUSPICIOUS_ERRORS
         )
 
 
-def _bad_rate(counts: Counts) -> float:
-    return (counts.failures + counts.slow) / max(1, counts.requests)
-
-
 def order_id(order: RolloutOrder) -> str:
     """Names a move, so that evidence of an earlier one does not count."""
     return f"{order.service}/{order.target}/{order.revision}"
--- a/heatherswitch/gateway/version_moves.py
+++ b/heatherswitch/gateway/version_moves.py
@@ -89,11 +89,18 @@
             _any_version if share >= 1.0 else is_other,
         ]
 
-    def count_request(self, service: str, version: str) -> None:
-        """Counts a request that is sent to a version."""
+    def count_request(self, service: str, version: str, routers: int) -> bool:
+        """Counts a request that is sent to a version.
+
+        :param routers: gateways among which the exposure bound is divided.
+        :returns: whether it was drawn between both versions.
+        """
         move = self._moves.get(service)
-        if move is not None:
-            move.count_request(version == move.order.target)
+        if move is None:
+            return False
+        drawn = move.share(routers) > 0
+        move.count_request(version == move.order.target)
+        return drawn
 
     def count_answer(
         self,
@@ -103,14 +110,16 @@
         version: str,
         failed: bool,
         first_s: float | None,
+        drawn: bool,
     ) -> None:
         """Counts an answer of a version.
 
         :param first_s: seconds to the head of the answer; None if none came.
+        :param drawn: what :meth:`count_request` returned for the request.
         """
         move = self._moves.get(service)
         if move is not None:
-            move.count_answer(now, route, version, failed, first_s)
+            move.count_answer(now, route, version, failed, first_s, drawn)
 
 
 def _any_version(version: str) -> bool:
--- a/test/test_evidence.py
+++ b/test/test_evidence.py
@@ -1,7 +1,8 @@
+import math
 import unittest
 
-from heatherswitch.fleet.evidence import WINDOW_S, MoveEvidence
-from heatherswitch.fleet.rollout import Counts, Verdict
+from heatherswitch.fleet.evidence import MAX_WINDOW_S, WINDOW_S, MoveEvidence
+from heatherswitch.fleet.rollout import Counts, Verdict, Window
 from heatherswitch.fleet.slowness import MIN_VALUES, SLOW_FACTOR, SlowThreshold
 
 
@@ -68,19 +69,57 @@
         receiver.take(2.0, serve(evidence("r1", 2), 1.0, starting=3)[0])
         self.assertEqual(self.total(receiver), Counts(13))
 
-    def test_totals_over_several_shares_are_no_evidence(self):
+    def test_totals_of_several_shares_are_not_added_up(self):
         # Guards against a good version that looks bad because its share was large
         # while everything failed, seen by a router that joined late.
         source, receiver = evidence("r1"), evidence("r2")
         serve(source, 0.0, share=0.01)
-        late = serve(source, 10.0, share=0.05)[0]
-        receiver.take(11.0, late)
-        self.assertEqual(self.total(receiver), Counts())
+        for late in serve(source, 10.0, share=0.05):
+            receiver.take(11.0, late)
+        self.assertEqual(receiver._test.windows, [self.window(10)])
         receiver.take(21.0, serve(source, 20.0, share=0.05)[0])
-        self.assertEqual(self.total(receiver), Counts(10))
         serve(source, 30.0, share=0.25)
         receiver.take(41.0, serve(source, 40.0, share=0.25)[0])
-        self.assertEqual(self.total(receiver), Counts(10))
+        windows = [self.window(10), self.window(10), self.window(20, active=200)]
+        self.assertEqual(receiver._test.windows, windows)
+
+    def window(self, starting, active=100):
+        return Window("/a", Counts(active, active // 100), Counts(starting))
+
+    def test_records_of_two_shares_are_passed_on_together(self):
+        # Guards against evidence of a whole stage that a missed record makes void:
+        # a record of the old share and one of the new one end at the same time.
+        source, receiver = evidence("r1"), evidence("r2")
+        serve(source, 0.0, share=0.2)
+        records = serve(source, WINDOW_S + 0.1, starting=7, share=0.5)
+        for record in records:
+            receiver.take(3.0, record)
+        self.assertEqual(self.total(receiver), Counts(17))
+
+    def test_excess_is_taken_within_each_window(self):
+        # Guards against a good version that is held because both versions are slow in
+        # the one window in which it has most of the answers (Simpson's paradox).
+        source = evidence("r1")
+        source.advance(0.0, 0.5)
+        for now, active, starting in (
+            (0.0, Counts(50), Counts(2)),
+            (2.0, Counts(2, 2), Counts(50, 50)),
+        ):
+            source.count(now, "/a", False, active)
+            source.count(now, "/a", True, starting)
+            source.advance(now + WINDOW_S, 0.5)
+        judgement = source.judgement
+        self.assertEqual((judgement.step, judgement.excess), (Counts(52, 50), 0.0))
+        self.assertEqual(judgement.excess_errors, 0.0)
+
+    def test_excess_without_answers_of_the_active_version_is_the_rate(self):
+        # Guards against a bad version that completes because nothing compares.
+        source = evidence("r1")
+        source.advance(0.0, 0.5)
+        source.count(0.0, "/a", True, Counts(10, 4))
+        source.advance(MAX_WINDOW_S, 0.5)
+        judgement = source.judgement
+        self.assertEqual((judgement.excess, judgement.excess_errors), (0.4, math.inf))
 
     def test_impossible_totals_are_ignored(self):
         # Guards against F17: malformed totals of a peer.
--- a/test/test_rollouts.py
+++ b/test/test_rollouts.py
@@ -82,7 +82,8 @@
             if failed:
                 self.bad_at.append(now)
         first_s = 0.4 if self.slow_from <= now < self.slow_to else 0.05
-        move.count_answer(now, "/r/", "v2" if to_target else "v1", failed, first_s)
+        version = "v2" if to_target else "v1"
+        move.count_answer(now, "/r/", version, failed, first_s, drawn=share > 0)
 
     def _look(self, now: float) -> None:
         for move in self.moves:
@@ -97,8 +98,9 @@
                 move.take_evidence(now, record)
         step = self.moves[0].next_step(now)
         if step is Step.ADVANCE:
+            stage = self.moves[0].stage + 1
             for move in self.moves:
-                move.resume(now, self.moves[0].stage + 1, now)
+                move.resume(now, stage, now)
         elif step is not Step.WAIT:
             completed = step is Step.COMPLETE
             state = MoveState.COMPLETED if completed else MoveState.ROLLED_BACK
