Resume the paused agent of the P7 proofs once a partition is taken over

Cause of the known red: the proof resumed the former owner after 14 s whether or not the other agent had taken a partition over; without a takeover no double run can show.

Change: resume after 14 s or the first takeover, whichever is later, within 40 s. The shortest pause stays: a trial that resumed at 12.0 s was red twice, since the agent then learned of the takeover before the held-back request arrived.

--- a/test/test_proofs_claims.py
+++ b/test/test_proofs_claims.py
@@ -1,6 +1,7 @@
 """Proofs of P7 on real processes, and that they fail without the claim fence."""
 
 import asyncio
+import time
 import unittest
 
 from test.proof_case import WARM, WORKSPACE, Load, ProofCase, agent_of
@@ -8,7 +9,12 @@
 # How long the network holds a request back. The agent is paused meanwhile, for longer
 # than the 10 s after which a silent member is removed and its partitions change hands.
 HELD_BACK_S = 12.0
-PAUSE_S = 14.0
+# Shortest pause: what was held back must wait in the agent's socket when it wakes, so
+# that it reads the request before it learns that another agent has its partitions.
+PAUSE_S = HELD_BACK_S + 2.0
+# Time in which the other agent must have taken a partition over, in seconds: four
+# times the above, since the agents share a machine with other tests.
+TAKEOVER_S = 40.0
 UNFENCED = "test.doubles.agent_without_fence"
 
 
@@ -48,24 +54,27 @@
         trial.pause(agent)
         calls = [trial.settlement(f"late-{n}", WORKSPACE) for n in range(8)]
         sent = [asyncio.create_task(trial.call(call, 1)) for call in calls]
-        resumed = asyncio.create_task(self._resume(trial, agent))
+        paused_at = time.monotonic()
         await asyncio.gather(*sent)
-        # The callers repeat until the other agent has taken the partitions over.
-        for call in calls:
-            for _ in range(20):
-                again = trial.settlement(call.key, WORKSPACE)
-                result = await trial.call(again, 1)
-                if result.outcome == "answered" or resumed.done():
-                    break
-                await asyncio.sleep(0.5)
-        await resumed
+        repeats = [asyncio.create_task(self._repeat(trial, c.key)) for c in calls]
+        async with asyncio.timeout(TAKEOVER_S):
+            await asyncio.wait(repeats, return_when=asyncio.FIRST_COMPLETED)
+        await asyncio.sleep(max(0.0, paused_at + PAUSE_S - time.monotonic()))
+        trial.resume(agent)
         await asyncio.sleep(3.0)
+        for repeat in repeats:
+            repeat.cancel()
+        await asyncio.gather(*repeats, return_exceptions=True)
         trial.heal(link, "late")
         return trial
 
-    async def _resume(self, trial, agent) -> None:
-        await asyncio.sleep(PAUSE_S)
-        trial.resume(agent)
+    async def _repeat(self, trial, key: str) -> None:
+        """Repeats a settlement until the other agent has taken its partition over."""
+        while True:
+            result = await trial.call(trial.settlement(key, WORKSPACE), 1)
+            if result.outcome == "answered":
+                return
+            await asyncio.sleep(0.5)
 
     async def test_p7_paused_former_owner_runs_nothing_again(self):
         # Guards against a request that reaches the former owner after its takeover.
