Compare a move's status with each write of its owner

Cause, found while planning the model of the roll-out owner: a write of the owner whose answer is lost may be executed seconds later. The lease's key fences a replaced owner, but not the same one: a late "running" replaced its own "completed", and after a lost answer to "completed" that took effect the owner could write "rolled_back". Besides, a gateway that started while an operator had ordered the same move again took the status of the earlier move for the decision of the new one.

Change: each write compares the revision of the status that it replaces; after a write with an unknown outcome the owner reads the status and adopts a decision; a status from before the order decides nothing.

Tests failed first: test_late_write_of_the_owner_does_not_undo_its_decision (running), test_decision_whose_answer_was_lost_is_not_replaced (rolled_back), test_status_of_an_earlier_order_decides_nothing. test_replaced_owner_changes_nothing now checks the lease's fence before the other owner has written, so that the new comparison does not stand in for it.

--- a/heatherswitch/gateway/events.py
+++ b/heatherswitch/gateway/events.py
@@ -180,11 +180,15 @@
 
 @dataclass(frozen=True, slots=True)
 class RolloutStatusRead:
-    """The recorded state of a move."""
+    """The recorded state of a move.
+
+    :param revision: store revision of the record.
+    """
 
     service: str
     target: str
     state: MoveState
+    revision: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/heatherswitch/gateway/rollout_owner.py
+++ b/heatherswitch/gateway/rollout_owner.py
@@ -1,15 +1,17 @@
 """Publishes a gateway's evidence and, where it owns the moves, drives them.
 
 One gateway owns all moves under a lease. Every write compares the lease's key, so that
-a paused or replaced owner changes nothing.
+a paused or replaced owner changes nothing, and the revision of the status that it
+replaces, so that a lost write which the store executes later does not undo a decision.
 """
 
 import asyncio
 import logging
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Protocol
 
+from heatherswitch.gateway.events import RolloutStatusRead
 from heatherswitch.gateway.rollout_records import (
     EVIDENCE_PREFIX,
     PROGRESS_PREFIX,
@@ -19,6 +21,7 @@
 )
 from heatherswitch.gateway.rollouts import MoveState, Step, VersionMove, order_id
 from heatherswitch.statecore.lease import Lease, LeaseLost, LeaseStore
+from heatherswitch.statecore.replica import Entry
 from heatherswitch.statecore.store import StoreError
 from heatherswitch.util.clock import Clock
 
@@ -39,6 +42,9 @@
     def status(self, service: str, state: MoveState, target: str) -> tuple[str, bytes]:
         """Returns key and value."""
 
+    def read_status(self, entry: Entry) -> RolloutStatusRead | None:
+        """Reads a status; returns None if it is unusable."""
+
 
 class RolloutOwner:
     """Runs beside the gateway while a move is open.
@@ -46,7 +52,15 @@
     :param moves: returns the open moves by service.
     """
 
-    __slots__ = ("_clock", "_encoder", "_id", "_lease", "_moves", "_store")
+    __slots__ = (
+        "_clock",
+        "_encoder",
+        "_id",
+        "_lease",
+        "_moves",
+        "_status_revisions",
+        "_store",
+    )
 
     def __init__(
         self,
@@ -62,6 +76,8 @@
         self._clock = clock
         self._moves = moves
         self._lease: Lease | None = None
+        # Status key to its revision, as far as the outcome of each write is known.
+        self._status_revisions: dict[str, int] = {}
 
     async def run(self) -> None:
         """Looks after the moves until cancelled."""
@@ -106,6 +122,7 @@
         if await lease.acquire():
             log.info("owns the moves between versions")
             self._lease = lease
+            self._status_revisions.clear()
 
     async def _drive(self, service: str, move: VersionMove) -> None:
         now = self._clock.now()
@@ -122,9 +139,9 @@
         """Writes progress and status, then follows them."""
         now = self._clock.now()
         progress = Progress(order_id(move.order), stage, move.elapsed_s(now))
-        key, value = self._encoder.status(service, MoveState.RUNNING, move.order.target)
-        puts = {PROGRESS_PREFIX + service: encode_progress(progress), key: value}
-        await self._store.commit(self._lease.compare, puts)
+        record = {PROGRESS_PREFIX + service: encode_progress(progress)}
+        if not await self._write(service, move, MoveState.RUNNING, record):
+            return
         if stage != move.stage:
             log.info(
                 "move advances",
@@ -139,8 +156,8 @@
             move.resume(now, stage, progress.elapsed_s)
 
     async def _decide(self, service: str, move: VersionMove, state: MoveState) -> None:
-        key, value = self._encoder.status(service, state, move.order.target)
-        await self._store.commit(self._lease.compare, {key: value})
+        if not await self._write(service, move, state, {}):
+            return
         move.state = state
         log.info(
             "move decided",
@@ -153,3 +170,35 @@
                 "elapsed_s": round(move.elapsed_s(self._clock.now()), 2),
             },
         )
+
+    async def _write(
+        self,
+        service: str,
+        move: VersionMove,
+        state: MoveState,
+        puts: Mapping[str, bytes],
+    ) -> bool:
+        """Writes the status and other keys; returns False if the move is decided.
+
+        :raises StoreError: if the write failed or its outcome is unknown.
+        """
+        key, value = self._encoder.status(service, state, move.order.target)
+        if key not in self._status_revisions:
+            await self._read_status(key, move)
+        if move.state is not MoveState.RUNNING:
+            return False
+        compares = {**self._lease.compare, key: self._status_revisions[key]}
+        try:
+            revision = await self._store.commit(compares, {**puts, key: value})
+        except StoreError:
+            del self._status_revisions[key]
+            raise
+        self._status_revisions[key] = revision
+        return True
+
+    async def _read_status(self, key: str, move: VersionMove) -> None:
+        entry = await self._store.get(key)
+        self._status_revisions[key] = entry.mod_revision if entry else 0
+        status = self._encoder.read_status(entry) if entry else None
+        if status is not None:
+            move.take_status(status.target, status.state, status.revision)
--- a/heatherswitch/gateway/rollouts.py
+++ b/heatherswitch/gateway/rollouts.py
@@ -150,6 +150,16 @@
             self.advance_evidence(now)
         self._started_at = min(self._started_at, now - elapsed_s)
 
+    def take_status(self, target: str, state: MoveState, revision: int) -> None:
+        """Takes a recorded decision.
+
+        :param revision: store revision of the record; one from before the order
+            belongs to an earlier move to the same version.
+        """
+        is_own = target == self.order.target and revision > self.order.revision
+        if is_own and state is not MoveState.RUNNING:
+            self.state = state
+
     def share(self, routers: int) -> float:
         """Returns the share of new requests that the new version gets.
 
--- a/heatherswitch/gateway/version_moves.py
+++ b/heatherswitch/gateway/version_moves.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 from heatherswitch.gateway import events as ev
-from heatherswitch.gateway.rollouts import Exposure, MoveState, VersionMove, order_id
+from heatherswitch.gateway.rollouts import Exposure, VersionMove, order_id
 from heatherswitch.statecore.hashing import unit_hash
 
 # Tells whether servers of a version may take a request.
@@ -43,10 +43,8 @@
     def on_status(self, event: ev.RolloutStatusRead) -> None:
         """Takes a recorded decision."""
         move = self._moves.get(event.service)
-        if move is None or move.order.target != event.target:
-            return
-        if event.state is not MoveState.RUNNING:
-            move.state = event.state
+        if move is not None:
+            move.take_status(event.target, event.state, event.revision)
 
     def on_progress(self, now: float, event: ev.ProgressRead) -> None:
         """Takes the owner's record."""
--- a/heatherswitch/platform/reader.py
+++ b/heatherswitch/platform/reader.py
@@ -58,7 +58,8 @@
         if key.startswith(names.ROLLOUT_PREFIX):
             return self._order(entry)
         if key.startswith(names.ROLLOUT_STATUS_PREFIX) and value is not None:
-            return self._status(key.removeprefix(names.ROLLOUT_STATUS_PREFIX), value)
+            status = self.read_status(entry)
+            return [status] if status else []
         if value is not None:
             return self._own_record(key, value)
         return []
@@ -80,14 +81,17 @@
         log.info("move ordered", extra={"service": service, "target": order.target})
         return [ev.RolloutOrdered(service, order)]
 
-    def _status(self, service: str, value: bytes) -> list[ev.Event]:
+    def read_status(self, entry: Entry) -> ev.RolloutStatusRead | None:
+        """Reads a move's status; returns None if it is unusable."""
+        service = entry.key.removeprefix(names.ROLLOUT_STATUS_PREFIX)
         try:
-            tree = json.loads(value)
+            tree = json.loads(entry.value)
             state = MoveState(tree["state"])
-            return [ev.RolloutStatusRead(service, str(tree["target"]), state)]
+            target = str(tree["target"])
         except (KeyError, TypeError, ValueError) as error:
             log.warning("status of a move is unusable", extra={"error": repr(error)})
-            return []
+            return None
+        return ev.RolloutStatusRead(service, target, state, entry.mod_revision)
 
     def _own_record(self, key: str, value: bytes) -> list[ev.Event]:
         """Reads what the gateways themselves keep about moves."""
--- a/test/test_rollouts.py
+++ b/test/test_rollouts.py
@@ -4,6 +4,7 @@
 import contextlib
 import random
 import unittest
+from dataclasses import replace
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -11,6 +12,7 @@
 from emulator.platform.deployment import Deployment
 from emulator.platform.server import Behaviour
 from emulator.platform.store import PlatformStoreServer
+from heatherswitch.gateway import events as ev
 from heatherswitch.gateway.rollout_owner import OWNER_KEY, RolloutOwner
 from heatherswitch.gateway.rollout_records import (
     Progress,
@@ -28,6 +30,7 @@
     VersionMove,
     order_id,
 )
+from heatherswitch.gateway.version_moves import VersionMoves
 from heatherswitch.platform.reader import PlatformReader
 from heatherswitch.platform.store import PlatformStore
 from heatherswitch.statecore.store import AmbiguousWrite, CompareFailed
@@ -204,7 +207,12 @@
         await self.server.start()
         self.addAsyncCleanup(self.server.stop)
         self.clock = Clock()
-        self.move = VersionMove(0.0, ORDER, "g", 1, Exposure())
+        revision = self.server.put("op/rollout/ledger", {})
+        self.order = replace(ORDER, revision=revision)
+        self.move = self.move_of("g")
+
+    def move_of(self, gateway: str) -> VersionMove:
+        return VersionMove(0.0, self.order, gateway, 1, Exposure())
 
     def owner(self, name: str) -> RolloutOwner:
         store = PlatformStore.from_address(self.server.address, self.clock)
@@ -214,12 +222,17 @@
     async def test_replaced_owner_changes_nothing(self):
         first, second = self.owner("a"), self.owner("b")
         await first._own()
+        await first._record("ledger", self.move, 0)
         # The store ends the first owner's lease while its process is paused.
         self.server.delete(OWNER_KEY)
         await second._own()
-        await second._decide("ledger", self.move, MoveState.ROLLED_BACK)
+        # Only the lease's key tells the first owner from the second one here.
         with self.assertRaises(CompareFailed):
             await first._decide("ledger", self.move, MoveState.COMPLETED)
+        await second._decide("ledger", self.move_of("h"), MoveState.ROLLED_BACK)
+        late = self.move_of("g")
+        await first._record("ledger", late, 0)
+        self.assertIs(late.state, MoveState.ROLLED_BACK, "read before the write")
         self.assertIn(b"rolled_back", self.server.read("status/rollout/ledger"))
 
     async def test_late_write_of_a_replaced_owner_changes_nothing(self):
@@ -231,10 +244,48 @@
             await first._decide("ledger", self.move, MoveState.COMPLETED)
         self.server.delete(OWNER_KEY)
         await second._own()
-        await second._decide("ledger", self.move, MoveState.ROLLED_BACK)
+        await second._decide("ledger", self.move_of("h"), MoveState.ROLLED_BACK)
         await asyncio.sleep(0.6)
         self.assertIn(b"rolled_back", self.server.read("status/rollout/ledger"))
 
+    async def test_late_write_of_the_owner_does_not_undo_its_decision(self):
+        """The store executes a lost record after the decision of the same owner."""
+        owner = self.owner("a")
+        await owner._own()
+        self.server.lose_writes, self.server.late_writes_s = 1, 1.3
+        with self.assertRaises(AmbiguousWrite):
+            await owner._record("ledger", self.move, 0)
+        await owner._decide("ledger", self.move, MoveState.COMPLETED)
+        await asyncio.sleep(0.6)
+        self.assertIn(b"completed", self.server.read("status/rollout/ledger"))
+
+    async def test_decision_whose_answer_was_lost_is_not_replaced(self):
+        """The answer is lost after the write took effect; the evidence changes then."""
+        owner = self.owner("a")
+        await owner._own()
+        self.server.lose_writes, self.server.late_writes_s = 1, 0.0
+        with self.assertRaises(AmbiguousWrite):
+            await owner._decide("ledger", self.move, MoveState.COMPLETED)
+        await owner._decide("ledger", self.move, MoveState.ROLLED_BACK)
+        self.assertIn(b"completed", self.server.read("status/rollout/ledger"))
+        self.assertIs(self.move.state, MoveState.COMPLETED)
+
+
+class StatusTest(unittest.TestCase):
+    def test_status_of_an_earlier_order_decides_nothing(self):
+        """Guards a move that an operator orders again after it was rolled back."""
+        moves = VersionMoves("g", 1, Exposure())
+        moves.on_order(0.0, ev.RolloutOrdered("ledger", ORDER))
+        earlier, later = ORDER.revision - 1, ORDER.revision + 1
+        for revision, state in (
+            (earlier, MoveState.RUNNING),
+            (later, MoveState.ROLLED_BACK),
+        ):
+            moves.on_status(
+                ev.RolloutStatusRead("ledger", "v2", MoveState.ROLLED_BACK, revision)
+            )
+            self.assertIs(moves.by_service["ledger"].state, state)
+
 
 class RolloutServiceTest(unittest.IsolatedAsyncioTestCase):
     async def play(self, behaviour: Behaviour) -> str:
