Ask a likely holder for a prompt that this gateway has not sent anywhere

Change: where no holder of the whole chat is known, the source is the highest in rank among the other servers, older ones first, and servers that refuse connections are no source. A copy moves only what the chosen server lacks. A gateway alone knows all chats and does not guess.

--- a/heatherswitch/gateway/selection.py
+++ b/heatherswitch/gateway/selection.py
@@ -144,16 +144,20 @@
     def _source(self, now, request, choice: Choice, servers) -> ServerState | None:
         """Returns a server to copy shared parts from; reading them costs more.
 
-        The deepest part that a server is known to hold decides. Without a known
-        holder of the whole chat, it is the server that ranks highest beside the
-        chosen one, where the chosen one cannot have had the chat before: all
-        gateways sent it there until the chosen server joined, until that server
-        began to leave, or until it reached its load bound.
+        The deepest part that a server is known to hold decides. Where this gateway
+        knows no holder of the whole chat, others may have sent it elsewhere while the
+        chosen server was new, out or at its load bound: a likely holder is asked then.
+        A copy moves only what the chosen server lacks, so a guess costs nothing where
+        it has the prompt.
         """
-        if not request.parts:
+        if not request.shared:
             return None
         chosen = choice.server
-        others = {s.record.id: s for s in servers if not s.gone and s is not chosen}
+        others = {
+            s.record.id: s
+            for s in servers
+            if s is not chosen and not (s.gone or s.ended or s.avoided(now))
+        }
         for part in reversed(request.shared):
             holders = self._prefixes.holders(part.id)
             if chosen.record.id in holders:
@@ -161,13 +165,21 @@
             for server_id in reversed(holders):
                 if server_id in others:
                     return others[server_id]
-            if part is request.shared[-1]:
-                ranked = sorted([chosen, *others.values()], key=_ranking(request))
-                is_new = now - chosen.listed_at < NEW_SERVER_S
-                if len(ranked) > 1 and (is_new or ranked[0] is not chosen):
-                    return ranked[ranked[0] is chosen]
+            if part is request.shared[-1] and others and self._fleet.size > 1:
+                return self._likely_holder(now, request, others.values())
         return None
 
+    def _likely_holder(self, now, request, others) -> ServerState:
+        """Returns the highest in rank, before servers that were listed lately.
+
+        All gateways send the chat there whenever they do not to the chosen server.
+        """
+        ranked = sorted(others, key=_ranking(request))
+        for state in ranked:
+            if now - state.listed_at >= NEW_SERVER_S:
+                return state
+        return ranked[0]
+
     def _by_latency(self, now, request, ready) -> Choice:
         def cost(state: ServerState) -> float:
             penalty = 1 + FAILURE_COST * state.failure_rate
