--- a/heatherswitch/gateway/selection.py
+++ b/heatherswitch/gateway/selection.py
@@ -158,6 +158,8 @@
             for s in servers
             if s is not chosen and not (s.gone or s.ended or s.avoided(now))
         }
+        is_new = now - chosen.listed_at < NEW_SERVER_S
+        may_guess = bool(others) and (is_new or self._fleet.size > 1)
         for part in reversed(request.shared):
             holders = self._prefixes.holders(part.id)
             if chosen.record.id in holders:
@@ -165,7 +167,7 @@
             for server_id in reversed(holders):
                 if server_id in others:
                     return others[server_id]
-            if part is request.shared[-1] and others and self._fleet.size > 1:
+            if part is request.shared[-1] and may_guess:
                 return self._likely_holder(now, request, others.values())
         return None
 
