--- a/heatherswitch/platform/store.py
+++ b/heatherswitch/platform/store.py
@@ -109,9 +109,7 @@
             body = _expect(200, status, answer)
             entries = tuple(_entry(item) for item in body.get("events") or ())
             after = max(after, _number(body, "as_of"))
-            # Without a change the store answered only after the wait.
-            waited_s = 0.0 if entries else WATCH_WAIT_S
-            current_at = min(sent_at + waited_s, self._clock.now())
+            current_at = confirmed_at(sent_at, bool(entries), self._clock.now())
             yield WatchBatch(after, entries, current_at)
             await asyncio.sleep(WATCH_PAUSE_S)
 
@@ -209,6 +207,17 @@
         return response.status, answer
 
 
+def confirmed_at(sent_at: float, changed: bool, now: float) -> float:
+    """Returns a time at which nothing newer existed than a watch has answered.
+
+    :param sent_at: time at which the call was sent, in seconds.
+    :param changed: the answer holds changes; without one the store answered only
+        after its wait.
+    :param now: time at which the answer arrived.
+    """
+    return min(sent_at + (0.0 if changed else WATCH_WAIT_S), now)
+
+
 def _expect(expected: int, status: int, answer: Any) -> dict:
     if status != expected or not isinstance(answer, dict):
         raise StoreError(f"status {status}: {answer}")
