--- /dev/null
+++ b/heatherswitch/gateway/admission.py
@@ -0,0 +1,87 @@
+"""Which requests the configuration in force lets in. Pure decisions."""
+
+from dataclasses import dataclass
+
+from heatherswitch.gateway.freshness import CurrentConfiguration
+from heatherswitch.gateway.model import CallerRequest, Route, Service, Workspace
+from heatherswitch.statecore.hashing import unit_hash
+
+# Retry-After, in seconds: the time in which a queue is worked off, and that where
+# only this gateway cannot serve and the next attempt reaches another one.
+RETRY_BUSY_S = 0.3
+RETRY_ELSEWHERE_S = 0.05
+
+
+@dataclass(frozen=True, slots=True)
+class Admitted:
+    """What the configuration says of a request.
+
+    :param workspace: None on a route without keys.
+    :param timeout_s: seconds in which the caller must have its answer.
+    """
+
+    route: Route
+    service: Service
+    workspace: Workspace | None
+    timeout_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Denied:
+    """The request is refused at once.
+
+    :param retry_after_s: None where a repeat changes nothing.
+    """
+
+    status: int
+    reason: str
+    retry_after_s: float | None = None
+
+
+def admit(
+    now: float, current: CurrentConfiguration, request: CallerRequest
+) -> Admitted | Denied:
+    """Checks route and key of a request."""
+    configuration = current.configuration
+    if configuration is None:
+        return Denied(503, "no configuration yet", RETRY_ELSEWHERE_S)
+    route = current.routes.find(request.host, request.path)
+    if route is None:
+        return _unknown(now, current, 404, "no such route")
+    workspace = None
+    if configuration.needs_key and not route.anonymous:
+        if not current.accepts_keys(now):
+            reason = "the configuration is too old to accept keys"
+            return Denied(503, reason, RETRY_ELSEWHERE_S)
+        workspace = configuration.keys.get(request.key)
+        if workspace is None:
+            return _unknown(now, current, 401, "unknown API key")
+    service = configuration.services.get(_split(route, request))
+    if service is None:
+        return Denied(503, "the service is unknown", RETRY_BUSY_S)
+    timeout_s = route.timeout_s
+    if request.deadline_s is not None:
+        timeout_s = min(timeout_s, request.deadline_s)
+    return Admitted(route, service, workspace, timeout_s)
+
+
+def _unknown(
+    now: float, current: CurrentConfiguration, status: int, reason: str
+) -> Denied:
+    if current.refuses(now):
+        return Denied(status, reason)
+    reason += ", but the configuration may be out of date"
+    return Denied(503, reason, RETRY_ELSEWHERE_S)
+
+
+def _split(route: Route, request: CallerRequest) -> str:
+    """Returns the service of a request by the weights of its route."""
+    if len(route.split) == 1:
+        return route.split[0][0]
+    total = sum(weight for _, weight in route.split)
+    position = unit_hash(route.name, request.id) * total
+    for service, weight in route.split:
+        position -= weight
+        if position < 0:
+            return service
+    return route.split[-1][0]
--- a/heatherswitch/gateway/reducer.py
+++ b/heatherswitch/gateway/reducer.py
@@ -8,12 +8,9 @@
 
 from heatherswitch.fleet.shares import FleetView, TokenBucket
 from heatherswitch.gateway import events as ev
+from heatherswitch.gateway.admission import RETRY_BUSY_S, Denied, admit
 from heatherswitch.gateway.freshness import CurrentConfiguration
-from heatherswitch.gateway.model import (
-    CallerRequest,
-    Route,
-    Service,
-)
+from heatherswitch.gateway.model import Service
 from heatherswitch.gateway.pending import Pending
 from heatherswitch.gateway.prefix_index import PrefixIndex
 from heatherswitch.gateway.rollouts import Exposure, VersionMove
@@ -37,7 +34,6 @@
     Waiter,
     WaitingQueue,
 )
-from heatherswitch.statecore.hashing import unit_hash
 
 # Age of the configuration, in seconds, above which callers should use another
 # gateway: three times the age with a store that answers, and well before keys are no
@@ -46,10 +42,6 @@
 # Part of the fleet's retry budget that is used, so that routers whose lists of the
 # fleet differ for a moment stay within it together.
 BUDGET_MARGIN = 0.7
-# Retry-After, in seconds: the time in which a queue is worked off, and that where
-# only this gateway cannot serve and the next attempt reaches another one.
-RETRY_BUSY_S = 0.3
-RETRY_ELSEWHERE_S = 0.05
 
 
 @dataclass(frozen=True, slots=True)
@@ -202,46 +194,24 @@
     # Arrival
 
     def _on_arrival(self, now: float, event: ev.RequestArrived) -> list[ev.Effect]:
-        refusal = self._admit(now, event)
-        if refusal is not None:
-            return [refusal]
-        pending = self._pending[event.serial]
-        self._budget.deposit(BUDGET_MARGIN * self._limits.budget_ratio)
-        return self._place(now, event.serial, pending)
-
-    def _admit(self, now: float, event: ev.RequestArrived) -> ev.Refuse | None:
-        """Checks route and key; registers the request unless it is refused."""
-        current = self._configuration
-        request, serial = event.request, event.serial
-        if current.configuration is None:
-            return ev.Refuse(serial, 503, "no configuration yet", RETRY_ELSEWHERE_S)
-        route = current.routes.find(request.host, request.path)
-        if route is None:
-            return self._unknown(now, serial, 404, "no such route")
-        workspace = None
-        if current.configuration.needs_key and not route.anonymous:
-            if not current.accepts_keys(now):
-                reason = "the configuration is too old to accept keys"
-                return ev.Refuse(serial, 503, reason, RETRY_ELSEWHERE_S)
-            workspace = current.configuration.keys.get(request.key)
-            if workspace is None:
-                return self._unknown(now, serial, 401, "unknown API key")
-        service = current.configuration.services.get(_split(route, request))
-        if service is None:
-            return ev.Refuse(serial, 503, "the service is unknown", RETRY_BUSY_S)
-        timeout_s = route.timeout_s
-        if request.deadline_s is not None:
-            timeout_s = min(timeout_s, request.deadline_s)
-        self._pending[serial] = Pending(
-            request, route, service, workspace, now, now + timeout_s
+        serial, request = event.serial, event.request
+        admitted = admit(now, self._configuration, request)
+        if isinstance(admitted, Denied):
+            denied = admitted
+            return [
+                ev.Refuse(serial, denied.status, denied.reason, denied.retry_after_s)
+            ]
+        pending = Pending(
+            request,
+            admitted.route,
+            admitted.service,
+            admitted.workspace,
+            now,
+            now + admitted.timeout_s,
         )
-        return None
-
-    def _unknown(self, now: float, serial: int, status: int, reason: str) -> ev.Refuse:
-        if self._configuration.refuses(now):
-            return ev.Refuse(serial, status, reason)
-        reason += ", but the configuration may be out of date"
-        return ev.Refuse(serial, 503, reason, RETRY_ELSEWHERE_S)
+        self._pending[serial] = pending
+        self._budget.deposit(BUDGET_MARGIN * self._limits.budget_ratio)
+        return self._place(now, serial, pending)
 
     # Placement
 
@@ -455,16 +425,3 @@
             pending.first_s,
             pending.drawn,
         )
-
-
-def _split(route: Route, request: CallerRequest) -> str:
-    """Returns the service of a request by the weights of its route."""
-    if len(route.split) == 1:
-        return route.split[0][0]
-    total = sum(weight for _, weight in route.split)
-    position = unit_hash(route.name, request.id) * total
-    for service, weight in route.split:
-        position -= weight
-        if position < 0:
-            return service
-    return route.split[-1][0]
