Refuse a request at once when only cold servers could take it too late

Cause, read from the code while looking at how work waits: a request whose only servers are cold waits a quarter of its time even where this gateway may not send to them before that. The selector already tells the seconds; nothing used them. With 31 gateways, 27 of them have no share of a cold server's rate.

Change: such a request is refused at once with the time as Retry-After. Test failed first: test_request_that_only_cold_servers_could_take_is_refused_at_once.

--- a/heatherswitch/gateway/reducer.py
+++ b/heatherswitch/gateway/reducer.py
@@ -253,7 +253,7 @@
             return [self._send(now, serial, pending, choice)]
         if choice.known == 0:
             return self._give_up(serial, pending, "no server is available")
-        return self._wait(now, serial, pending)
+        return self._wait(now, serial, pending, choice.wait_s)
 
     def _send(self, now, serial: int, pending: Pending, choice: Choice) -> ev.Forward:
         state = choice.server
@@ -278,10 +278,19 @@
             f"{choice.reason}; load {state.load(now):.0f}",
         )
 
-    def _wait(self, now: float, serial: int, pending: Pending) -> list[ev.Effect]:
+    def _wait(
+        self, now: float, serial: int, pending: Pending, wait_s: float
+    ) -> list[ev.Effect]:
+        """Lets a request wait, unless that is known to be in vain.
+
+        :param wait_s: seconds until a cold server takes one more; infinite where the
+            end of another request decides.
+        """
+        longest_s = MAX_WAIT_SHARE * (pending.deadline_at - now)
+        if longest_s < wait_s < float("inf"):
+            return self._give_up(serial, pending, "the servers are cold", wait_s)
         queue = self._queues.setdefault(pending.service.name, WaitingQueue())
-        left_s = pending.deadline_at - now
-        waiter = Waiter(pending.priority, now, serial, now + MAX_WAIT_SHARE * left_s)
+        waiter = Waiter(pending.priority, now, serial, now + longest_s)
         effects: list[ev.Effect] = []
         if len(queue) >= self._queue_limit(pending.service):
             last = queue.least_urgent()
@@ -385,14 +394,23 @@
         choice = self._choose(now, pending)
         if isinstance(choice, NoChoice):
             if choice.known and not pending.runs and not pending.started:
-                return self._wait(now, serial, pending)
+                return self._wait(now, serial, pending, choice.wait_s)
             return self._give_up(serial, pending, "no other server is available")
         if arrived and not self._budget.take(now):
             return self._give_up(serial, pending, "the retry budget is used up")
         return [self._send(now, serial, pending, choice)]
 
-    def _give_up(self, serial: int, pending: Pending, reason: str) -> list[ev.Effect]:
-        """Ends a request with the answer that tells the truth about it."""
+    def _give_up(
+        self,
+        serial: int,
+        pending: Pending,
+        reason: str,
+        retry_after_s: float = RETRY_BUSY_S,
+    ) -> list[ev.Effect]:
+        """Ends a request with the answer that tells the truth about it.
+
+        :param retry_after_s: when to come back, if it has not run.
+        """
         del self._pending[serial]
         if pending.held is not None:
             return [ev.Relay(serial)]
@@ -401,7 +419,7 @@
         if pending.broken is not None:
             timed_out = pending.broken.silent
             return [ev.Refuse(serial, 504 if timed_out else 502, reason)]
-        return [ev.Refuse(serial, 503, reason, RETRY_BUSY_S)]
+        return [ev.Refuse(serial, 503, reason, retry_after_s)]
 
     def _on_caller_left(self, now: float, event: ev.CallerLeft) -> list[ev.Effect]:
         pending = self._pending.pop(event.serial, None)
--- a/test/test_gateway_reducer.py
+++ b/test/test_gateway_reducer.py
@@ -292,6 +292,23 @@
         self.assertNotEqual(displaced.serial, urgent)
         self.assertEqual(displaced.status, 503)
 
+    def test_request_that_only_cold_servers_could_take_is_refused_at_once(self):
+        """Replays a zone that returns cold where other gateways share its rate.
+
+        Guards against a wait that is known to be in vain, and tells when to come back.
+        """
+        routers = [f"r{n}" for n in range(31)]
+        for cold_s, refused in ((30.0, True), (0.3, False)):
+            driver = Driver(routers=routers)
+            driver.list(server("e1", "engine", cold_for_s=cold_s))
+            driver.take()
+            driver.arrive("/chat/1", parts=chat("s"), deadline_s=2.0)
+            effects = driver.take()
+            self.assertEqual(bool(effects), refused)
+            if refused:
+                self.assertEqual(effects[0].status, 503)
+                self.assertAlmostEqual(effects[0].retry_after_s, cold_s)
+
     def test_waiting_request_is_refused_long_before_its_deadline(self):
         driver = self.full()
         driver.advance(0.51)
