--- a/test/test_rollouts.py
+++ b/test/test_rollouts.py
@@ -35,6 +35,7 @@
 from heatherswitch.platform.store import PlatformStore
 from heatherswitch.statecore.store import AmbiguousWrite, CompareFailed
 from heatherswitch.util.clock import Clock
+from heatherswitch.util.http import HttpError
 
 ORDER = RolloutOrder("ledger", "v2", 12.0, 7)
 SHARE, SLACK = 0.1, 50.0
@@ -300,7 +301,11 @@
 
         async def load():
             while True:
-                await deployment.call("/lookup/1")
+                # A caller whose connection fails on a busy machine goes on, else the
+                # move ends for lack of answers.
+                with contextlib.suppress(HttpError):
+                    await deployment.call("/lookup/1")
+                await asyncio.sleep(0)
 
         callers = [asyncio.create_task(load()) for _ in range(4)]
 
