Read large answers of the store to their end over thin links

Change: the time-out holds for the head and between parts of an answer; the whole may take 10 s. Test failed first: test_large_answer_over_a_thin_link_is_read_to_its_end. Ruled out: a store out of reach (other gateways of the zone were served), lost connections.

--- a/emulator/platform/store.py
+++ b/emulator/platform/store.py
@@ -16,6 +16,8 @@
 PAGE_ITEMS = 50
 # Pause between two looks of a waiting watch, in seconds.
 WATCH_POLL_S = 0.005
+# Seconds between two parts of an answer over a thin link.
+SEND_INTERVAL_S = 0.1
 # Keys that only operators and backend servers write.
 FOREIGN_PREFIXES = ("op/", "servers/")
 
@@ -32,6 +34,7 @@
     :ivar late_writes_s: lost writes take effect this much later, in seconds.
     :ivar deaf: watches hear nothing.
     :ivar delay_s: delay before a call is handled, in seconds.
+    :ivar bytes_per_s: rate at which answers of watches arrive; 0 for no limit.
     """
 
     def __init__(self) -> None:
@@ -44,6 +47,7 @@
         self.late_writes_s = 0.0
         self.deaf = False
         self.delay_s = 0.0
+        self.bytes_per_s = 0
         # Watches from before this revision are told that the history is gone.
         self._history_from = 0
         self._server = HttpServer(self._handle)
@@ -147,10 +151,20 @@
             if changes or time.monotonic() >= until:
                 events = [_item(change) for change in changes]
                 body = {"events": events, "as_of": self.data.revision}
-                await responder.send_json(200, body)
+                await self._send_slowly(responder, json.dumps(body).encode())
                 return
             await asyncio.sleep(WATCH_POLL_S)
 
+    async def _send_slowly(self, responder: Responder, body: bytes) -> None:
+        """Sends an answer as a thin link would bring it."""
+        size = int(self.bytes_per_s * SEND_INTERVAL_S) or len(body)
+        await responder.start(200, [("Content-Length", str(len(body)))], hold=True)
+        for start in range(0, len(body), size):
+            await responder.write(body[start : start + size])
+            if self.bytes_per_s:
+                await asyncio.sleep(SEND_INTERVAL_S)
+        await responder.finish()
+
     async def _write(self, request: Request, responder: Responder) -> None:
         apply = self._operation(request)
         if self.lose_writes > 0:
--- a/heatherswitch/platform/store.py
+++ b/heatherswitch/platform/store.py
@@ -24,9 +24,12 @@
 
 log = logging.getLogger("heatherswitch.platform.store")
 
-# Seconds after which a call without an answer has failed. The store answers in 4 ms,
+# Seconds without progress after which a call has failed. The store answers in 4 ms,
 # and in 60 times that on its slow days.
 CALL_TIMEOUT_S = 1.0
+# Seconds for the whole of an answer that goes on arriving. An entry holds up to a
+# megabyte and VMs have links from 5 Mbit/s on, so a configuration takes seconds there.
+ANSWER_TIMEOUT_S = 10.0
 # Seconds that a watch waits in the store for a change, and beyond that for its answer.
 # A lost answer and the pause below must together stay under the 2 s in which a leaving
 # server may still get work.
@@ -182,7 +185,10 @@
         body: Any = None,
         lost: type[StoreError] = StoreUnavailable,
     ) -> tuple[int, Any]:
-        """Sends a call; 429 and 503 mean that nothing was done."""
+        """Sends a call; 429 and 503 mean that nothing was done.
+
+        :param timeout_s: seconds to the head of the answer, and between its parts.
+        """
         try:
             async with asyncio.timeout(timeout_s):
                 response = await self._client.request(
@@ -192,6 +198,7 @@
                     b"" if body is None else json.dumps(body).encode(),
                     timeout_s,
                 )
+            async with asyncio.timeout(ANSWER_TIMEOUT_S):
                 data = await response.read()
             answer = json.loads(data) if data else {}
         except ConnectFailed as error:
--- a/test/test_platform_store.py
+++ b/test/test_platform_store.py
@@ -58,6 +58,17 @@
         self.assertGreater(batch.current_at, sent_at + 0.5)
         self.assertLessEqual(batch.current_at, self.clock.now())
 
+    async def test_large_answer_over_a_thin_link_is_read_to_its_end(self):
+        """Guards DRAIN: a configuration of 2,000 routes takes a second at 10 Mbit/s.
+
+        A watch that is given up begins again and never ends, and the notice of a
+        leaving server is in the same answer.
+        """
+        self.server.bytes_per_s = 100_000
+        revision = self.server.put("op/config", {"routes": "x" * 120_000})
+        batch = await anext(self.store.watch("", revision))
+        self.assertEqual([e.key for e in batch.entries], ["op/config"])
+
     async def test_dropped_history(self):
         self.server.put("op/a", {})
         self.server.forget_history()
