--- a/heatherswitch/gateway/store_sync.py
+++ b/heatherswitch/gateway/store_sync.py
@@ -30,6 +30,10 @@
 # The store counts as out of reach after this long without an answer, in seconds:
 # twice the pause between two watches.
 OUTAGE_S = 2.0
+# An answer of a watch that took longer than this from its call, in seconds, came over a
+# link that is too thin for each version of the configuration; the store waits up to
+# half of it for a change. The next call then reads the newest entries only.
+SLOW_ANSWER_S = 1.0
 # Time to live of a router's membership, in seconds. A router that dies keeps its
 # share of fleet-wide limits for that long.
 MEMBER_TTL_S = 6.0
@@ -82,6 +86,8 @@
                 async for batch in store.watch("", self._entries.revision + 1):
                     self._on_batch(batch, reader)
                     failures = 0
+                    if self._clock.now() - batch.current_at >= SLOW_ANSWER_S:
+                        snapshot_at = float("-inf")
                     if self._clock.now() - snapshot_at >= SNAPSHOT_EVERY_S:
                         break
             except Compacted as error:
@@ -97,23 +103,25 @@
                 failures += 1
 
     def _on_batch(self, batch: WatchBatch, reader: RecordReader) -> None:
-        after_outage = self._note_answer()
+        after_outage = self._note_answer(batch.current_at)
         changed = self._entries.apply(batch.entries, batch.revision)
         self._publish(changed, reader, batch.current_at, after_outage)
 
     def _on_snapshot(self, snapshot: Snapshot, reader) -> None:
-        after_outage = self._note_answer()
+        after_outage = self._note_answer(snapshot.current_at)
         changed = self._entries.apply_snapshot(snapshot.entries, snapshot.revision)
         self._publish(changed, reader, snapshot.current_at, after_outage)
 
-    def _note_answer(self) -> bool:
+    def _note_answer(self, asked_at: float) -> bool:
         """Returns whether this is the first answer after an outage.
 
+        The time that a large answer takes over a thin link does not count.
+
         Entries that it lacks may have lapsed although their servers live; what later
         answers remove was removed by its owner.
         """
         now = self._clock.now()
-        after_outage = now - self._answered_at > OUTAGE_S
+        after_outage = asked_at - self._answered_at > OUTAGE_S
         if after_outage:
             log.info(
                 "the store answers again",
