--- a/emulator/platform/soak.py
+++ b/emulator/platform/soak.py
@@ -72,7 +72,12 @@
 
     async def run(self) -> list[str]:
         """Plays the schedule and returns the broken promises."""
-        await self._start()
+        try:
+            await self._start()
+        except BaseException:
+            # Processes that are left behind keep the addresses of the seed.
+            await self._stop()
+            raise
         callers = [asyncio.create_task(self._caller(n)) for n in range(CALLERS)]
         try:
             await self._play()
