--- a/emulator/platform/server.py
+++ b/emulator/platform/server.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import time
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 import h11
@@ -49,6 +50,9 @@
     :param unframed: the answer has no length and ends with the connection.
     :param seal: the answer carries the signature.
     :param echo: the body, or each event, names the request.
+    :param raw: bytes sent in place of an answer, given the head of a whole one; may be
+        without end.
+    :param raw_gap_s: seconds between two parts of ``raw``.
     """
 
     status: int = 200
@@ -63,6 +67,8 @@
     unframed: bool = False
     seal: bool = True
     echo: bool = False
+    raw: Callable[[bytes], Iterable[bytes]] | None = None
+    raw_gap_s: float = 0.0
     headers: list[tuple[str, str]] = field(default_factory=list)
 
 
@@ -156,12 +162,27 @@
         await asyncio.sleep(behaviour.delay_s)
         if behaviour.silent:
             await asyncio.Event().wait()
+        if behaviour.raw is not None:
+            return await self._raw(arrival, behaviour, writer)
         if behaviour.stray:
             writer.write(_head(200, "another", self.id, 5, behaviour) + b"stray")
         if behaviour.events:
             return await self._stream(arrival, behaviour, writer)
         return await self._plain(arrival, behaviour, writer)
 
+    async def _raw(self, arrival: Arrival, behaviour: Behaviour, writer) -> bool:
+        head = _head(200, arrival.id, self.id, None, behaviour, chunked=True)
+        for part in behaviour.raw(head):
+            writer.write(part)
+            try:
+                await writer.drain()
+            except OSError:
+                self.cancelled.append(arrival.id)
+                return False
+            # Other tasks run also while the caller reads all at once.
+            await asyncio.sleep(behaviour.raw_gap_s)
+        return False
+
     async def _plain(self, arrival, behaviour, writer) -> bool:
         body = arrival.id.encode() if behaviour.echo else behaviour.body
         length = None if behaviour.unframed else len(body)
--- a/heatherswitch/gateway/relay.py
+++ b/heatherswitch/gateway/relay.py
@@ -1,5 +1,6 @@
 """One attempt at a backend server: sends the request and delivers the answer."""
 
+import asyncio
 import logging
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -67,6 +68,7 @@
         "_request_id",
         "_responder",
         "_started",
+        "_writing",
     )
 
     def __init__(
@@ -90,6 +92,8 @@
         self._last_event_id: int | None = None
         self._started = False
         self._discarded = False
+        # True while the caller does not take what was written.
+        self._writing = False
 
     def discard(self) -> None:
         """Reads the answer to its end without delivering it: the caller has left."""
@@ -111,9 +115,15 @@
             return ev.NotSent(str(error), refused)
         whole = False
         try:
-            outcome, whole = await self._exchange(connection, forward, sent_at)
+            # One limit for head, body and delivery, whatever arrives meanwhile.
+            async with asyncio.timeout(forward.deadline_at - self._clock()):
+                outcome, whole = await self._exchange(connection, forward, sent_at)
         except TimeoutError as error:
-            outcome = ev.Broken(str(error) or "silent", self._started, silent=True)
+            if self._writing:
+                self._responder.abort()
+                raise ConnectionAbortedError("the caller does not read") from error
+            reason = str(error) or "the deadline passed"
+            outcome = ev.Broken(reason, self._started, silent=True)
         except (ConnectionLost, ValueError) as error:
             outcome = ev.Broken(str(error), self._started)
         finally:
@@ -161,16 +171,10 @@
         request = self._request
         connection.send(request.method, request.target, headers, request.body)
 
-    def _patience(self, forward: ev.Forward) -> float:
-        left_s = forward.deadline_at - self._clock()
-        if forward.silence_s is None:
-            return left_s
-        return min(left_s, forward.silence_s)
-
     async def _head(self, connection, forward) -> tuple[AnswerHead, Headers]:
         """Waits for the head of this request's answer and skips those of others."""
         for _ in range(MAX_STRAY_ANSWERS + 1):
-            response = await connection.head(self._patience(forward))
+            response = await connection.head(forward.silence_s)
             wire = [
                 (name.decode("latin-1"), value.decode("latin-1"))
                 for name, value in response.headers
@@ -184,7 +188,7 @@
                 "skipped an answer to another request",
                 extra={"request": self._request_id, "answer": head.request_id},
             )
-            await connection.skip_answer(self._patience(forward))
+            await connection.skip_answer(forward.silence_s)
         raise ConnectionLost("only answers to other requests came")
 
     def _give_back(self, connection, forward, wire: Headers) -> None:
@@ -200,15 +204,11 @@
 
     async def _read(self, connection, forward, limit: int = HOLD_BYTES) -> bytes:
         body = bytearray()
-        while True:
-            event = await connection.next_event(self._patience(forward))
-            if isinstance(event, h11.EndOfMessage):
-                return bytes(body)
-            if not isinstance(event, h11.Data):
-                raise ConnectionLost("the answer was cut")
-            body += event.data
+        async for data in connection.body(forward.silence_s):
+            body += data
             if len(body) > limit:
                 raise ConnectionLost(f"the error answer is over {limit} bytes")
+        return bytes(body)
 
     async def _error_answer(self, forward, head: AnswerHead, body: bytes):
         """Decides whether a server's error is delivered, held or not to be shown."""
@@ -228,16 +228,12 @@
         """Holds a small answer until it is whole; passes a large one on."""
         held = bytearray()
         streaming = False
-        while True:
-            event = await connection.next_event(self._patience(forward))
-            if isinstance(event, h11.EndOfMessage):
-                break
-            if not isinstance(event, h11.Data):
-                raise ConnectionLost("the answer was cut")
+        async for data in connection.body(forward.silence_s):
             if streaming:
-                await self._write(event.data)
+                await self._write(data)
+                connection.note_progress()
                 continue
-            held += event.data
+            held += data
             if len(held) > HOLD_BYTES:
                 streaming = True
                 await self._start(head, bytes(held))
@@ -252,11 +248,11 @@
         """Passes whole events on as they arrive.
 
         The head is sent with the first event: before that the request can still be
-        sent to another server.
+        sent to another server. Only whole events are progress.
         """
         reader = EventReader(self._last_event_id, resumed=self._started)
         while True:
-            event = await connection.next_event(self._patience(forward))
+            event = await connection.next_event(forward.silence_s)
             if isinstance(event, h11.EndOfMessage):
                 break
             if not isinstance(event, h11.Data):
@@ -265,6 +261,7 @@
             if whole:
                 await self._start(head, whole)
                 self._last_event_id = reader.last_id
+                connection.note_progress()
         if reader.rest() or not self._started:
             await self._start(head, reader.rest())
         if not self._discarded:
@@ -278,4 +275,6 @@
 
     async def _write(self, data: bytes) -> None:
         if not self._discarded:
+            self._writing = True
             await self._responder.write(data)
+            self._writing = False
--- a/heatherswitch/gateway/upstream.py
+++ b/heatherswitch/gateway/upstream.py
@@ -5,6 +5,7 @@
 import re
 import socket
 from collections import deque
+from collections.abc import AsyncIterator
 from dataclasses import dataclass
 from typing import Any
 
@@ -36,8 +37,15 @@
 IDLE_SHARE_ONCE = 0.4
 # Bytes that are received ahead of a slow caller before reading pauses.
 READ_AHEAD_BYTES = 128 * 1024
-# Answers of other requests that are skipped on one connection.
+# Answers of other requests that are skipped on one connection, and the bytes of one.
 MAX_STRAY_ANSWERS = 2
+MAX_STRAY_BYTES = 256 * 1024
+# Interim answers before the head of an answer.
+MAX_INTERIM_ANSWERS = 8
+# Bytes of a head, of a line between two chunks, or of trailers.
+MAX_HEAD_BYTES = 32 * 1024
+# Bytes of a body without chunks that count as progress.
+PROGRESS_BYTES = 1024
 
 _KEEP_ALIVE_TIMEOUT = re.compile(r"timeout\s*=\s*(\d+)")
 
@@ -88,13 +96,17 @@
     """One connection to a backend server."""
 
     def __init__(self) -> None:
-        self._http = h11.Connection(h11.CLIENT)
+        self._http = _client_side()
         self._transport: asyncio.Transport | None = None
         self._waiter: asyncio.Future | None = None
         self._error: Exception | None = None
         self._closed = False
         self._busy = False
         self._unread = 0
+        # Loop time at which the server last got ahead with its answer.
+        self._progress_at = 0.0
+        # Bytes of the body since then.
+        self._body_bytes = 0
         self._sent: list[Any] = []
         self.idle_since = 0.0
         # Idle limit that the server stated, in seconds.
@@ -158,38 +170,75 @@
         self._sent.append(h11.EndOfMessage())
         data = b"".join(self._http.send(event) for event in self._sent)
         self._transport.write(data)
+        self.note_progress()
 
-    async def head(self, timeout_s: float) -> h11.Response:
+    def note_progress(self) -> None:
+        """Starts the limit on silence anew: a whole part of the answer arrived."""
+        self._progress_at = asyncio.get_running_loop().time()
+        self._body_bytes = 0
+
+    async def head(self, silence_s: float | None) -> h11.Response:
         """Waits for the head of an answer.
 
         :raises ConnectionLost: if none comes.
         """
-        while True:
-            event = await self.next_event(timeout_s)
+        for _ in range(MAX_INTERIM_ANSWERS + 1):
+            event = await self.next_event(silence_s)
             if isinstance(event, h11.Response):
+                size = sum(len(n) + len(v) + 4 for n, v in event.headers)
+                if size > MAX_HEAD_BYTES:
+                    raise ConnectionLost(f"the head is over {MAX_HEAD_BYTES} bytes")
+                self.note_progress()
                 return event
             if not isinstance(event, h11.InformationalResponse):
                 raise ConnectionLost("the server closed the connection")
+        raise ConnectionLost(f"over {MAX_INTERIM_ANSWERS} interim answers came")
 
-    async def skip_answer(self, timeout_s: float) -> None:
+    async def skip_answer(self, silence_s: float | None) -> None:
         """Reads over an answer that belongs to another request.
 
-        :raises ConnectionLost: if no further answer can follow.
+        :raises ConnectionLost: if no further answer can follow, or it is over
+            :data:`MAX_STRAY_BYTES`.
         """
-        while not isinstance(await self.next_event(timeout_s), h11.EndOfMessage):
-            pass
+        size = 0
+        while not isinstance(
+            event := await self.next_event(silence_s), h11.EndOfMessage
+        ):
+            size += len(event.data) if isinstance(event, h11.Data) else 0
+            if size > MAX_STRAY_BYTES:
+                raise ConnectionLost("an answer to another request does not end")
         rest, at_end = self._http.trailing_data
         if self._http.their_state is h11.MUST_CLOSE or at_end:
             raise ConnectionLost("an answer to another request ended the connection")
-        self._http = h11.Connection(h11.CLIENT)
+        self._http = _client_side()
         for event in self._sent:
             self._http.send(event)
         if rest:
             self._http.receive_data(rest)
 
-    async def next_event(self, timeout_s: float) -> Any:
+    async def body(self, silence_s: float | None) -> AsyncIterator[bytes]:
+        """Yields the body of the answer; a chunk that ends is progress.
+
+        :raises ConnectionLost: if the answer is cut or malformed.
+        :raises TimeoutError: if the server makes no progress for ``silence_s``.
+        """
+        while True:
+            event = await self.next_event(silence_s)
+            if isinstance(event, h11.EndOfMessage):
+                return
+            if not isinstance(event, h11.Data):
+                raise ConnectionLost("the answer was cut")
+            self._body_bytes += len(event.data)
+            if event.chunk_end or self._body_bytes >= PROGRESS_BYTES:
+                self.note_progress()
+            yield bytes(event.data)
+
+    async def next_event(self, silence_s: float | None) -> Any:
         """Returns the next event of the answer.
 
+        :param silence_s: seconds without progress up to which it waits; None for no
+            limit. Bytes alone are no progress: a server in trouble may send one now
+            and then.
         :raises TimeoutError: if none comes in time.
         :raises ConnectionLost: if the answer is cut or malformed.
         """
@@ -206,16 +255,19 @@
             if self._closed:
                 raise ConnectionLost("the answer was cut")
             self._transport.resume_reading()
-            await self._wait(timeout_s)
+            await self._wait(silence_s)
 
-    async def _wait(self, timeout_s: float) -> None:
+    async def _wait(self, silence_s: float | None) -> None:
         loop = asyncio.get_running_loop()
         waiter = self._waiter = loop.create_future()
-        timer = loop.call_later(max(0.0, timeout_s), _expire, waiter)
+        timer = None
+        if silence_s is not None:
+            timer = loop.call_at(self._progress_at + silence_s, _expire, waiter)
         try:
             await waiter
         finally:
-            timer.cancel()
+            if timer is not None:
+                timer.cancel()
             self._waiter = None
 
     def finish(self, now: float) -> bool:
@@ -238,6 +290,10 @@
             self._transport.abort()
 
 
+def _client_side() -> h11.Connection:
+    return h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
+
+
 def _expire(waiter: asyncio.Future) -> None:
     if not waiter.done():
         waiter.set_exception(TimeoutError("the server is silent"))
--- a/heatherswitch/platform/store.py
+++ b/heatherswitch/platform/store.py
@@ -30,6 +30,9 @@
 # Seconds for the whole of an answer that goes on arriving. An entry holds up to a
 # megabyte and VMs have links from 5 Mbit/s on, so a configuration takes seconds there.
 ANSWER_TIMEOUT_S = 10.0
+# Bytes of an answer. A page holds a megabyte and is sent in Base64; a watch may tell of
+# several configurations at once.
+ANSWER_BYTES = 16 * 1024 * 1024
 # Seconds that a watch waits in the store for a change, and beyond that for its answer.
 # A lost answer and the pause below must together stay under the 2 s in which a leaving
 # server may still get work.
@@ -199,7 +202,7 @@
                     timeout_s,
                 )
             async with asyncio.timeout(ANSWER_TIMEOUT_S):
-                data = await response.read()
+                data = await response.read(ANSWER_BYTES)
             answer = json.loads(data) if data else {}
         except ConnectFailed as error:
             raise StoreUnavailable(f"{path}: {error}") from error
--- a/heatherswitch/util/http_client.py
+++ b/heatherswitch/util/http_client.py
@@ -10,6 +10,9 @@
 
 from heatherswitch.util.http import READ_SIZE, ConnectFailed, ConnectionLost, Headers
 
+# Interim answers before the head of an answer.
+MAX_INTERIM_ANSWERS = 8
+
 
 class HttpResponse:
     """An answer whose body is read by :meth:`chunks` or :meth:`read`."""
@@ -121,16 +124,26 @@
         connection = h11.Connection(h11.CLIENT)
         try:
             await self._write(link, connection, method, target, headers, body, timeout)
-            while True:
-                event = await self._next_event(link, connection, timeout)
-                if isinstance(event, h11.Response):
-                    return HttpResponse(self, link, connection, event, timeout)
-                if not isinstance(event, h11.InformationalResponse):
-                    raise ConnectionLost("the server closed the connection")
+            # One limit for the whole head, whatever arrives meanwhile.
+            async with asyncio.timeout(timeout):
+                event = await self._head(link, connection, timeout)
+            return HttpResponse(self, link, connection, event, timeout)
+        except TimeoutError as error:
+            link[1].close()
+            raise ConnectionLost("no answer: timeout") from error
         except BaseException:
             link[1].close()
             raise
 
+    async def _head(self, link, connection, timeout: float) -> h11.Response:
+        for _ in range(MAX_INTERIM_ANSWERS + 1):
+            event = await self._next_event(link, connection, timeout)
+            if isinstance(event, h11.Response):
+                return event
+            if not isinstance(event, h11.InformationalResponse):
+                raise ConnectionLost("the server closed the connection")
+        raise ConnectionLost(f"over {MAX_INTERIM_ANSWERS} interim answers came")
+
     async def request_json(
         self, method: str, target: str, value: Any = None, timeout: float = 10.0
     ) -> tuple[int, Any]:
@@ -184,17 +197,16 @@
             raise ConnectionLost(f"sending failed: {error or 'timeout'}") from error
 
     async def _next_event(self, link, connection, timeout):
-        while True:
-            try:
-                event = connection.next_event()
-                if event is not h11.NEED_DATA:
-                    return event
-                async with asyncio.timeout(timeout):
-                    data = await link[0].read(READ_SIZE)
-                connection.receive_data(data)
-            except (OSError, TimeoutError, h11.RemoteProtocolError) as error:
-                link[1].close()
-                raise ConnectionLost(f"no answer: {error or 'timeout'}") from error
+        try:
+            # The limit holds for the whole event: a peer in trouble may send a byte
+            # now and then.
+            async with asyncio.timeout(timeout):
+                while (event := connection.next_event()) is h11.NEED_DATA:
+                    connection.receive_data(await link[0].read(READ_SIZE))
+            return event
+        except (OSError, TimeoutError, h11.RemoteProtocolError) as error:
+            link[1].close()
+            raise ConnectionLost(f"no answer: {error or 'timeout'}") from error
 
     def _release(self, link, connection) -> None:
         reusable = (
--- a/heatherswitch/util/http_server.py
+++ b/heatherswitch/util/http_server.py
@@ -17,6 +17,8 @@
 
 # Connections that wait to be accepted.
 BACKLOG = 1024
+# A caller that reads nothing of an answer for this long is cut off, in seconds.
+WRITE_STALL_S = 15.0
 # After the listener closed, a request that is on its way on an open connection
 # has this long to arrive, in seconds.
 STOP_LINGER_S = 0.25
@@ -88,12 +90,33 @@
         typed = [*(headers or []), ("Content-Type", "application/json")]
         await self.send(status, body, typed)
 
+    def abort(self) -> None:
+        """Closes the connection at once; what the caller has not read is dropped."""
+        self._writer.transport.abort()
+
     async def _send(self, event: Any) -> None:
         data = self._head + (self._connection.send(event) or b"")
         self._head = b""
         if data:
             self._writer.write(data)
-            await self._writer.drain()
+            await self._drain()
+
+    async def _drain(self) -> None:
+        """Waits until the caller has read enough.
+
+        :raises ConnectionAbortedError: if it reads nothing for too long.
+        """
+        transport = self._writer.transport
+        while True:
+            unread = transport.get_write_buffer_size()
+            try:
+                async with asyncio.timeout(WRITE_STALL_S):
+                    await self._writer.drain()
+                    return
+            except TimeoutError:
+                if transport.get_write_buffer_size() >= unread:
+                    self.abort()
+                    raise ConnectionAbortedError("the caller does not read") from None
 
 
 Handler = Callable[[Request, Responder], Awaitable[None]]
