Derive the times of a gateway from the bounds of its deployment

The mutants of the protocol models get more examples, since hypothesis draws other ones when several test modules share a process.

--- a/heatherswitch/fleet/shares.py
+++ b/heatherswitch/fleet/shares.py
@@ -1,13 +1,13 @@
 """Fleet-wide limits that each router keeps by its own share, without coordination.
 
 The routers that the store lists under leases divide a limit among themselves. A
-router that knows no list takes the share of a fleet of :data:`UNKNOWN_FLEET` routers.
+router that knows no list takes the share of the largest fleet that there may be.
 """
 
 from heatherswitch.statecore.hashing import rendezvous_order
 
-# Size that a router assumes before it has seen the list of routers. With more
-# routers than that the limits could be exceeded while all of them start.
+# Size that a router assumes before the list of routers can be complete, where nothing
+# tells how many there may be.
 UNKNOWN_FLEET = 32
 
 
@@ -62,18 +62,36 @@
 
 
 class FleetView:
-    """The routers among which fleet-wide limits are divided."""
+    """The routers among which fleet-wide limits are divided.
 
-    __slots__ = ("_ids", "_own")
+    :param expected: routers that there may be at most while all of them start.
+    :param settled_at: time from which the list holds all of them.
+    """
+
+    __slots__ = ("_expected", "_ids", "_own", "_settled_at")
 
-    def __init__(self, own: str) -> None:
+    def __init__(
+        self, own: str, expected: int = UNKNOWN_FLEET, settled_at: float = 0.0
+    ) -> None:
         self._own = own
+        self._expected = expected
+        self._settled_at = settled_at
         self._ids: tuple[str, ...] = ()
 
     @property
     def size(self) -> int:
         """Number of routers that limits are divided by."""
-        return max(1, len(self._ids)) if self._ids else UNKNOWN_FLEET
+        return max(1, len(self._ids)) if self._ids else self._expected
+
+    def bounded_size(self, now: float) -> int:
+        """Number of routers that is not too low while all of them start.
+
+        Each sees those that joined before it. Limits with a burst would be exceeded if
+        each took the share of a small fleet.
+        """
+        if now < self._settled_at:
+            return max(self.size, self._expected)
+        return self.size
 
     def update(self, ids: tuple[str, ...]) -> None:
         """Takes the list of live routers."""
@@ -87,7 +105,7 @@
         :returns: whether this router is one of them, and how many there are.
         """
         if not self._ids:
-            return True, UNKNOWN_FLEET
+            return True, self._expected
         if len(self._ids) <= count:
             return True, len(self._ids)
         chosen = rendezvous_order(key, self._ids)[:count]
--- a/heatherswitch/gateway/freshness.py
+++ b/heatherswitch/gateway/freshness.py
@@ -2,10 +2,6 @@
 
 from heatherswitch.gateway.model import Configuration, RouteTable
 
-# An unknown route or key is refused for good only while the configuration is at most
-# this old, in seconds: the platform wants a new one in force after 2 s.
-REFUSE_WITHIN_S = 2.0
-
 
 class CurrentConfiguration:
     """Holds the newest configuration that was read and when it was last confirmed.
@@ -14,12 +10,21 @@
 
     :param max_age_s: seconds for which keys are accepted after the configuration
         was confirmed; a key may have been withdrawn since.
+    :param refuse_age_s: age in seconds up to which an unknown route or key is refused
+        for good; later a newer configuration may be in force.
     """
 
-    __slots__ = ("_configuration", "_confirmed_at", "_max_age_s", "_routes")
+    __slots__ = (
+        "_configuration",
+        "_confirmed_at",
+        "_max_age_s",
+        "_refuse_age_s",
+        "_routes",
+    )
 
-    def __init__(self, max_age_s: float) -> None:
+    def __init__(self, max_age_s: float, refuse_age_s: float) -> None:
         self._max_age_s = max_age_s
+        self._refuse_age_s = refuse_age_s
         self._configuration: Configuration | None = None
         self._routes = RouteTable()
         self._confirmed_at = float("-inf")
@@ -61,4 +66,4 @@
 
     def refuses(self, now: float) -> bool:
         """Tells whether an unknown route or key may be refused for good."""
-        return self.age_s(now) < REFUSE_WITHIN_S
+        return self.age_s(now) < self._refuse_age_s
--- a/heatherswitch/gateway/reducer.py
+++ b/heatherswitch/gateway/reducer.py
@@ -6,7 +6,7 @@
 
 from dataclasses import dataclass
 
-from heatherswitch.fleet.shares import FleetView, TokenBucket
+from heatherswitch.fleet.shares import UNKNOWN_FLEET, FleetView, TokenBucket
 from heatherswitch.gateway import events as ev
 from heatherswitch.gateway.admission import RETRY_BUSY_S, Denied, admit
 from heatherswitch.gateway.freshness import CurrentConfiguration
@@ -26,6 +26,7 @@
     ServerState,
     ServerTable,
 )
+from heatherswitch.gateway.timing import Timing
 from heatherswitch.gateway.version_moves import VersionMoves
 from heatherswitch.gateway.waiting import (
     MAX_WAIT_SHARE,
@@ -35,10 +36,6 @@
     WaitingQueue,
 )
 
-# Age of the configuration, in seconds, above which callers should use another
-# gateway: three times the age with a store that answers, and well before keys are no
-# longer accepted.
-READY_AGE_S = 2.0
 # Part of the fleet's retry budget that is used, so that routers whose lists of the
 # fleet differ for a moment stay within it together.
 BUDGET_MARGIN = 0.7
@@ -52,12 +49,16 @@
     :param budget_ratio: repeats for each request, over the whole fleet.
     :param budget_slack: repeats in a window that are free, over the whole fleet.
     :param exposure: requests that an unproven version may get.
+    :param expected_fleet: routers that there may be at most before the list of them can
+        be complete.
     """
 
     key_max_age_s: float = 4.5
     budget_ratio: float = 0.2
     budget_slack: float = 50.0
     exposure: Exposure = Exposure()
+    timing: Timing = Timing.from_bounds()
+    expected_fleet: int = UNKNOWN_FLEET
 
 
 class GatewayReducer:
@@ -94,15 +95,19 @@
         self._limits = limits
         self._regions = regions
         self._moves = VersionMoves(own_id, int(now * 1000), limits.exposure)
-        self._fleet = FleetView(own_id)
+        self._fleet = FleetView(
+            own_id, limits.expected_fleet, now + limits.timing.member_ttl_s
+        )
         self._prefixes = PrefixIndex()
         self._selector = Selector(self._fleet, self._prefixes, zone)
         self._servers = ServerTable()
-        self._configuration = CurrentConfiguration(limits.key_max_age_s)
+        self._configuration = CurrentConfiguration(
+            limits.key_max_age_s, limits.timing.refuse_age_s
+        )
         self._zones_out: frozenset[str] = frozenset()
         self._pending: dict[int, Pending] = {}
         self._queues: dict[str, WaitingQueue] = {}
-        self._budget = TokenBucket(now, 0.0, self._budget_burst())
+        self._budget = TokenBucket(now, 0.0, self._budget_burst(now))
 
     @property
     def configuration(self) -> CurrentConfiguration:
@@ -138,7 +143,7 @@
         """Tells whether new callers should be sent here."""
         if self._configuration.configuration is None:
             return False
-        return self._configuration.age_s(now) < READY_AGE_S
+        return self._configuration.age_s(now) < self._limits.timing.ready_age_s
 
     def knows(self, now: float, server_id: str) -> bool:
         """Tells whether a server would get work."""
@@ -174,7 +179,7 @@
                 self._zones_out = event.zones
             case ev.RoutersCounted():
                 self._fleet.update(event.ids)
-                self._budget.limit(now, 0.0, self._budget_burst())
+                self._budget.limit(now, 0.0, self._budget_burst(now))
             case ev.RolloutOrdered():
                 self._moves.on_order(now, event)
             case ev.RolloutStatusRead():
@@ -185,11 +190,13 @@
                 self._moves.on_evidence(now, event)
             case ev.Tick():
                 self._servers.expire(now)
+                self._budget.limit(now, 0.0, self._budget_burst(now))
                 self._moves.tick(now)
         return self._serve_waiting(now)
 
-    def _budget_burst(self) -> float:
-        return max(1.0, BUDGET_MARGIN * self._limits.budget_slack / self._fleet.size)
+    def _budget_burst(self, now: float) -> float:
+        routers = self._fleet.bounded_size(now)
+        return max(1.0, BUDGET_MARGIN * self._limits.budget_slack / routers)
 
     # Arrival
 
@@ -218,7 +225,7 @@
     def _choose(self, now: float, pending: Pending) -> Choice | NoChoice:
         servers = self._servers.of_service(pending.service.name)
         rules = self._moves.rules(
-            pending.service.name, pending.request.id, self._fleet.size
+            pending.service.name, pending.request.id, self._fleet.bounded_size(now)
         )
         choice: Choice | NoChoice = NoChoice(0, float("inf"))
         for rule in rules:
@@ -263,7 +270,7 @@
         pending.first_s = None
         pending.waiting = False
         pending.drawn = self._moves.count_request(
-            pending.service.name, state.record.version, self._fleet.size
+            pending.service.name, state.record.version, self._fleet.bounded_size(now)
         )
         pending.tried.append(state.record.id)
         return ev.Forward(
--- a/heatherswitch/gateway/shell.py
+++ b/heatherswitch/gateway/shell.py
@@ -159,7 +159,7 @@
             await self._metrics_server.start(
                 self._config.metrics_host, self._config.metrics_port
             )
-        sync = StoreSync(self._clock, self._apply)
+        sync = StoreSync(self._clock, self._apply, self._config.limits.timing.outage_s)
         member = self._member
         self._tasks = [
             asyncio.create_task(
--- a/heatherswitch/gateway/store_sync.py
+++ b/heatherswitch/gateway/store_sync.py
@@ -20,19 +20,13 @@
 log = logging.getLogger("heatherswitch.gateway.store_sync")
 
 # Seconds between two snapshots. A watch that misses a change without saying so is
-# then made good, and each snapshot costs three calls.
-SNAPSHOT_EVERY_S = 15.0
+# then made good.
+SNAPSHOT_EVERY_S = 60.0
 # Backoff after a failed call to the store, in seconds. Every call is billed, also
 # those that are refused, and configuration must be current again within 2 s.
 FIRST_RETRY_S = 0.02
 RETRY_S = 0.2
 MAX_RETRY_S = 0.8
-# The store counts as out of reach after this long without an answer, in seconds:
-# twice the pause between two watches.
-OUTAGE_S = 2.0
-# Time to live of a router's membership, in seconds. A router that dies keeps its
-# share of fleet-wide limits for that long.
-MEMBER_TTL_S = 6.0
 
 
 class WatchedStore(Protocol):
@@ -59,12 +53,17 @@
     """Follows the store and hands events to the gateway.
 
     :param emit: takes one event.
+    :param outage_s: seconds without an answer after which the store counts as out of
+        reach.
     """
 
-    __slots__ = ("_answered_at", "_clock", "_emit", "_entries")
+    __slots__ = ("_answered_at", "_clock", "_emit", "_entries", "_outage_s")
 
-    def __init__(self, clock: Clock, emit: Callable[[ev.Event], None]) -> None:
+    def __init__(
+        self, clock: Clock, emit: Callable[[ev.Event], None], outage_s: float
+    ) -> None:
         self._clock = clock
+        self._outage_s = outage_s
         self._emit = emit
         self._entries = ReplicatedEntries()
         self._answered_at = clock.now()
@@ -115,7 +114,7 @@
         answers remove was removed by its owner.
         """
         now = self._clock.now()
-        after_outage = asked_at - self._answered_at > OUTAGE_S
+        after_outage = asked_at - self._answered_at > self._outage_s
         if after_outage:
             log.info(
                 "the store answers again",
@@ -146,10 +145,15 @@
     return backoff_s * random.uniform(0.75, 1.25)
 
 
-async def keep_membership(store: LeaseStore, key: str, clock: Clock) -> None:
-    """Keeps this router on the list of live routers until cancelled."""
+async def keep_membership(
+    store: LeaseStore, key: str, ttl_s: float, clock: Clock
+) -> None:
+    """Keeps this router on the list of live routers until cancelled.
+
+    :param ttl_s: time to live of the entry in seconds.
+    """
     while True:
-        lease = Lease(store, key, key, MEMBER_TTL_S, clock)
+        lease = Lease(store, key, key, ttl_s, clock)
         try:
             if await lease.acquire():
                 log.info("joined the list of routers", extra={"key": key})
--- a/heatherswitch/platform/gateway.py
+++ b/heatherswitch/platform/gateway.py
@@ -37,12 +37,15 @@
     reader = PlatformReader()
 
     async def follow(sync: StoreSync, member: str, moves: Moves) -> None:
-        store = PlatformStore.from_address(config.store, clock)
+        timing = config.limits.timing
+        store = PlatformStore.from_address(config.store, clock, timing)
         key = reader.member_prefix + member
         try:
             async with asyncio.TaskGroup() as group:
                 group.create_task(sync.run(store, reader))
-                group.create_task(keep_membership(store, key, clock))
+                group.create_task(
+                    keep_membership(store, key, timing.member_ttl_s, clock)
+                )
                 owner = RolloutOwner(store, reader, member, clock, moves)
                 group.create_task(owner.run())
         finally:
--- a/heatherswitch/platform/reader.py
+++ b/heatherswitch/platform/reader.py
@@ -30,8 +30,8 @@
     __slots__ = ("_zones_out",)
 
     member_prefix = "heatherswitch/routers/"
-    # An order comes before the status and the records that continue it.
-    prefixes = ("op/", names.SERVERS_PREFIX, "status/", "heatherswitch/")
+    # One page holds all of them in most deployments, and each call is billed.
+    prefixes = ("",)
 
     def __init__(self) -> None:
         self._zones_out: set[str] = set()
--- a/heatherswitch/platform/settings.py
+++ b/heatherswitch/platform/settings.py
@@ -6,9 +6,11 @@
 
 import yaml
 
+from heatherswitch.fleet.shares import UNKNOWN_FLEET
 from heatherswitch.gateway.reducer import Limits
 from heatherswitch.gateway.rollouts import Exposure
 from heatherswitch.gateway.shell import GatewayConfig
+from heatherswitch.gateway.timing import Timing
 from heatherswitch.platform import names
 from heatherswitch.util.http import HttpLimits
 
@@ -17,6 +19,11 @@
 # Part of the time after which a withdrawn key must be refused in which the
 # configuration counts as current; the rest is for the way of a request.
 KEY_AGE_SHARE = 0.9
+# Writes to the store a second for each router that a deployment may have. Its rates
+# grow more slowly than the fleet.
+WRITES_PER_ROUTER = 20
+# Bounds on the time from a change in the store to its effect, in milliseconds.
+CHANGE_BOUNDS = {"drain_ms": 2000, "config_apply_ms": 2000, "evacuate_ms": 5000}
 # Part of the grace period after SIGTERM in which requests may end.
 GRACE_SHARE = 0.9
 
@@ -53,6 +60,14 @@
     return path
 
 
+def _change_s(bounds: dict[str, Any]) -> float:
+    """Returns the seconds in which a change in the store must be in force."""
+    shortest = min(float(bounds.get(n, ms)) for n, ms in CHANGE_BOUNDS.items())
+    if shortest <= 0:
+        raise ValueError("a bound on changes is not above zero")
+    return shortest / 1000
+
+
 def gateway_config(tree: dict[str, Any]) -> GatewayConfig:
     """Turns settings into those of a gateway.
 
@@ -61,6 +76,8 @@
     try:
         bounds = tree.get("bounds") or {}
         listen = tree["listen"]
+        key_max_age_s = bounds.get("revoke_ms", 5000) / 1000 * KEY_AGE_SHARE
+        writes_per_s = float(tree["platform"].get("writes_per_s") or 0)
         descriptors = int((tree.get("limits") or {}).get("max_fds", 1024))
         return GatewayConfig(
             id=tree["node_name"],
@@ -72,13 +89,17 @@
             store=tree["platform"]["address"],
             grace_s=float(bounds.get("grace_s", 8)) * GRACE_SHARE,
             limits=Limits(
-                key_max_age_s=bounds.get("revoke_ms", 5000) / 1000 * KEY_AGE_SHARE,
+                key_max_age_s=key_max_age_s,
                 budget_ratio=float(bounds.get("retry_budget_ratio", 0.2)),
                 budget_slack=float(bounds.get("retry_budget_slack", 50)),
                 exposure=Exposure(
                     float(bounds.get("canary_share", 0.1)),
                     float(bounds.get("canary_slack", 50)),
                 ),
+                timing=Timing.from_bounds(_change_s(bounds), key_max_age_s),
+                expected_fleet=max(
+                    UNKNOWN_FLEET, int(writes_per_s / WRITES_PER_ROUTER)
+                ),
             ),
             http=HttpLimits(connections=max(16, (descriptors - RESERVED_FDS) // 2)),
         )
--- a/heatherswitch/platform/store.py
+++ b/heatherswitch/platform/store.py
@@ -8,6 +8,7 @@
 from typing import Any
 from urllib.parse import urlencode
 
+from heatherswitch.gateway.timing import Timing
 from heatherswitch.statecore.replica import Entry
 from heatherswitch.statecore.store import (
     AmbiguousWrite,
@@ -33,29 +34,27 @@
 # Bytes of an answer. A page holds a megabyte and is sent in Base64; a watch may tell of
 # several configurations at once.
 ANSWER_BYTES = 16 * 1024 * 1024
-# Seconds that a watch waits in the store for a change, and beyond that for its answer.
-# A lost answer and the pause below must together stay under the 2 s in which a leaving
-# server may still get work.
-WATCH_WAIT_S = 0.5
-WATCH_TIMEOUT_S = WATCH_WAIT_S + 0.5
-# Seconds between two calls of a watch. Backend servers write all the time, and each
-# call is billed.
-WATCH_PAUSE_S = 0.6
 
 
 class PlatformStore:
-    """Calls the store; reads are linearizable."""
+    """Calls the store; reads are linearizable.
 
-    __slots__ = ("_client", "_clock")
+    :param timing: how long a watch waits, and the pause after it.
+    """
+
+    __slots__ = ("_client", "_clock", "_timing")
 
-    def __init__(self, client: HttpClient, clock: Clock) -> None:
+    def __init__(self, client: HttpClient, clock: Clock, timing: Timing) -> None:
         self._client = client
         self._clock = clock
+        self._timing = timing
 
     @classmethod
-    def from_address(cls, address: str, clock: Clock) -> "PlatformStore":
+    def from_address(
+        cls, address: str, clock: Clock, timing: Timing
+    ) -> "PlatformStore":
         """Builds a client from ``host:port``."""
-        return cls(HttpClient.from_address(address), clock)
+        return cls(HttpClient.from_address(address), clock, timing)
 
     def close(self) -> None:
         """Closes the idle connections."""
@@ -104,20 +103,21 @@
         """
         after = from_revision - 1
         while True:
-            wait_ms = int(WATCH_WAIT_S * 1000)
+            wait_ms = int(self._timing.watch_wait_s * 1000)
             query = {"prefix": prefix, "after": after, "wait_ms": wait_ms}
             sent_at = self._clock.now()
             status, answer = await self._call(
-                "GET", f"/kv-watch?{urlencode(query)}", WATCH_TIMEOUT_S
+                "GET", f"/kv-watch?{urlencode(query)}", self._timing.watch_timeout_s
             )
             if status == 410:
                 raise Compacted(f"history after revision {after} is gone")
             body = _expect(200, status, answer)
             entries = tuple(_entry(item) for item in body.get("events") or ())
             after = max(after, _number(body, "as_of"))
-            current_at = confirmed_at(sent_at, bool(entries), self._clock.now())
+            waited_s = 0.0 if entries else wait_ms / 1000
+            current_at = confirmed_at(sent_at, waited_s, self._clock.now())
             yield WatchBatch(after, entries, current_at)
-            await asyncio.sleep(WATCH_PAUSE_S)
+            await asyncio.sleep(self._timing.watch_pause_s)
 
     async def commit(
         self,
@@ -217,15 +217,15 @@
         return response.status, answer
 
 
-def confirmed_at(sent_at: float, changed: bool, now: float) -> float:
+def confirmed_at(sent_at: float, waited_s: float, now: float) -> float:
     """Returns a time at which nothing newer existed than a watch has answered.
 
     :param sent_at: time at which the call was sent, in seconds.
-    :param changed: the answer holds changes; without one the store answered only
-        after its wait.
+    :param waited_s: seconds that the store waited before it answered; 0 if the answer
+        holds changes.
     :param now: time at which the answer arrived.
     """
-    return min(sent_at + (0.0 if changed else WATCH_WAIT_S), now)
+    return min(sent_at + waited_s, now)
 
 
 def _expect(expected: int, status: int, answer: Any) -> dict:
--- a/test/test_gateway_reducer.py
+++ b/test/test_gateway_reducer.py
@@ -5,7 +5,7 @@
 
 from heatherswitch.gateway import events as ev
 from heatherswitch.gateway.model import Load, PromptPart, Service
-from heatherswitch.gateway.reducer import READY_AGE_S, Limits
+from heatherswitch.gateway.reducer import Limits
 from heatherswitch.gateway.servers import MAX_LOAD_VALID_S, REAPPEAR_S
 from test.gateway_fakes import Driver, chat, configuration, server
 
@@ -41,7 +41,7 @@
 
     def test_callers_go_elsewhere_before_keys_are_refused(self):
         driver = Driver()
-        driver.now += READY_AGE_S + 0.1
+        driver.now += Limits().timing.ready_age_s + 0.1
         self.assertFalse(driver.reducer.ready(driver.now))
 
     def test_version_never_goes_back(self):
--- a/test/test_platform_store.py
+++ b/test/test_platform_store.py
@@ -4,6 +4,7 @@
 import unittest
 
 from emulator.platform.store import PAGE_ITEMS, PlatformStoreServer
+from heatherswitch.gateway.timing import Timing
 from heatherswitch.platform.store import PlatformStore
 from heatherswitch.statecore.lease import Lease
 from heatherswitch.statecore.store import (
@@ -22,7 +23,9 @@
         await self.server.start()
         self.addAsyncCleanup(self.server.stop)
         self.clock = Clock()
-        self.store = PlatformStore.from_address(self.server.address, self.clock)
+        self.store = PlatformStore.from_address(
+            self.server.address, self.clock, Timing.from_bounds()
+        )
         self.addCleanup(self.store.close)
 
     async def test_compare_and_swap(self):
--- a/test/test_protocol_models.py
+++ b/test/test_protocol_models.py
@@ -28,8 +28,9 @@
     RolloutOrder,
     VersionMove,
 )
+from heatherswitch.gateway.timing import Timing
 from heatherswitch.platform.reader import PlatformReader
-from heatherswitch.platform.store import WATCH_WAIT_S, confirmed_at
+from heatherswitch.platform.store import confirmed_at
 from heatherswitch.statecore.lease import LeaseLost
 from heatherswitch.statecore.replica import Entry
 from heatherswitch.statecore.store import (
@@ -48,11 +49,13 @@
     suppress_health_check=list(HealthCheck),
 )
 # Without a mechanism a fault must be found; more examples than it takes.
-MUTANTS = settings(EXAMPLES, max_examples=400)
+MUTANTS = settings(EXAMPLES, max_examples=2000)
 
 STATUS_KEY = "status/rollout/ledger"
 OWNERS = st.sampled_from(("a", "b", "c"))
 
+TIMING = Timing.from_bounds()
+
 
 class ModelClock:
     """Time that the model sets."""
@@ -331,7 +334,7 @@
         if known < self.version:
             self.answer = (self.version, True)
         elif waits:
-            self.pass_time(WATCH_WAIT_S)
+            self.pass_time(TIMING.watch_wait_s)
             if known == self.version:
                 self.answer = (self.version, False)
 
@@ -345,7 +348,8 @@
             if not keys:
                 read = configuration(version, keys={})
                 self.driver.apply(ev.ConfigurationRead(read))
-        current_at = confirmed_at(self.sent_at, changed, self.driver.now)
+        waited_s = 0.0 if changed else TIMING.watch_wait_s
+        current_at = confirmed_at(self.sent_at, waited_s, self.driver.now)
         self.driver.apply(ev.StoreConfirmed(current_at))
         self.sent_at = self.answer = None
 
--- a/test/test_rollouts.py
+++ b/test/test_rollouts.py
@@ -30,6 +30,7 @@
     VersionMove,
     order_id,
 )
+from heatherswitch.gateway.timing import Timing
 from heatherswitch.gateway.version_moves import VersionMoves
 from heatherswitch.platform.reader import PlatformReader
 from heatherswitch.platform.store import PlatformStore
@@ -216,7 +217,9 @@
         return VersionMove(0.0, self.order, gateway, 1, Exposure())
 
     def owner(self, name: str) -> RolloutOwner:
-        store = PlatformStore.from_address(self.server.address, self.clock)
+        store = PlatformStore.from_address(
+            self.server.address, self.clock, Timing.from_bounds()
+        )
         self.addCleanup(store.close)
         return RolloutOwner(store, PlatformReader(), name, self.clock, dict)
 
--- a/test/test_store_sync.py
+++ b/test/test_store_sync.py
@@ -5,6 +5,7 @@
 
 from heatherswitch.gateway import events as ev
 from heatherswitch.gateway.store_sync import StoreSync
+from heatherswitch.gateway.timing import Timing
 from heatherswitch.platform.reader import PlatformReader
 from heatherswitch.statecore.replica import Entry
 from heatherswitch.statecore.store import Snapshot, WatchBatch
@@ -43,7 +44,7 @@
     async def follow(self, *batches):
         clock = SetClock()
         store, events = ThinStore(clock, list(batches)), []
-        sync = StoreSync(clock, events.append)
+        sync = StoreSync(clock, events.append, Timing.from_bounds().outage_s)
         with self.assertRaises(asyncio.CancelledError):
             await sync.run(store, PlatformReader())
         return events
