Ask the owner of a model server for its load before a request is sent

Change: the requests of all gateways at a server are added up at one of them, found by rendezvous hashing of the list in the store, and asked for over UDP; the question reserves the place. Soft state with an age; without an answer a gateway decides as before.

--- a/deploy/install.py
+++ b/deploy/install.py
@@ -10,6 +10,7 @@
     "aioprometheus",
     "h11",
     "hdrhistogram",
+    "msgpack",
     "python-json-logger",
     "PyYAML",
     "xxhash",
--- a/heatherswitch/gateway/events.py
+++ b/heatherswitch/gateway/events.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from heatherswitch.fleet.counters import Count
 from heatherswitch.fleet.evidence import EvidenceRecord
 from heatherswitch.gateway.model import (
     CallerRequest,
@@ -162,9 +163,12 @@
     """The live routers of the fleet.
 
     :param ids: includes this router.
+    :param addresses: id and ``host:port`` for messages between routers; empty where a
+        router takes none.
     """
 
     ids: tuple[str, ...]
+    addresses: tuple[tuple[str, str], ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -207,6 +211,57 @@
     records: tuple[EvidenceRecord, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class LoadTold:
+    """The owner of a server answered a question.
+
+    :param others: requests of all other gateways at the server.
+    """
+
+    serial: int
+    peer: str
+    key: str
+    others: int
+
+
+@dataclass(frozen=True, slots=True)
+class LoadUnanswered:
+    """The owner of a server did not answer a question in time."""
+
+    serial: int
+    peer: str
+
+
+@dataclass(frozen=True, slots=True)
+class PeerTold:
+    """Another gateway told its counts.
+
+    :param peer: address of the sender.
+    :param run: differs between two starts of the sender.
+    :param number: rises with each message of a start; the answer repeats it.
+    :param wants_answer: asks for the counts of all others.
+    """
+
+    peer: str
+    run: int
+    number: int
+    counts: tuple[Count, ...]
+    wants_answer: bool
+
+
+@dataclass(frozen=True, slots=True)
+class TotalsTold:
+    """Another gateway told the counts of all others for whole services."""
+
+    peer: str
+    counts: tuple[Count, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class FlushPeers:
+    """It is time to tell the other gateways what changed."""
+
+
 @dataclass(frozen=True, slots=True)
 class Tick:
     """Time has passed."""
@@ -227,6 +282,11 @@
     | RolloutStatusRead
     | ProgressRead
     | EvidenceRead
+    | LoadTold
+    | LoadUnanswered
+    | PeerTold
+    | TotalsTold
+    | FlushPeers
     | Tick
 )
 
@@ -289,4 +349,46 @@
     serial: int
 
 
-Effect = Forward | Refuse | Relay | Cut | Finish
+@dataclass(frozen=True, slots=True)
+class Ask:
+    """Ask the owner of a server for its load before a request is sent there.
+
+    :param peer: address of the owner.
+    :param count: requests of this gateway at the server, with this one.
+    """
+
+    serial: int
+    peer: str
+    count: Count
+
+
+@dataclass(frozen=True, slots=True)
+class TellPeer:
+    """Tell another gateway counts of this one.
+
+    :param wants_answer: ask for the counts of all others.
+    """
+
+    peer: str
+    counts: tuple[Count, ...]
+    wants_answer: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerPeer:
+    """Answer another gateway's question."""
+
+    peer: str
+    question: int
+    counts: tuple[Count, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class RefusePeer:
+    """Ignore a message whose sender is not on the list of routers."""
+
+    peer: str
+
+
+PeerEffect = TellPeer | AnswerPeer | RefusePeer
+Effect = Forward | Refuse | Relay | Cut | Finish | Ask | PeerEffect
--- /dev/null
+++ b/heatherswitch/gateway/peer_link.py
@@ -0,0 +1,132 @@
+"""Carries questions and counts between gateways in datagrams."""
+
+import asyncio
+import itertools
+import logging
+import random
+from collections.abc import Callable
+
+from heatherswitch.fleet.counters import Count
+from heatherswitch.fleet.peer_messages import (
+    Kind,
+    PeerMessage,
+    PeerMessageError,
+    decode,
+    encode,
+)
+from heatherswitch.gateway import events as ev
+from heatherswitch.util.datagrams import DatagramSocket
+from heatherswitch.util.metrics import Metrics
+
+log = logging.getLogger("heatherswitch.gateway.peers")
+
+# A question that is not answered after this long is given up, in seconds: several round
+# trips between zones, and a small part of the time to a first event.
+ANSWER_TIMEOUT_S = 0.025
+# Bits of the number that differs between two starts of a gateway.
+RUN_BITS = 48
+
+
+class PeerLink:
+    """Messages to and from the other gateways.
+
+    :param apply: takes one event.
+    """
+
+    __slots__ = ("_apply", "_metrics", "_numbers", "_questions", "_run", "_socket")
+
+    def __init__(self, apply: Callable[[ev.Event], None], metrics: Metrics) -> None:
+        self._apply = apply
+        self._metrics = metrics
+        self._run = random.getrandbits(RUN_BITS)
+        self._numbers = itertools.count(1)
+        # Number of a question and whom it went to, to what waits for the answer.
+        self._questions: dict[tuple[int, str], asyncio.Future] = {}
+        self._socket: DatagramSocket | None = None
+
+    @property
+    def address(self) -> str:
+        """``host:port`` that other gateways send to, or an empty string."""
+        return self._socket.address if self._socket is not None else ""
+
+    async def bind(self, host: str, port: int) -> None:
+        """Binds the socket."""
+        socket = DatagramSocket(self._on_datagram)
+        await socket.bind(host, port)
+        self._socket = socket
+
+    def close(self) -> None:
+        """Closes the socket."""
+        if self._socket is not None:
+            self._socket.close()
+
+    async def ask(self, ask: ev.Ask) -> ev.LoadTold | ev.LoadUnanswered:
+        """Asks for the load of a server."""
+        answer = asyncio.get_running_loop().create_future()
+        question = (self._send(ask.peer, Kind.ASK, (ask.count,)), ask.peer)
+        self._questions[question] = answer
+        try:
+            async with asyncio.timeout(ANSWER_TIMEOUT_S):
+                counts = await answer
+        except TimeoutError:
+            self._count("unanswered")
+            log.info("a gateway did not answer", extra={"peer": ask.peer})
+            return ev.LoadUnanswered(ask.serial, ask.peer)
+        finally:
+            del self._questions[question]
+        told = next((c for c in counts if c.key == ask.count.key), None)
+        if told is None:
+            return ev.LoadUnanswered(ask.serial, ask.peer)
+        return ev.LoadTold(ask.serial, ask.peer, told.key, told.value)
+
+    def carry_out(self, effect: ev.PeerEffect) -> None:
+        """Sends what an effect says."""
+        match effect:
+            case ev.TellPeer():
+                kind = Kind.ASK if effect.wants_answer else Kind.TELL
+                self._send(effect.peer, kind, effect.counts)
+            case ev.AnswerPeer():
+                self._send(effect.peer, Kind.TOLD, effect.counts, effect.question)
+            case ev.RefusePeer():
+                self._count("stranger")
+                log.info("a stranger's message", extra={"peer": effect.peer})
+
+    def _send(
+        self, peer: str, kind: Kind, counts: tuple[Count, ...], question: int = 0
+    ) -> int:
+        number = next(self._numbers)
+        message = PeerMessage(kind, self._run, number, question, counts)
+        self._socket.send(encode(message), peer)
+        self._count(f"sent {kind.name.lower()}")
+        return number
+
+    def _on_datagram(self, data: bytes, peer: str) -> None:
+        try:
+            message = decode(data)
+        except PeerMessageError as error:
+            self._count("malformed")
+            log.info("datagram ignored", extra={"peer": peer, "error": str(error)})
+            return
+        if message.kind is not Kind.TOLD:
+            self._apply(
+                ev.PeerTold(
+                    peer,
+                    message.run,
+                    message.number,
+                    message.counts,
+                    message.kind is Kind.ASK,
+                )
+            )
+            return
+        waiting = self._questions.get((message.question, peer))
+        if waiting is None:
+            self._apply(ev.TotalsTold(peer, message.counts))
+        elif not waiting.done():
+            waiting.set_result(message.counts)
+
+    def _count(self, what: str) -> None:
+        self._metrics.count(
+            "gateway_peer_messages_total",
+            "Messages between gateways, by what became of them.",
+            {"what": what},
+        )
--- a/heatherswitch/gateway/pending.py
+++ b/heatherswitch/gateway/pending.py
@@ -47,6 +47,8 @@
     # Part of an answer was delivered.
     started: bool = False
     waiting: bool = False
+    # Questions for the load of servers so far.
+    questions: int = 0
     # The present attempt was drawn between two versions of the service.
     drawn: bool = False
     # Seconds to the head of the present attempt's answer.
--- a/heatherswitch/gateway/reducer.py
+++ b/heatherswitch/gateway/reducer.py
@@ -11,6 +11,7 @@
 from heatherswitch.gateway.admission import RETRY_BUSY_S, Denied, admit
 from heatherswitch.gateway.freshness import CurrentConfiguration
 from heatherswitch.gateway.model import Service
+from heatherswitch.gateway.peers import MAX_QUESTIONS, PeerView
 from heatherswitch.gateway.pending import Pending
 from heatherswitch.gateway.prefix_index import PrefixIndex
 from heatherswitch.gateway.rollouts import Exposure, VersionMove
@@ -75,6 +76,7 @@
         "_fleet",
         "_limits",
         "_moves",
+        "_peers",
         "_pending",
         "_prefixes",
         "_queues",
@@ -101,6 +103,7 @@
         self._prefixes = PrefixIndex()
         self._selector = Selector(self._fleet, self._prefixes, zone)
         self._servers = ServerTable()
+        self._peers = PeerView(own_id, self._servers)
         self._configuration = CurrentConfiguration(
             limits.key_max_age_s, limits.timing.refuse_age_s
         )
@@ -119,6 +122,11 @@
         """Routers among which limits are divided."""
         return self._fleet.size
 
+    @property
+    def peers(self) -> int:
+        """Gateways that can be asked for loads, with this one."""
+        return self._peers.known
+
     @property
     def moves(self) -> dict[str, VersionMove]:
         """Newest move between versions of each service."""
@@ -175,10 +183,19 @@
             case ev.StoreConfirmed():
                 self._configuration.confirm(event.current_at)
                 return []
+            case ev.LoadTold() | ev.LoadUnanswered():
+                return self._on_load(now, event)
+            case ev.PeerTold():
+                return self._peers.on_told(now, event)
+            case ev.TotalsTold():
+                return self._peers.on_totals(now, event)
+            case ev.FlushPeers():
+                return self._peers.flush(now)
             case ev.ZonesOut():
                 self._zones_out = event.zones
             case ev.RoutersCounted():
                 self._fleet.update(event.ids)
+                self._peers.update(event.addresses)
                 self._budget.limit(now, 0.0, self._budget_burst(now))
             case ev.RolloutOrdered():
                 self._moves.on_order(now, event)
@@ -227,6 +244,9 @@
         rules = self._moves.rules(
             pending.service.name, pending.request.id, self._fleet.bounded_size(now)
         )
+        fleet_mean = self._peers.mean_load(
+            now, pending.service.name, sum(not s.gone for s in servers)
+        )
         choice: Choice | NoChoice = NoChoice(0, float("inf"))
         for rule in rules:
             constraints = Constraints(
@@ -235,6 +255,7 @@
                     fits(state.record.version) and self._allowed(state, pending)
                 ),
                 pending.tried,
+                fleet_mean,
             )
             choice = self._selector.choose(now, pending.request, servers, constraints)
             if isinstance(choice, Choice) or choice.known:
@@ -254,18 +275,45 @@
         return True
 
     def _place(self, now: float, serial: int, pending: Pending) -> list[ev.Effect]:
-        """Sends a request, lets it wait or refuses it."""
+        """Sends a request, asks for a server's load, lets it wait or refuses it."""
         choice = self._choose(now, pending)
-        if isinstance(choice, Choice):
-            return [self._send(now, serial, pending, choice)]
+        while isinstance(choice, Choice):
+            state = choice.server
+            known = state.load_is_told(now) or not pending.service.model
+            question = None
+            if not known:
+                question = self._peers.question(now, serial, state, pending.questions)
+                pending.questions += 1
+            if question is not None:
+                return [question]
+            if known or not state.load_is_told(now):
+                return [self._send(now, serial, pending, choice)]
+            choice = self._choose(now, pending)
         if choice.known == 0:
             return self._give_up(serial, pending, "no server is available")
         return self._wait(now, serial, pending, choice.wait_s)
 
+    def _on_load(
+        self, now: float, event: ev.LoadTold | ev.LoadUnanswered
+    ) -> list[ev.Effect]:
+        """Goes on with a request whose question for a load was answered, or not."""
+        if isinstance(event, ev.LoadTold):
+            self._peers.on_load_told(now, event)
+        else:
+            self._peers.on_unanswered(now, event.peer)
+        pending = self._pending.get(event.serial)
+        if pending is None:
+            return []
+        if isinstance(event, ev.LoadUnanswered):
+            # A second wait would cost the caller more than a server that is too full.
+            pending.questions = MAX_QUESTIONS
+        return self._place(now, event.serial, pending)
+
     def _send(self, now, serial: int, pending: Pending, choice: Choice) -> ev.Forward:
         state = choice.server
         state.take_cold_token(now)
         state.in_flight += 1
+        self._peers.changed(state)
         pending.at = state
         pending.first_s = None
         pending.waiting = False
@@ -354,6 +402,7 @@
             return []
         state, pending.at = pending.at, None
         state.in_flight -= 1
+        self._peers.changed(state)
         effects = self._after(now, event.serial, pending, state, event.outcome)
         return effects + self._serve_waiting(now)
 
@@ -436,6 +485,7 @@
             self._queues[pending.service.name].discard(event.serial)
         if pending.at is not None:
             pending.at.in_flight -= 1
+            self._peers.changed(pending.at)
         return self._serve_waiting(now)
 
     def _count_version(
--- a/heatherswitch/gateway/selection.py
+++ b/heatherswitch/gateway/selection.py
@@ -61,11 +61,14 @@
     """Which servers may take a request.
 
     :param tried: ids of servers that the request was sent to.
+    :param fleet_mean: mean requests of all gateways at a server of the service; None
+        if it is not known.
     """
 
     service: Service
     allowed: Callable[[ServerState], bool]
     tried: Collection[str] = ()
+    fleet_mean: float | None = None
 
 
 class Selector:
@@ -107,7 +110,9 @@
         healthy = [s for s in ready if not s.avoided(now)]
         if service.model:
             listed = [s for s in servers if not s.gone]
-            choice = self._by_affinity(now, request, healthy or ready, listed)
+            choice = self._by_affinity(
+                now, request, healthy or ready, listed, constraints.fleet_mean
+            )
             source = self._source(now, request, choice, servers)
             return replace(choice, source=source)
         return self._by_latency(now, request, healthy or ready)
@@ -118,20 +123,28 @@
         connections = CONNECTION_SHARE * service.max_connections / self._fleet.size
         return state.load(now) < slots * fill and state.in_flight < max(1, connections)
 
-    def _by_affinity(self, now, request, ready, listed) -> Choice:
+    def _by_affinity(self, now, request, ready, listed, fleet_mean) -> Choice:
         """Follows the chat unless its server is above the load bound.
 
         All gateways rank the servers alike, so that a shared part is read at one. The
         mean is over all listed servers, as the platform takes it: those that are out
         or leaving lower it, and the others must then share their load more evenly.
+
+        A load that its owner told is that of all gateways, and so is compared with the
+        mean of all; one that this gateway knows alone, with the mean that it knows.
         """
         loads = {s.record.id: s.load(now) for s in ready}
-        mean = sum(s.load(now) for s in listed) / len(listed)
-        bound = LOAD_FACTOR * mean + LOAD_SLACK
+        known_mean = sum(s.load(now) for s in listed) / len(listed)
+
+        def fits(state: ServerState) -> bool:
+            told = fleet_mean is not None and state.load_is_told(now)
+            mean = fleet_mean if told else known_mean
+            return loads[state.record.id] < LOAD_FACTOR * mean + LOAD_SLACK
+
         ranked = sorted(ready, key=_ranking(request))
-        if loads[ranked[0].record.id] < bound:
+        if fits(ranked[0]):
             return Choice(ranked[0], "affinity")
-        below = [s for s in ranked if loads[s.record.id] < bound]
+        below = [s for s in ranked if fits(s)]
         holders = self._prefixes.holders(request.affinity)
         for state in below:
             if state.record.id in holders:
--- a/heatherswitch/gateway/servers.py
+++ b/heatherswitch/gateway/servers.py
@@ -1,6 +1,6 @@
 """State of the backend servers as one gateway sees it."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 
 from heatherswitch.fleet.shares import FleetView, TokenBucket
 from heatherswitch.gateway.model import Load, Server, Service
@@ -11,6 +11,9 @@
 LOAD_VALID_LATENCIES = 2.0
 MIN_LOAD_VALID_S = 0.3
 MAX_LOAD_VALID_S = 3.0
+# What the owner of a server tells of its load decides for this long, in seconds: a few
+# round trips, in which a request may ask for other servers.
+TOLD_FRESH_S = 0.05
 # A server whose entry disappeared right after an outage of the store keeps its work
 # for this long, in seconds: the platform states that living servers are back within
 # about two seconds.
@@ -41,9 +44,9 @@
         "_avoid_until",
         "_cold_bucket",
         "_failures_in_row",
-        "_load",
-        "_load_at",
-        "_load_own",
+        "_others",
+        "_others_at",
+        "_told_at",
         "cold_until",
         "ended",
         "failure_rate",
@@ -73,9 +76,11 @@
         self._answered = False
         self._avoid_until = 0.0
         self._failures_in_row = 0
-        self._load: Load | None = None
-        self._load_at = 0.0
-        self._load_own = 0
+        # Requests of other gateways at the server, and when they were learned.
+        self._others = 0
+        self._others_at = float("-inf")
+        # Time at which another gateway told them, which counts all at once.
+        self._told_at = float("-inf")
         self._cold_bucket: TokenBucket | None = None
 
     def update(self, now: float, record: Server) -> None:
@@ -103,17 +108,23 @@
     def load(self, now: float) -> float:
         """Estimates the requests at the server, with those of other gateways."""
         valid_s = max(MIN_LOAD_VALID_S, LOAD_VALID_LATENCIES * self.latency_s)
-        age_s = now - self._load_at
-        if self._load is None or age_s > min(MAX_LOAD_VALID_S, valid_s):
+        if now - self._others_at > min(MAX_LOAD_VALID_S, valid_s):
             return self.in_flight
-        others = max(0, self._load.running + self._load.waiting - self._load_own)
-        return self.in_flight + others
+        return self.in_flight + self._others
+
+    def load_is_told(self, now: float) -> bool:
+        """Tells whether the load was added up over all gateways just now."""
+        return now - self._told_at < TOLD_FRESH_S
 
     def note_load(self, now: float, load: Load) -> None:
         """Takes a load that the server reported."""
-        self._load = load
-        self._load_at = now
-        self._load_own = self.in_flight
+        self._others = max(0, load.running + load.waiting - self.in_flight)
+        self._others_at = now
+
+    def note_told(self, now: float, others: int) -> None:
+        """Takes the requests of all other gateways, as the server's owner counts."""
+        self._others = others
+        self._others_at = self._told_at = now
 
     def note_success(self, latency_s: float) -> None:
         """Counts a good answer."""
@@ -169,6 +180,9 @@
         self._servers: dict[str, ServerState] = {}
         self._by_service: dict[str, dict[str, ServerState]] = {}
 
+    def __iter__(self) -> Iterator[ServerState]:
+        return iter(self._servers.values())
+
     def get(self, server_id: str) -> ServerState | None:
         """Returns a server by its id, or None."""
         return self._servers.get(server_id)
--- a/heatherswitch/gateway/shell.py
+++ b/heatherswitch/gateway/shell.py
@@ -10,10 +10,11 @@
 
 from heatherswitch.gateway import events as ev
 from heatherswitch.gateway.model import CallerRequest, RequestKind
+from heatherswitch.gateway.peer_link import PeerLink
 from heatherswitch.gateway.reducer import GatewayReducer, Limits
 from heatherswitch.gateway.relay import Codec, Relay
 from heatherswitch.gateway.rollouts import VersionMove
-from heatherswitch.gateway.store_sync import StoreSync
+from heatherswitch.gateway.store_sync import Member, StoreSync
 from heatherswitch.gateway.telemetry import Telemetry
 from heatherswitch.gateway.upstream import AnswerHead, ConnectionPool
 from heatherswitch.util.clock import Clock
@@ -30,6 +31,8 @@
 WAIT_TICK_S = 0.02
 # Seconds between two rounds of housekeeping.
 HOUSEKEEPING_S = 0.5
+# Seconds in which changes of this gateway's counts are gathered for other gateways.
+TELL_PEERS_S = 0.1
 # Seconds after SIGTERM in which new connections are still served. The platform's
 # balancer needs two missed checks, one second apart, to stop sending them.
 LINGER_S = 2.5
@@ -51,6 +54,8 @@
     :param listen: ``host:port`` for callers.
     :param ready_listen: ``host:port`` for the balancer's status checks.
     :param store: ``host:port`` of the platform's store.
+    :param peer_listen: ``host:port`` for datagrams of other gateways; empty to take
+        none and decide alone.
     :param grace_s: seconds in which requests may end after SIGTERM.
     :param metrics_port: port of metrics and health on ``metrics_host``; -1 for none.
     """
@@ -61,6 +66,7 @@
     listen: str
     ready_listen: str
     store: str
+    peer_listen: str = ""
     grace_s: float = 7.0
     metrics_host: str = "127.0.0.1"
     metrics_port: int = -1
@@ -71,7 +77,8 @@
 class Gateway:
     """Routes callers' requests straight to backend servers.
 
-    :param follow: follows the store with a :class:`StoreSync` until cancelled.
+    :param follow: follows the store with a :class:`StoreSync` until cancelled and keeps
+        this gateway on the list of live ones.
     """
 
     __slots__ = (
@@ -81,6 +88,7 @@
         "_config",
         "_follow",
         "_mailboxes",
+        "_peers",
         "_member",
         "_metrics",
         "_metrics_server",
@@ -99,7 +107,7 @@
         config: GatewayConfig,
         clock: Clock,
         codec: GatewayCodec,
-        follow: Callable[[StoreSync, str, Moves], Any],
+        follow: Callable[[StoreSync, Member, Moves], Any],
     ) -> None:
         self._config = config
         self._clock = clock
@@ -113,6 +121,7 @@
         self._pool = ConnectionPool()
         self._metrics = Metrics()
         self._telemetry = Telemetry(self._metrics)
+        self._peers = PeerLink(self._apply, self._metrics)
         self._callers = HttpServer(self._handle, config.http)
         self._ready_server = HttpServer(self._handle_ready)
         self._metrics_server: HttpServer | None = None
@@ -159,8 +168,11 @@
             await self._metrics_server.start(
                 self._config.metrics_host, self._config.metrics_port
             )
+        if self._config.peer_listen:
+            host, _, port = self._config.peer_listen.rpartition(":")
+            await self._peers.bind(host, int(port))
         sync = StoreSync(self._clock, self._apply, self._config.limits.timing.outage_s)
-        member = self._member
+        member = Member(self._member, self._peers.address)
         self._tasks = [
             asyncio.create_task(
                 self._follow(sync, member, lambda: self._reducer.moves)
@@ -168,6 +180,8 @@
             asyncio.create_task(self._keep_house()),
             asyncio.create_task(self._serve_waiting()),
         ]
+        if self._config.peer_listen:
+            self._tasks.append(asyncio.create_task(self._tell_peers()))
         log.info("gateway started", extra={"addresses": dict(self.addresses)})
 
     async def stop(self) -> None:
@@ -190,6 +204,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._peers.close()
         self._pool.close()
 
     async def _handle_ready(self, request: Request, responder: Responder) -> None:
@@ -200,6 +215,9 @@
     def _apply(self, event: ev.Event) -> None:
         """Gives an event to the reducer and hands its effects to their requests."""
         for effect in self._reducer.apply(self._clock.now(), event):
+            if isinstance(effect, ev.PeerEffect):
+                self._peers.carry_out(effect)
+                continue
             mailbox = self._mailboxes.get(effect.serial)
             if mailbox is not None and not mailbox.done():
                 mailbox.set_result(effect)
@@ -264,6 +282,8 @@
                     outcome = await self._attempt(relay, effect)
                     self._log_outcome(asked, effect, outcome)
                     event = ev.AttemptEnded(serial, outcome)
+                elif isinstance(effect, ev.Ask):
+                    event = await self._peers.ask(effect)
                 else:
                     await self._end(relay, responder, asked, effect, arrived_at)
                     finished = True
@@ -369,6 +389,11 @@
             if self._reducer.waiting:
                 self._apply(ev.Tick())
 
+    async def _tell_peers(self) -> None:
+        while True:
+            await asyncio.sleep(TELL_PEERS_S)
+            self._apply(ev.FlushPeers())
+
     async def _keep_house(self) -> None:
         while True:
             await asyncio.sleep(HOUSEKEEPING_S)
--- a/heatherswitch/gateway/store_sync.py
+++ b/heatherswitch/gateway/store_sync.py
@@ -1,9 +1,11 @@
 """Keeps the gateway's view of the store current and turns changes into events."""
 
 import asyncio
+import json
 import logging
 import random
 from collections.abc import AsyncIterator, Callable, Iterable
+from dataclasses import dataclass
 from typing import Protocol
 
 from heatherswitch.gateway import events as ev
@@ -29,6 +31,17 @@
 MAX_RETRY_S = 0.8
 
 
+@dataclass(frozen=True, slots=True)
+class Member:
+    """A live router on the list of the store.
+
+    :param address: ``host:port`` for messages between routers; empty for none.
+    """
+
+    id: str
+    address: str = ""
+
+
 class WatchedStore(Protocol):
     """Reads the store and follows its changes."""
 
@@ -131,10 +144,29 @@
                 self._emit(event)
         self._emit(ev.StoreConfirmed(current_at))
         if any(e.key.startswith(reader.member_prefix) for e in changed):
-            members = self._entries.with_prefix(reader.member_prefix)
-            prefix = reader.member_prefix
-            ids = tuple(e.key.removeprefix(prefix) for e in members)
-            self._emit(ev.RoutersCounted(ids))
+            entries = self._entries.with_prefix(reader.member_prefix)
+            members = [_member(e, reader.member_prefix) for e in entries]
+            self._emit(
+                ev.RoutersCounted(
+                    tuple(m.id for m in members),
+                    tuple((m.id, m.address) for m in members if m.address),
+                )
+            )
+
+
+def _member(entry: Entry, prefix: str) -> Member:
+    """Reads an entry of :func:`keep_membership`; its owner is the address."""
+    member_id = entry.key.removeprefix(prefix)
+    try:
+        address = json.loads(entry.value)["owner"]
+        host, _, port = address.rpartition(":")
+        return Member(member_id, address if host and port.isdigit() else "")
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        log.warning(
+            "entry of a router is malformed",
+            extra={"router": member_id, "error": repr(error)},
+        )
+        return Member(member_id)
 
 
 def _retry_s(failures: int) -> float:
@@ -146,14 +178,15 @@
 
 
 async def keep_membership(
-    store: LeaseStore, key: str, ttl_s: float, clock: Clock
+    store: LeaseStore, key: str, address: str, ttl_s: float, clock: Clock
 ) -> None:
     """Keeps this router on the list of live routers until cancelled.
 
+    :param address: ``host:port`` for messages between routers; empty for none.
     :param ttl_s: time to live of the entry in seconds.
     """
     while True:
-        lease = Lease(store, key, key, ttl_s, clock)
+        lease = Lease(store, key, address, ttl_s, clock)
         try:
             if await lease.acquire():
                 log.info("joined the list of routers", extra={"key": key})
--- a/heatherswitch/platform/gateway.py
+++ b/heatherswitch/platform/gateway.py
@@ -9,7 +9,7 @@
 
 from heatherswitch.gateway.rollout_owner import RolloutOwner
 from heatherswitch.gateway.shell import Gateway, GatewayConfig, Moves
-from heatherswitch.gateway.store_sync import StoreSync, keep_membership
+from heatherswitch.gateway.store_sync import Member, StoreSync, keep_membership
 from heatherswitch.platform.codec import PlatformCodec
 from heatherswitch.platform.reader import PlatformReader
 from heatherswitch.platform.settings import (
@@ -36,17 +36,19 @@
     """Builds a gateway that speaks the platform's formats."""
     reader = PlatformReader()
 
-    async def follow(sync: StoreSync, member: str, moves: Moves) -> None:
+    async def follow(sync: StoreSync, member: Member, moves: Moves) -> None:
         timing = config.limits.timing
         store = PlatformStore.from_address(config.store, clock, timing)
-        key = reader.member_prefix + member
+        key = reader.member_prefix + member.id
         try:
             async with asyncio.TaskGroup() as group:
                 group.create_task(sync.run(store, reader))
                 group.create_task(
-                    keep_membership(store, key, timing.member_ttl_s, clock)
+                    keep_membership(
+                        store, key, member.address, timing.member_ttl_s, clock
+                    )
                 )
-                owner = RolloutOwner(store, reader, member, clock, moves)
+                owner = RolloutOwner(store, reader, member.id, clock, moves)
                 group.create_task(owner.run())
         finally:
             store.close()
--- a/heatherswitch/platform/settings.py
+++ b/heatherswitch/platform/settings.py
@@ -24,6 +24,8 @@
 WRITES_PER_ROUTER = 20
 # Bounds on the time from a change in the store to its effect, in milliseconds.
 CHANGE_BOUNDS = {"drain_ms": 2000, "config_apply_ms": 2000, "evacuate_ms": 5000}
+# Port for messages between gateways, counted from the first internal port.
+PEER_PORT_OFFSET = 1
 # Part of the grace period after SIGTERM in which requests may end.
 GRACE_SHARE = 0.9
 
@@ -60,6 +62,17 @@
     return path
 
 
+def _peer_listen(tree: dict[str, Any]) -> str:
+    """Returns the address for datagrams of other gateways.
+
+    The first internal port is that of the metrics.
+    """
+    ports = tree.get("internal_port_range") or ()
+    if len(ports) < 2 or int(ports[1]) <= int(ports[0]):
+        return ""
+    return f"{tree['ip']}:{int(ports[0]) + PEER_PORT_OFFSET}"
+
+
 def _change_s(bounds: dict[str, Any]) -> float:
     """Returns the seconds in which a change in the store must be in force."""
     shortest = min(float(bounds.get(n, ms)) for n, ms in CHANGE_BOUNDS.items())
@@ -87,6 +100,7 @@
             ready_listen=listen["ready"],
             metrics_host=tree["ip"],
             store=tree["platform"]["address"],
+            peer_listen=_peer_listen(tree),
             grace_s=float(bounds.get("grace_s", 8)) * GRACE_SHARE,
             limits=Limits(
                 key_max_age_s=key_max_age_s,
--- a/test/test_gateway_reducer.py
+++ b/test/test_gateway_reducer.py
@@ -3,6 +3,7 @@
 import random
 import unittest
 
+from heatherswitch.fleet.counters import Count
 from heatherswitch.gateway import events as ev
 from heatherswitch.gateway.model import Load, PromptPart, Service
 from heatherswitch.gateway.reducer import Limits
@@ -524,3 +525,77 @@
         for _ in range(5):
             effect = driver.decide("/chat/1", parts=chat("x"))
             self.assertIsInstance(effect, ev.Forward)
+
+
+class PeersTest(unittest.TestCase):
+    """A gateway asks the owner of a model server before it sends a request there."""
+
+    ADDRESSES = (("me", "10.0.0.1:7341"), ("peer", "10.0.0.2:7341"))
+    OTHER = "10.0.0.2:7341"
+
+    def driver(self) -> Driver:
+        driver = Driver(routers=("me", "peer"))
+        driver.apply(ev.RoutersCounted(("me", "peer"), self.ADDRESSES))
+        driver.list(*(server(f"e{n}", "engine") for n in range(8)))
+        return driver
+
+    def asked(self, driver: Driver) -> ev.Ask:
+        """Lets chats arrive until one needs the other gateway."""
+        for number in range(20):
+            effect = driver.decide("/chat/1", parts=chat(f"chat-{number}"))
+            if isinstance(effect, ev.Ask):
+                return effect
+        raise AssertionError("no question")
+
+    def test_request_waits_for_the_answer_of_the_owner(self):
+        driver = self.driver()
+        ask = self.asked(driver)
+        driver.apply(ev.LoadTold(ask.serial, ask.peer, ask.count.key, 0))
+        (forward,) = driver.take()
+        self.assertEqual(f"server/{forward.server.id}", ask.count.key)
+
+    def test_owner_that_is_silent_delays_a_request_once(self):
+        driver = self.driver()
+        ask = self.asked(driver)
+        driver.apply(ev.LoadUnanswered(ask.serial, ask.peer))
+        (effect,) = driver.take()
+        self.assertIsInstance(effect, ev.Forward)
+
+    def test_full_server_passes_the_chat_on(self):
+        driver = self.driver()
+        ask = self.asked(driver)
+        driver.apply(ev.LoadTold(ask.serial, ask.peer, ask.count.key, 7))
+        (effect,) = driver.take()
+        key = effect.count.key if isinstance(effect, ev.Ask) else effect.server.id
+        self.assertNotEqual(key.removeprefix("server/"), ask.count.key[7:])
+
+    def test_caller_that_leaves_while_its_question_is_open(self):
+        driver = self.driver()
+        ask = self.asked(driver)
+        driver.apply(ev.CallerLeft(ask.serial))
+        driver.apply(ev.LoadTold(ask.serial, ask.peer, ask.count.key, 0))
+        self.assertEqual(driver.take(), [])
+        driver.apply(ev.FlushPeers())
+        told = [e for e in driver.take() if isinstance(e, ev.TellPeer)]
+        counts = [c for e in told for c in e.counts if c.key == ask.count.key]
+        self.assertEqual([c.value for c in counts], [0])
+
+    def test_plain_servers_are_not_asked_for(self):
+        driver = self.driver()
+        driver.list(server("l1"))
+        self.assertIsInstance(driver.decide("/safe/1"), ev.Forward)
+
+    def test_message_of_a_stranger_is_refused(self):
+        driver = self.driver()
+        stranger = "10.0.0.9:7341"
+        driver.apply(ev.PeerTold(stranger, 1, 1, (Count("server/e1", 9),), True))
+        driver.apply(ev.TotalsTold(stranger, (Count("service/engine", 9),)))
+        self.assertEqual(driver.take(), [ev.RefusePeer(stranger)] * 2)
+
+    def test_answer_counts_the_requests_of_all_but_the_one_that_asks(self):
+        driver = self.driver()
+        count = Count("server/e1", 4)
+        driver.apply(ev.PeerTold(self.OTHER, 1, 1, (count,), True))
+        driver.apply(ev.PeerTold(self.OTHER, 1, 2, (count,), True))
+        expected = ev.AnswerPeer(self.OTHER, 1, (Count("server/e1", 0),))
+        self.assertEqual(driver.take()[0], expected)
