Count the time of a 4xx answer in a server's latency

Cause: _error_answer ended with Completed(status, 0.0), so an answer with 4xx lowered the moving average to which plain requests go. Change: the time from the send. The new test saw a latency of 0 s before, 0.2 s after.

--- a/heatherswitch/gateway/relay.py
+++ b/heatherswitch/gateway/relay.py
@@ -152,7 +152,7 @@
         else:
             body = await self._read(connection, forward)
             self._give_back(connection, forward, wire)
-            return await self._error_answer(forward, head, body), True
+            return await self._error_answer(forward, head, body, sent_at), True
         self._give_back(connection, forward, wire)
         return ev.Completed(head.status, self._clock() - sent_at), True
 
@@ -210,7 +210,9 @@
                 raise ConnectionLost(f"the error answer is over {limit} bytes")
         return bytes(body)
 
-    async def _error_answer(self, forward, head: AnswerHead, body: bytes):
+    async def _error_answer(
+        self, forward: ev.Forward, head: AnswerHead, body: bytes, sent_at: float
+    ) -> ev.Outcome:
         """Decides whether a server's error is delivered, held or not to be shown."""
         if not head.sealed or head.status in PROMISES:
             # The server did not say that the request has not run, so a status that
@@ -222,7 +224,7 @@
         if head.status >= 500:
             return ev.FailedAnswer(head.status)
         await self.deliver_held()
-        return ev.Completed(head.status, 0.0)
+        return ev.Completed(head.status, self._clock() - sent_at)
 
     async def _relay_plain(self, connection, forward, head: AnswerHead) -> None:
         """Holds a small answer until it is whole; passes a large one on."""
--- a/test/test_gateway_service.py
+++ b/test/test_gateway_service.py
@@ -5,7 +5,7 @@
 
 from emulator.platform.deployment import Deployment, configuration
 from emulator.platform.server import Behaviour
-from heatherswitch.gateway.reducer import Limits
+from heatherswitch.gateway.limits import Limits
 from heatherswitch.util.http import ConnectionLost
 
 
@@ -124,6 +124,14 @@
         self.assertEqual((status, body), (500, b"oops"))
         self.assertEqual(headers["x-response-seal"], "seal-of-l1")
 
+    async def test_latency_of_a_refusing_server_is_the_one_that_was_measured(self):
+        """An answer with 4xx counted as one of 0 s, which drew requests there."""
+        await self.ledger(Behaviour(status=409, delay_s=0.2))
+        status, _, _ = await self.deployment.call("/lookup/1")
+        self.assertEqual(status, 409)
+        state = self.deployment.gateway._reducer._servers.get("l1")
+        self.assertGreater(state.latency_s, 0.15)
+
     async def test_refused_connection_costs_no_request(self):
         first, second = await self.two(Behaviour())
         await first.stop()
