Split the choice of a server and the limits from the gateway's reducer

Change: chooser.py brings rules, moves, loads and peers together; limits.py holds the bounds of a deployment. No change of behaviour. Tests of the reducer pass as they were.

--- a/emulator/fleet_simulation.py
+++ b/emulator/fleet_simulation.py
@@ -13,6 +13,7 @@
 
 from heatherswitch.fleet.counters import Count
 from heatherswitch.gateway import events as ev
+from heatherswitch.gateway.limits import Limits
 from heatherswitch.gateway.model import (
     CallerLimits,
     CallerRequest,
@@ -25,7 +26,7 @@
     Service,
 )
 from heatherswitch.gateway.peer_link import ANSWER_TIMEOUT_S
-from heatherswitch.gateway.reducer import GatewayReducer, Limits
+from heatherswitch.gateway.reducer import GatewayReducer
 from heatherswitch.gateway.shell import HOUSEKEEPING_S, TELL_PEERS_S
 
 SERVICE = "engine"
--- a/emulator/platform/deployment.py
+++ b/emulator/platform/deployment.py
@@ -6,7 +6,7 @@
 from emulator.platform.server import Behaviour, PlatformServer
 from emulator.platform.store import PlatformStoreServer
 from emulator.standin import LOOPBACK
-from heatherswitch.gateway.reducer import Limits
+from heatherswitch.gateway.limits import Limits
 from heatherswitch.gateway.shell import Gateway, GatewayConfig
 from heatherswitch.platform.gateway import build_gateway
 from heatherswitch.util.clock import Clock
--- a/heatherswitch/gateway/reducer.py
+++ b/heatherswitch/gateway/reducer.py
@@ -4,20 +4,19 @@
 and when it is refused. It does no input or output and reads no clock.
 """
 
-from dataclasses import dataclass
-
-from heatherswitch.fleet.shares import UNKNOWN_FLEET, FleetView, TokenBucket
+from heatherswitch.fleet.shares import FleetView, TokenBucket
 from heatherswitch.gateway import events as ev
 from heatherswitch.gateway.admission import RETRY_BUSY_S, Denied, admit
+from heatherswitch.gateway.chooser import Chooser
 from heatherswitch.gateway.freshness import CurrentConfiguration
+from heatherswitch.gateway.limits import Limits
 from heatherswitch.gateway.model import Service
 from heatherswitch.gateway.peers import MAX_QUESTIONS, PeerView
 from heatherswitch.gateway.pending import Pending
 from heatherswitch.gateway.prefix_index import PrefixIndex
-from heatherswitch.gateway.rollouts import Exposure, VersionMove
+from heatherswitch.gateway.rollouts import VersionMove
 from heatherswitch.gateway.selection import (
     Choice,
-    Constraints,
     NoChoice,
     Selector,
 )
@@ -27,7 +26,6 @@
     ServerState,
     ServerTable,
 )
-from heatherswitch.gateway.timing import Timing
 from heatherswitch.gateway.version_moves import VersionMoves
 from heatherswitch.gateway.waiting import (
     MAX_WAIT_SHARE,
@@ -42,26 +40,6 @@
 BUDGET_MARGIN = 0.7
 
 
-@dataclass(frozen=True, slots=True)
-class Limits:
-    """Bounds that the deployment sets.
-
-    :param key_max_age_s: age of the configuration up to which keys are accepted.
-    :param budget_ratio: repeats for each request, over the whole fleet.
-    :param budget_slack: repeats in a window that are free, over the whole fleet.
-    :param exposure: requests that an unproven version may get.
-    :param expected_fleet: routers that there may be at most before the list of them can
-        be complete.
-    """
-
-    key_max_age_s: float = 4.5
-    budget_ratio: float = 0.2
-    budget_slack: float = 50.0
-    exposure: Exposure = Exposure()
-    timing: Timing = Timing.from_bounds()
-    expected_fleet: int = UNKNOWN_FLEET
-
-
 class GatewayReducer:
     """State of one gateway.
 
@@ -72,6 +50,7 @@
 
     __slots__ = (
         "_budget",
+        "_chooser",
         "_configuration",
         "_fleet",
         "_limits",
@@ -80,10 +59,7 @@
         "_pending",
         "_prefixes",
         "_queues",
-        "_regions",
-        "_selector",
         "_servers",
-        "_zones_out",
     )
 
     def __init__(
@@ -95,19 +71,24 @@
         limits: Limits,
     ) -> None:
         self._limits = limits
-        self._regions = regions
         self._moves = VersionMoves(own_id, int(now * 1000), limits.exposure)
         self._fleet = FleetView(
             own_id, limits.expected_fleet, now + limits.timing.member_ttl_s
         )
         self._prefixes = PrefixIndex()
-        self._selector = Selector(self._fleet, self._prefixes, zone)
         self._servers = ServerTable()
         self._peers = PeerView(own_id, self._servers)
+        self._chooser = Chooser(
+            self._servers,
+            Selector(self._fleet, self._prefixes, zone),
+            self._moves,
+            self._fleet,
+            self._peers,
+            regions,
+        )
         self._configuration = CurrentConfiguration(
             limits.key_max_age_s, limits.timing.refuse_age_s
         )
-        self._zones_out: frozenset[str] = frozenset()
         self._pending: dict[int, Pending] = {}
         self._queues: dict[str, WaitingQueue] = {}
         self._budget = TokenBucket(now, 0.0, self._budget_burst(now))
@@ -140,7 +121,7 @@
     @property
     def zones_out(self) -> frozenset[str]:
         """Zones whose backend servers get no new work."""
-        return self._zones_out
+        return self._chooser.zones_out
 
     @property
     def pending(self) -> int:
@@ -192,7 +173,7 @@
             case ev.FlushPeers():
                 return self._peers.flush(now)
             case ev.ZonesOut():
-                self._zones_out = event.zones
+                self._chooser.zones_out = event.zones
             case ev.RoutersCounted():
                 self._fleet.update(event.ids)
                 self._peers.update(event.addresses)
@@ -239,56 +220,13 @@
 
     # Placement
 
-    def _choose(self, now: float, pending: Pending) -> Choice | NoChoice:
-        servers = self._servers.of_service(pending.service.name)
-        rules = self._moves.rules(
-            pending.service.name, pending.request.id, self._fleet.bounded_size(now)
-        )
-        fleet_mean = self._peers.mean_load(
-            now, pending.service.name, sum(not s.gone for s in servers)
-        )
-        choice: Choice | NoChoice = NoChoice(0, float("inf"))
-        for rule in rules:
-            constraints = Constraints(
-                pending.service,
-                lambda state, fits=rule: (
-                    fits(state.record.version) and self._allowed(state, pending)
-                ),
-                pending.tried,
-                fleet_mean,
-            )
-            choice = self._selector.choose(now, pending.request, servers, constraints)
-            if isinstance(choice, Choice) or choice.known:
-                break
-        return choice
-
-    def _allowed(self, state: ServerState, pending: Pending) -> bool:
-        if state.record.zone in self._zones_out:
-            return False
-        region = self._regions.get(state.record.zone, "")
-        for regions in (
-            pending.route.regions,
-            pending.workspace.regions if pending.workspace else (),
-        ):
-            if regions and region not in regions:
-                return False
-        return True
-
     def _place(self, now: float, serial: int, pending: Pending) -> list[ev.Effect]:
         """Sends a request, asks for a server's load, lets it wait or refuses it."""
-        choice = self._choose(now, pending)
-        while isinstance(choice, Choice):
-            state = choice.server
-            known = state.load_is_told(now) or not pending.service.model
-            question = None
-            if not known:
-                question = self._peers.question(now, serial, state, pending.questions)
-                pending.questions += 1
-            if question is not None:
-                return [question]
-            if known or not state.load_is_told(now):
-                return [self._send(now, serial, pending, choice)]
-            choice = self._choose(now, pending)
+        choice = self._chooser.choose_or_ask(now, serial, pending)
+        if isinstance(choice, ev.Ask):
+            return [choice]
+        if isinstance(choice, Choice):
+            return [self._send(now, serial, pending, choice)]
         if choice.known == 0:
             return self._give_up(serial, pending, "no server is available")
         return self._wait(now, serial, pending, choice.wait_s)
@@ -372,7 +310,7 @@
                 effects += self._refuse_waiter(waiter, "no server had room in time")
             while (waiter := queue.first()) is not None:
                 pending = self._pending[waiter.serial]
-                choice = self._choose(now, pending)
+                choice = self._chooser.choose(now, pending)
                 if isinstance(choice, Choice):
                     queue.discard(waiter.serial)
                     effects.append(self._send(now, waiter.serial, pending, choice))
@@ -447,7 +385,7 @@
         reason = pending.no_repeat(now)
         if reason:
             return self._give_up(serial, pending, reason)
-        choice = self._choose(now, pending)
+        choice = self._chooser.choose(now, pending)
         if isinstance(choice, NoChoice):
             if choice.known and not pending.runs and not pending.started:
                 return self._wait(now, serial, pending, choice.wait_s)
--- a/heatherswitch/gateway/shell.py
+++ b/heatherswitch/gateway/shell.py
@@ -9,9 +9,10 @@
 from typing import Any, Protocol
 
 from heatherswitch.gateway import events as ev
+from heatherswitch.gateway.limits import Limits
 from heatherswitch.gateway.model import CallerRequest, RequestKind
 from heatherswitch.gateway.peer_link import PeerLink
-from heatherswitch.gateway.reducer import GatewayReducer, Limits
+from heatherswitch.gateway.reducer import GatewayReducer
 from heatherswitch.gateway.relay import Codec, Relay
 from heatherswitch.gateway.rollouts import VersionMove
 from heatherswitch.gateway.store_sync import Member, StoreSync
--- a/heatherswitch/platform/settings.py
+++ b/heatherswitch/platform/settings.py
@@ -7,7 +7,7 @@
 import yaml
 
 from heatherswitch.fleet.shares import UNKNOWN_FLEET
-from heatherswitch.gateway.reducer import Limits
+from heatherswitch.gateway.limits import Limits
 from heatherswitch.gateway.rollouts import Exposure
 from heatherswitch.gateway.shell import GatewayConfig
 from heatherswitch.gateway.timing import Timing
--- a/test/gateway_fakes.py
+++ b/test/gateway_fakes.py
@@ -1,6 +1,7 @@
 """Builders of gateway records and a driver of its reducer, without I/O."""
 
 from heatherswitch.gateway import events as ev
+from heatherswitch.gateway.limits import Limits
 from heatherswitch.gateway.model import (
     CallerLimits,
     CallerRequest,
@@ -12,7 +13,7 @@
     Service,
     Workspace,
 )
-from heatherswitch.gateway.reducer import GatewayReducer, Limits
+from heatherswitch.gateway.reducer import GatewayReducer
 
 HOST = "auction.example"
 KEY = "key-1"
--- a/test/test_gateway_reducer.py
+++ b/test/test_gateway_reducer.py
@@ -5,8 +5,8 @@
 
 from heatherswitch.fleet.counters import Count
 from heatherswitch.gateway import events as ev
+from heatherswitch.gateway.limits import Limits
 from heatherswitch.gateway.model import Load, PromptPart, Service
-from heatherswitch.gateway.reducer import Limits
 from heatherswitch.gateway.servers import MAX_LOAD_VALID_S, REAPPEAR_S
 from test.gateway_fakes import Driver, chat, configuration, server
 
--- a/test/test_protocol_models.py
+++ b/test/test_protocol_models.py
@@ -20,7 +20,7 @@
 )
 
 from heatherswitch.gateway import events as ev
-from heatherswitch.gateway.reducer import Limits
+from heatherswitch.gateway.limits import Limits
 from heatherswitch.gateway.rollout_owner import OWNER_KEY, OWNER_TTL_S, RolloutOwner
 from heatherswitch.gateway.rollouts import (
     Exposure,
--- a/test/test_timing.py
+++ b/test/test_timing.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from heatherswitch.fleet.shares import UNKNOWN_FLEET
-from heatherswitch.gateway.reducer import Limits
+from heatherswitch.gateway.limits import Limits
 from heatherswitch.gateway.timing import Timing
 from heatherswitch.platform.settings import SettingsError, gateway_config
 from test.gateway_fakes import Driver
