Take no refusal without an id as proof on a used connection

Cause: an answer that says 'not run' and names no request was taken for the present one. Change: on a connection that carried requests before such an answer ends the attempt as one that may have run. On a fresh connection it counts as before. Before: the new test gets 503 for settlements that ran. After: 502, each run once.

--- a/emulator/platform/server.py
+++ b/emulator/platform/server.py
@@ -47,6 +47,8 @@
     :param silent: sends nothing after the request.
     :param reset_unread: closes each connection when a request arrives.
     :param stray: sends another request's answer first.
+    :param late_refusal: sends a second copy of a refusal without an id first, on a
+        connection that was used before.
     :param unframed: the answer has no length and ends with the connection.
     :param seal: the answer carries the signature.
     :param echo: the body, or each event, names the request.
@@ -64,6 +66,7 @@
     silent: bool = False
     reset_unread: bool = False
     stray: bool = False
+    late_refusal: bool = False
     unframed: bool = False
     seal: bool = True
     echo: bool = False
@@ -120,15 +123,16 @@
     async def _serve(self, reader, writer) -> None:
         self.connections += 1
         try:
-            while await self._one(reader, writer):
-                pass
+            served = 0
+            while await self._one(reader, writer, served):
+                served += 1
         except (OSError, h11.RemoteProtocolError, asyncio.CancelledError):
             # The connection broke, or the stand-in ends.
             pass
         finally:
             writer.close()
 
-    async def _one(self, reader, writer) -> bool:
+    async def _one(self, reader, writer, served: int) -> bool:
         arrival = await _read_request(reader)
         if arrival is None:
             return False
@@ -146,7 +150,7 @@
         if behaviour.status != 503:
             self.runs.append(arrival)
         gone = asyncio.ensure_future(reader.read(1))
-        answer = asyncio.ensure_future(self._answer(arrival, behaviour, writer))
+        answer = asyncio.ensure_future(self._answer(arrival, behaviour, writer, served))
         await asyncio.wait({gone, answer}, return_when=asyncio.FIRST_COMPLETED)
         if not answer.done():
             self.cancelled.append(arrival.id)
@@ -158,7 +162,7 @@
             await asyncio.gather(gone, return_exceptions=True)
         return keep
 
-    async def _answer(self, arrival: Arrival, behaviour: Behaviour, writer) -> bool:
+    async def _answer(self, arrival, behaviour: Behaviour, writer, served) -> bool:
         await asyncio.sleep(behaviour.delay_s)
         if behaviour.silent:
             await asyncio.Event().wait()
@@ -166,6 +170,10 @@
             return await self._raw(arrival, behaviour, writer)
         if behaviour.stray:
             writer.write(_head(200, "another", self.id, 5, behaviour) + b"stray")
+        if behaviour.late_refusal and served:
+            writer.write(
+                b"HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+            )
         if behaviour.events:
             return await self._stream(arrival, behaviour, writer)
         return await self._plain(arrival, behaviour, writer)
--- a/heatherswitch/gateway/relay.py
+++ b/heatherswitch/gateway/relay.py
@@ -109,7 +109,7 @@
         once = not forward.route.repeatable
         sent_at = self._clock()
         try:
-            connection, _ = await self._pool.acquire(sent_at, forward.server, once)
+            connection, used = await self._pool.acquire(sent_at, forward.server, once)
         except ConnectFailed as error:
             refused = isinstance(error.__cause__, ConnectionRefusedError)
             return ev.NotSent(str(error), refused)
@@ -117,7 +117,9 @@
         try:
             # One limit for head, body and delivery, whatever arrives meanwhile.
             async with asyncio.timeout(forward.deadline_at - self._clock()):
-                outcome, whole = await self._exchange(connection, forward, sent_at)
+                outcome, whole = await self._exchange(
+                    connection, used, forward, sent_at
+                )
         except TimeoutError as error:
             if self._writing:
                 self._responder.abort()
@@ -132,11 +134,18 @@
         return outcome
 
     async def _exchange(
-        self, connection: ServerConnection, forward: ev.Forward, sent_at: float
+        self,
+        connection: ServerConnection,
+        used: bool,
+        forward: ev.Forward,
+        sent_at: float,
     ) -> tuple[ev.Outcome, bool]:
-        """Returns the outcome and whether the connection was given back."""
+        """Returns the outcome and whether the connection was given back.
+
+        :param used: the connection carried other requests before.
+        """
         self._send(connection, forward, sent_at)
-        head, wire = await self._head(connection, forward)
+        head, wire = await self._head(connection, used, forward)
         first_s = self._clock() - sent_at
         self._on_started(forward, head, first_s)
         if head.not_run:
@@ -171,8 +180,12 @@
         request = self._request
         connection.send(request.method, request.target, headers, request.body)
 
-    async def _head(self, connection, forward) -> tuple[AnswerHead, Headers]:
-        """Waits for the head of this request's answer and skips those of others."""
+    async def _head(self, connection, used: bool, forward):
+        """Waits for the head of this request's answer and skips those of others.
+
+        A refusal may name no request. On a connection that was used before it may be
+        a late copy of one to another request, and so proves nothing of this one.
+        """
         for _ in range(MAX_STRAY_ANSWERS + 1):
             response = await connection.head(forward.silence_s)
             wire = [
@@ -180,9 +193,11 @@
                 for name, value in response.headers
             ]
             head = self._codec.decode_answer(response.status_code, wire)
-            if head.request_id == self._request_id or (
-                not head.request_id and head.not_run
-            ):
+            if head.request_id == self._request_id:
+                return head, wire
+            if not head.request_id and head.not_run:
+                if used:
+                    raise ConnectionLost("a refusal on a used connection has no id")
                 return head, wire
             log.info(
                 "skipped an answer to another request",
--- a/test/test_gateway_service.py
+++ b/test/test_gateway_service.py
@@ -72,6 +72,18 @@
         _, body, _ = await self.deployment.call("/settle/1", method="POST")
         self.assertEqual(body, b"done")
 
+    async def test_late_copy_of_a_refusal_is_no_proof_that_a_settlement_has_not_run(
+        self,
+    ):
+        """It came on a used connection and names no request; the settlement ran."""
+        first = await self.ledger(Behaviour(late_refusal=True))
+        second = await self.deployment.add("l2", "ledger", Behaviour(late_refusal=True))
+        for _ in range(6):
+            status, _, _ = await self.deployment.call("/settle/1", method="POST")
+            self.assertIn(status, (200, 502))
+        runs = [arrival.id for arrival in (*first.runs, *second.runs)]
+        self.assertEqual(len(runs), len(set(runs)))
+
     async def test_answer_without_signature_is_not_a_success(self):
         await self.ledger(Behaviour(seal=False))
         status, _, _ = await self.deployment.call("/settle/1", method="POST")
