Look senders up in a set and show the gateways that can be asked

Cause: a second read: each message scanned the list of addresses, a return value was used by nobody, and the count of peers was not shown. Change: a set of addresses, no return value, gauge gateway_peers. Tests of both modules pass; no measured run, decisions are the same.

--- a/heatherswitch/fleet/counters.py
+++ b/heatherswitch/fleet/counters.py
@@ -95,11 +95,19 @@
     :param own: id of this router.
     """
 
-    __slots__ = ("_addresses", "_missed", "_own", "_ranked", "_suspect_until")
+    __slots__ = (
+        "_addresses",
+        "_known",
+        "_missed",
+        "_own",
+        "_ranked",
+        "_suspect_until",
+    )
 
     def __init__(self, own: str) -> None:
         self._own = own
         self._addresses: dict[str, str] = {}
+        self._known: frozenset[str] = frozenset()
         # Key to the addresses of its owners in order of rank.
         self._ranked: dict[str, tuple[str, ...]] = {}
         # Address to the questions in a row that were not answered.
@@ -115,14 +123,14 @@
         """Takes the list of live routers that can be asked."""
         self._addresses = dict(addresses)
         self._ranked.clear()
-        known = set(self._addresses.values())
+        self._known = frozenset(self._addresses.values())
         for table in (self._missed, self._suspect_until):
-            for address in [a for a in table if a not in known]:
+            for address in [a for a in table if a not in self._known]:
                 del table[address]
 
     def knows(self, address: str) -> bool:
         """Tells whether a listed router has this address."""
-        return address in self._addresses.values()
+        return address in self._known
 
     def owner(self, now: float, key: str) -> str | None:
         """Returns the address of the router to ask, or None if none answers.
@@ -145,10 +153,8 @@
         self._missed.pop(address, None)
         self._suspect_until.pop(address, None)
 
-    def missed(self, now: float, address: str) -> bool:
-        """Notes a question without an answer; returns True if the router is left."""
-        count = self._missed[address] = self._missed.get(address, 0) + 1
-        if count < SUSPECT_AFTER:
-            return False
-        self._suspect_until[address] = now + SUSPECT_S
-        return True
+    def missed(self, now: float, address: str) -> None:
+        """Notes a question without an answer."""
+        self._missed[address] = self._missed.get(address, 0) + 1
+        if self._missed[address] >= SUSPECT_AFTER:
+            self._suspect_until[address] = now + SUSPECT_S
--- a/heatherswitch/gateway/peers.py
+++ b/heatherswitch/gateway/peers.py
@@ -29,7 +29,7 @@
 
 
 class PeerView:
-    """The counts that this gateway shares with the others.
+    """The counts and holders that this gateway shares with the others.
 
     :param own_id: id of this gateway in the fleet.
     :param prefixes: what this gateway knows of the holders of parts.
@@ -172,9 +172,9 @@
         # The newest may still be reading the part.
         return Holder(asked.part, known[0] if known else "")
 
-    def on_unanswered(self, now: float, peer: str) -> bool:
-        """Takes a question without an answer; returns True if the peer is left."""
-        return self._owners.missed(now, peer)
+    def on_unanswered(self, now: float, peer: str) -> None:
+        """Takes a question without an answer."""
+        self._owners.missed(now, peer)
 
     def changed(self, state: ServerState) -> None:
         """Notes that the requests of this gateway at a server changed."""
--- a/heatherswitch/gateway/telemetry.py
+++ b/heatherswitch/gateway/telemetry.py
@@ -112,6 +112,10 @@
                 "Gateways among which fleet-wide limits are divided.",
                 reducer.fleet_size,
             ),
+            "gateway_peers": (
+                "Gateways that can be asked for loads and holders, with this one.",
+                reducer.peers,
+            ),
             "gateway_server_connections_opened": (
                 "Connections opened to backend servers.",
                 pool.opened,
