--- a/heatherswitch/util/http_server.py
+++ b/heatherswitch/util/http_server.py
@@ -6,7 +6,7 @@
 import logging
 import ssl
 from collections.abc import Awaitable, Callable
-from http.client import responses
+from http import HTTPStatus
 from typing import Any
 
 import h11
@@ -26,6 +26,9 @@
 STOP_LINGER_S = 0.25
 
 
+_REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
+
+
 class Responder:
     """Writes the answer to one request."""
 
@@ -58,7 +61,7 @@
             sent.append(("Transfer-Encoding", "chunked"))
         if self._closing():
             sent.append(("Connection", "close"))
-        reason = responses.get(status, "").encode()
+        reason = _REASONS.get(status, b"")
         response = h11.Response(status_code=status, headers=sent, reason=reason)
         if hold:
             self._head = self._connection.send(response) or b""
