Accept only ASCII digits as numbers, skip engine events without a request

str.isdigit() is true for characters such as "²", for which int() raises. The deletion of a partition key that ends in one stopped FleetConfig.apply and kept the other entries of the batch from taking effect.

emulator.bench_versions ended with KeyError: events of an engine itself have no request id, and unproven_peak counted them as the end of a request.

--- a/emulator/ledger.py
+++ b/emulator/ledger.py
@@ -201,7 +201,7 @@
 
     def _token_is_current(self, request: Request) -> bool:
         token = request.header("x-fencing-token")
-        if not token.isdigit():
+        if not (token.isascii() and token.isdigit()):
             raise BadRequest(400, "X-Fencing-Token must be a number")
         scope = request.header("x-fencing-scope") or request.header("idempotency-key")
         newest = max(self._highest_tokens.get(scope, 0), int(token))
--- a/emulator/version_audit.py
+++ b/emulator/version_audit.py
@@ -57,8 +57,9 @@
     started: dict[str, float] = {}
     total = bad = 0
     for event in events:
-        request_id = event["request_id"]
         last_event_at = event["time"]
+        # Events of the engine itself, such as a changed cold period, have no request.
+        request_id = event.get("request_id")
         if event["event"] == "started":
             started[request_id] = event["time"]
             total += 1
@@ -85,6 +86,8 @@
     new_running = old_running = max_running = 0
     share = 0.0
     for at, event, is_new in sorted(merged):
+        if event != "started" and event not in END_EVENTS:
+            continue
         change = 1 if event == "started" else -1
         if is_new:
             new_running += change
--- a/heatherswitch/fleet/claim_table.py
+++ b/heatherswitch/fleet/claim_table.py
@@ -288,7 +288,7 @@
 
 def _segment_number(key: str) -> int:
     number = key.rpartition("/")[2]
-    if not number.isdigit():
+    if not (number.isascii() and number.isdigit()):
         raise RecordError(f"{key}: not a journal segment key")
     return int(number)
 
--- a/heatherswitch/fleet/config.py
+++ b/heatherswitch/fleet/config.py
@@ -97,7 +97,7 @@
 
     def _apply_head(self, entry: Entry) -> None:
         service, _, partition = entry.key[len(PARTITIONS_PREFIX) :].rpartition("/")
-        if not partition.isdigit():
+        if not (partition.isascii() and partition.isdigit()):
             raise RecordError(f"{entry.key}: not a partition key")
         if entry.value is None:
             self._heads.pop((service, int(partition)), None)
--- a/heatherswitch/gateway/store_sync.py
+++ b/heatherswitch/gateway/store_sync.py
@@ -170,7 +170,8 @@
     try:
         address = json.loads(entry.value)["owner"]
         host, _, port = address.rpartition(":")
-        return Member(member_id, address if host and port.isdigit() else "")
+        valid = host and port.isascii() and port.isdigit()
+        return Member(member_id, address if valid else "")
     except (ValueError, KeyError, TypeError, AttributeError) as error:
         log.warning(
             "membership entry is malformed",
--- a/heatherswitch/platform/headers.py
+++ b/heatherswitch/platform/headers.py
@@ -155,7 +155,8 @@
 
 
 def _parse_content_length(text: str | None) -> int | None:
-    return int(text) if text is not None and text.isdigit() else None
+    valid = text is not None and text.isascii() and text.isdigit()
+    return int(text) if valid else None
 
 
 def _parse_load(text: str) -> Load | None:
--- a/test/test_config.py
+++ b/test/test_config.py
@@ -3,7 +3,13 @@
 from dataclasses import replace
 
 from heatherswitch.fleet.config import FleetConfig
-from heatherswitch.fleet.records import Move, MoveKind, MoveState, PartitionHead
+from heatherswitch.fleet.records import (
+    PARTITIONS_PREFIX,
+    Move,
+    MoveKind,
+    MoveState,
+    PartitionHead,
+)
 from heatherswitch.fleet.settings import node_key
 from heatherswitch.statecore.replica import Entry
 
@@ -54,3 +60,16 @@
         self.config.apply([Entry(head.key, 9, head.to_bytes())])
         self.assertEqual(self.config.head("ledger", 3), replace(head, mod_revision=9))
         self.assertEqual(self.config.head("ledger", 4).owner, "")
+
+    def test_partition_key_with_a_digit_that_is_no_number_is_reported(self):
+        # "²".isdigit() is true, but int("²") raises: one such key must not keep the
+        # other entries of the batch from taking effect.
+        head = PartitionHead("ledger", 3, "a1", 7, 2, 1)
+        errors = self.config.apply(
+            [
+                Entry(PARTITIONS_PREFIX + "a/²", 8, None),
+                Entry(head.key, 9, head.to_bytes()),
+            ]
+        )
+        self.assertEqual(len(errors), 1)
+        self.assertEqual(self.config.head("ledger", 3).owner, "a1")
