Bind a gateway's listeners before its modules are imported

After a power loss or kill of all gateways, callers met refused connections while a gateway imported its modules (0.4 s), and those that had already waited for a VM without power used up their only retry on it. The new entry point reads the settings, binds both listeners and then imports the rest; callers wait in the listen queue meanwhile. They are served once the first configuration was read, or after 0.3 s, so a fresh gateway no longer answers 503 for want of it.

--- a/emulator/platform/process.py
+++ b/emulator/platform/process.py
@@ -80,7 +80,7 @@
             self._process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 "-m",
-                "heatherswitch.platform.gateway",
+                "heatherswitch.platform.launch",
                 stdout=log,
                 stderr=log,
                 env=environment,
--- a/heatherswitch/gateway/shell.py
+++ b/heatherswitch/gateway/shell.py
@@ -1,9 +1,11 @@
 """The gateway process: binds the listeners and executes the reducer's effects."""
 
 import asyncio
+import contextlib
 import itertools
 import logging
 import random
+import socket
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from typing import Any, Protocol
@@ -21,6 +23,7 @@
 from heatherswitch.util.clock import Clock
 from heatherswitch.util.http import HttpLimits, Request
 from heatherswitch.util.http_server import HttpServer, Responder
+from heatherswitch.util.listeners import bind_listener
 from heatherswitch.util.metrics import Metrics
 
 log = logging.getLogger("heatherswitch.gateway")
@@ -38,6 +41,10 @@
 # Seconds after SIGTERM during which new connections are still accepted. The platform's
 # load balancer stops sending them after two failed checks, one second apart.
 DEREGISTRATION_DELAY_S = 2.5
+# Seconds after the start for which callers wait for the first configuration. The store
+# responds within milliseconds; if it is down, callers must be refused before they give
+# up, the most hurried ones after a third of a deadline of one and a half seconds.
+START_WAIT_S = 0.3
 # Decimal places to which log lines round seconds.
 LOG_DECIMALS = 4
 
@@ -82,6 +89,8 @@
 
     :param follow_store: coroutine function that runs until it is cancelled: it feeds the
         :class:`StoreSync` from the store and keeps this gateway registered as live.
+    :param listeners: listening sockets that are already bound, by ``host:port``; the
+        others are bound by :meth:`start`.
     """
 
     __slots__ = (
@@ -90,8 +99,10 @@
         "_codec",
         "_config",
         "_configuration_version",
+        "_configured",
         "_effect_futures",
         "_follow_store",
+        "_listeners",
         "_member_id",
         "_metrics",
         "_metrics_server",
@@ -111,6 +122,7 @@
         clock: Clock,
         codec: GatewayCodec,
         follow_store: Callable[[StoreSync, Member, CurrentRollouts], Any],
+        listeners: Mapping[str, socket.socket] | None = None,
     ) -> None:
         self._config = config
         self._clock = clock
@@ -138,6 +150,9 @@
         self._tasks: list[asyncio.Task] = []
         self._stopping = False
         self._configuration_version = 0
+        # Set once a configuration was read.
+        self._configured = asyncio.Event()
+        self._listeners = dict(listeners or {})
 
     @property
     def addresses(self) -> Mapping[str, str]:
@@ -164,9 +179,15 @@
         return self._reducer.server_accepts_work(self._clock.now(), server_id)
 
     async def start(self) -> None:
-        """Binds the listeners and starts the background tasks."""
-        await _bind(self._caller_server, self._config.listen)
-        await _bind(self._ready_server, self._config.ready_listen)
+        """Binds the listeners and starts the background tasks.
+
+        Callers are served once a configuration was read, or after
+        :data:`START_WAIT_S`. Until then their connections wait in the listen queue.
+        """
+        caller_listener = self._take_listener(self._config.listen)
+        await self._ready_server.serve_listener(
+            self._take_listener(self._config.ready_listen)
+        )
         if self._config.metrics_port >= 0:
             from heatherswitch.router.health import HealthEndpoints
 
@@ -189,8 +210,15 @@
         ]
         if self._config.peer_listen:
             self._tasks.append(asyncio.create_task(self._flush_peer_counts()))
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(START_WAIT_S):
+                await self._configured.wait()
+        await self._caller_server.serve_listener(caller_listener)
         log.info("gateway started", extra={"addresses": dict(self.addresses)})
 
+    def _take_listener(self, address: str) -> socket.socket:
+        return self._listeners.pop(address, None) or bind_listener(address)
+
     async def stop(self) -> None:
         """Shuts down gracefully within ``grace_s``.
 
@@ -234,6 +262,7 @@
                 future.set_result(effect)
         if isinstance(event, ev.ConfigurationRead):
             self._apply_configured_limits()
+            self._configured.set()
 
     def _apply_configured_limits(self) -> None:
         current = self._reducer.configuration
@@ -434,8 +463,3 @@
             # Only the load balancer sees the readiness checks fail; callers on open
             # connections are told by "Connection: close".
             self._caller_server.draining = not self.ready
-
-
-async def _bind(server: HttpServer, address: str) -> None:
-    host, _, port = address.rpartition(":")
-    await server.start(host, int(port))
--- a/heatherswitch/platform/gateway.py
+++ b/heatherswitch/platform/gateway.py
@@ -1,23 +1,21 @@
-"""The ``heatherswitch-gateway`` program, which runs a gateway on the platform."""
+"""Runs a gateway on the platform."""
 
 import asyncio
 import gc
 import logging
 import signal
+import socket
 import sys
+from collections.abc import Mapping
 from dataclasses import replace
+from typing import Any
 
 from heatherswitch.gateway.rollout_owner import RolloutOwner
 from heatherswitch.gateway.shell import CurrentRollouts, Gateway, GatewayConfig
 from heatherswitch.gateway.store_sync import Member, StoreSync, maintain_membership
 from heatherswitch.platform.codec import PlatformCodec
 from heatherswitch.platform.reader import PlatformReader
-from heatherswitch.platform.settings import (
-    SettingsError,
-    parse_gateway_config,
-    read_settings,
-    settings_path,
-)
+from heatherswitch.platform.settings import parse_gateway_config
 from heatherswitch.platform.store import PlatformStore
 from heatherswitch.util.clock import Clock
 from heatherswitch.util.logs import configure_logs
@@ -29,11 +27,17 @@
 # Allocations that trigger a collection of the youngest generation. Python's default of
 # 700 causes several collections per request.
 GC_THRESHOLD = 20_000
-EXIT_USAGE = 2
 
 
-def build_gateway(config: GatewayConfig, clock: Clock) -> Gateway:
-    """Returns a gateway that uses the platform's headers, records and store."""
+def build_gateway(
+    config: GatewayConfig,
+    clock: Clock,
+    listeners: Mapping[str, socket.socket] | None = None,
+) -> Gateway:
+    """Returns a gateway that uses the platform's headers, records and store.
+
+    :param listeners: listening sockets that are already bound, by ``host:port``.
+    """
     reader = PlatformReader()
 
     async def follow_store(
@@ -55,17 +59,17 @@
         finally:
             store.close()
 
-    return Gateway(config, clock, PlatformCodec(), follow_store)
+    return Gateway(config, clock, PlatformCodec(), follow_store, listeners)
 
 
-async def serve(config: GatewayConfig) -> None:
+async def serve(config: GatewayConfig, listeners: Mapping[str, socket.socket]) -> None:
     """Runs a gateway until SIGTERM or SIGINT, then stops it gracefully."""
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, stop.set)
     loop.add_signal_handler(signal.SIGHUP, log_settings_change)
-    gateway = build_gateway(config, Clock())
+    gateway = build_gateway(config, Clock(), listeners)
     await gateway.start()
     await stop.wait()
     await gateway.stop()
@@ -80,20 +84,14 @@
     log.info("settings file changed; restart the gateway to apply it")
 
 
-def main() -> None:
-    """Reads the settings, configures logging and runs the gateway.
+def run(settings: dict[str, Any], listeners: Mapping[str, socket.socket]) -> None:
+    """Configures logging and runs the gateway until it is stopped.
 
-    Exits with status 2 if the settings cannot be used.
+    :param settings: content of the settings file.
+    :param listeners: listening sockets that are already bound, by ``host:port``.
+    :raises SettingsError: if the settings cannot be used; nothing was started.
     """
-    try:
-        config = parse_gateway_config(read_settings(settings_path()))
-    except SettingsError as error:
-        print(f"error: {error}", file=sys.stderr)
-        sys.exit(EXIT_USAGE)
+    config = parse_gateway_config(settings)
     configure_logs("heatherswitch-gateway", config.id, stream=sys.stdout)
     gc.set_threshold(GC_THRESHOLD)
-    asyncio.run(serve(replace(config, metrics_port=METRICS_PORT)))
-
-
-if __name__ == "__main__":
-    main()
+    asyncio.run(serve(replace(config, metrics_port=METRICS_PORT), listeners))
--- /dev/null
+++ b/heatherswitch/platform/launch.py
@@ -0,0 +1,55 @@
+"""Entry point of the ``heatherswitch-gateway`` program.
+
+The listeners are bound before the gateway's modules are imported, which takes most of
+the start. Callers that connect meanwhile wait for a fraction of a second in the listen
+queue; otherwise their connections would be refused.
+"""
+
+import socket
+import sys
+from typing import Any
+
+from heatherswitch.platform.settings_file import (
+    SettingsError,
+    read_settings,
+    settings_path,
+)
+from heatherswitch.util.listeners import bind_listener
+
+EXIT_USAGE = 2
+
+
+def main() -> None:
+    """Reads the settings, binds the listeners and runs the gateway.
+
+    Exits with status 2 if the settings cannot be used.
+    """
+    try:
+        settings = read_settings(settings_path())
+        listeners = bind_listeners(settings)
+
+        from heatherswitch.platform import gateway
+
+        gateway.run(settings, listeners)
+    except SettingsError as error:
+        print(f"error: {error}", file=sys.stderr)
+        sys.exit(EXIT_USAGE)
+
+
+def bind_listeners(settings: dict[str, Any]) -> dict[str, socket.socket]:
+    """Binds the listeners for callers and for readiness checks.
+
+    :returns: listening sockets by their ``host:port`` in the settings.
+    :raises SettingsError: if an address is missing, malformed or in use.
+    """
+    try:
+        addresses = [settings["listen"][name] for name in ("front", "ready")]
+        return {address: bind_listener(address) for address in addresses}
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise SettingsError(f"settings: listen: {error!r}") from error
+    except OSError as error:
+        raise SettingsError(f"settings: listen: {error}") from error
+
+
+if __name__ == "__main__":
+    main()
--- a/heatherswitch/platform/settings.py
+++ b/heatherswitch/platform/settings.py
@@ -1,17 +1,13 @@
-"""Parses the YAML settings file that the platform writes for a gateway process."""
+"""Builds a gateway's configuration from the settings that the platform writes."""
 
-import os
-from pathlib import Path
 from typing import Any
 
-import yaml
-
 from heatherswitch.fleet.shares import DEFAULT_FLEET_SIZE
 from heatherswitch.gateway.limits import Limits
 from heatherswitch.gateway.rollouts import ExposureLimit
 from heatherswitch.gateway.shell import GatewayConfig
 from heatherswitch.gateway.timing import Timing
-from heatherswitch.platform import names
+from heatherswitch.platform.settings_file import SettingsError
 from heatherswitch.util.http import HttpLimits
 
 # File descriptors that the platform reserves for files; connections use the others.
@@ -34,38 +30,6 @@
 GRACE_FRACTION = 0.9
 
 
-class SettingsError(Exception):
-    """The settings file is missing, unreadable or malformed."""
-
-
-def read_settings(path: str) -> dict[str, Any]:
-    """Loads the settings file.
-
-    :raises SettingsError: if it cannot be read or is not a YAML mapping.
-    """
-    try:
-        settings = yaml.load(Path(path).read_text(), Loader=_YAML_LOADER)
-    except (OSError, UnicodeDecodeError, yaml.YAMLError) as error:
-        raise SettingsError(f"{path}: {error}") from error
-    if not isinstance(settings, dict):
-        raise SettingsError(f"{path}: the settings are not a YAML mapping")
-    return settings
-
-
-_YAML_LOADER = getattr(yaml, "CSafeLoader", yaml.SafeLoader)
-
-
-def settings_path() -> str:
-    """Returns the path of the settings file.
-
-    :raises SettingsError: if the environment variable is not set.
-    """
-    path = os.environ.get(names.SETTINGS_VARIABLE, "")
-    if not path:
-        raise SettingsError(f"{names.SETTINGS_VARIABLE} is not set")
-    return path
-
-
 def _peer_listen_address(settings: dict[str, Any]) -> str:
     """Returns the ``host:port`` on which datagrams of other gateways are received.
 
--- a/heatherswitch/ui/gateway_commands.py
+++ b/heatherswitch/ui/gateway_commands.py
@@ -97,9 +97,9 @@
 
         :raises UserError: if the file cannot be read or a setting is invalid.
         """
-        from heatherswitch.platform.settings import (
+        from heatherswitch.platform.settings import parse_gateway_config
+        from heatherswitch.platform.settings_file import (
             SettingsError,
-            parse_gateway_config,
             read_settings,
         )
 
--- a/heatherswitch/util/http_server.py
+++ b/heatherswitch/util/http_server.py
@@ -4,6 +4,7 @@
 import contextlib
 import json
 import logging
+import socket
 import ssl
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
@@ -18,11 +19,10 @@
     HttpLimits,
     Request,
 )
+from heatherswitch.util.listeners import LISTEN_BACKLOG
 
 log = logging.getLogger("heatherswitch.http_server")
 
-# Maximum number of connections that wait to be accepted.
-LISTEN_BACKLOG = 1024
 # Seconds after which a caller that reads nothing of its response is disconnected.
 WRITE_STALL_TIMEOUT_S = 15.0
 # Iterations of the event loop from accepting a connection to running its task.
@@ -202,13 +202,18 @@
 
         :raises OSError: if the address cannot be bound.
         """
+        await self._serve(host=host, port=port, ssl=tls)
+
+    async def serve_listener(self, listener: socket.socket) -> None:
+        """Starts to accept the connections of a listener that is already bound."""
+        await self._serve(sock=listener)
+
+    async def _serve(self, **options: Any) -> None:
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
             lambda: _StreamProtocol(self._on_connection, loop),
-            host,
-            port,
-            ssl=tls,
             backlog=LISTEN_BACKLOG,
+            **options,
         )
         self._port = self._server.sockets[0].getsockname()[1]
 
--- a/test/test_deploy.py
+++ b/test/test_deploy.py
@@ -15,6 +15,7 @@
 LIST_IMPORTS = """
 import json, sys
 import heatherswitch.platform.gateway
+import heatherswitch.platform.launch
 import heatherswitch.router.health
 print(json.dumps(sorted({name.split(".")[0] for name in sys.modules})))
 """
