Revert sending chats to a server that has their prompt cached

Hypothesis: a chat whose preferred server lacks its prompt stays at the server that has it, so that a new server causes no copies. Gateways know only some holders, so those that knew none sent the same chat to the preferred server and its parts were read there again; one copy less also survives when the holder leaves. Verdict: reverted.

--- a/heatherswitch/gateway/selection.py
+++ b/heatherswitch/gateway/selection.py
@@ -156,15 +156,13 @@
             return loads[state.record.id] < LOAD_BOUND_FACTOR * mean + LOAD_BOUND_SLACK
 
         ranked = sorted(ready, key=_affinity_rank(request))
-        holders = self._prefixes.holders(request.affinity_key)
-        if is_below_bound(ranked[0]) and (ranked[0].record.id in holders):
+        if is_below_bound(ranked[0]):
             return Choice(ranked[0], "affinity")
         below_bound = [s for s in ranked if is_below_bound(s)]
+        holders = self._prefixes.holders(request.affinity_key)
         for state in below_bound:
             if state.record.id in holders:
-                return Choice(state, "prompt cached")
-        if is_below_bound(ranked[0]):
-            return Choice(ranked[0], "affinity")
+                return Choice(state, "load bound, prompt cached")
         if below_bound:
             return Choice(below_bound[0], "load bound")
         least = min(ranked, key=lambda s: loads[s.record.id])
