--- a/emulator/platform/deployment.py
+++ b/emulator/platform/deployment.py
@@ -1,7 +1,6 @@
 """A gateway with stand-ins for the platform's store and backend servers, in one process."""
 
 import asyncio
-from dataclasses import replace
 
 from emulator.platform.server import Behaviour, PlatformServer
 from emulator.platform.store import PlatformStoreServer
@@ -101,7 +100,7 @@
             grace_s=4.0,
         )
         if limits is not None:
-            config = replace(config, limits=limits)
+            config = config.replace(limits=limits)
         self.gateway = build_gateway(config, self.clock)
         await self.gateway.start()
         await self.wait_until(lambda: self.gateway.ready)
--- a/heatherswitch/fleet/counters.py
+++ b/heatherswitch/fleet/counters.py
@@ -6,9 +6,9 @@
 """
 
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass
 
 from heatherswitch.statecore.hashing import rendezvous_order
+from heatherswitch.util.record import Record
 
 # Time after which a reported count expires, in seconds.
 COUNT_TTL_S = 3.0
@@ -23,22 +23,33 @@
 MAX_OWNERS = 2
 
 
-@dataclass(frozen=True, slots=True)
-class Count:
+class Count(Record):
     """Count for one key, of one router or summed over several.
 
     :param key: identifies what is counted, for example the requests at a server.
     """
 
-    key: str
-    value: int
+    __slots__ = (
+        "key",
+        "value",
+    )
+
+    def __init__(self, key: str, value: int) -> None:
+        self.key = key
+        self.value = value
 
 
-@dataclass(slots=True)
-class _Contribution:
-    value: int
-    number: int
-    reported_at: float
+class _Contribution(Record):
+    __slots__ = (
+        "value",
+        "number",
+        "reported_at",
+    )
+
+    def __init__(self, value: int, number: int, reported_at: float) -> None:
+        self.value = value
+        self.number = number
+        self.reported_at = reported_at
 
 
 class SharedCounters:
--- a/heatherswitch/fleet/evidence.py
+++ b/heatherswitch/fleet/evidence.py
@@ -8,9 +8,9 @@
 """
 
 import math
-from dataclasses import dataclass
 
 from heatherswitch.fleet.rollout import Counts, Verdict, VersionTest, Window
+from heatherswitch.util.record import Record
 
 # Minimum length of a window, in seconds.
 WINDOW_S = 1.0
@@ -29,8 +29,10 @@
 RecordKey = tuple[str, str, float]
 
 
-@dataclass(frozen=True, slots=True)
-class EvidenceRecord:
+NO_COUNTS = Counts()
+
+
+class EvidenceRecord(Record):
     """Totals of one router and route at one share of the starting version.
 
     Totals of different shares are kept apart. If they were added up, the versions would
@@ -42,14 +44,36 @@
     :param sequence: number of windows in the totals, from 1.
     """
 
-    move: str
-    router: str
-    incarnation: int
-    sequence: int
-    route: str
-    share: float
-    active: Counts
-    starting: Counts
+    __slots__ = (
+        "move",
+        "router",
+        "incarnation",
+        "sequence",
+        "route",
+        "share",
+        "active",
+        "starting",
+    )
+
+    def __init__(
+        self,
+        move: str,
+        router: str,
+        incarnation: int,
+        sequence: int,
+        route: str,
+        share: float,
+        active: Counts,
+        starting: Counts,
+    ) -> None:
+        self.move = move
+        self.router = router
+        self.incarnation = incarnation
+        self.sequence = sequence
+        self.route = route
+        self.share = share
+        self.active = active
+        self.starting = starting
 
     @property
     def key(self) -> "RecordKey":
@@ -62,8 +86,7 @@
         return (self.incarnation, self.sequence)
 
 
-@dataclass(frozen=True, slots=True)
-class Judgement:
+class Judgement(Record):
     """Current result of the evidence about a running move.
 
     :param reason: route and signal that led to ``BAD``; empty otherwise.
@@ -74,12 +97,30 @@
     :param excess_standard_errors: ``excess`` in standard errors.
     """
 
-    verdict: Verdict = Verdict.UNDECIDED
-    reason: str = ""
-    seen: Counts = Counts()
-    step: Counts = Counts()
-    excess: float = 0.0
-    excess_standard_errors: float = 0.0
+    __slots__ = (
+        "verdict",
+        "reason",
+        "seen",
+        "step",
+        "excess",
+        "excess_standard_errors",
+    )
+
+    def __init__(
+        self,
+        verdict: Verdict = Verdict.UNDECIDED,
+        reason: str = "",
+        seen: Counts = NO_COUNTS,
+        step: Counts = NO_COUNTS,
+        excess: float = 0.0,
+        excess_standard_errors: float = 0.0,
+    ) -> None:
+        self.verdict = verdict
+        self.reason = reason
+        self.seen = seen
+        self.step = step
+        self.excess = excess
+        self.excess_standard_errors = excess_standard_errors
 
 
 class _StepEvidence:
--- a/heatherswitch/fleet/peer_messages.py
+++ b/heatherswitch/fleet/peer_messages.py
@@ -4,13 +4,13 @@
 or version, so that two releases can run side by side.
 """
 
-from dataclasses import dataclass
 from enum import IntEnum
 from typing import Any
 
 import msgpack
 
 from heatherswitch.fleet.counters import Count
+from heatherswitch.util.record import Record
 
 VERSION = 1
 # Largest number of counts and holders in a message, so that a datagram fits into one
@@ -34,20 +34,24 @@
     TOLD = 3
 
 
-@dataclass(frozen=True, slots=True)
-class PrefixHolder:
+class PrefixHolder(Record):
     """A server that has a part of prompts in its prefix cache.
 
     :param part: id of the prompt part.
     :param server: id of the server, or an empty string for none.
     """
 
-    part: str
-    server: str
+    __slots__ = (
+        "part",
+        "server",
+    )
+
+    def __init__(self, part: str, server: str) -> None:
+        self.part = part
+        self.server = server
 
 
-@dataclass(frozen=True, slots=True)
-class PeerMessage:
+class PeerMessage(Record):
     """One message.
 
     :param run: run number of the sender, which differs between its starts.
@@ -58,12 +62,30 @@
         response, another server that holds the part.
     """
 
-    kind: MessageKind
-    run: int
-    number: int
-    question: int
-    counts: tuple[Count, ...]
-    holders: tuple[PrefixHolder, ...] = ()
+    __slots__ = (
+        "kind",
+        "run",
+        "number",
+        "question",
+        "counts",
+        "holders",
+    )
+
+    def __init__(
+        self,
+        kind: MessageKind,
+        run: int,
+        number: int,
+        question: int,
+        counts: tuple[Count, ...],
+        holders: tuple[PrefixHolder, ...] = (),
+    ) -> None:
+        self.kind = kind
+        self.run = run
+        self.number = number
+        self.question = question
+        self.counts = counts
+        self.holders = holders
 
 
 def encode(message: PeerMessage) -> bytes:
--- a/heatherswitch/fleet/rollout.py
+++ b/heatherswitch/fleet/rollout.py
@@ -10,10 +10,11 @@
 """
 
 import math
-from dataclasses import dataclass
 from enum import Enum
 from typing import Protocol
 
+from heatherswitch.util.record import Record
+
 # A version whose failure rate exceeds the active one's by this must not be proven.
 TOLERATED_EXCESS = 0.1
 # Probability that a version beyond TOLERATED_EXCESS is proven.
@@ -46,8 +47,7 @@
 LIFTS = {Signal.FAILURE: (0.03, 0.1, 0.3, 0.7), Signal.SLOW: (0.3, 0.7)}
 
 
-@dataclass(frozen=True, slots=True)
-class Counts:
+class Counts(Record):
     """Counts of the responses of one version.
 
     :param requests: requests that ended.
@@ -57,10 +57,20 @@
         that the router applied to both versions in the same window.
     """
 
-    requests: int = 0
-    failures: int = 0
-    timed: int = 0
-    slow: int = 0
+    __slots__ = (
+        "requests",
+        "failures",
+        "timed",
+        "slow",
+    )
+
+    def __init__(
+        self, requests: int = 0, failures: int = 0, timed: int = 0, slow: int = 0
+    ) -> None:
+        self.requests = requests
+        self.failures = failures
+        self.timed = timed
+        self.slow = slow
 
     def __add__(self, other: "Counts") -> "Counts":
         return Counts(
@@ -92,13 +102,19 @@
         return self.failures if signal is Signal.FAILURE else self.slow
 
 
-@dataclass(frozen=True, slots=True)
-class Window:
+class Window(Record):
     """Counts of both versions on one route in the same window."""
 
-    route: str
-    active: Counts
-    starting: Counts
+    __slots__ = (
+        "route",
+        "active",
+        "starting",
+    )
+
+    def __init__(self, route: str, active: Counts, starting: Counts) -> None:
+        self.route = route
+        self.active = active
+        self.starting = starting
 
 
 class VersionTest(Protocol):
--- a/heatherswitch/gateway/admission.py
+++ b/heatherswitch/gateway/admission.py
@@ -1,10 +1,9 @@
 """Decides whether the configuration in force admits a request. Performs no I/O."""
 
-from dataclasses import dataclass
-
 from heatherswitch.gateway.current_configuration import CurrentConfiguration
 from heatherswitch.gateway.model import CallerRequest, Route, Service, Workspace
 from heatherswitch.statecore.hashing import unit_hash
+from heatherswitch.util.record import Record
 
 # Values of Retry-After, in seconds: the time in which a queue drains, and a short one
 # for refusals that only concern this gateway, since a retry reaches another one.
@@ -12,30 +11,51 @@
 RETRY_ELSEWHERE_S = 0.05
 
 
-@dataclass(frozen=True, slots=True)
-class Admitted:
+class Admitted(Record):
     """Route, service and workspace of an admitted request.
 
     :param workspace: None on a route that needs no API key.
     :param timeout_s: seconds within which the caller must have its response.
     """
 
-    route: Route
-    service: Service
-    workspace: Workspace | None
-    timeout_s: float
-
-
-@dataclass(frozen=True, slots=True)
-class Denied:
+    __slots__ = (
+        "route",
+        "service",
+        "workspace",
+        "timeout_s",
+    )
+
+    def __init__(
+        self,
+        route: Route,
+        service: Service,
+        workspace: Workspace | None,
+        timeout_s: float,
+    ) -> None:
+        self.route = route
+        self.service = service
+        self.workspace = workspace
+        self.timeout_s = timeout_s
+
+
+class Denied(Record):
     """The request is refused immediately.
 
     :param retry_after_s: None if a retry would not help.
     """
 
-    status: int
-    reason: str
-    retry_after_s: float | None = None
+    __slots__ = (
+        "status",
+        "reason",
+        "retry_after_s",
+    )
+
+    def __init__(
+        self, status: int, reason: str, retry_after_s: float | None = None
+    ) -> None:
+        self.status = status
+        self.reason = reason
+        self.retry_after_s = retry_after_s
 
 
 def admit(
--- a/heatherswitch/gateway/events.py
+++ b/heatherswitch/gateway/events.py
@@ -14,6 +14,7 @@
 )
 from heatherswitch.gateway.rollout_records import Progress
 from heatherswitch.gateway.rollouts import RolloutOrder, RolloutState
+from heatherswitch.util.record import Record
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,19 +76,23 @@
 Outcome = NotSent | Rejected | FailedAnswer | Broken | Completed
 
 
-@dataclass(frozen=True, slots=True)
-class RequestArrived:
+class RequestArrived(Record):
     """A caller's request was read completely.
 
     :param serial: number of the request, unique within this process.
     """
 
-    serial: int
-    request: CallerRequest
+    __slots__ = (
+        "serial",
+        "request",
+    )
 
+    def __init__(self, serial: int, request: CallerRequest) -> None:
+        self.serial = serial
+        self.request = request
 
-@dataclass(frozen=True, slots=True)
-class ResponseStarted:
+
+class ResponseStarted(Record):
     """The status line and headers of a response arrived.
 
     :param load: load that the server reports in the headers, or None.
@@ -96,73 +101,108 @@
     :param cold_for_s: seconds for which the server says that it stays cold; 0 if warm.
     """
 
-    serial: int
-    load: Load | None
-    first_byte_s: float
-    success: bool
-    cold_for_s: float = 0.0
-
-
-@dataclass(frozen=True, slots=True)
-class AttemptEnded:
+    __slots__ = (
+        "serial",
+        "load",
+        "first_byte_s",
+        "success",
+        "cold_for_s",
+    )
+
+    def __init__(
+        self,
+        serial: int,
+        load: Load | None,
+        first_byte_s: float,
+        success: bool,
+        cold_for_s: float = 0.0,
+    ) -> None:
+        self.serial = serial
+        self.load = load
+        self.first_byte_s = first_byte_s
+        self.success = success
+        self.cold_for_s = cold_for_s
+
+
+class AttemptEnded(Record):
     """An attempt to serve a request at a backend server ended."""
 
-    serial: int
-    outcome: Outcome
+    __slots__ = (
+        "serial",
+        "outcome",
+    )
 
+    def __init__(self, serial: int, outcome: Outcome) -> None:
+        self.serial = serial
+        self.outcome = outcome
 
-@dataclass(frozen=True, slots=True)
-class CallerDisconnected:
+
+class CallerDisconnected(Record):
     """The caller closed its connection before the response was complete."""
 
-    serial: int
+    __slots__ = ("serial",)
 
+    def __init__(self, serial: int) -> None:
+        self.serial = serial
 
-@dataclass(frozen=True, slots=True)
-class ConfigurationRead:
+
+class ConfigurationRead(Record):
     """A version of the operators' configuration was read from the store."""
 
-    configuration: Configuration
+    __slots__ = ("configuration",)
 
+    def __init__(self, configuration: Configuration) -> None:
+        self.configuration = configuration
 
-@dataclass(frozen=True, slots=True)
-class StoreConfirmed:
+
+class StoreConfirmed(Record):
     """Everything read from the store so far was up to date at a point in time.
 
     :param current_at: that time, in seconds of the reducer's clock.
     """
 
-    current_at: float
+    __slots__ = ("current_at",)
 
+    def __init__(self, current_at: float) -> None:
+        self.current_at = current_at
 
-@dataclass(frozen=True, slots=True)
-class ServerListed:
+
+class ServerListed(Record):
     """A backend server's entry in the store was added or updated."""
 
-    server: Server
+    __slots__ = ("server",)
 
+    def __init__(self, server: Server) -> None:
+        self.server = server
 
-@dataclass(frozen=True, slots=True)
-class ServerRemoved:
+
+class ServerRemoved(Record):
     """A backend server's entry was removed from the store.
 
     :param after_outage: the store was unreachable shortly before, so the entry may have
         expired although the server is alive.
     """
 
-    server_id: str
-    after_outage: bool
+    __slots__ = (
+        "server_id",
+        "after_outage",
+    )
 
+    def __init__(self, server_id: str, after_outage: bool) -> None:
+        self.server_id = server_id
+        self.after_outage = after_outage
 
-@dataclass(frozen=True, slots=True)
-class ZonesOut:
+
+class ZonesOut(Record):
     """The set of zones that operators have taken out of service changed."""
 
-    zones: frozenset[str]
+    __slots__ = ("zones",)
 
+    def __init__(self, zones: frozenset[str]) -> None:
+        self.zones = zones
 
-@dataclass(frozen=True, slots=True)
-class RoutersListed:
+
+class RoutersListed(Record):
     """The list of live routers in the fleet changed.
 
     :param ids: ids of all live routers, including this one.
@@ -170,53 +210,84 @@
         from other routers; routers that receive none are left out.
     """
 
-    ids: tuple[str, ...]
-    addresses: tuple[tuple[str, str], ...] = ()
+    __slots__ = (
+        "ids",
+        "addresses",
+    )
 
+    def __init__(
+        self, ids: tuple[str, ...], addresses: tuple[tuple[str, str], ...] = ()
+    ) -> None:
+        self.ids = ids
+        self.addresses = addresses
 
-@dataclass(frozen=True, slots=True)
-class RolloutOrdered:
+
+class RolloutOrdered(Record):
     """An operator ordered a rollout of another version of a service.
 
     :param order: None if the order was withdrawn.
     """
 
-    service: str
-    order: RolloutOrder | None
+    __slots__ = (
+        "service",
+        "order",
+    )
 
+    def __init__(self, service: str, order: RolloutOrder | None) -> None:
+        self.service = service
+        self.order = order
 
-@dataclass(frozen=True, slots=True)
-class RolloutStatusRead:
+
+class RolloutStatusRead(Record):
     """The recorded state of a rollout was read from the store.
 
     :param target: version that the rollout moves the service to.
     :param revision: store revision of the record.
     """
 
-    service: str
-    target: str
-    state: RolloutState
-    revision: int
+    __slots__ = (
+        "service",
+        "target",
+        "state",
+        "revision",
+    )
 
+    def __init__(
+        self, service: str, target: str, state: RolloutState, revision: int
+    ) -> None:
+        self.service = service
+        self.target = target
+        self.state = state
+        self.revision = revision
 
-@dataclass(frozen=True, slots=True)
-class RolloutProgressRead:
+
+class RolloutProgressRead(Record):
     """The progress record that the owner of a rollout keeps was read."""
 
-    service: str
-    progress: Progress
+    __slots__ = (
+        "service",
+        "progress",
+    )
 
+    def __init__(self, service: str, progress: Progress) -> None:
+        self.service = service
+        self.progress = progress
 
-@dataclass(frozen=True, slots=True)
-class RolloutEvidenceRead:
+
+class RolloutEvidenceRead(Record):
     """Per-version request counts of another gateway during a rollout were read."""
 
-    service: str
-    records: tuple[EvidenceRecord, ...]
+    __slots__ = (
+        "service",
+        "records",
+    )
 
+    def __init__(self, service: str, records: tuple[EvidenceRecord, ...]) -> None:
+        self.service = service
+        self.records = records
 
-@dataclass(frozen=True, slots=True)
-class LoadReplyReceived:
+
+class LoadReplyReceived(Record):
     """The owner of a server's request count replied to :class:`QueryLoad`.
 
     :param peer: address of the owner.
@@ -224,34 +295,52 @@
     :param other_requests: requests of all other gateways at the server.
     """
 
-    serial: int
-    peer: str
-    key: str
-    other_requests: int
+    __slots__ = (
+        "serial",
+        "peer",
+        "key",
+        "other_requests",
+    )
 
+    def __init__(self, serial: int, peer: str, key: str, other_requests: int) -> None:
+        self.serial = serial
+        self.peer = peer
+        self.key = key
+        self.other_requests = other_requests
 
-@dataclass(frozen=True, slots=True)
-class PrefixOwnerReplyReceived:
+
+class PrefixOwnerReplyReceived(Record):
     """The owner of a prompt part replied to :class:`QueryHolder`.
 
     :param holder: the part and a server that has it cached, if one is known.
     """
 
-    serial: int
-    peer: str
-    holder: PrefixHolder
+    __slots__ = (
+        "serial",
+        "peer",
+        "holder",
+    )
 
+    def __init__(self, serial: int, peer: str, holder: PrefixHolder) -> None:
+        self.serial = serial
+        self.peer = peer
+        self.holder = holder
 
-@dataclass(frozen=True, slots=True)
-class PeerQueryFailed:
+
+class PeerQueryFailed(Record):
     """Another gateway did not reply to a query in time, or not with what was asked."""
 
-    serial: int
-    peer: str
+    __slots__ = (
+        "serial",
+        "peer",
+    )
 
+    def __init__(self, serial: int, peer: str) -> None:
+        self.serial = serial
+        self.peer = peer
 
-@dataclass(frozen=True, slots=True)
-class PeerCountsReceived:
+
+class PeerCountsReceived(Record):
     """Another gateway sent its own request counts.
 
     :param peer: address of the sender.
@@ -262,31 +351,56 @@
         them cached, each with the server that the request is about to go to.
     """
 
-    peer: str
-    incarnation: int
-    sequence: int
-    counts: tuple[Count, ...]
-    wants_reply: bool
-    holders: tuple[PrefixHolder, ...] = ()
-
-
-@dataclass(frozen=True, slots=True)
-class ServiceTotalsReceived:
+    __slots__ = (
+        "peer",
+        "incarnation",
+        "sequence",
+        "counts",
+        "wants_reply",
+        "holders",
+    )
+
+    def __init__(
+        self,
+        peer: str,
+        incarnation: int,
+        sequence: int,
+        counts: tuple[Count, ...],
+        wants_reply: bool,
+        holders: tuple[PrefixHolder, ...] = (),
+    ) -> None:
+        self.peer = peer
+        self.incarnation = incarnation
+        self.sequence = sequence
+        self.counts = counts
+        self.wants_reply = wants_reply
+        self.holders = holders
+
+
+class ServiceTotalsReceived(Record):
     """Another gateway sent the sums of all other gateways' counts for whole services."""
 
-    peer: str
-    counts: tuple[Count, ...]
+    __slots__ = (
+        "peer",
+        "counts",
+    )
 
+    def __init__(self, peer: str, counts: tuple[Count, ...]) -> None:
+        self.peer = peer
+        self.counts = counts
 
-@dataclass(frozen=True, slots=True)
-class PeerFlushDue:
+
+class PeerFlushDue(Record):
     """Changed counts are due to be sent to the other gateways."""
 
+    __slots__ = ()
 
-@dataclass(frozen=True, slots=True)
-class Tick:
+
+class Tick(Record):
     """Periodic event that lets the reducer act on the passage of time."""
 
+    __slots__ = ()
+
 
 Event = (
     RequestArrived
@@ -313,8 +427,7 @@
 )
 
 
-@dataclass(frozen=True, slots=True)
-class Forward:
+class Forward(Record):
     """Send the request to a backend server.
 
     :param copy_source: server that has more of the prompt cached and from which
@@ -325,109 +438,186 @@
     :param reason: which rule decided the choice, for the log.
     """
 
-    serial: int
-    server: Server
-    copy_source: Server | None
-    route: Route
-    workspace: str
-    priority: int
-    deadline_at: float
-    stall_timeout_s: float | None
-    reason: str
-
-
-@dataclass(frozen=True, slots=True)
-class Refuse:
+    __slots__ = (
+        "serial",
+        "server",
+        "copy_source",
+        "route",
+        "workspace",
+        "priority",
+        "deadline_at",
+        "stall_timeout_s",
+        "reason",
+    )
+
+    def __init__(
+        self,
+        serial: int,
+        server: Server,
+        copy_source: Server | None,
+        route: Route,
+        workspace: str,
+        priority: int,
+        deadline_at: float,
+        stall_timeout_s: float | None,
+        reason: str,
+    ) -> None:
+        self.serial = serial
+        self.server = server
+        self.copy_source = copy_source
+        self.route = route
+        self.workspace = workspace
+        self.priority = priority
+        self.deadline_at = deadline_at
+        self.stall_timeout_s = stall_timeout_s
+        self.reason = reason
+
+
+class Refuse(Record):
     """Respond to the caller with an error status generated by the gateway.
 
     :param retry_after_s: seconds after which the caller should retry; None if a retry
         would not help.
     """
 
-    serial: int
-    status: int
-    reason: str
-    retry_after_s: float | None = None
+    __slots__ = (
+        "serial",
+        "status",
+        "reason",
+        "retry_after_s",
+    )
 
+    def __init__(
+        self, serial: int, status: int, reason: str, retry_after_s: float | None = None
+    ) -> None:
+        self.serial = serial
+        self.status = status
+        self.reason = reason
+        self.retry_after_s = retry_after_s
 
-@dataclass(frozen=True, slots=True)
-class Relay:
+
+class Relay(Record):
     """Deliver the buffered error response of the last attempt."""
 
-    serial: int
+    __slots__ = ("serial",)
 
+    def __init__(self, serial: int) -> None:
+        self.serial = serial
 
-@dataclass(frozen=True, slots=True)
-class Cut:
+
+class Cut(Record):
     """Abort the caller's connection because part of a response was already sent."""
 
-    serial: int
-    reason: str
+    __slots__ = (
+        "serial",
+        "reason",
+    )
 
+    def __init__(self, serial: int, reason: str) -> None:
+        self.serial = serial
+        self.reason = reason
 
-@dataclass(frozen=True, slots=True)
-class Finish:
+
+class Finish(Record):
     """The request is complete and needs no further action."""
 
-    serial: int
+    __slots__ = ("serial",)
 
+    def __init__(self, serial: int) -> None:
+        self.serial = serial
 
-@dataclass(frozen=True, slots=True)
-class QueryLoad:
+
+class QueryLoad(Record):
     """Ask the owner of a server's request count for it before forwarding a request.
 
     :param peer: address of the owner.
     :param count: requests of this gateway at the server, including the new one.
     """
 
-    serial: int
-    peer: str
-    count: Count
+    __slots__ = (
+        "serial",
+        "peer",
+        "count",
+    )
 
+    def __init__(self, serial: int, peer: str, count: Count) -> None:
+        self.serial = serial
+        self.peer = peer
+        self.count = count
 
-@dataclass(frozen=True, slots=True)
-class QueryHolder:
+
+class QueryHolder(Record):
     """Ask the owner of a prompt part which server has it cached.
 
     :param peer: address of the owner.
     :param holder: the part, and the server that the request is about to go to.
     """
 
-    serial: int
-    peer: str
-    holder: PrefixHolder
+    __slots__ = (
+        "serial",
+        "peer",
+        "holder",
+    )
 
+    def __init__(self, serial: int, peer: str, holder: PrefixHolder) -> None:
+        self.serial = serial
+        self.peer = peer
+        self.holder = holder
 
-@dataclass(frozen=True, slots=True)
-class SendCounts:
+
+class SendCounts(Record):
     """Send counts of this gateway to another one.
 
     :param wants_reply: ask for the sum of all other gateways' counts.
     """
 
-    peer: str
-    counts: tuple[Count, ...]
-    wants_reply: bool = False
+    __slots__ = (
+        "peer",
+        "counts",
+        "wants_reply",
+    )
 
+    def __init__(
+        self, peer: str, counts: tuple[Count, ...], wants_reply: bool = False
+    ) -> None:
+        self.peer = peer
+        self.counts = counts
+        self.wants_reply = wants_reply
 
-@dataclass(frozen=True, slots=True)
-class ReplyToPeer:
+
+class ReplyToPeer(Record):
     """Reply to a query of another gateway.
 
     :param in_reply_to: sequence number of the query.
     """
 
-    peer: str
-    in_reply_to: int
-    counts: tuple[Count, ...]
-    holders: tuple[PrefixHolder, ...] = ()
-
-
-@dataclass(frozen=True, slots=True)
-class RejectPeerMessage:
+    __slots__ = (
+        "peer",
+        "in_reply_to",
+        "counts",
+        "holders",
+    )
+
+    def __init__(
+        self,
+        peer: str,
+        in_reply_to: int,
+        counts: tuple[Count, ...],
+        holders: tuple[PrefixHolder, ...] = (),
+    ) -> None:
+        self.peer = peer
+        self.in_reply_to = in_reply_to
+        self.counts = counts
+        self.holders = holders
+
+
+class RejectPeerMessage(Record):
     """Ignore a message whose sender is not on the list of live routers."""
 
-    peer: str
+    __slots__ = ("peer",)
+
+    def __init__(self, peer: str) -> None:
+        self.peer = peer
 
 
 PeerEffect = SendCounts | ReplyToPeer | RejectPeerMessage
--- a/heatherswitch/gateway/limits.py
+++ b/heatherswitch/gateway/limits.py
@@ -1,14 +1,15 @@
 """Limits that the settings of a deployment set for its gateways."""
 
-from dataclasses import dataclass
-
 from heatherswitch.fleet.shares import DEFAULT_FLEET_SIZE
 from heatherswitch.gateway.rollouts import ExposureLimit
 from heatherswitch.gateway.timing import Timing
+from heatherswitch.util.record import Record
+
+DEFAULT_EXPOSURE = ExposureLimit()
+DEFAULT_TIMING = Timing.from_bounds()
 
 
-@dataclass(frozen=True, slots=True)
-class Limits:
+class Limits(Record):
     """Limits of one gateway, most of them derived from fleet-wide ones.
 
     :param key_max_age_s: age of the configuration up to which API keys are accepted.
@@ -20,9 +21,27 @@
         routers can be complete.
     """
 
-    key_max_age_s: float = 4.5
-    budget_ratio: float = 0.2
-    budget_slack: float = 50.0
-    exposure: ExposureLimit = ExposureLimit()
-    timing: Timing = Timing.from_bounds()
-    expected_fleet: int = DEFAULT_FLEET_SIZE
+    __slots__ = (
+        "key_max_age_s",
+        "budget_ratio",
+        "budget_slack",
+        "exposure",
+        "timing",
+        "expected_fleet",
+    )
+
+    def __init__(
+        self,
+        key_max_age_s: float = 4.5,
+        budget_ratio: float = 0.2,
+        budget_slack: float = 50.0,
+        exposure: ExposureLimit = DEFAULT_EXPOSURE,
+        timing: Timing = DEFAULT_TIMING,
+        expected_fleet: int = DEFAULT_FLEET_SIZE,
+    ) -> None:
+        self.key_max_age_s = key_max_age_s
+        self.budget_ratio = budget_ratio
+        self.budget_slack = budget_slack
+        self.exposure = exposure
+        self.timing = timing
+        self.expected_fleet = expected_fleet
--- a/heatherswitch/gateway/model.py
+++ b/heatherswitch/gateway/model.py
@@ -1,8 +1,9 @@
 """Data model of the gateway: routes, services, workspaces, servers and requests."""
 
-from dataclasses import dataclass, field
 from enum import Enum
 
+from heatherswitch.util.record import Record
+
 
 class RequestKind(Enum):
     """Determines whether a request may be retried after it may have run."""
@@ -12,8 +13,7 @@
     STREAMING = "streaming"
 
 
-@dataclass(frozen=True, slots=True)
-class Route:
+class Route(Record):
     """Routing rule for requests of one host and path prefix.
 
     :param service_weights: pairs of a service and its share of the traffic, as a
@@ -28,18 +28,48 @@
     :param regions: regions whose servers may serve the route; empty for all.
     """
 
-    name: str
-    host: str
-    prefix: str
-    kind: RequestKind
-    service_weights: tuple[tuple[str, float], ...]
-    timeout_s: float
-    latency_objective_s: float
-    priority: int
-    max_servers: int
-    anonymous: bool = False
-    resumable: bool = False
-    regions: frozenset[str] = frozenset()
+    __slots__ = (
+        "name",
+        "host",
+        "prefix",
+        "kind",
+        "service_weights",
+        "timeout_s",
+        "latency_objective_s",
+        "priority",
+        "max_servers",
+        "anonymous",
+        "resumable",
+        "regions",
+    )
+
+    def __init__(
+        self,
+        name: str,
+        host: str,
+        prefix: str,
+        kind: RequestKind,
+        service_weights: tuple[tuple[str, float], ...],
+        timeout_s: float,
+        latency_objective_s: float,
+        priority: int,
+        max_servers: int,
+        anonymous: bool = False,
+        resumable: bool = False,
+        regions: frozenset[str] = frozenset(),
+    ) -> None:
+        self.name = name
+        self.host = host
+        self.prefix = prefix
+        self.kind = kind
+        self.service_weights = service_weights
+        self.timeout_s = timeout_s
+        self.latency_objective_s = latency_objective_s
+        self.priority = priority
+        self.max_servers = max_servers
+        self.anonymous = anonymous
+        self.resumable = resumable
+        self.regions = regions
 
     @property
     def retryable(self) -> bool:
@@ -49,8 +79,7 @@
         return self.kind is RequestKind.SAFE
 
 
-@dataclass(frozen=True, slots=True)
-class Service:
+class Service(Record):
     """A pool of backend servers that run the same application.
 
     :param max_connections: connections that one backend server accepts.
@@ -61,59 +90,117 @@
     :param slots: requests that an engine runs concurrently; 0 if unknown.
     """
 
-    name: str
-    max_connections: int
-    cold_rate: float
-    warmup_s: float
-    is_model: bool
-    slots: int = 0
-
-
-@dataclass(frozen=True, slots=True)
-class Workspace:
+    __slots__ = (
+        "name",
+        "max_connections",
+        "cold_rate",
+        "warmup_s",
+        "is_model",
+        "slots",
+    )
+
+    def __init__(
+        self,
+        name: str,
+        max_connections: int,
+        cold_rate: float,
+        warmup_s: float,
+        is_model: bool,
+        slots: int = 0,
+    ) -> None:
+        self.name = name
+        self.max_connections = max_connections
+        self.cold_rate = cold_rate
+        self.warmup_s = warmup_s
+        self.is_model = is_model
+        self.slots = slots
+
+
+class Workspace(Record):
     """A customer, identified by its API keys.
 
     :param priority: overrides the priority of the route; None to keep that.
     :param regions: regions whose servers may serve the workspace; empty for all.
     """
 
-    name: str
-    priority: int | None = None
-    regions: frozenset[str] = frozenset()
+    __slots__ = (
+        "name",
+        "priority",
+        "regions",
+    )
+
+    def __init__(
+        self,
+        name: str,
+        priority: int | None = None,
+        regions: frozenset[str] = frozenset(),
+    ) -> None:
+        self.name = name
+        self.priority = priority
+        self.regions = regions
 
 
-@dataclass(frozen=True, slots=True)
-class CallerLimits:
+class CallerLimits(Record):
     """Limits on the size and duration of callers' requests.
 
     :param head_timeout_s: seconds within which the headers of a request must arrive.
     :param idle_timeout_s: seconds after which an idle connection is closed.
     """
 
-    head_bytes: int = 16384
-    body_bytes: int = 4 * 1024 * 1024
-    head_timeout_s: float = 3.0
-    idle_timeout_s: float = 15.0
-
-
-@dataclass(frozen=True, slots=True)
-class Configuration:
+    __slots__ = (
+        "head_bytes",
+        "body_bytes",
+        "head_timeout_s",
+        "idle_timeout_s",
+    )
+
+    def __init__(
+        self,
+        head_bytes: int = 16384,
+        body_bytes: int = 4 * 1024 * 1024,
+        head_timeout_s: float = 3.0,
+        idle_timeout_s: float = 15.0,
+    ) -> None:
+        self.head_bytes = head_bytes
+        self.body_bytes = body_bytes
+        self.head_timeout_s = head_timeout_s
+        self.idle_timeout_s = idle_timeout_s
+
+
+class Configuration(Record):
     """One version of the operators' configuration.
 
     :param api_keys: workspace of each API key.
     :param requires_api_key: routes that are not anonymous require an API key.
     """
 
-    version: int
-    routes: tuple[Route, ...]
-    services: dict[str, Service]
-    caller_limits: CallerLimits
-    api_keys: dict[str, Workspace]
-    requires_api_key: bool
-
-
-@dataclass(frozen=True, slots=True)
-class Server:
+    __slots__ = (
+        "version",
+        "routes",
+        "services",
+        "caller_limits",
+        "api_keys",
+        "requires_api_key",
+    )
+
+    def __init__(
+        self,
+        version: int,
+        routes: tuple[Route, ...],
+        services: dict[str, Service],
+        caller_limits: CallerLimits,
+        api_keys: dict[str, Workspace],
+        requires_api_key: bool,
+    ) -> None:
+        self.version = version
+        self.routes = routes
+        self.services = services
+        self.caller_limits = caller_limits
+        self.api_keys = api_keys
+        self.requires_api_key = requires_api_key
+
+
+class Server(Record):
     """A backend server as it is registered in the store.
 
     :param incarnation: differs between two starts under the same id.
@@ -122,31 +209,61 @@
     :param cold_for_s: seconds from now for which the server stays cold.
     """
 
-    id: str
-    incarnation: int
-    service: str
-    host: str
-    port: int
-    zone: str
-    version: str
-    slots: int
-    draining: bool
-    cold_for_s: float
-
-
-@dataclass(frozen=True, slots=True)
-class PromptPart:
+    __slots__ = (
+        "id",
+        "incarnation",
+        "service",
+        "host",
+        "port",
+        "zone",
+        "version",
+        "slots",
+        "draining",
+        "cold_for_s",
+    )
+
+    def __init__(
+        self,
+        id: str,
+        incarnation: int,
+        service: str,
+        host: str,
+        port: int,
+        zone: str,
+        version: str,
+        slots: int,
+        draining: bool,
+        cold_for_s: float,
+    ) -> None:
+        self.id = id
+        self.incarnation = incarnation
+        self.service = service
+        self.host = host
+        self.port = port
+        self.zone = zone
+        self.version = version
+        self.slots = slots
+        self.draining = draining
+        self.cold_for_s = cold_for_s
+
+
+class PromptPart(Record):
     """A contiguous part of a prompt that other requests may share.
 
     :param tokens: length of the part in tokens.
     """
 
-    id: str
-    tokens: int
+    __slots__ = (
+        "id",
+        "tokens",
+    )
 
+    def __init__(self, id: str, tokens: int) -> None:
+        self.id = id
+        self.tokens = tokens
 
-@dataclass(slots=True)
-class CallerRequest:
+
+class CallerRequest(Record):
     """The fields of a caller's request that decide where it is sent.
 
     :param id: id of the request; each retry by the caller has another one.
@@ -159,13 +276,33 @@
         stream after it; empty for a new stream.
     """
 
-    id: str
-    host: str
-    path: str
-    deadline_s: float | None
-    api_key: str
-    prompt_parts: tuple[PromptPart, ...] = ()
-    last_event_id: str = ""
+    __slots__ = (
+        "id",
+        "host",
+        "path",
+        "deadline_s",
+        "api_key",
+        "prompt_parts",
+        "last_event_id",
+    )
+
+    def __init__(
+        self,
+        id: str,
+        host: str,
+        path: str,
+        deadline_s: float | None,
+        api_key: str,
+        prompt_parts: tuple[PromptPart, ...] = (),
+        last_event_id: str = "",
+    ) -> None:
+        self.id = id
+        self.host = host
+        self.path = path
+        self.deadline_s = deadline_s
+        self.api_key = api_key
+        self.prompt_parts = prompt_parts
+        self.last_event_id = last_event_id
 
     @property
     def shared_parts(self) -> tuple[PromptPart, ...]:
@@ -178,23 +315,31 @@
         return self.shared_parts[-1].id if self.prompt_parts else ""
 
 
-@dataclass(slots=True)
-class Load:
+class Load(Record):
     """Load of a backend server as it reports it.
 
     :param waiting: requests in the server's own queue.
     """
 
-    running: int
-    waiting: int
-    slots: int
+    __slots__ = (
+        "running",
+        "waiting",
+        "slots",
+    )
+
+    def __init__(self, running: int, waiting: int, slots: int) -> None:
+        self.running = running
+        self.waiting = waiting
+        self.slots = slots
 
 
-@dataclass(slots=True)
 class RouteTable:
     """Finds the route of a request by host and longest matching path prefix."""
 
-    _routes: dict[tuple[str, str], Route] = field(default_factory=dict)
+    __slots__ = ("_routes",)
+
+    def __init__(self, routes: dict[tuple[str, str], Route] | None = None) -> None:
+        self._routes = routes or {}
 
     @classmethod
     def from_configuration(cls, configuration: Configuration) -> "RouteTable":
--- a/heatherswitch/gateway/pending.py
+++ b/heatherswitch/gateway/pending.py
@@ -1,7 +1,5 @@
 """State of an unfinished request, and the rules for retrying it."""
 
-from dataclasses import dataclass, field
-
 from heatherswitch.gateway import events as ev
 from heatherswitch.gateway.model import (
     CallerRequest,
@@ -11,6 +9,7 @@
     Workspace,
 )
 from heatherswitch.gateway.servers import ServerState
+from heatherswitch.util.record import Record
 
 # Maximum number of servers that a request is sent to, including those that rejected it
 # without running it.
@@ -27,38 +26,77 @@
 MIN_STREAM_IDLE_TIMEOUT_S = 1.2
 
 
-@dataclass(slots=True)
-class Pending:
+class Pending(Record):
     """A request whose final response was not sent yet."""
 
-    request: CallerRequest
-    route: Route
-    service: Service
-    workspace: Workspace | None
-    arrived_at: float
-    deadline_at: float
-    tried_ids: list[str] = field(default_factory=list)
-    # Number of servers that may have started to run the request.
-    possible_runs: int = 0
-    current_server: ServerState | None = None
-    # Error status of the last server, whose response is buffered for delivery.
-    buffered_error: ev.FailedAnswer | None = None
-    # The last failure after which it is unknown whether the request has run.
-    ambiguous_failure: ev.Broken | None = None
-    # Part of a response was sent to the caller.
-    partly_delivered: bool = False
-    queued: bool = False
-    # Number of queries for servers' load so far.
-    load_queries: int = 0
-    # Ids of the prompt parts whose owners were asked for servers that have them cached.
-    queried_parts: set[str] = field(default_factory=set)
-    # The owner of the last shared part replied, so that no server is guessed for it.
-    holders_known: bool = False
-    # During the current attempt, both versions of a rollout could get the request, so
-    # that its result counts as evidence about them.
-    in_version_split: bool = False
-    # Seconds from the send to the response headers in the current attempt.
-    first_byte_s: float | None = None
+    __slots__ = (
+        "request",
+        "route",
+        "service",
+        "workspace",
+        "arrived_at",
+        "deadline_at",
+        "tried_ids",
+        "possible_runs",
+        "current_server",
+        "buffered_error",
+        "ambiguous_failure",
+        "partly_delivered",
+        "queued",
+        "load_queries",
+        "queried_parts",
+        "holders_known",
+        "in_version_split",
+        "first_byte_s",
+    )
+
+    def __init__(
+        self,
+        request: CallerRequest,
+        route: Route,
+        service: Service,
+        workspace: Workspace | None,
+        arrived_at: float,
+        deadline_at: float,
+        possible_runs: int = 0,
+        current_server: ServerState | None = None,
+        buffered_error: ev.FailedAnswer | None = None,
+        ambiguous_failure: ev.Broken | None = None,
+        partly_delivered: bool = False,
+        queued: bool = False,
+        load_queries: int = 0,
+        holders_known: bool = False,
+        in_version_split: bool = False,
+        first_byte_s: float | None = None,
+    ) -> None:
+        self.request = request
+        self.route = route
+        self.service = service
+        self.workspace = workspace
+        self.arrived_at = arrived_at
+        self.deadline_at = deadline_at
+        self.tried_ids: list[str] = []
+        # Number of servers that may have started to run the request.
+        self.possible_runs = possible_runs
+        self.current_server = current_server
+        # Error status of the last server, whose response is buffered for delivery.
+        self.buffered_error = buffered_error
+        # The last failure after which it is unknown whether the request has run.
+        self.ambiguous_failure = ambiguous_failure
+        # Part of a response was sent to the caller.
+        self.partly_delivered = partly_delivered
+        self.queued = queued
+        # Number of queries for servers' load so far.
+        self.load_queries = load_queries
+        # Ids of the prompt parts whose owners were asked for servers that have them cached.
+        self.queried_parts: set[str] = set()
+        # The owner of the last shared part replied, so that no server is guessed for it.
+        self.holders_known = holders_known
+        # During the current attempt, both versions of a rollout could get the request, so
+        # that its result counts as evidence about them.
+        self.in_version_split = in_version_split
+        # Seconds from the send to the response headers in the current attempt.
+        self.first_byte_s = first_byte_s
 
     @property
     def priority(self) -> int:
--- a/heatherswitch/gateway/relay.py
+++ b/heatherswitch/gateway/relay.py
@@ -3,7 +3,6 @@
 import asyncio
 import logging
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Protocol
 
 import h11
@@ -20,6 +19,7 @@
 )
 from heatherswitch.util.http import ConnectFailed, ConnectionLost, Headers, Request
 from heatherswitch.util.http_server import Responder
+from heatherswitch.util.record import Record
 
 log = logging.getLogger("heatherswitch.gateway.relay")
 
@@ -40,13 +40,19 @@
         """Interprets the status and headers of a backend server's response."""
 
 
-@dataclass(slots=True)
-class BufferedResponse:
+class BufferedResponse(Record):
     """A complete response that has not been sent to the caller yet."""
 
-    status: int
-    headers: Headers
-    body: bytes
+    __slots__ = (
+        "status",
+        "headers",
+        "body",
+    )
+
+    def __init__(self, status: int, headers: Headers, body: bytes) -> None:
+        self.status = status
+        self.headers = headers
+        self.body = body
 
 
 class RequestRelay:
--- a/heatherswitch/gateway/rollout_records.py
+++ b/heatherswitch/gateway/rollout_records.py
@@ -1,10 +1,10 @@
 """Store records by which gateways share the evidence and progress of a rollout."""
 
 import json
-from dataclasses import dataclass
 
 from heatherswitch.fleet.evidence import EvidenceRecord
 from heatherswitch.fleet.rollout import Counts
+from heatherswitch.util.record import Record
 
 EVIDENCE_PREFIX = "heatherswitch/evidence/"
 PROGRESS_PREFIX = "heatherswitch/progress/"
@@ -14,8 +14,7 @@
     """A rollout record is malformed."""
 
 
-@dataclass(frozen=True, slots=True)
-class Progress:
+class Progress(Record):
     """Progress of a rollout, as recorded by its owner.
 
     :param rollout_id: see :func:`~heatherswitch.gateway.rollouts.rollout_id`.
@@ -23,9 +22,16 @@
     :param elapsed_s: seconds since the order.
     """
 
-    rollout_id: str
-    stage: int
-    elapsed_s: float
+    __slots__ = (
+        "rollout_id",
+        "stage",
+        "elapsed_s",
+    )
+
+    def __init__(self, rollout_id: str, stage: int, elapsed_s: float) -> None:
+        self.rollout_id = rollout_id
+        self.stage = stage
+        self.elapsed_s = elapsed_s
 
 
 def encode_progress(progress: Progress) -> bytes:
--- a/heatherswitch/gateway/rollouts.py
+++ b/heatherswitch/gateway/rollouts.py
@@ -5,12 +5,12 @@
 or is rolled back. Does no input or output and reads no clock.
 """
 
-from dataclasses import dataclass
 from enum import Enum
 
 from heatherswitch.fleet.evidence import EvidenceRecord, MoveEvidence
 from heatherswitch.fleet.rollout import Counts, SequentialTest, Verdict
 from heatherswitch.fleet.slowness import SlowThreshold
+from heatherswitch.util.record import Record
 
 # Bound on the probability that a good version is ever judged bad.
 FALSE_ALARM_RATE = 0.01
@@ -61,8 +61,7 @@
     ROLL_BACK = "roll_back"
 
 
-@dataclass(frozen=True, slots=True)
-class RolloutOrder:
+class RolloutOrder(Record):
     """An operator's order to roll out a version of a service.
 
     :param target: the new version.
@@ -70,22 +69,37 @@
     :param revision: store revision of the order; a repeated order is a new rollout.
     """
 
-    service: str
-    target: str
-    duration_s: float
-    revision: int
+    __slots__ = (
+        "service",
+        "target",
+        "duration_s",
+        "revision",
+    )
+
+    def __init__(
+        self, service: str, target: str, duration_s: float, revision: int
+    ) -> None:
+        self.service = service
+        self.target = target
+        self.duration_s = duration_s
+        self.revision = revision
 
 
-@dataclass(frozen=True, slots=True)
-class ExposureLimit:
+class ExposureLimit(Record):
     """Bound on the requests to an unproven version, over the whole fleet.
 
     :param share: fraction of the service's requests since the order.
     :param slack: number of requests allowed on top.
     """
 
-    share: float = 0.1
-    slack: float = 50.0
+    __slots__ = (
+        "share",
+        "slack",
+    )
+
+    def __init__(self, share: float = 0.1, slack: float = 50.0) -> None:
+        self.share = share
+        self.slack = slack
 
 
 class Rollout:
--- a/heatherswitch/gateway/selection.py
+++ b/heatherswitch/gateway/selection.py
@@ -1,13 +1,13 @@
 """Selects the backend server for a request. Performs no I/O."""
 
 from collections.abc import Callable, Collection
-from dataclasses import dataclass, replace
 
 from heatherswitch.fleet.shares import FleetSize
 from heatherswitch.gateway.model import CallerRequest, Service
 from heatherswitch.gateway.prefix_index import PrefixIndex
 from heatherswitch.gateway.servers import CONNECTION_SHARE, ServerState
 from heatherswitch.statecore.hashing import hash64, unit_hash
+from heatherswitch.util.record import Record
 
 # A model server may have this multiple of the mean load, plus a number of requests,
 # before a chat moves to another server and its prompt must be copied. The platform's
@@ -34,8 +34,7 @@
 DEFAULT_SLOTS = 16
 
 
-@dataclass(frozen=True, slots=True)
-class Choice:
+class Choice(Record):
     """The selected server.
 
     :param reason: which rule decided, for the log.
@@ -43,13 +42,21 @@
         the selected one can copy it.
     """
 
-    server: ServerState
-    reason: str
-    copy_source: ServerState | None = None
+    __slots__ = (
+        "server",
+        "reason",
+        "copy_source",
+    )
 
+    def __init__(
+        self, server: ServerState, reason: str, copy_source: ServerState | None = None
+    ) -> None:
+        self.server = server
+        self.reason = reason
+        self.copy_source = copy_source
 
-@dataclass(frozen=True, slots=True)
-class NoChoice:
+
+class NoChoice(Record):
     """No server can take the request now.
 
     :param eligible: number of servers that could take it if it were not for their load
@@ -58,12 +65,17 @@
         depends on other requests ending.
     """
 
-    eligible: int
-    wait_s: float
+    __slots__ = (
+        "eligible",
+        "wait_s",
+    )
+
+    def __init__(self, eligible: int, wait_s: float) -> None:
+        self.eligible = eligible
+        self.wait_s = wait_s
 
 
-@dataclass(frozen=True, slots=True)
-class Constraints:
+class Constraints(Record):
     """Restrictions on the servers that may take a request.
 
     :param tried_ids: ids of the servers that the request was already sent to.
@@ -73,11 +85,27 @@
         it cached, so none is guessed.
     """
 
-    service: Service
-    allowed: Callable[[ServerState], bool]
-    tried_ids: Collection[str] = ()
-    fleet_mean_load: float | None = None
-    holders_known: bool = False
+    __slots__ = (
+        "service",
+        "allowed",
+        "tried_ids",
+        "fleet_mean_load",
+        "holders_known",
+    )
+
+    def __init__(
+        self,
+        service: Service,
+        allowed: Callable[[ServerState], bool],
+        tried_ids: Collection[str] = (),
+        fleet_mean_load: float | None = None,
+        holders_known: bool = False,
+    ) -> None:
+        self.service = service
+        self.allowed = allowed
+        self.tried_ids = tried_ids
+        self.fleet_mean_load = fleet_mean_load
+        self.holders_known = holders_known
 
 
 class Selector:
@@ -124,7 +152,7 @@
             )
             allow_guess = not constraints.holders_known
             source = self._find_copy_source(now, request, choice, servers, allow_guess)
-            return replace(choice, copy_source=source)
+            return choice.replace(copy_source=source)
         return self._select_by_latency(now, request, healthy or ready)
 
     def _has_room(self, now: float, state: ServerState, service: Service) -> bool:
--- a/heatherswitch/gateway/shell.py
+++ b/heatherswitch/gateway/shell.py
@@ -7,7 +7,6 @@
 import random
 import socket
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass, field
 from typing import Any, Protocol
 
 from heatherswitch.gateway import events as ev
@@ -25,6 +24,7 @@
 from heatherswitch.util.http_server import HttpServer, Responder
 from heatherswitch.util.listeners import bind_listener
 from heatherswitch.util.metrics import Metrics
+from heatherswitch.util.record import Record
 
 log = logging.getLogger("heatherswitch.gateway")
 
@@ -56,8 +56,7 @@
         """Returns the fields of a request that routing depends on."""
 
 
-@dataclass(frozen=True, slots=True)
-class GatewayConfig:
+class GatewayConfig(Record):
     """Settings of one gateway.
 
     :param listen: ``host:port`` on which callers' requests are accepted.
@@ -70,18 +69,48 @@
         to serve none.
     """
 
-    id: str
-    zone: str
-    regions: Mapping[str, str]
-    listen: str
-    ready_listen: str
-    store: str
-    peer_listen: str = ""
-    grace_s: float = 7.0
-    metrics_host: str = "127.0.0.1"
-    metrics_port: int = -1
-    limits: Limits = field(default_factory=Limits)
-    http: HttpLimits = field(default_factory=HttpLimits)
+    __slots__ = (
+        "id",
+        "zone",
+        "regions",
+        "listen",
+        "ready_listen",
+        "store",
+        "peer_listen",
+        "grace_s",
+        "metrics_host",
+        "metrics_port",
+        "limits",
+        "http",
+    )
+
+    def __init__(
+        self,
+        id: str,
+        zone: str,
+        regions: Mapping[str, str],
+        listen: str,
+        ready_listen: str,
+        store: str,
+        peer_listen: str = "",
+        grace_s: float = 7.0,
+        metrics_host: str = "127.0.0.1",
+        metrics_port: int = -1,
+        limits: Limits | None = None,
+        http: HttpLimits | None = None,
+    ) -> None:
+        self.id = id
+        self.zone = zone
+        self.regions = regions
+        self.listen = listen
+        self.ready_listen = ready_listen
+        self.store = store
+        self.peer_listen = peer_listen
+        self.grace_s = grace_s
+        self.metrics_host = metrics_host
+        self.metrics_port = metrics_port
+        self.limits = limits if limits is not None else Limits()
+        self.http = http if http is not None else HttpLimits()
 
 
 class Gateway:
--- a/heatherswitch/gateway/store_sync.py
+++ b/heatherswitch/gateway/store_sync.py
@@ -5,7 +5,6 @@
 import logging
 import random
 from collections.abc import AsyncIterator, Callable, Iterable
-from dataclasses import dataclass
 from typing import Protocol
 
 from heatherswitch.gateway import events as ev
@@ -18,6 +17,7 @@
     WatchBatch,
 )
 from heatherswitch.util.clock import Clock
+from heatherswitch.util.record import Record
 
 log = logging.getLogger("heatherswitch.gateway.store_sync")
 
@@ -30,15 +30,20 @@
 MAX_RETRY_DELAY_S = 0.8
 
 
-@dataclass(frozen=True, slots=True)
-class Member:
+class Member(Record):
     """A gateway that is registered in the store as live.
 
     :param address: ``host:port`` for messages from other gateways; empty for none.
     """
 
-    id: str
-    address: str = ""
+    __slots__ = (
+        "id",
+        "address",
+    )
+
+    def __init__(self, id: str, address: str = "") -> None:
+        self.id = id
+        self.address = address
 
 
 class WatchableStore(Protocol):
--- a/heatherswitch/gateway/timing.py
+++ b/heatherswitch/gateway/timing.py
@@ -1,6 +1,6 @@
 """Intervals and timeouts of a gateway, derived from the bounds of its deployment."""
 
-from dataclasses import dataclass
+from heatherswitch.util.record import Record
 
 # Longest time that a watch call waits in the store for a change, in seconds. The
 # response may take as long again. Tighter bounds reduce it to the given share of the
@@ -17,8 +17,7 @@
 MIN_WATCH_PAUSE_S = 0.05
 
 
-@dataclass(frozen=True, slots=True)
-class Timing:
+class Timing(Record):
     """How often the store is queried and how old its data may be, in seconds.
 
     :param watch_wait_s: how long the store holds a watch call open if nothing changes.
@@ -34,13 +33,33 @@
         crashes keeps its share of fleet-wide limits for that long.
     """
 
-    watch_wait_s: float
-    watch_timeout_s: float
-    watch_pause_s: float
-    ready_age_s: float
-    refuse_age_s: float
-    outage_s: float
-    member_ttl_s: float
+    __slots__ = (
+        "watch_wait_s",
+        "watch_timeout_s",
+        "watch_pause_s",
+        "ready_age_s",
+        "refuse_age_s",
+        "outage_s",
+        "member_ttl_s",
+    )
+
+    def __init__(
+        self,
+        watch_wait_s: float,
+        watch_timeout_s: float,
+        watch_pause_s: float,
+        ready_age_s: float,
+        refuse_age_s: float,
+        outage_s: float,
+        member_ttl_s: float,
+    ) -> None:
+        self.watch_wait_s = watch_wait_s
+        self.watch_timeout_s = watch_timeout_s
+        self.watch_pause_s = watch_pause_s
+        self.ready_age_s = ready_age_s
+        self.refuse_age_s = refuse_age_s
+        self.outage_s = outage_s
+        self.member_ttl_s = member_ttl_s
 
     @classmethod
     def from_bounds(cls, change_s: float = 2.0, key_max_age_s: float = 4.5) -> "Timing":
--- a/heatherswitch/gateway/upstream.py
+++ b/heatherswitch/gateway/upstream.py
@@ -6,13 +6,13 @@
 import socket
 from collections import deque
 from collections.abc import AsyncIterator
-from dataclasses import dataclass
 from typing import Any
 
 import h11
 
 from heatherswitch.gateway.model import Load, Server
 from heatherswitch.util.http import ConnectFailed, ConnectionLost, Headers
+from heatherswitch.util.record import Record
 
 log = logging.getLogger("heatherswitch.gateway.upstream")
 
@@ -50,8 +50,7 @@
 _KEEP_ALIVE_TIMEOUT = re.compile(r"timeout\s*=\s*(\d+)")
 
 
-@dataclass(frozen=True, slots=True)
-class UpstreamContext:
+class UpstreamContext(Record):
     """Data that the gateway adds to the caller's request for one backend server.
 
     :param server_id: instance that the request is meant for.
@@ -61,16 +60,33 @@
         empty for none.
     """
 
-    server_id: str
-    time_left_s: float
-    workspace: str
-    priority: int | None
-    last_event_id: str = ""
-    copy_from: str = ""
+    __slots__ = (
+        "server_id",
+        "time_left_s",
+        "workspace",
+        "priority",
+        "last_event_id",
+        "copy_from",
+    )
+
+    def __init__(
+        self,
+        server_id: str,
+        time_left_s: float,
+        workspace: str,
+        priority: int | None,
+        last_event_id: str = "",
+        copy_from: str = "",
+    ) -> None:
+        self.server_id = server_id
+        self.time_left_s = time_left_s
+        self.workspace = workspace
+        self.priority = priority
+        self.last_event_id = last_event_id
+        self.copy_from = copy_from
 
 
-@dataclass(frozen=True, slots=True)
-class ResponseHead:
+class ResponseHead(Record):
     """Decoded head of a backend server's response.
 
     :param headers: headers to forward to the caller.
@@ -84,16 +100,42 @@
     :param cold_s: seconds for which the server reports that it stays cold.
     """
 
-    status: int
-    headers: Headers
-    request_id: str
-    sealed: bool
-    not_run: bool
-    other_instance: bool
-    encoded: bool
-    load: Load | None
-    length: int | None
-    cold_s: float
+    __slots__ = (
+        "status",
+        "headers",
+        "request_id",
+        "sealed",
+        "not_run",
+        "other_instance",
+        "encoded",
+        "load",
+        "length",
+        "cold_s",
+    )
+
+    def __init__(
+        self,
+        status: int,
+        headers: Headers,
+        request_id: str,
+        sealed: bool,
+        not_run: bool,
+        other_instance: bool,
+        encoded: bool,
+        load: Load | None,
+        length: int | None,
+        cold_s: float,
+    ) -> None:
+        self.status = status
+        self.headers = headers
+        self.request_id = request_id
+        self.sealed = sealed
+        self.not_run = not_run
+        self.other_instance = other_instance
+        self.encoded = encoded
+        self.load = load
+        self.length = length
+        self.cold_s = cold_s
 
 
 class ServerConnection(asyncio.Protocol):
--- a/heatherswitch/platform/gateway.py
+++ b/heatherswitch/platform/gateway.py
@@ -7,7 +7,6 @@
 import socket
 import sys
 from collections.abc import Mapping
-from dataclasses import replace
 from typing import Any
 
 from heatherswitch.gateway.rollout_owner import RolloutOwner
@@ -94,4 +93,4 @@
     config = parse_gateway_config(settings)
     configure_logs("heatherswitch-gateway", config.id, stream=sys.stdout)
     gc.set_threshold(GC_THRESHOLD)
-    asyncio.run(serve(replace(config, metrics_port=METRICS_PORT), listeners))
+    asyncio.run(serve(config.replace(metrics_port=METRICS_PORT), listeners))
--- a/heatherswitch/ui/gateway_commands.py
+++ b/heatherswitch/ui/gateway_commands.py
@@ -107,7 +107,7 @@
             config = parse_gateway_config(read_settings(self.argument("file")))
         except SettingsError as error:
             raise UserError(str(error)) from error
-        values = asdict(config)
+        values = config.to_dict()
         if self.option("json"):
             self.print(json.dumps(values, sort_keys=True))
         else:
--- a/heatherswitch/util/http.py
+++ b/heatherswitch/util/http.py
@@ -1,9 +1,10 @@
 """Types, limits and errors shared by the HTTP server and client."""
 
 import json
-from dataclasses import dataclass, field
 from typing import Any
 
+from heatherswitch.util.record import Record
+
 # Maximum size of one read from a socket.
 MAX_READ_BYTES = 65536
 # Seconds after which an idle connection is closed.
@@ -37,8 +38,7 @@
         self.status = status
 
 
-@dataclass(frozen=True, slots=True)
-class HttpLimits:
+class HttpLimits(Record):
     """Limits of a listener.
 
     :param header_bytes: maximum size of the request line and headers.
@@ -49,26 +49,57 @@
     :param read_timeout_s: time for receiving a whole request, with its body.
     """
 
-    header_bytes: int = 16384
-    body_bytes: int = 4 * 1024 * 1024
-    connections: int = 2048
-    idle_timeout_s: float = IDLE_TIMEOUT_S
-    head_timeout_s: float = REQUEST_READ_TIMEOUT_S
-    read_timeout_s: float = REQUEST_READ_TIMEOUT_S
-
-
-@dataclass(slots=True)
-class Request:
+    __slots__ = (
+        "header_bytes",
+        "body_bytes",
+        "connections",
+        "idle_timeout_s",
+        "head_timeout_s",
+        "read_timeout_s",
+    )
+
+    def __init__(
+        self,
+        header_bytes: int = 16384,
+        body_bytes: int = 4 * 1024 * 1024,
+        connections: int = 2048,
+        idle_timeout_s: float = IDLE_TIMEOUT_S,
+        head_timeout_s: float = REQUEST_READ_TIMEOUT_S,
+        read_timeout_s: float = REQUEST_READ_TIMEOUT_S,
+    ) -> None:
+        self.header_bytes = header_bytes
+        self.body_bytes = body_bytes
+        self.connections = connections
+        self.idle_timeout_s = idle_timeout_s
+        self.head_timeout_s = head_timeout_s
+        self.read_timeout_s = read_timeout_s
+
+
+class Request(Record):
     """An HTTP request with its complete body.
 
     :param target: request target as sent: path and query, or an absolute URL.
     :param headers: pairs of lower-case name and value, in the order received.
     """
 
-    method: str
-    target: str
-    headers: Headers = field(default_factory=list)
-    body: bytes = b""
+    __slots__ = (
+        "method",
+        "target",
+        "headers",
+        "body",
+    )
+
+    def __init__(
+        self,
+        method: str,
+        target: str,
+        headers: Headers | None = None,
+        body: bytes = b"",
+    ) -> None:
+        self.method = method
+        self.target = target
+        self.headers = headers if headers is not None else []
+        self.body = body
 
     @property
     def path(self) -> str:
--- a/test/test_rollouts.py
+++ b/test/test_rollouts.py
@@ -4,7 +4,6 @@
 import contextlib
 import random
 import unittest
-from dataclasses import replace
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -224,7 +223,7 @@
         self.addAsyncCleanup(self.server.stop)
         self.clock = Clock()
         revision = self.server.put("op/rollout/ledger", {})
-        self.order = replace(ORDER, revision=revision)
+        self.order = ORDER.replace(revision=revision)
         self.rollout = self.new_rollout("g")
 
     def new_rollout(self, gateway: str) -> Rollout:
--- a/test/test_timing.py
+++ b/test/test_timing.py
@@ -1,7 +1,6 @@
 """Intervals and timeouts derived from tight, default and wide bounds of a deployment."""
 
 import unittest
-from dataclasses import replace
 
 from hypothesis import given
 from hypothesis import strategies as st
@@ -90,7 +89,7 @@
         self.assertGreater(driver.reducer._retry_budget_burst(driver.now), 100)
 
     def test_default_bound_on_the_fleet_size(self):
-        self.assertEqual(replace(Limits()).expected_fleet, DEFAULT_FLEET_SIZE)
+        self.assertEqual(Limits().replace().expected_fleet, DEFAULT_FLEET_SIZE)
 
 
 if __name__ == "__main__":
