--- a/heatherswitch/gateway/shell.py
+++ b/heatherswitch/gateway/shell.py
@@ -1,7 +1,6 @@
 """The gateway process: binds the listeners and executes the reducer's effects."""
 
 import asyncio
-import contextlib
 import itertools
 import logging
 import random
@@ -239,9 +238,11 @@
         ]
         if self._config.peer_listen:
             self._tasks.append(asyncio.create_task(self._flush_peer_counts()))
-        with contextlib.suppress(TimeoutError):
+        try:
             async with asyncio.timeout(START_WAIT_S):
                 await self._configured.wait()
+        except TimeoutError:
+            log.warning("no configuration yet; callers are refused until there is one")
         await self._caller_server.serve_listener(caller_listener)
         log.info("gateway started", extra={"addresses": dict(self.addresses)})
 
--- a/heatherswitch/util/record.py
+++ b/heatherswitch/util/record.py
@@ -7,9 +7,9 @@
 class Record:
     """A value class whose fields are its ``__slots__``, in the order of its parameters.
 
-    Records are compared, hashed and represented by their fields. They replace
-    dataclasses in the modules of the gateway: each dataclass generates its methods when
-    its module is imported, which took a third of a gateway's start.
+    Records are compared, hashed and represented by their fields. Unlike a dataclass, a
+    record generates no code when its module is imported, so that a gateway starts
+    sooner after an outage.
     """
 
     __slots__ = ()
