Log a response that the gateway breaks off as such

Cause: the effect Cut raised before the line was written, and the handler takes each exception for the caller's disconnect.

The line is now written, then the connection is broken off. The new test failed before: no line "request ended" ([] instead of ["Cut"]).

--- a/heatherswitch/gateway/shell.py
+++ b/heatherswitch/gateway/shell.py
@@ -355,6 +355,8 @@
                 elif isinstance(effect, ev.QueryLoad | ev.QueryHolder):
                     event = await self._peers.ask(effect)
                 else:
+                    # Breaking off raises, as it does when the caller has left.
+                    finished = isinstance(effect, ev.Cut)
                     await self._send_final_response(
                         relay, responder, caller_request, effect, arrived_at
                     )
@@ -399,7 +401,10 @@
     async def _send_final_response(
         self, relay, responder, caller_request, effect, arrived_at: float
     ) -> None:
-        """Ends the request as the reducer decided, then logs and counts it."""
+        """Ends the request as the reducer decided, then logs and counts it.
+
+        :raises ConnectionAbortedError: if a response that was begun is broken off.
+        """
         status = 0
         match effect:
             case ev.Refuse():
@@ -410,10 +415,6 @@
                 await responder.send(status, b"", headers)
             case ev.Relay():
                 await relay.deliver_buffered()
-            case ev.Cut():
-                raise ConnectionAbortedError(effect.reason)
-            case ev.Finish():
-                pass
         total_s = self._clock.now() - arrived_at
         self._telemetry.count_request(effect, status, total_s)
         log.info(
@@ -430,6 +431,8 @@
                 "after_s": round(total_s, LOG_DECIMALS),
             },
         )
+        if isinstance(effect, ev.Cut):
+            raise ConnectionAbortedError(effect.reason)
 
     def _seconds_since(self, at: float) -> float:
         return round(self._clock.now() - at, LOG_DECIMALS)
--- a/test/test_gateway_service.py
+++ b/test/test_gateway_service.py
@@ -203,6 +203,20 @@
         with self.assertRaises(ConnectionLost):
             await self.deployment.call("/draft/1", method="POST")
 
+    async def test_stream_that_is_broken_off_is_not_logged_as_left_by_the_caller(self):
+        """The log showed the caller leaving where the gateway had cut the stream."""
+        await self.start_engines(Behaviour(events=6, cut_after=3))
+        with self.assertLogs("heatherswitch.gateway", "INFO") as logs:
+            with self.assertRaises(ConnectionLost):
+                await self.deployment.call("/draft/1", method="POST")
+            await self.deployment.wait_until(
+                lambda: self.deployment.gateway._reducer.pending_count == 0
+            )
+            await asyncio.sleep(0.05)
+        ended = [r for r in logs.records if r.getMessage() == "request ended"]
+        self.assertEqual([r.effect for r in ended], ["Cut"])
+        self.assertFalse([r for r in logs.records if "the caller left" in r.msg])
+
     async def test_caller_disconnect_cancels_the_stream(self):
         (server,) = await self.start_engines(Behaviour(events=100, event_gap_s=0.1))
         response = await self.deployment.send("/draft/1", method="POST")
