Quarantine prompt parts on which backend servers crash

Cause: a request on which a server crashes looked like any request whose server broke off. Nothing connected the crashes: they happen at different gateways, and the requests have one part of their prompts in common, which most of the other requests that die in the same crash don't have.

Change: gateways report requests whose server broke off before any output, with the shared parts of the prompt, under a lease in the store. The decision is in gateway/prompt_quarantine.py, without I/O.

Tests: test_prompt_quarantine, with a replay of the load at 5 and 30 gateways.

--- a/emulator/platform/server.py
+++ b/emulator/platform/server.py
@@ -56,6 +56,8 @@
         its argument is the head of a normal response.
     :param raw_gap_s: seconds between two parts of ``raw``.
     :param headers: further response headers.
+    :param crash_part: id of a prompt part; the server crashes when it is about to send
+        the first output of a request with it.
     """
 
     status: int = 200
@@ -74,6 +76,7 @@
     raw: Callable[[bytes], Iterable[bytes]] | None = None
     raw_gap_s: float = 0.0
     headers: list[tuple[str, str]] = field(default_factory=list)
+    crash_part: str = ""
 
 
 class PlatformServer:
@@ -83,6 +86,7 @@
     :ivar runs: requests that it started to run.
     :ivar cancelled: ids of requests whose caller disconnected before the response ended.
     :ivar connections: number of connections accepted so far.
+    :ivar crashed: True once it has crashed.
     """
 
     def __init__(self, server_id: str, behaviour: Behaviour | None = None) -> None:
@@ -92,6 +96,8 @@
         self.runs: list[ReceivedRequest] = []
         self.cancelled: list[str] = []
         self.connections = 0
+        self.crashed = False
+        self._writers: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
 
     @property
@@ -125,8 +131,16 @@
         """Closes the listener; open connections stay open."""
         self._server.close()
 
+    def crash(self) -> None:
+        """Closes the listener and all connections at once, with their requests."""
+        self.crashed = True
+        self._server.close()
+        for writer in self._writers:
+            writer.transport.abort()
+
     async def _serve(self, reader, writer) -> None:
         self.connections += 1
+        self._writers.add(writer)
         try:
             requests_before = 0
             while await self._handle_request(reader, writer, requests_before):
@@ -135,6 +149,7 @@
             # The caller disconnected, or the event loop is shutting down.
             pass
         finally:
+            self._writers.discard(writer)
             writer.close()
 
     async def _handle_request(self, reader, writer, requests_before: int) -> bool:
@@ -176,6 +191,10 @@
         self, request, behaviour: Behaviour, writer, requests_before
     ) -> bool:
         await asyncio.sleep(behaviour.delay_s)
+        prompt = request.headers.get("x-prompt-prefix", "")
+        if behaviour.crash_part and f"{behaviour.crash_part}:" in prompt:
+            self.crash()
+            return False
         if behaviour.silent:
             await asyncio.Event().wait()
         if behaviour.raw is not None:
--- a/heatherswitch/gateway/events.py
+++ b/heatherswitch/gateway/events.py
@@ -12,6 +12,7 @@
     Route,
     Server,
 )
+from heatherswitch.gateway.prompt_quarantine import CrashReport, QuarantineChange
 from heatherswitch.gateway.rollout_records import Progress
 from heatherswitch.gateway.rollouts import RolloutOrder, RolloutState
 from heatherswitch.util.record import Record
@@ -390,6 +391,36 @@
         self.counts = counts
 
 
+class CrashReported(Record):
+    """A gateway reported that a server broke off a request before its first output."""
+
+    __slots__ = ("report",)
+
+    def __init__(self, report: CrashReport) -> None:
+        self.report = report
+
+
+class CrashReportRemoved(Record):
+    """A crash report has expired in the store."""
+
+    __slots__ = ("report_id",)
+
+    def __init__(self, report_id: str) -> None:
+        self.report_id = report_id
+
+
+class PartCleared(Record):
+    """A gateway completed a request with a prompt part that was in crash reports.
+
+    :param part: hash of the part.
+    """
+
+    __slots__ = ("part",)
+
+    def __init__(self, part: str) -> None:
+        self.part = part
+
+
 class PeerFlushDue(Record):
     """Changed counts are due to be sent to the other gateways."""
 
@@ -422,6 +453,9 @@
     | PeerQueryFailed
     | PeerCountsReceived
     | ServiceTotalsReceived
+    | CrashReported
+    | CrashReportRemoved
+    | PartCleared
     | PeerFlushDue
     | Tick
 )
@@ -620,5 +654,38 @@
         self.peer = peer
 
 
+class PublishCrash(Record):
+    """Report a broken-off request to all gateways."""
+
+    __slots__ = ("report",)
+
+    def __init__(self, report: CrashReport) -> None:
+        self.report = report
+
+
+class PublishCleared(Record):
+    """Tell all gateways that requests with some prompt parts were completed.
+
+    :param parts: hashes of the parts.
+    """
+
+    __slots__ = ("parts",)
+
+    def __init__(self, parts: tuple[str, ...]) -> None:
+        self.parts = parts
+
+
+CrashEffect = PublishCrash | PublishCleared
 PeerEffect = SendCounts | ReplyToPeer | RejectPeerMessage
-Effect = Forward | Refuse | Relay | Cut | Finish | QueryLoad | QueryHolder | PeerEffect
+Effect = (
+    Forward
+    | Refuse
+    | Relay
+    | Cut
+    | Finish
+    | QueryLoad
+    | QueryHolder
+    | PeerEffect
+    | CrashEffect
+    | QuarantineChange
+)
--- a/heatherswitch/gateway/pending.py
+++ b/heatherswitch/gateway/pending.py
@@ -35,6 +35,7 @@
         "service",
         "workspace",
         "arrived_at",
+        "sent_at",
         "deadline_at",
         "tried_ids",
         "possible_runs",
@@ -74,6 +75,8 @@
         self.service = service
         self.workspace = workspace
         self.arrived_at = arrived_at
+        # Time of the last send to a server; that of the arrival before the first.
+        self.sent_at = arrived_at
         self.deadline_at = deadline_at
         self.tried_ids: list[str] = []
         # Number of servers that may have started to run the request.
--- /dev/null
+++ b/heatherswitch/gateway/prompt_quarantine.py
@@ -0,0 +1,303 @@
+"""Finds prompt parts on which backend servers crash and keeps them from the servers.
+
+A server that crashes takes all its requests with it, so a single crash doesn't show
+which request caused it. Gateways share a report for each request whose server broke off
+before the first output. A part is quarantined once several servers crashed on it at
+different times, while no request with it was completed. No I/O, reads no clock.
+"""
+
+from collections import OrderedDict
+from collections.abc import Collection, Iterable, Mapping
+
+from heatherswitch.gateway.model import PromptPart, Server
+from heatherswitch.statecore.hashing import hash64
+from heatherswitch.util.record import Record
+
+# Crashes after which a part is quarantined.
+QUARANTINE_CRASHES = 3
+# Crashes from which a completed request with the part is announced to other gateways.
+# Most parts in reports belong to bystanders of a single crash.
+CLEAR_CRASHES = 2
+# Crashes within this many seconds count as one, unless the request was sent after the
+# crash before. A zone that fails takes servers down together, whatever they run.
+COINCIDENCE_S = 0.3
+# Seconds after a completed request in which its parts are not suspected here.
+COMPLETION_TTL_S = 30.0
+# Seconds for which a report counts.
+REPORT_TTL_S = 600.0
+# Maximum number of reports and of completed parts that a gateway remembers.
+MAX_REPORTS = 1000
+MAX_COMPLETED_PARTS = 20_000
+# Parts of one prompt in a report: the last ones, since fewer prompts share them.
+MAX_REPORTED_PARTS = 8
+
+# Time of each crash and of the last send before it, in seconds since the epoch, by
+# prompt part and crash.
+CrashTimes = dict[str, dict[tuple[str, int], tuple[float, float]]]
+
+
+class CrashReport(Record):
+    """A server broke off a request before its first output.
+
+    :param id: unique id; starts with that of the reporting gateway.
+    :param incarnation: start of the server, to tell two crashes apart.
+    :param sent_at: time at which the request was sent to the server, in seconds since
+        the epoch.
+    :param at: time of the crash, in seconds since the epoch.
+    :param parts: hashes of the shared prompt parts, in the order of the prompt.
+    """
+
+    __slots__ = (
+        "id",
+        "server_id",
+        "incarnation",
+        "sent_at",
+        "at",
+        "parts",
+    )
+
+    def __init__(
+        self,
+        id: str,
+        server_id: str,
+        incarnation: int,
+        sent_at: float,
+        at: float,
+        parts: tuple[str, ...],
+    ) -> None:
+        self.id = id
+        self.server_id = server_id
+        self.incarnation = incarnation
+        self.sent_at = sent_at
+        self.at = at
+        self.parts = parts
+
+    @property
+    def crash(self) -> tuple[str, int]:
+        """Identifies the crash; several requests may report the same one."""
+        return (self.server_id, self.incarnation)
+
+
+class QuarantineChange(Record):
+    """Prompt parts that were added to the quarantine or released from it.
+
+    :param added: hash of each added part and the number of crashes on it.
+    :param released: hashes of the released parts.
+    """
+
+    __slots__ = (
+        "added",
+        "released",
+    )
+
+    def __init__(
+        self, added: tuple[tuple[str, int], ...], released: tuple[str, ...]
+    ) -> None:
+        self.added = added
+        self.released = released
+
+
+class PromptQuarantine:
+    """Prompt parts that crash servers, by the reports of all gateways.
+
+    :param gateway_id: id of this gateway, unique to its start.
+    """
+
+    __slots__ = (
+        "_completed_at",
+        "_crash_times",
+        "_gateway_id",
+        "_quarantined",
+        "_report_count",
+        "_reports",
+    )
+
+    def __init__(self, gateway_id: str) -> None:
+        self._gateway_id = gateway_id
+        # Reports by id, oldest first. Cleared parts are removed from them.
+        self._reports: OrderedDict[str, CrashReport] = OrderedDict()
+        self._report_count = 0
+        # Time of the last completed request with a part, least recent first.
+        self._completed_at: OrderedDict[str, float] = OrderedDict()
+        self._crash_times: CrashTimes = {}
+        # Number of crashes by quarantined part.
+        self._quarantined: dict[str, int] = {}
+
+    @property
+    def crash_counts(self) -> Mapping[str, int]:
+        """Number of crashes by the hash of each quarantined part."""
+        return self._quarantined
+
+    def blocks(self, prompt: Iterable[PromptPart]) -> bool:
+        """Returns True if a prompt contains a quarantined part."""
+        return bool(self._quarantined) and any(
+            part_hash(part) in self._quarantined for part in prompt
+        )
+
+    def report(
+        self,
+        now: float,
+        server: Server,
+        sent_at: float,
+        prompt: tuple[PromptPart, ...],
+    ) -> CrashReport | None:
+        """Returns a report of a broken-off request for all gateways.
+
+        :param sent_at: time at which the request was sent to the server.
+        :returns: None if requests with each of its shared parts were completed
+            recently.
+        """
+        # The last part is this request's own, so no other request can repeat it.
+        shared = [part_hash(part) for part in prompt[:-1]]
+        suspected = [part for part in shared if not self._is_completed(now, part)]
+        if not suspected:
+            return None
+        self._report_count += 1
+        return CrashReport(
+            f"{self._gateway_id}/{self._report_count}",
+            server.id,
+            server.incarnation,
+            sent_at,
+            now,
+            tuple(suspected[-MAX_REPORTED_PARTS:]),
+        )
+
+    def note_completed(
+        self, now: float, prompt: tuple[PromptPart, ...]
+    ) -> tuple[str, ...]:
+        """Notes a completed request.
+
+        :returns: its parts that are suspected of several crashes, to be cleared at all
+            gateways.
+        """
+        shared = [part_hash(part) for part in prompt[:-1]]
+        for part in shared:
+            self._completed_at[part] = now
+            self._completed_at.move_to_end(part)
+        while len(self._completed_at) > MAX_COMPLETED_PARTS:
+            self._completed_at.popitem(last=False)
+        return tuple(
+            part
+            for part in shared
+            if len(self._crash_times.get(part, ())) >= CLEAR_CRASHES
+        )
+
+    def add(self, report: CrashReport) -> QuarantineChange | None:
+        """Adds a report; one with a known id is ignored.
+
+        :returns: the change of the quarantine, or None if there is none.
+        """
+        if report.id in self._reports:
+            return None
+        self._reports[report.id] = report
+        while len(self._reports) > MAX_REPORTS:
+            self._reports.popitem(last=False)
+        return self._update()
+
+    def remove(self, report_id: str) -> QuarantineChange | None:
+        """Removes a report that has expired; returns as :meth:`add` does."""
+        if self._reports.pop(report_id, None) is None:
+            return None
+        return self._update()
+
+    def clear(self, parts: Collection[str]) -> QuarantineChange | None:
+        """Removes parts from all reports so far: a request with them was completed.
+
+        Returns as :meth:`add` does.
+        """
+        for report in list(self._reports.values()):
+            if not report.parts or set(report.parts).isdisjoint(parts):
+                continue
+            left = tuple(part for part in report.parts if part not in parts)
+            self._reports[report.id] = report.replace(parts=left)
+        return self._update()
+
+    def expire(self, now: float) -> QuarantineChange | None:
+        """Removes reports older than :data:`REPORT_TTL_S`; returns as :meth:`add`."""
+        expired = False
+        while self._reports:
+            oldest = next(iter(self._reports.values()))
+            if now - oldest.at < REPORT_TTL_S:
+                break
+            del self._reports[oldest.id]
+            expired = True
+        return self._update() if expired else None
+
+    def _is_completed(self, now: float, part: str) -> bool:
+        completed_at = self._completed_at.get(part)
+        return completed_at is not None and now - completed_at < COMPLETION_TTL_S
+
+    def _update(self) -> QuarantineChange | None:
+        """Attributes the crashes to parts and quarantines those with several.
+
+        A crash that a quarantined part explains doesn't count for other parts.
+        """
+        before = self._quarantined
+        self._crash_times = _crash_times(self._reports.values())
+        self._quarantined = {}
+        reports: Collection[CrashReport] = list(self._reports.values())
+        times = self._crash_times
+        while (part := _most_suspected(reports, times)) is not None:
+            self._quarantined[part] = len(times[part])
+            explained = times[part].keys()
+            reports = [r for r in reports if r.crash not in explained]
+            times = _crash_times(reports)
+        added = {p: n for p, n in self._quarantined.items() if p not in before}
+        released = tuple(before.keys() - self._quarantined.keys())
+        if not added and not released:
+            return None
+        return QuarantineChange(tuple(added.items()), released)
+
+
+def part_hash(part: PromptPart) -> str:
+    """Returns a short hash of a part's id, which callers choose freely."""
+    return f"{hash64(part.id):016x}"
+
+
+def _crash_times(reports: Iterable[CrashReport]) -> CrashTimes:
+    """Returns the times of the crashes in which each part was involved."""
+    times: CrashTimes = {}
+    for report in reports:
+        for part in report.parts:
+            crashes = times.setdefault(part, {})
+            at, sent_at = crashes.get(report.crash, (report.at, report.sent_at))
+            crashes[report.crash] = (
+                min(at, report.at),
+                max(sent_at, report.sent_at),
+            )
+    return times
+
+
+def _most_suspected(
+    reports: Iterable[CrashReport], crash_times: CrashTimes
+) -> str | None:
+    """Returns the part to quarantine next, or None.
+
+    That is the part with the most crashes, unless a later part of the same prompts
+    accounts for at least half of them: the later one is in fewer prompts, so
+    quarantining it refuses fewer requests.
+    """
+    counts = {part: _count_separate(t.values()) for part, t in crash_times.items()}
+    suspected = {p: n for p, n in counts.items() if n >= QUARANTINE_CRASHES}
+    if not suspected:
+        return None
+    most = max(suspected, key=lambda part: (suspected[part], part))
+    later = [
+        part
+        for report in reports
+        if most in report.parts
+        for part in report.parts[report.parts.index(most) + 1 :]
+        if 2 * suspected.get(part, 0) >= suspected[most]
+    ]
+    return later[-1] if later else most
+
+
+def _count_separate(times: Iterable[tuple[float, float]]) -> int:
+    """Counts crashes; those that happened together count as one."""
+    count = 0
+    counted_at = float("-inf")
+    for at, sent_at in sorted(times):
+        if at - counted_at >= COINCIDENCE_S or sent_at >= counted_at:
+            count += 1
+            counted_at = at
+    return count
--- a/heatherswitch/gateway/reducer.py
+++ b/heatherswitch/gateway/reducer.py
@@ -14,6 +14,11 @@
 from heatherswitch.gateway.pending import Pending
 from heatherswitch.gateway.placement import RequestPlacer
 from heatherswitch.gateway.prefix_index import PrefixIndex
+from heatherswitch.gateway.prompt_quarantine import (
+    REPORT_TTL_S,
+    PromptQuarantine,
+    QuarantineChange,
+)
 from heatherswitch.gateway.request_queue import (
     MAX_WAIT_TIME_SHARE,
     MIN_QUEUE_LENGTH,
@@ -57,6 +62,7 @@
         "_pending",
         "_placer",
         "_prefixes",
+        "_quarantine",
         "_queues",
         "_retry_budget",
         "_rollouts",
@@ -77,6 +83,7 @@
             own_id, limits.expected_fleet, now + limits.timing.member_ttl_s
         )
         self._prefixes = PrefixIndex()
+        self._quarantine = PromptQuarantine(own_id)
         self._servers = ServerTable()
         self._peers = PeerView(own_id, self._servers, self._prefixes)
         self._placer = RequestPlacer(
@@ -124,6 +131,11 @@
         """Zones whose backend servers get no new requests."""
         return self._placer.zones_out
 
+    @property
+    def quarantined_count(self) -> int:
+        """Number of prompt parts that are kept from the servers."""
+        return len(self._quarantine.crash_counts)
+
     @property
     def pending_count(self) -> int:
         """Number of requests whose final response was not sent yet."""
@@ -191,10 +203,19 @@
                 self._rollouts.on_progress(now, event)
             case ev.RolloutEvidenceRead():
                 self._rollouts.on_evidence(now, event)
+            case ev.CrashReported():
+                return self._quarantine_changed(now, self._quarantine.add(event.report))
+            case ev.CrashReportRemoved():
+                change = self._quarantine.remove(event.report_id)
+                return self._quarantine_changed(now, change)
+            case ev.PartCleared():
+                change = self._quarantine.clear((event.part,))
+                return self._quarantine_changed(now, change)
             case ev.Tick():
                 self._servers.expire(now)
                 self._retry_budget.set_rate(now, 0.0, self._retry_budget_burst(now))
                 self._rollouts.tick(now)
+                return self._quarantine_changed(now, self._quarantine.expire(now))
         return self._dispatch_waiting(now)
 
     def _retry_budget_burst(self, now: float) -> float:
@@ -229,6 +250,8 @@
         self, now: float, serial: int, pending: Pending
     ) -> list[ev.Effect]:
         """Forwards a request, queries a peer for it, queues it or refuses it."""
+        if self._quarantine.blocks(pending.request.prompt_parts):
+            return self._end_quarantined(serial, pending)
         choice = self._placer.choose_or_query(now, serial, pending)
         if isinstance(choice, ev.QueryLoad | ev.QueryHolder):
             return [choice]
@@ -272,6 +295,7 @@
         self._peers.note_changed(state)
         pending.current_server = state
         pending.first_byte_s = None
+        pending.sent_at = now
         pending.queued = False
         pending.in_version_split = self._rollouts.count_request(
             pending.service.name,
@@ -335,6 +359,10 @@
                 effects += self._refuse_queued(queued, "no server had room in time")
             while (queued := queue.first()) is not None:
                 pending = self._pending[queued.serial]
+                if self._quarantine.blocks(pending.request.prompt_parts):
+                    queue.discard(queued.serial)
+                    effects += self._end_quarantined(queued.serial, pending)
+                    continue
                 choice = self._placer.choose(now, pending)
                 if isinstance(choice, Choice):
                     queue.discard(queued.serial)
@@ -379,7 +407,7 @@
                 state.record_success(total_s)
                 self._count_version_result(now, pending, state, failed=False)
                 del self._pending[serial]
-                return [ev.Finish(serial)]
+                return [ev.Finish(serial), *self._note_completed(now, pending, outcome)]
             case ev.NotSent():
                 state.record_failure(now, UNRESPONSIVE_BACKOFF_S)
                 state.connection_refused = state.connection_refused or outcome.refused
@@ -401,7 +429,8 @@
                 pending.buffered_error = None
                 pending.ambiguous_failure = outcome
                 pending.partly_delivered = pending.partly_delivered or outcome.started
-                return self._retry(now, serial, pending, ran=True)
+                reported = self._report_crash(now, pending, state, outcome)
+                return self._retry(now, serial, pending, ran=True) + reported
         raise TypeError(f"unknown outcome {outcome!r}")
 
     def _retry(
@@ -413,6 +442,8 @@
         :param arrived: the request reached the last server.
         """
         pending.possible_runs += ran
+        if self._quarantine.blocks(pending.request.prompt_parts):
+            return self._end_quarantined(serial, pending)
         reason = pending.reason_not_to_retry(now)
         if reason:
             return self._end_unserved(serial, pending, reason)
@@ -452,6 +483,46 @@
             return [ev.Refuse(serial, 504 if timed_out else 502, reason)]
         return [ev.Refuse(serial, 503, reason, retry_after_s)]
 
+    # Prompts on which servers crash
+
+    def _end_quarantined(self, serial: int, pending: Pending) -> list[ev.Effect]:
+        reason = "servers crash on a part of the prompt"
+        return self._end_unserved(serial, pending, reason, REPORT_TTL_S)
+
+    def _report_crash(
+        self, now: float, pending: Pending, state: ServerState, outcome: ev.Broken
+    ) -> list[ev.Effect]:
+        """Reports a request whose server broke off before the first output.
+
+        A silent server has not crashed, as far as this gateway can tell, and one that
+        has sent output did not crash on the prompt.
+        """
+        if outcome.silent or pending.partly_delivered:
+            return []
+        prompt = pending.request.prompt_parts
+        report = self._quarantine.report(now, state.record, pending.sent_at, prompt)
+        if report is None:
+            return []
+        change = self._quarantine.add(report)
+        return [ev.PublishCrash(report), *([change] if change else [])]
+
+    def _note_completed(
+        self, now: float, pending: Pending, outcome: ev.Completed
+    ) -> list[ev.Effect]:
+        """Clears the parts of a completed prompt of suspicion."""
+        if outcome.status >= 300:
+            return []
+        parts = self._quarantine.note_completed(now, pending.request.prompt_parts)
+        if not parts:
+            return []
+        change = self._quarantine.clear(parts)
+        return [ev.PublishCleared(parts), *([change] if change else [])]
+
+    def _quarantine_changed(
+        self, now: float, change: QuarantineChange | None
+    ) -> list[ev.Effect]:
+        return [*([change] if change else []), *self._dispatch_waiting(now)]
+
     def _on_caller_disconnected(
         self, now: float, event: ev.CallerDisconnected
     ) -> list[ev.Effect]:
--- a/heatherswitch/gateway/shell.py
+++ b/heatherswitch/gateway/shell.py
@@ -9,9 +9,11 @@
 from typing import Any, Protocol
 
 from heatherswitch.gateway import events as ev
+from heatherswitch.gateway.crash_publisher import CrashOutbox
 from heatherswitch.gateway.limits import Limits
 from heatherswitch.gateway.model import CallerRequest, RequestKind
 from heatherswitch.gateway.peer_link import PeerLink
+from heatherswitch.gateway.prompt_quarantine import QuarantineChange
 from heatherswitch.gateway.reducer import GatewayReducer
 from heatherswitch.gateway.relay import RequestRelay, ServerCodec
 from heatherswitch.gateway.rollouts import Rollout
@@ -128,6 +130,7 @@
         "_config",
         "_configuration_version",
         "_configured",
+        "_crash_outbox",
         "_effect_futures",
         "_follow_store",
         "_listeners",
@@ -149,7 +152,7 @@
         config: GatewayConfig,
         clock: Clock,
         codec: GatewayCodec,
-        follow_store: Callable[[StoreSync, Member, CurrentRollouts], Any],
+        follow_store: Callable[[StoreSync, Member, CurrentRollouts, CrashOutbox], Any],
         listeners: Mapping[str, socket.socket] | None = None,
     ) -> None:
         self._config = config
@@ -169,6 +172,7 @@
         self._metrics = Metrics()
         self._telemetry = Telemetry(self._metrics)
         self._peers = PeerLink(self._apply, self._metrics)
+        self._crash_outbox = CrashOutbox()
         self._caller_server = HttpServer(self._handle, config.http)
         self._ready_server = HttpServer(self._handle_ready)
         self._metrics_server: HttpServer | None = None
@@ -231,7 +235,9 @@
         member = Member(self._member_id, self._peers.address)
         self._tasks = [
             asyncio.create_task(
-                self._follow_store(sync, member, lambda: self._reducer.rollouts)
+                self._follow_store(
+                    sync, member, lambda: self._reducer.rollouts, self._crash_outbox
+                )
             ),
             asyncio.create_task(self._run_housekeeping()),
             asyncio.create_task(self._poll_waiting_requests()),
@@ -287,6 +293,9 @@
             if isinstance(effect, ev.PeerEffect):
                 self._peers.send_effect(effect)
                 continue
+            if isinstance(effect, ev.CrashEffect | QuarantineChange):
+                self._handle_crash_effect(effect)
+                continue
             future = self._effect_futures.get(effect.serial)
             if future is not None and not future.done():
                 future.set_result(effect)
@@ -294,6 +303,22 @@
             self._apply_configured_limits()
             self._configured.set()
 
+    def _handle_crash_effect(self, effect: ev.CrashEffect | QuarantineChange) -> None:
+        """Logs the effect and publishes what other gateways need to know."""
+        match effect:
+            case ev.PublishCrash(report):
+                self._telemetry.count_crash_report()
+                log.info("server broke off before any output", extra=report.to_dict())
+            case ev.PublishCleared(parts):
+                log.info("suspected prompt parts completed", extra={"parts": parts})
+            case QuarantineChange(added, released):
+                log.warning(
+                    "prompt quarantine changed",
+                    extra={"added": dict(added), "released": released},
+                )
+                return
+        self._crash_outbox.add(effect)
+
     def _apply_configured_limits(self) -> None:
         current = self._reducer.configuration
         if current.version == self._configuration_version:
--- a/heatherswitch/gateway/telemetry.py
+++ b/heatherswitch/gateway/telemetry.py
@@ -89,6 +89,14 @@
             "gateway_callers_left_total", "Callers that left before the end.", {}
         )
 
+    def count_crash_report(self) -> None:
+        """Counts a request whose server broke off before any output."""
+        self._metrics.count(
+            "gateway_crash_reports_total",
+            "Requests with suspected prompts whose server broke off before any output.",
+            {},
+        )
+
     def set_gauges(
         self, now: float, reducer: GatewayReducer, pool: ConnectionPool
     ) -> None:
@@ -110,6 +118,10 @@
                 "Requests that wait for a backend server.",
                 reducer.waiting_count,
             ),
+            "gateway_quarantined_prompt_parts": (
+                "Prompt parts on which servers crash, kept from the servers.",
+                reducer.quarantined_count,
+            ),
             "gateway_fleet_size": (
                 "Gateways among which fleet-wide limits are divided.",
                 reducer.fleet_size,
--- a/heatherswitch/platform/gateway.py
+++ b/heatherswitch/platform/gateway.py
@@ -9,6 +9,7 @@
 from collections.abc import Mapping
 from typing import Any
 
+from heatherswitch.gateway.crash_publisher import CrashOutbox, CrashPublisher
 from heatherswitch.gateway.rollout_owner import RolloutOwner
 from heatherswitch.gateway.shell import CurrentRollouts, Gateway, GatewayConfig
 from heatherswitch.gateway.store_sync import Member, StoreSync, maintain_membership
@@ -40,7 +41,10 @@
     reader = PlatformReader()
 
     async def follow_store(
-        sync: StoreSync, member: Member, moves: CurrentRollouts
+        sync: StoreSync,
+        member: Member,
+        moves: CurrentRollouts,
+        crash_outbox: CrashOutbox,
     ) -> None:
         timing = config.limits.timing
         store = PlatformStore.from_address(config.store, clock, timing)
@@ -55,6 +59,7 @@
                 )
                 owner = RolloutOwner(store, reader, member.id, clock, moves)
                 group.create_task(owner.run())
+                group.create_task(CrashPublisher(store, crash_outbox, clock).run())
         finally:
             store.close()
 
--- a/heatherswitch/platform/reader.py
+++ b/heatherswitch/platform/reader.py
@@ -4,6 +4,12 @@
 import logging
 
 from heatherswitch.gateway import events as ev
+from heatherswitch.gateway.crash_records import (
+    CLEARED_PREFIX,
+    CRASH_PREFIX,
+    CrashRecordError,
+    decode_report,
+)
 from heatherswitch.gateway.rollout_records import (
     EVIDENCE_PREFIX,
     PROGRESS_PREFIX,
@@ -74,6 +80,8 @@
         if key.startswith(names.ROLLOUT_STATUS_PREFIX) and value is not None:
             status = self.read_status(entry)
             return [status] if status else []
+        if key.startswith(CRASH_PREFIX):
+            return self._read_crash_report(key.removeprefix(CRASH_PREFIX), value)
         if value is not None:
             return self._read_gateway_record(key, value)
         return []
@@ -109,8 +117,19 @@
             return None
         return ev.RolloutStatusRead(service, target, state, entry.mod_revision)
 
+    def _read_crash_report(self, report_id: str, value: bytes | None) -> list[ev.Event]:
+        if value is None:
+            return [ev.CrashReportRemoved(report_id)]
+        try:
+            return [ev.CrashReported(decode_report(report_id, value))]
+        except CrashRecordError as error:
+            log.warning("ignoring invalid crash report", extra={"error": str(error)})
+            return []
+
     def _read_gateway_record(self, key: str, value: bytes) -> list[ev.Event]:
-        """Decodes the rollout progress and evidence that gateways write."""
+        """Decodes rollout progress, rollout evidence and cleared prompt parts."""
+        if key.startswith(CLEARED_PREFIX):
+            return [ev.PartCleared(key.removeprefix(CLEARED_PREFIX))]
         try:
             if key.startswith(PROGRESS_PREFIX):
                 service = key.removeprefix(PROGRESS_PREFIX)
--- /dev/null
+++ b/test/test_prompt_quarantine.py
@@ -0,0 +1,457 @@
+"""Tests that prompts on which servers crash are kept from the servers."""
+
+import asyncio
+import json
+import random
+import unittest
+from collections import deque
+
+from emulator.platform.deployment import Deployment
+from emulator.platform.server import Behaviour
+from heatherswitch.gateway import events as ev
+from heatherswitch.gateway.crash_publisher import (
+    MAX_OUTBOX,
+    CrashOutbox,
+    CrashPublisher,
+)
+from heatherswitch.gateway.crash_records import (
+    CLEARED_PREFIX,
+    CRASH_PREFIX,
+    CrashRecordError,
+    decode_report,
+    encode_report,
+)
+from heatherswitch.gateway.model import PromptPart
+from heatherswitch.gateway.prompt_quarantine import (
+    COINCIDENCE_S,
+    COMPLETION_TTL_S,
+    MAX_REPORTS,
+    REPORT_TTL_S,
+    CrashReport,
+    PromptQuarantine,
+    part_hash,
+)
+from heatherswitch.platform.reader import PlatformReader
+from heatherswitch.statecore.replica import Entry
+from heatherswitch.statecore.store import StoreUnavailable
+from test.gateway_fakes import Driver, server
+
+CRASHED = ev.Broken("the answer was cut")
+COMPLETED = ev.Completed(200, 0.1)
+
+
+def prompt(*ids: str) -> tuple[PromptPart, ...]:
+    """Returns a prompt of the given parts."""
+    return tuple(PromptPart(part_id, 100) for part_id in ids)
+
+
+class Fleet:
+    """Gateways that share crash reports with a delay, and servers that may crash.
+
+    :ivar arrivals: time of each request with a deadly part that reached a server.
+    :ivar crashes: time of each crash.
+    """
+
+    DELAY_S = 2.0
+    RESTART_S = 3.0
+
+    def __init__(self, gateways: int, servers: int, deadly: str) -> None:
+        ids = [f"g{n}" for n in range(gateways)]
+        self.drivers = [Driver(routers=ids, own_id=name) for name in ids]
+        self.deadly = deadly
+        self.arrivals: list[float] = []
+        self.crashes: list[float] = []
+        self.outcomes: dict[str, list[ev.Effect]] = {"deadly": [], "sound": []}
+        self._records: deque[tuple[float, ev.Event]] = deque()
+        self._restarts: deque[tuple[float, str]] = deque()
+        self._incarnations = dict.fromkeys((f"e{n}" for n in range(servers)), 1)
+        for server_id in self._incarnations:
+            self._list(server_id)
+
+    def _list(self, server_id: str) -> None:
+        record = server(
+            server_id, "engine", incarnation=self._incarnations[server_id], slots=64
+        )
+        for driver in self.drivers:
+            driver.add_servers(record)
+
+    def advance(self, seconds: float) -> None:
+        """Advances all clocks, delivers due records and restarts servers."""
+        for driver in self.drivers:
+            driver.advance(seconds)
+        now = self.drivers[0].now
+        while self._records and self._records[0][0] <= now:
+            _, event = self._records.popleft()
+            for driver in self.drivers:
+                driver.apply(event)
+        while self._restarts and self._restarts[0][0] <= now:
+            _, server_id = self._restarts.popleft()
+            self._incarnations[server_id] += 1
+            self._list(server_id)
+
+    def send(self, gateway: int, path: str, parts: tuple[PromptPart, ...]) -> None:
+        """Sends a request, which ends at once, to a gateway."""
+        driver = self.drivers[gateway]
+        kind = "deadly" if any(p.id == self.deadly for p in parts) else "sound"
+        driver.take_effects()
+        serial = driver.send_request(path, parts=parts)
+        (effect,) = driver.take_effects()
+        while isinstance(effect, ev.Forward):
+            outcome = COMPLETED
+            if kind == "deadly":
+                outcome = CRASHED
+                self._crash(effect.server.id)
+            driver.apply(ev.AttemptEnded(serial, outcome))
+            effects = driver.take_effects()
+            self._publish(effects)
+            effect = next(e for e in effects if getattr(e, "serial", 0) == serial)
+        self.outcomes[kind].append(effect)
+
+    def _crash(self, server_id: str) -> None:
+        now = self.drivers[0].now
+        self.arrivals.append(now)
+        if all(server_id != other for _, other in self._restarts):
+            self.crashes.append(now)
+            self._restarts.append((now + self.RESTART_S, server_id))
+
+    def _publish(self, effects: list[ev.Effect]) -> None:
+        due_at = self.drivers[0].now + self.DELAY_S
+        for effect in effects:
+            if isinstance(effect, ev.PublishCrash):
+                self._records.append((due_at, ev.CrashReported(effect.report)))
+            elif isinstance(effect, ev.PublishCleared):
+                for part in effect.parts:
+                    self._records.append((due_at, ev.PartCleared(part)))
+
+
+class DeadlyPromptReplayTest(unittest.TestCase):
+    """A part of a prompt crashes each server, in a small share of the requests."""
+
+    def play(self, path: str, gateways: int, per_s: float, seconds: float = 30.0):
+        fleet = Fleet(gateways, 12, "deadly")
+        rng = random.Random(7)
+        step_s = 1 / per_s
+        for number in range(int(seconds * per_s)):
+            fleet.advance(step_s)
+            root, subject = f"root{rng.randrange(3)}", f"subject{rng.randrange(20)}"
+            parts = prompt(root, subject, f"own{number}")
+            if rng.random() < 0.1:
+                # The part before the deadly one is in few sound prompts.
+                parts = prompt("root0", "subject0", "deadly", f"own{number}")
+            fleet.send(rng.randrange(gateways), path, parts)
+        return fleet
+
+    def assert_contained(self, fleet: Fleet):
+        self.assertGreaterEqual(len(fleet.crashes), 3)
+        fifth_at = fleet.crashes[min(4, len(fleet.crashes) - 1)]
+        late = [at for at in fleet.arrivals if at > fifth_at + 3.0]
+        self.assertEqual(late, [])
+        refused = [e for e in fleet.outcomes["deadly"] if isinstance(e, ev.Refuse)]
+        self.assertTrue(any(e.status == 503 for e in refused))
+        served = [isinstance(e, ev.Finish) for e in fleet.outcomes["sound"]]
+        self.assertTrue(all(served[len(served) // 2 :]))
+
+    def test_servers_do_not_keep_crashing_with_five_gateways(self):
+        fleet = self.play("/chat/1", gateways=5, per_s=12.0)
+        self.assert_contained(fleet)
+        self.assertLessEqual(len(fleet.crashes), 6)
+
+    def test_servers_do_not_keep_crashing_with_thirty_gateways(self):
+        """Each gateway sees one crash at most, so only shared reports show the part."""
+        self.assert_contained(self.play("/chat/1", gateways=30, per_s=15.0))
+
+    def test_retries_of_a_resumable_stream_do_not_crash_further_servers(self):
+        self.assert_contained(self.play("/live/1", gateways=5, per_s=6.0))
+
+
+class QuarantineTest(unittest.TestCase):
+    def setUp(self):
+        self.driver = Driver()
+        self.servers = [server(f"e{n}", "engine", slots=64) for n in range(8)]
+        self.driver.add_servers(*self.servers)
+
+    def crash(self, *ids: str, path="/chat/1", after_s: float = 1.0) -> ev.Effect:
+        """Sends a request on which its server crashes."""
+        self.driver.advance(after_s)
+        self.driver.take_effects()
+        serial = self.driver.send_request(path, parts=prompt(*ids))
+        (forward,) = self.driver.take_effects()
+        effect = self.driver.end_attempt(serial, CRASHED)
+        self.driver.apply(ev.ServerRemoved(forward.server.id, False))
+        return effect
+
+    def complete(self, *ids: str) -> None:
+        serial = self.driver.send_request("/chat/1", parts=prompt(*ids))
+        self.driver.take_effects()
+        self.driver.end_attempt(serial, COMPLETED)
+
+    def decide(self, *ids: str, path="/chat/1") -> ev.Effect:
+        return self.driver.decide(path, parts=prompt(*ids))
+
+    def test_refusal_says_that_the_request_has_not_run_and_when_to_return(self):
+        for number in range(3):
+            self.crash("root", "deadly", f"own{number}")
+        refusal = self.decide("root", "deadly", "own")
+        self.assertEqual((refusal.status, refusal.retry_after_s), (503, REPORT_TTL_S))
+
+    def test_prompts_that_share_the_other_parts_are_served(self):
+        """Refusing by the first part or by the caller would refuse sound requests."""
+        for number in range(3):
+            self.crash("root", "subject", "deadly", f"own{number}")
+        self.assertIsInstance(self.decide("root", "subject", "own"), ev.Forward)
+        self.assertIsInstance(self.decide("root", "other", "own"), ev.Forward)
+
+    def test_common_part_before_various_others_is_found(self):
+        for number in range(3):
+            self.crash("deadly", f"subject{number}", f"own{number}")
+        self.assertIsInstance(self.decide("deadly", "new", "own"), ev.Refuse)
+        self.assertIsInstance(self.decide("root", "subject1", "own"), ev.Forward)
+
+    def test_servers_that_fail_together_quarantine_nothing(self):
+        """A zone without power takes many servers down, whatever they run."""
+        self.driver.advance(1.0)
+        requests = [
+            self.driver.send_request("/chat/1", parts=prompt(f"root{n}", "x", "own"))
+            for n in range(12)
+        ]
+        forwards = self.driver.take_effects()
+        self.assertGreaterEqual(len({f.server.id for f in forwards}), 3)
+        for serial in requests:
+            self.driver.now += 0.01
+            self.driver.end_attempt(serial, CRASHED)
+        self.driver.advance(4.0)
+        self.assertIsInstance(self.decide("root", "x", "own"), ev.Forward)
+
+    def test_one_server_that_breaks_off_quarantines_nothing(self):
+        for _ in range(6):
+            self.driver.advance(COINCIDENCE_S * 2)
+            serial = self.driver.send_request("/chat/1", parts=prompt("root", "own"))
+            self.driver.end_attempt(serial, CRASHED)
+            self.driver.apply(ev.ServerRemoved("e9", False))
+            only = self.servers[0]
+            for other in self.servers[1:]:
+                self.driver.apply(ev.ServerRemoved(other.id, False))
+            self.driver.add_servers(only)
+        self.driver.advance(4.0)
+        self.assertIsInstance(self.decide("root", "own"), ev.Forward)
+
+    def test_bystanders_that_completed_are_not_suspected(self):
+        for number in range(3):
+            self.complete("root", "subject", "own")
+            self.crash("root", "subject", f"own{number}")
+        self.assertIsInstance(self.decide("root", "subject", "own"), ev.Forward)
+
+    def test_part_that_completed_long_ago_can_become_deadly(self):
+        self.complete("root", "subject", "own")
+        self.driver.advance(COMPLETION_TTL_S)
+        for number in range(3):
+            self.crash("root", "subject", f"own{number}")
+        self.assertIsInstance(self.decide("root", "subject", "own"), ev.Refuse)
+
+    def test_completed_request_releases_its_parts_at_all_gateways(self):
+        """A request that runs when its part is quarantined shows that it is sound."""
+        running = self.driver.send_request("/chat/1", parts=prompt("root", "own"))
+        for number in range(3):
+            self.crash("root", f"own{number}")
+        self.assertIsInstance(self.decide("root", "own"), ev.Refuse)
+        self.driver.apply(ev.AttemptEnded(running, COMPLETED))
+        (cleared,) = (
+            e for e in self.driver.take_effects() if isinstance(e, ev.PublishCleared)
+        )
+        self.assertEqual(cleared.parts, (part_hash(PromptPart("root", 1)),))
+        self.assertIsInstance(self.decide("root", "own"), ev.Forward)
+
+    def test_stream_that_sent_output_is_not_reported(self):
+        serial = self.driver.send_request("/chat/1", parts=prompt("root", "own"))
+        self.driver.take_effects()
+        self.driver.apply(ev.AttemptEnded(serial, ev.Broken("cut", started=True)))
+        self.assertFalse(
+            [e for e in self.driver.take_effects() if isinstance(e, ev.PublishCrash)]
+        )
+
+    def test_silent_server_is_not_reported(self):
+        serial = self.driver.send_request("/chat/1", parts=prompt("root", "own"))
+        self.driver.take_effects()
+        self.driver.apply(ev.AttemptEnded(serial, ev.Broken("silent", silent=True)))
+        self.assertFalse(
+            [e for e in self.driver.take_effects() if isinstance(e, ev.PublishCrash)]
+        )
+
+    def test_request_that_may_have_run_is_not_refused_as_not_run(self):
+        """The third crash quarantines the part of a request that has a try left."""
+        for number in range(2):
+            self.driver.apply(
+                ev.CrashReported(
+                    CrashReport(
+                        f"g/{number}",
+                        f"other{number}",
+                        1,
+                        self.driver.now,
+                        self.driver.now + number,
+                        (part_hash(PromptPart("deadly", 1)),),
+                    )
+                )
+            )
+        self.driver.advance(5.0)
+        refusal = self.crash("root", "deadly", "own", path="/live/1")
+        self.assertIsInstance(refusal, ev.Refuse)
+        self.assertEqual(refusal.status, 502)
+
+    def test_queued_request_with_a_quarantined_part_is_refused(self):
+        self.driver = Driver()
+        self.driver.add_servers(server("e0", "engine", slots=1))
+        self.driver.send_request("/chat/1", parts=prompt("other", "own"))
+        waiting = self.driver.send_request("/chat/1", parts=prompt("deadly", "own"))
+        self.driver.take_effects()
+        for number in range(3):
+            report = CrashReport(
+                f"g/{number}",
+                f"s{number}",
+                1,
+                self.driver.now,
+                self.driver.now + number,
+                (part_hash(PromptPart("deadly", 1)),),
+            )
+            self.driver.apply(ev.CrashReported(report))
+        (refusal,) = (e for e in self.driver.take_effects() if isinstance(e, ev.Refuse))
+        self.assertEqual((refusal.serial, refusal.status), (waiting, 503))
+
+    def test_quarantine_ends_when_the_reports_expire(self):
+        for number in range(3):
+            self.crash("deadly", f"own{number}")
+        self.driver.advance(REPORT_TTL_S)
+        self.assertIsInstance(self.decide("deadly", "own"), ev.Forward)
+
+    def test_last_part_of_a_prompt_is_never_suspected(self):
+        """It belongs to one request or session, so it tells nothing about others."""
+        for _ in range(3):
+            self.crash("own")
+        self.assertIsInstance(self.decide("own"), ev.Forward)
+
+    def test_reports_are_bounded(self):
+        quarantine = PromptQuarantine("g")
+        for number in range(MAX_REPORTS + 5):
+            quarantine.add(
+                CrashReport(f"r{number}", f"s{number}", 1, 0.0, number, ("p",))
+            )
+        self.assertEqual(len(quarantine._reports), MAX_REPORTS)
+
+
+class RecordTest(unittest.TestCase):
+    def read(self, key: str, value: bytes | None) -> list[ev.Event]:
+        return PlatformReader().read(Entry(key, 7, value), False)
+
+    def test_report_survives_the_store(self):
+        report = CrashReport("g-1/2", "e1", 1234, 99.0, 99.5, ("a", "b"))
+        key, value = encode_report(report)
+        self.assertEqual(self.read(key, value), [ev.CrashReported(report)])
+        self.assertEqual(self.read(key, None), [ev.CrashReportRemoved("g-1/2")])
+
+    def test_cleared_part_is_read(self):
+        (event,) = self.read(CLEARED_PREFIX + "a", b"{}")
+        self.assertEqual(event, ev.PartCleared("a"))
+
+    def test_malformed_report_is_ignored(self):
+        good = json.loads(encode_report(CrashReport("r", "e1", 1, 1.0, 2.0, ("a",)))[1])
+        for changes in (
+            {"parts": "abc"},
+            {"parts": None},
+            {"at": "soon"},
+            {"at": float("inf")},
+            {"sent_at": None},
+            {"incarnation": {}},
+        ):
+            with self.subTest(changes):
+                value = json.dumps(good | changes).encode()
+                with self.assertRaises(CrashRecordError):
+                    decode_report("r", value)
+                self.assertEqual(self.read(CRASH_PREFIX + "r", value), [])
+        self.assertEqual(self.read(CRASH_PREFIX + "r", b"\xff"), [])
+        self.assertEqual(self.read(CRASH_PREFIX + "r", b"[]"), [])
+
+
+class FailingStore:
+    """Store that fails a number of times before it accepts a write."""
+
+    def __init__(self, failures: int) -> None:
+        self.failures = failures
+        self.grants: list[float] = []
+        self.written: dict[str, bytes] = {}
+
+    async def grant(self, ttl_s: float) -> int:
+        self.grants.append(ttl_s)
+        return len(self.grants)
+
+    async def commit(self, compares, puts, deletes=(), lease_id=0) -> int:
+        if self.failures:
+            self.failures -= 1
+            raise StoreUnavailable("down")
+        self.written |= puts
+        return 1
+
+
+class FixedClock:
+    def now(self) -> float:
+        return 100.0
+
+
+class PublisherTest(unittest.IsolatedAsyncioTestCase):
+    async def test_reports_of_one_crash_are_written_together_after_an_outage(self):
+        store, outbox = FailingStore(failures=1), CrashOutbox()
+        publisher = asyncio.create_task(
+            CrashPublisher(store, outbox, FixedClock()).run()
+        )
+        for number in range(5):
+            report = CrashReport(f"g/{number}", "e1", 1, 1.0, 2.0, ("a",))
+            outbox.add(ev.PublishCrash(report))
+        outbox.add(ev.PublishCleared(("b",)))
+        async with asyncio.timeout(5):
+            while len(store.written) < 6:
+                await asyncio.sleep(0.01)
+        publisher.cancel()
+        self.assertEqual(store.grants, [REPORT_TTL_S] * 2)
+        self.assertIn(CLEARED_PREFIX + "b", store.written)
+
+    async def test_outbox_is_bounded(self):
+        outbox = CrashOutbox()
+        with self.assertLogs("heatherswitch.gateway.crash_publisher", "WARNING"):
+            outbox.add(ev.PublishCleared(tuple(map(str, range(MAX_OUTBOX + 1)))))
+        self.assertNotIn(CLEARED_PREFIX + "0", outbox.next_batch())
+
+
+class ServiceTest(unittest.IsolatedAsyncioTestCase):
+    """Through real sockets, with the stand-in store and servers."""
+
+    async def test_servers_do_not_keep_crashing_on_one_prompt_part(self):
+        deployment = Deployment()
+        self.addAsyncCleanup(deployment.stop)
+        await deployment.start()
+        servers = [
+            await deployment.add_server(
+                f"e{n}", "appraiser", Behaviour(events=2, crash_part="deadly")
+            )
+            for n in range(5)
+        ]
+        statuses = []
+        for number in range(6):
+            parts = f"root:10,deadly:20,own{number}:5"
+            try:
+                status, _, _ = await deployment.call(
+                    "/answer/1", method="POST", X_Prompt_Prefix=parts
+                )
+            except OSError:
+                status = 0
+            statuses.append(status)
+            await asyncio.sleep(COINCIDENCE_S)
+        self.assertEqual(sum(s.crashed for s in servers), 3)
+        self.assertEqual(statuses[-1], 503)
+        status, body, _ = await deployment.call(
+            "/answer/1", method="POST", X_Prompt_Prefix="root:10,own:5"
+        )
+        self.assertEqual(status, 200)
+        await deployment.wait_until(
+            lambda: any(key.startswith(CRASH_PREFIX) for key in self._keys(deployment))
+        )
+
+    def _keys(self, deployment: Deployment) -> list[str]:
+        return [item.key.decode() for item in deployment.store.data.range(b"h", b"i")]
