Send crash reports to the other gateways at once

Cause: reports reached the other gateways through the store, one watch later. In that time each of five gateways sent the part to further servers.

Change: a report also goes to all other gateways in a datagram. The store remains the record: a lost datagram is made good by it, and a gateway that starts later reads it there. Reports of senders that are not on the list of live gateways are rejected like their other messages.

--- a/heatherswitch/fleet/peer_messages.py
+++ b/heatherswitch/fleet/peer_messages.py
@@ -17,6 +17,9 @@
 # packet.
 MAX_COUNTS = 40
 MAX_KEY_BYTES = 200
+# Limits on the number of records in a message and on the bytes of each.
+MAX_RECORDS = 4
+MAX_RECORD_BYTES = 1000
 
 
 class PeerMessageError(Exception):
@@ -32,6 +35,8 @@
     ASK = 2
     # Response to a query: the sums over all other routers.
     TOLD = 3
+    # Records that the sender also writes to the store, without a response.
+    RECORDS = 4
 
 
 class PrefixHolder(Record):
@@ -60,6 +65,7 @@
     :param counts: counts of the sender, or in a response the sums of the others.
     :param holders: in a query, the server that gets a request with the part; in an
         response, another server that holds the part.
+    :param records: pairs of store key and value.
     """
 
     __slots__ = (
@@ -69,6 +75,7 @@
         "question",
         "counts",
         "holders",
+        "records",
     )
 
     def __init__(
@@ -79,6 +86,7 @@
         question: int,
         counts: tuple[Count, ...],
         holders: tuple[PrefixHolder, ...] = (),
+        records: tuple[tuple[str, bytes], ...] = (),
     ) -> None:
         self.kind = kind
         self.run = run
@@ -86,6 +94,7 @@
         self.question = question
         self.counts = counts
         self.holders = holders
+        self.records = records
 
 
 def encode(message: PeerMessage) -> bytes:
@@ -101,6 +110,7 @@
             message.question,
             counts,
             holders,
+            message.records,
         ]
     )
 
@@ -111,11 +121,15 @@
     :raises PeerMessageError: if it is not a valid message of this version.
     """
     try:
-        version, kind, run, number, question, counts, holders, *_ = msgpack.unpackb(
+        version, kind, run, number, question, counts, holders, *later = msgpack.unpackb(
             data
         )
+        # Releases without records send none.
+        records = later[0] if later else ()
         if version != VERSION or len(counts) + len(holders) > MAX_COUNTS:
             raise ValueError(f"unsupported version {version} or {len(counts)} counts")
+        if len(records) > MAX_RECORDS:
+            raise ValueError(f"{len(records)} records")
         return PeerMessage(
             MessageKind(kind),
             _decode_integer(run),
@@ -129,6 +143,10 @@
                 PrefixHolder(_decode_string(part), _decode_string(server))
                 for part, server, *_ in holders
             ),
+            tuple(
+                (_decode_string(key), _decode_bytes(value))
+                for key, value, *_ in records
+            ),
         )
     except (ValueError, TypeError, msgpack.UnpackException) as error:
         raise PeerMessageError(f"invalid peer message: {error!r}") from error
@@ -144,3 +162,9 @@
     if not isinstance(value, str) or len(value.encode()) > MAX_KEY_BYTES:
         raise ValueError("the key is not a string or is too long")
     return value
+
+
+def _decode_bytes(value: Any) -> bytes:
+    if not isinstance(value, bytes) or len(value) > MAX_RECORD_BYTES:
+        raise ValueError("the record is not a byte string or is too long")
+    return value
--- a/heatherswitch/gateway/events.py
+++ b/heatherswitch/gateway/events.py
@@ -400,6 +400,22 @@
         self.report = report
 
 
+class PeerCrashReceived(Record):
+    """Another gateway sent a crash report that it also writes to the store.
+
+    :param peer: address of the sender.
+    """
+
+    __slots__ = (
+        "peer",
+        "report",
+    )
+
+    def __init__(self, peer: str, report: CrashReport) -> None:
+        self.peer = peer
+        self.report = report
+
+
 class CrashReportRemoved(Record):
     """A crash report has expired in the store."""
 
@@ -454,6 +470,7 @@
     | PeerCountsReceived
     | ServiceTotalsReceived
     | CrashReported
+    | PeerCrashReceived
     | CrashReportRemoved
     | PartCleared
     | PeerFlushDue
@@ -645,6 +662,22 @@
         self.holders = holders
 
 
+class SendCrash(Record):
+    """Send a crash report to other gateways.
+
+    :param peers: their addresses.
+    """
+
+    __slots__ = (
+        "peers",
+        "report",
+    )
+
+    def __init__(self, peers: tuple[str, ...], report: CrashReport) -> None:
+        self.peers = peers
+        self.report = report
+
+
 class RejectPeerMessage(Record):
     """Ignore a message whose sender is not on the list of live routers."""
 
@@ -676,7 +709,7 @@
 
 
 CrashEffect = PublishCrash | PublishCleared
-PeerEffect = SendCounts | ReplyToPeer | RejectPeerMessage
+PeerEffect = SendCounts | ReplyToPeer | SendCrash | RejectPeerMessage
 Effect = (
     Forward
     | Refuse
--- a/heatherswitch/gateway/peer_link.py
+++ b/heatherswitch/gateway/peer_link.py
@@ -16,6 +16,12 @@
     encode,
 )
 from heatherswitch.gateway import events as ev
+from heatherswitch.gateway.crash_records import (
+    CRASH_PREFIX,
+    CrashRecordError,
+    decode_report,
+    encode_report,
+)
 from heatherswitch.util.datagrams import DatagramSocket
 from heatherswitch.util.metrics import Metrics
 
@@ -113,6 +119,10 @@
                     effect.in_reply_to,
                     effect.holders,
                 )
+            case ev.SendCrash():
+                records = (encode_report(effect.report),)
+                for peer in effect.peers:
+                    self._send(peer, MessageKind.RECORDS, (), records=records)
             case ev.RejectPeerMessage():
                 self._count_message("stranger")
                 log.info(
@@ -126,9 +136,12 @@
         counts: tuple[Count, ...],
         question: int = 0,
         holders: tuple[PrefixHolder, ...] = (),
+        records: tuple[tuple[str, bytes], ...] = (),
     ) -> int:
         number = next(self._message_numbers)
-        message = PeerMessage(kind, self._run_id, number, question, counts, holders)
+        message = PeerMessage(
+            kind, self._run_id, number, question, counts, holders, records
+        )
         self._socket.send(encode(message), peer)
         self._count_message(f"sent {kind.name.lower()}")
         return number
@@ -142,6 +155,9 @@
                 "malformed datagram ignored", extra={"peer": peer, "error": str(error)}
             )
             return
+        if message.kind is MessageKind.RECORDS:
+            self._on_records(message, peer)
+            return
         if message.kind is not MessageKind.TOLD:
             self._apply(
                 ev.PeerCountsReceived(
@@ -160,6 +176,22 @@
         elif not pending.done():
             pending.set_result(message)
 
+    def _on_records(self, message: PeerMessage, peer: str) -> None:
+        for key, value in message.records:
+            if not key.startswith(CRASH_PREFIX):
+                # A later release may send other records.
+                continue
+            try:
+                report = decode_report(key.removeprefix(CRASH_PREFIX), value)
+            except CrashRecordError as error:
+                self._count_message("malformed")
+                log.info(
+                    "malformed record ignored",
+                    extra={"peer": peer, "error": str(error)},
+                )
+                continue
+            self._apply(ev.PeerCrashReceived(peer, report))
+
     def _count_message(self, what: str) -> None:
         self._metrics.count(
             "gateway_peer_messages_total",
--- a/heatherswitch/gateway/reducer.py
+++ b/heatherswitch/gateway/reducer.py
@@ -205,6 +205,10 @@
                 self._rollouts.on_evidence(now, event)
             case ev.CrashReported():
                 return self._quarantine_changed(now, self._quarantine.add(event.report))
+            case ev.PeerCrashReceived():
+                if not self._peers.is_peer(event.peer):
+                    return [ev.RejectPeerMessage(event.peer)]
+                return self._quarantine_changed(now, self._quarantine.add(event.report))
             case ev.CrashReportRemoved():
                 change = self._quarantine.remove(event.report_id)
                 return self._quarantine_changed(now, change)
@@ -504,7 +508,8 @@
         if report is None:
             return []
         change = self._quarantine.add(report)
-        return [ev.PublishCrash(report), *([change] if change else [])]
+        messages = self._peers.crash_messages(report)
+        return [ev.PublishCrash(report), *messages, *([change] if change else [])]
 
     def _note_completed(
         self, now: float, pending: Pending, outcome: ev.Completed
--- a/test/test_prompt_quarantine.py
+++ b/test/test_prompt_quarantine.py
@@ -8,6 +8,7 @@
 
 from emulator.platform.deployment import Deployment
 from emulator.platform.server import Behaviour
+from heatherswitch.fleet.peer_messages import MessageKind, PeerMessage, encode
 from heatherswitch.gateway import events as ev
 from heatherswitch.gateway.crash_publisher import (
     MAX_OUTBOX,
@@ -22,6 +23,7 @@
     encode_report,
 )
 from heatherswitch.gateway.model import PromptPart
+from heatherswitch.gateway.peer_link import PeerLink
 from heatherswitch.gateway.prompt_quarantine import (
     COINCIDENCE_S,
     COMPLETION_TTL_S,
@@ -34,6 +36,7 @@
 from heatherswitch.platform.reader import PlatformReader
 from heatherswitch.statecore.replica import Entry
 from heatherswitch.statecore.store import StoreUnavailable
+from heatherswitch.util.metrics import Metrics
 from test.gateway_fakes import Driver, server
 
 CRASHED = ev.Broken("the answer was cut")
@@ -55,9 +58,14 @@
     DELAY_S = 2.0
     RESTART_S = 3.0
 
-    def __init__(self, gateways: int, servers: int, deadly: str) -> None:
+    def __init__(
+        self, gateways: int, servers: int, deadly: str, peers: bool = False
+    ) -> None:
         ids = [f"g{n}" for n in range(gateways)]
         self.drivers = [Driver(routers=ids, own_id=name) for name in ids]
+        self._addresses = tuple((name, f"{name}:1") for name in ids if peers)
+        for driver in self.drivers:
+            driver.apply(ev.RoutersListed(tuple(ids), self._addresses))
         self.deadly = deadly
         self.arrivals: list[float] = []
         self.crashes: list[float] = []
@@ -96,27 +104,40 @@
         driver.take_effects()
         serial = driver.send_request(path, parts=parts)
         (effect,) = driver.take_effects()
-        while isinstance(effect, ev.Forward):
+        while isinstance(effect, ev.Forward | ev.QueryLoad | ev.QueryHolder):
+            if not isinstance(effect, ev.Forward):
+                driver.apply(ev.PeerQueryFailed(serial, effect.peer))
+                (effect,) = driver.take_effects()
+                continue
             outcome = COMPLETED
-            if kind == "deadly":
+            if any(effect.server.id == other for _, other in self._restarts):
+                outcome = ev.NotSent("connection refused", refused=True)
+            elif kind == "deadly":
                 outcome = CRASHED
                 self._crash(effect.server.id)
             driver.apply(ev.AttemptEnded(serial, outcome))
             effects = driver.take_effects()
-            self._publish(effects)
+            self._publish(gateway, effects)
             effect = next(e for e in effects if getattr(e, "serial", 0) == serial)
         self.outcomes[kind].append(effect)
 
     def _crash(self, server_id: str) -> None:
         now = self.drivers[0].now
         self.arrivals.append(now)
-        if all(server_id != other for _, other in self._restarts):
-            self.crashes.append(now)
-            self._restarts.append((now + self.RESTART_S, server_id))
+        self.crashes.append(now)
+        self._restarts.append((now + self.RESTART_S, server_id))
 
-    def _publish(self, effects: list[ev.Effect]) -> None:
+    def _publish(self, gateway: int, effects: list[ev.Effect]) -> None:
         due_at = self.drivers[0].now + self.DELAY_S
+        addresses = dict(self._addresses)
         for effect in effects:
+            if isinstance(effect, ev.SendCrash):
+                sender = addresses[f"g{gateway}"]
+                for driver, (_, address) in zip(
+                    self.drivers, self._addresses, strict=True
+                ):
+                    if address in effect.peers:
+                        driver.apply(ev.PeerCrashReceived(sender, effect.report))
             if isinstance(effect, ev.PublishCrash):
                 self._records.append((due_at, ev.CrashReported(effect.report)))
             elif isinstance(effect, ev.PublishCleared):
@@ -127,8 +148,15 @@
 class DeadlyPromptReplayTest(unittest.TestCase):
     """A part of a prompt crashes each server, in a small share of the requests."""
 
-    def play(self, path: str, gateways: int, per_s: float, seconds: float = 30.0):
-        fleet = Fleet(gateways, 12, "deadly")
+    def play(
+        self,
+        path: str,
+        gateways: int,
+        per_s: float,
+        seconds: float = 30.0,
+        peers: bool = False,
+    ):
+        fleet = Fleet(gateways, 12, "deadly", peers)
         rng = random.Random(7)
         step_s = 1 / per_s
         for number in range(int(seconds * per_s)):
@@ -160,6 +188,12 @@
         """Each gateway sees one crash at most, so only shared reports show the part."""
         self.assert_contained(self.play("/chat/1", gateways=30, per_s=15.0))
 
+    def test_prompt_that_is_sent_often_does_not_crash_most_servers(self):
+        """Reports in the store arrive when it has crashed one server after another."""
+        fleet = self.play("/live/1", gateways=5, per_s=60.0, seconds=10, peers=True)
+        self.assert_contained(fleet)
+        self.assertEqual(len(fleet.crashes), 3)
+
     def test_retries_of_a_resumable_stream_do_not_crash_further_servers(self):
         self.assert_contained(self.play("/live/1", gateways=5, per_s=6.0))
 
@@ -337,6 +371,36 @@
         self.assertEqual(len(quarantine._reports), MAX_REPORTS)
 
 
+class PeerReportTest(unittest.IsolatedAsyncioTestCase):
+    async def test_report_reaches_another_gateway(self):
+        received = asyncio.Queue()
+        sender = PeerLink(lambda event: None, Metrics())
+        receiver = PeerLink(received.put_nowait, Metrics())
+        for link in (sender, receiver):
+            await link.bind("127.0.0.1", 0)
+            self.addCleanup(link.close)
+        report = CrashReport("g/1", "e1", 1, 1.0, 2.0, ("a",))
+        sender.send_effect(ev.SendCrash((receiver.address,), report))
+        async with asyncio.timeout(2):
+            event = await received.get()
+        self.assertEqual(event, ev.PeerCrashReceived(sender.address, report))
+
+    async def test_malformed_record_of_a_peer_is_ignored(self):
+        events = []
+        link = PeerLink(events.append, Metrics())
+        for record in ((CRASH_PREFIX + "g/1", b"{}"), ("other/1", b"{}")):
+            message = PeerMessage(MessageKind.RECORDS, 1, 1, 0, (), records=(record,))
+            link._on_datagram(encode(message), "10.0.0.1:1")
+        self.assertEqual(events, [])
+
+    def test_report_of_an_unknown_peer_is_rejected(self):
+        driver = Driver()
+        driver.take_effects()
+        report = CrashReport("g/1", "e1", 1, 1.0, 2.0, ("a",))
+        driver.apply(ev.PeerCrashReceived("10.0.0.9:1", report))
+        self.assertEqual(driver.take_effects(), [ev.RejectPeerMessage("10.0.0.9:1")])
+
+
 class RecordTest(unittest.TestCase):
     def read(self, key: str, value: bytes | None) -> list[ev.Event]:
         return PlatformReader().read(Entry(key, 7, value), False)
