Answer requests that were read as their connection closes

Callers on kept connections saw a clean close in place of an answer: the gateway had read their request and dropped it.

Cause: an idle connection was closed by cancelling its read, at the idle timeout and in stop(). If a request arrived in the same iteration of the event loop, the cancelled read left it in the StreamReader, and the connection was closed after the bytes had been read. The same happened to a request that arrived behind a response that outlasted the accept deadline of a stop. A request whose last byte arrived after that deadline was started and cut off at the end of the grace period.

Evidence: test_http_server_stop failed before. Ruled out: a request that was still in the kernel's buffer; there the kernel resets the connection, which tells the caller that it was not read, and the tests allow it.

Now the idle wait ends through its timeout. Reading is paused, so nothing more can arrive, and what has arrived is still read. After the accept deadline a request is answered 503 with "Retry-After: 0", which is true: no server has seen it.

--- a/heatherswitch/util/http_server.py
+++ b/heatherswitch/util/http_server.py
@@ -186,6 +186,11 @@
         """True if responses ask the caller to close the connection."""
         return self.draining or self._stopping
 
+    @property
+    def accepts_requests(self) -> bool:
+        """False once requests are refused, since they could outlast the grace period."""
+        return asyncio.get_running_loop().time() < self._accept_requests_until
+
     @property
     def idle_timeout_s(self) -> float:
         """Seconds for which a connection may wait for its next request.
@@ -233,9 +238,8 @@
         await _run_loop_iterations()
         if self._connections:
             await asyncio.sleep(min(LATE_REQUEST_GRACE_S, grace_s))
-        for task, connection in list(self._connections.items()):
-            if not connection.busy:
-                task.cancel()
+        for connection in list(self._connections.values()):
+            connection.end_idle_wait()
         if self._connections:
             await asyncio.wait(list(self._connections), timeout=grace_s)
         for task in list(self._connections):
@@ -273,10 +277,10 @@
     __slots__ = (
         "_h11_connection",
         "_handler",
+        "_idle_timeout",
         "_reader",
         "_server",
         "_writer",
-        "busy",
     )
 
     def __init__(self, server, handler, reader, writer) -> None:
@@ -287,8 +291,13 @@
         self._h11_connection = h11.Connection(
             h11.SERVER, max_incomplete_event_size=server.limits.header_bytes
         )
-        # True from the first byte of a request to the end of its response.
-        self.busy = False
+        # Set while the connection waits for a request.
+        self._idle_timeout: asyncio.Timeout | None = None
+
+    def end_idle_wait(self) -> None:
+        """Closes the connection if it waits for a request and none has arrived."""
+        if self._idle_timeout is not None and not self._idle_timeout.expired():
+            self._idle_timeout.reschedule(asyncio.get_running_loop().time())
 
     async def serve(self, closed: asyncio.Event) -> None:
         """Serves requests until the connection must close.
@@ -301,9 +310,12 @@
             )
             try:
                 request = await self._read_request()
-                if request is None or not await self._run_handler(
-                    request, responder, closed
-                ):
+                if request is None:
+                    return
+                if not self._server.accepts_requests:
+                    await self._refuse(responder)
+                    return
+                if not await self._run_handler(request, responder, closed):
                     return
             except h11.RemoteProtocolError as error:
                 await self._send_error(responder, error.error_status_hint, str(error))
@@ -315,7 +327,6 @@
             if states != (h11.DONE, h11.DONE):
                 return
             self._h11_connection.start_next_cycle()
-            self.busy = False
 
     async def _read_request(self) -> Request | None:
         """Reads a request with its body; returns None if no further one arrives.
@@ -324,21 +335,10 @@
         """
         event = self._h11_connection.next_event()
         if event is h11.NEED_DATA:
-            idle_s = self._server.idle_timeout_s
-            if idle_s <= 0:
-                # The previous response may have started before stop() was called and so
-                # lack "Connection: close". A request that the caller still sends could
-                # outlast the grace period.
-                return None
-            try:
-                async with asyncio.timeout(idle_s):
-                    data = await self._reader.read(MAX_READ_BYTES)
-            except TimeoutError:
+            data = await self._wait_for_data()
+            if not data:
                 return None
             self._h11_connection.receive_data(data)
-        else:
-            data = b"pipelined"
-        self.busy = bool(data)
         try:
             # Limits the total time for a request, so that a caller cannot keep a
             # connection busy by sending single bytes at intervals.
@@ -352,6 +352,30 @@
         except TimeoutError:
             raise BadRequest(408, "the request was not sent in time") from None
 
+    async def _wait_for_data(self) -> bytes:
+        """Returns the first bytes of the next request; empty if none arrives in time."""
+        idle_s = self._server.idle_timeout_s
+        if idle_s > 0:
+            try:
+                async with asyncio.timeout(idle_s) as self._idle_timeout:
+                    return await self._reader.read(MAX_READ_BYTES)
+            except TimeoutError:
+                pass
+            finally:
+                self._idle_timeout = None
+        # A request that has been received is not dropped: its caller could not tell
+        # whether it was run. Data that is still in the socket makes the kernel reset
+        # the connection, which tells the caller that it was not read.
+        transport = self._writer.transport
+        transport.pause_reading()
+        try:
+            async with asyncio.timeout(0):
+                data = await self._reader.read(MAX_READ_BYTES)
+        except TimeoutError:
+            return b""
+        transport.resume_reading()
+        return data
+
     async def _read_body(self, request: Request) -> Request:
         body = bytearray()
         while True:
@@ -428,6 +452,12 @@
             return False
         return True
 
+    async def _refuse(self, responder: Responder) -> None:
+        """Refuses a request that was read too late to be served before the stop."""
+        log.info("request refused: the server is stopping")
+        with contextlib.suppress(OSError):
+            await responder.send(503, b"", [("Retry-After", "0")])
+
     async def _send_error(
         self, responder: Responder, status: int, message: str
     ) -> None:
