Send responses completely before the process ends

A caller that reads slowly got a truncated response when the gateway stopped after the request had ended.

Cause: a response counts as sent once fewer bytes than the write buffer's limit are unsent. stop() then closed the connection, which only schedules the rest, and asyncio.run discarded it with the event loop.

Evidence: SlowCallerTest failed before: the caller got 3,989,818 of 3,997,696 bytes from a process that ended with status 0.

Now a connection stays in the server's list until its data has been sent, so stop() waits for it within the grace period. A caller that takes nothing for WRITE_STALL_TIMEOUT_S is disconnected, as during a response; such a socket stayed open without a limit before.

--- a/heatherswitch/util/http_server.py
+++ b/heatherswitch/util/http_server.py
@@ -245,7 +245,7 @@
         for task in list(self._connections):
             task.cancel()
 
-    async def _on_connection(self, reader, writer, closed: asyncio.Event) -> None:
+    async def _on_connection(self, reader, writer, protocol: "_StreamProtocol") -> None:
         if len(self._connections) >= self.limits.connections:
             log.warning("connection limit reached; closing a new connection")
             writer.close()
@@ -254,7 +254,10 @@
         connection = _Connection(self, self._handler, reader, writer)
         self._connections[task] = connection
         try:
-            await connection.serve(closed)
+            await connection.serve(protocol.closed)
+            # Until then stop() waits for the connection: what the socket has not taken
+            # of a response would be lost when the process ends.
+            await _close_when_sent(writer, protocol.lost)
         except (OSError, h11.RemoteProtocolError):
             log.debug("connection closed by the peer")
         except asyncio.CancelledError:
@@ -271,6 +274,25 @@
         await asyncio.sleep(0)
 
 
+async def _close_when_sent(writer: asyncio.StreamWriter, lost: asyncio.Event) -> None:
+    """Closes a connection and waits until its caller has taken all data.
+
+    :param lost: set when the connection has ended.
+    """
+    transport = writer.transport
+    writer.close()
+    while not lost.is_set():
+        unsent_bytes = transport.get_write_buffer_size()
+        try:
+            async with asyncio.timeout(WRITE_STALL_TIMEOUT_S):
+                await lost.wait()
+        except TimeoutError:
+            if transport.get_write_buffer_size() >= unsent_bytes:
+                log.debug("the caller does not read")
+                transport.abort()
+                return
+
+
 class _Connection:
     """Serves the requests of one connection sequentially."""
 
@@ -468,21 +490,25 @@
 
 
 class _StreamProtocol(asyncio.StreamReaderProtocol):
-    """Stream protocol with an event that is set when the peer closes its side.
+    """Stream protocol with events that are set when the connection closes.
 
     :class:`asyncio.StreamReader` detects this only by a read, which would consume the
     bytes of a pipelined request.
+
+    :ivar closed: set when the peer has closed its side, or the connection has ended.
+    :ivar lost: set when the connection has ended.
     """
 
     def __init__(self, on_connection, loop: asyncio.AbstractEventLoop) -> None:
         self.closed = asyncio.Event()
+        self.lost = asyncio.Event()
         self._on_connection = on_connection
         super().__init__(
             asyncio.StreamReader(MAX_READ_BYTES, loop), self._connected, loop
         )
 
     async def _connected(self, reader, writer) -> None:
-        await self._on_connection(reader, writer, self.closed)
+        await self._on_connection(reader, writer, self)
 
     def eof_received(self) -> bool | None:
         """Sets :attr:`closed` when the peer has sent its last byte."""
@@ -490,6 +516,7 @@
         return super().eof_received()
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Sets :attr:`closed` when the connection is lost or closed."""
+        """Sets both events when the connection is lost or closed."""
         self.closed.set()
+        self.lost.set()
         super().connection_lost(exc)
--- a/test/test_http_server_stop.py
+++ b/test/test_http_server_stop.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import socket
+import subprocess
+import sys
 import time
 import unittest
 
@@ -12,6 +14,32 @@
 HOST = "127.0.0.1"
 REQUEST = b"POST /%s HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nok"
 GRACE_S = 1.5
+# Serves one response that the socket does not take to its end, and stops meanwhile.
+SERVE_ONE_RESPONSE = """
+import asyncio
+from heatherswitch.util.http_server import HttpServer
+
+async def main():
+    written = asyncio.Event()
+
+    async def handle(request, responder):
+        parts = 0
+        await responder.start(200, [])
+        while not responder._writer.transport.get_write_buffer_size():
+            await responder.write(b"x" * 8192)
+            parts += 1
+        await responder.finish()
+        print(parts, flush=True)
+        written.set()
+
+    server = HttpServer(handle)
+    await server.start("127.0.0.1", 0)
+    print(server.port, flush=True)
+    await written.wait()
+    await server.stop(5.0)
+
+asyncio.run(main())
+"""
 
 
 class StopTest(unittest.IsolatedAsyncioTestCase):
@@ -127,5 +155,29 @@
         await stop
 
 
+class SlowCallerTest(unittest.TestCase):
+    def test_response_is_sent_completely_before_the_process_ends(self):
+        """The part that the kernel had not taken yet was lost at the process's end."""
+        with subprocess.Popen(
+            [sys.executable, "-c", SERVE_ONE_RESPONSE],
+            stdout=subprocess.PIPE,
+            text=True,
+        ) as process:
+            self.addCleanup(process.kill)
+            caller = socket.create_connection((HOST, int(process.stdout.readline())))
+            self.addCleanup(caller.close)
+            caller.settimeout(5.0)
+            caller.sendall(REQUEST % b"large")
+            parts = int(process.stdout.readline())
+            # Now the server has nothing left to do but to send the rest.
+            time.sleep(1.0)
+            received = bytearray()
+            while part := caller.recv(65536):
+                received += part
+        self.assertEqual(received.count(b"x"), parts * 8192)
+        self.assertTrue(received.endswith(b"0\r\n\r\n"))
+        self.assertEqual(process.returncode, 0)
+
+
 if __name__ == "__main__":
     unittest.main()
