--- a/heatherswitch/util/http_server.py
+++ b/heatherswitch/util/http_server.py
@@ -232,16 +232,19 @@
         # event loop accepts them first.
         await _run_loop_iterations()
         now = asyncio.get_running_loop().time()
-        self._accept_requests_until = now + LATE_REQUEST_GRACE_S
+        late_request_grace_s = min(LATE_REQUEST_GRACE_S, grace_s)
+        self._accept_requests_until = now + late_request_grace_s
         self._server.close()
         # Lets connections accepted last start their tasks.
         await _run_loop_iterations()
         if self._connections:
-            await asyncio.sleep(min(LATE_REQUEST_GRACE_S, grace_s))
+            await asyncio.sleep(late_request_grace_s)
         for connection in list(self._connections.values()):
             connection.end_idle_wait()
         if self._connections:
-            await asyncio.wait(list(self._connections), timeout=grace_s)
+            await asyncio.wait(
+                list(self._connections), timeout=grace_s - late_request_grace_s
+            )
         for task in list(self._connections):
             task.cancel()
 
--- a/test/test_http_server_stop.py
+++ b/test/test_http_server_stop.py
@@ -154,6 +154,14 @@
         self.assertIn(b"HTTP/1.1 503", await self.receive(caller))
         await stop
 
+    async def test_stop_lasts_no_longer_than_the_grace_period(self):
+        caller = await self.connect()
+        await self.send(caller, b"stream")
+        await self.receive(caller)
+        started_at = time.monotonic()
+        await self.server.stop(0.5)
+        self.assertLess(time.monotonic() - started_at, 0.7)
+
 
 class SlowCallerTest(unittest.TestCase):
     def test_response_is_sent_completely_before_the_process_ends(self):
