Log responses that the gateway cuts as ended by the gateway

A response that the gateway broke off, because its server had failed and no other one could continue it, was logged as "request not finished: the caller left" and counted in gateway_callers_left_total. "request ended" with its effect and reason never appeared for the effect Cut, so the log couldn't tell answers that the gateway lost from callers that left.

Cause: the effect raised ConnectionAbortedError before the request was counted as finished. It is raised afterwards now. The new test failed before: the log held "attempt failed" and "the caller left" only.

--- a/heatherswitch/gateway/shell.py
+++ b/heatherswitch/gateway/shell.py
@@ -359,6 +359,9 @@
                         relay, responder, caller_request, effect, arrived_at
                     )
                     finished = True
+                    if isinstance(effect, ev.Cut):
+                        # Makes the server close the connection.
+                        raise ConnectionAbortedError(effect.reason)
         finally:
             del self._effect_futures[serial]
             if not finished:
@@ -410,9 +413,7 @@
                 await responder.send(status, b"", headers)
             case ev.Relay():
                 await relay.deliver_buffered()
-            case ev.Cut():
-                raise ConnectionAbortedError(effect.reason)
-            case ev.Finish():
+            case ev.Cut() | ev.Finish():
                 pass
         total_s = self._clock.now() - arrived_at
         self._telemetry.count_request(effect, status, total_s)
--- a/test/test_gateway_service.py
+++ b/test/test_gateway_service.py
@@ -203,6 +203,17 @@
         with self.assertRaises(ConnectionLost):
             await self.deployment.call("/draft/1", method="POST")
 
+    async def test_cut_stream_is_logged_as_ended_by_the_gateway(self):
+        """It was logged and counted as if the caller had left."""
+        await self.start_engines(Behaviour(events=6, cut_after=3))
+        with self.assertLogs("heatherswitch.gateway", "INFO") as logs:
+            with self.assertRaises(ConnectionLost):
+                await self.deployment.call("/draft/1", method="POST")
+            await asyncio.sleep(0.1)
+        messages = [record.getMessage() for record in logs.records]
+        self.assertIn("request ended", messages)
+        self.assertNotIn("request not finished: the caller left", messages)
+
     async def test_caller_disconnect_cancels_the_stream(self):
         (server,) = await self.start_engines(Behaviour(events=100, event_gap_s=0.1))
         response = await self.deployment.send("/draft/1", method="POST")
