Answer requests that are still open when a stop's grace period ends

Requests that waited in a stopping gateway's queue, or whose server was still at work, ended with a closed connection and no response. Callers could not tell whether they had run, although a queued one certainly had not.

Cause: stop() cancelled whatever was open at the end of the grace period, and neither the queue nor an attempt knew of that moment.

Evidence: test_requests_in_the_queue_are_refused_before_the_process_ends, on a gateway process, failed before: all eight callers lost their connections. Requests that end within the period, a store that hangs during the stop, and further SIGTERM, SIGINT and SIGHUP during it are tested there too and were sound before.

0.2 s before the end the reducer now gets GraceEnding: queued requests are refused with 503, running attempts end as Interrupted with 504, which claims nothing, and a partly delivered response is cut. Nothing is retried any more, and the outcome doesn't count against the server or its version.

--- a/heatherswitch/gateway/events.py
+++ b/heatherswitch/gateway/events.py
@@ -73,7 +73,17 @@
     total_s: float
 
 
-Outcome = NotSent | Rejected | FailedAnswer | Broken | Completed
+@dataclass(frozen=True, slots=True)
+class Interrupted:
+    """The gateway abandoned the attempt because it stops; the request may have run.
+
+    :param started: part of the response was sent to the caller.
+    """
+
+    started: bool = False
+
+
+Outcome = NotSent | Rejected | FailedAnswer | Broken | Interrupted | Completed
 
 
 class RequestArrived(Record):
@@ -402,6 +412,12 @@
     __slots__ = ()
 
 
+class GraceEnding(Record):
+    """The gateway stops: every open request must get its final response now."""
+
+    __slots__ = ()
+
+
 Event = (
     RequestArrived
     | ResponseStarted
@@ -424,6 +440,7 @@
     | ServiceTotalsReceived
     | PeerFlushDue
     | Tick
+    | GraceEnding
 )
 
 
--- a/heatherswitch/gateway/reducer.py
+++ b/heatherswitch/gateway/reducer.py
@@ -38,6 +38,8 @@
 # Share of the fleet's retry budget that is used, so that routers whose lists of the
 # fleet briefly differ do not exceed it together.
 RETRY_BUDGET_SHARE = 0.7
+# Why requests end that are still open at the end of the grace period.
+STOP_REASON = "the gateway stops"
 
 
 class GatewayReducer:
@@ -175,6 +177,8 @@
                 return self._peers.on_counts(now, event)
             case ev.ServiceTotalsReceived():
                 return self._peers.on_totals(now, event)
+            case ev.GraceEnding():
+                return self._on_grace_ending(now)
             case ev.PeerFlushDue():
                 return self._peers.flush(now)
             case ev.ZonesOut():
@@ -402,6 +406,11 @@
                 pending.ambiguous_failure = outcome
                 pending.partly_delivered = pending.partly_delivered or outcome.started
                 return self._retry(now, serial, pending, ran=True)
+            case ev.Interrupted():
+                # Says nothing about the server or its version.
+                pending.ambiguous_failure = ev.Broken(STOP_REASON, silent=True)
+                pending.partly_delivered = pending.partly_delivered or outcome.started
+                return self._end_unserved(serial, pending, STOP_REASON)
         raise TypeError(f"unknown outcome {outcome!r}")
 
     def _retry(
@@ -452,6 +461,16 @@
             return [ev.Refuse(serial, 504 if timed_out else 502, reason)]
         return [ev.Refuse(serial, 503, reason, retry_after_s)]
 
+    def _on_grace_ending(self, now: float) -> list[ev.Effect]:
+        """Refuses the queued requests; the others are not retried any more."""
+        effects: list[ev.Effect] = []
+        for serial, pending in list(self._pending.items()):
+            pending.deadline_at = min(pending.deadline_at, now)
+            if pending.queued:
+                self._queues[pending.service.name].discard(serial)
+                effects += self._end_unserved(serial, pending, STOP_REASON)
+        return effects
+
     def _on_caller_disconnected(
         self, now: float, event: ev.CallerDisconnected
     ) -> list[ev.Effect]:
--- a/heatherswitch/gateway/relay.py
+++ b/heatherswitch/gateway/relay.py
@@ -68,6 +68,7 @@
         "_clock",
         "_codec",
         "_discarded",
+        "_interrupted",
         "_last_event_id",
         "_on_response_started",
         "_pool",
@@ -75,6 +76,7 @@
         "_request_id",
         "_responder",
         "_response_started",
+        "_timeout",
         "_writing",
     )
 
@@ -99,6 +101,9 @@
         self._last_event_id: int | None = None
         self._response_started = False
         self._discarded = False
+        self._interrupted = False
+        # Set while an attempt runs.
+        self._timeout: asyncio.Timeout | None = None
         # True while a write waits for the caller to read.
         self._writing = False
 
@@ -106,6 +111,12 @@
         """Stops delivery because the caller left; the response is still read."""
         self._discarded = True
 
+    def interrupt(self) -> None:
+        """Abandons the running attempt because the gateway stops."""
+        self._interrupted = True
+        if self._timeout is not None and not self._timeout.expired():
+            self._timeout.reschedule(asyncio.get_running_loop().time())
+
     async def deliver_buffered(self) -> None:
         """Sends the response that the last attempt buffered to the caller."""
         buffered = self._buffered_response
@@ -129,7 +140,9 @@
         released = False
         try:
             # The deadline covers head, body and delivery, however the data trickles in.
-            async with asyncio.timeout(forward.deadline_at - self._clock()):
+            async with asyncio.timeout(
+                forward.deadline_at - self._clock()
+            ) as self._timeout:
                 outcome, released = await self._exchange(
                     connection, reused, forward, sent_at
                 )
@@ -139,11 +152,14 @@
                 raise ConnectionAbortedError(
                     "caller did not read the response"
                 ) from error
+            if self._interrupted:
+                return ev.Interrupted(self._response_started)
             reason = str(error) or "the deadline passed"
             outcome = ev.Broken(reason, self._response_started, silent=True)
         except (ConnectionLost, ValueError) as error:
             outcome = ev.Broken(str(error), self._response_started)
         finally:
+            self._timeout = None
             if not released:
                 connection.close()
         return outcome
--- a/heatherswitch/gateway/shell.py
+++ b/heatherswitch/gateway/shell.py
@@ -40,6 +40,9 @@
 # Seconds after SIGTERM during which new connections are still accepted. The platform's
 # load balancer stops sending them after two failed checks, one second apart.
 DEREGISTRATION_DELAY_S = 2.5
+# Seconds before the end of the grace period at which open requests get their final
+# response, so that it still reaches their callers.
+FINAL_RESPONSE_S = 0.2
 # Seconds after the start for which callers wait for the first configuration. The store
 # responds within milliseconds; if it is down, callers must be refused before they give
 # up, the most hurried ones after a third of a deadline of one and a half seconds.
@@ -138,6 +141,7 @@
         "_pool",
         "_ready_server",
         "_reducer",
+        "_relays",
         "_serials",
         "_stopping",
         "_tasks",
@@ -174,6 +178,8 @@
         self._metrics_server: HttpServer | None = None
         # Futures of requests that wait for an effect of the reducer, by serial number.
         self._effect_futures: dict[int, asyncio.Future] = {}
+        # Relays of the open requests, by serial number.
+        self._relays: dict[int, RequestRelay] = {}
         self._serials = itertools.count(1)
         self._tasks: list[asyncio.Task] = []
         self._stopping = False
@@ -260,10 +266,25 @@
         self._caller_server.draining = True
         deregistration_delay_s = min(DEREGISTRATION_DELAY_S, self._config.grace_s / 2)
         await asyncio.sleep(deregistration_delay_s)
-        await self._caller_server.stop(self._config.grace_s - deregistration_delay_s)
+        remaining_s = self._config.grace_s - deregistration_delay_s
+        final_response = asyncio.get_running_loop().call_later(
+            max(0.0, remaining_s - FINAL_RESPONSE_S), self._end_open_requests
+        )
+        await self._caller_server.stop(remaining_s)
+        final_response.cancel()
         await self.close()
         log.info("gateway stopped", extra={"pending": self._reducer.pending_count})
 
+    def _end_open_requests(self) -> None:
+        """Gives each open request its final response.
+
+        Otherwise their connections would be closed without one, and callers couldn't
+        tell whether their requests have run.
+        """
+        self._apply(ev.GraceEnding())
+        for relay in self._relays.values():
+            relay.interrupt()
+
     async def close(self) -> None:
         """Closes all listeners and connections without waiting for open requests."""
         await self._caller_server.stop(0)
@@ -341,6 +362,7 @@
                 serial, forward, head, ttfb_s
             ),
         )
+        self._relays[serial] = relay
         arrived_at = self._clock.now()
         event: ev.Event = ev.RequestArrived(serial, caller_request)
         finished = False
@@ -364,6 +386,7 @@
                         raise ConnectionAbortedError(effect.reason)
         finally:
             del self._effect_futures[serial]
+            del self._relays[serial]
             if not finished:
                 self._apply(ev.CallerDisconnected(serial))
                 self._telemetry.count_caller_left()
--- a/test/test_gateway_reducer.py
+++ b/test/test_gateway_reducer.py
@@ -326,6 +326,44 @@
         self.assertEqual({r.status for r in refusals}, {503})
 
 
+class GraceEndingTest(unittest.TestCase):
+    """Guards against open requests that a stop ends without a response."""
+
+    def setUp(self):
+        self.driver = Driver()
+        self.driver.add_servers(server("l1", slots=1), server("l2", slots=1))
+        self.driver.add_servers(server("e1", "engine"), server("e2", "engine"))
+
+    def test_queued_request_is_refused_and_freed_slots_are_not_used(self):
+        while self.driver.reducer.waiting_count == 0:
+            queued = self.driver.send_request("/twice/1")
+        self.driver.take_effects()
+        self.driver.apply(ev.GraceEnding())
+        (refusal,) = self.driver.take_effects()
+        self.assertEqual((refusal.serial, refusal.status), (queued, 503))
+        self.assertIsInstance(
+            self.driver.end_attempt(1, ev.Completed(200, 0.1)), ev.Finish
+        )
+
+    def test_running_request_is_not_retried_and_its_outcome_stays_open(self):
+        serial = self.driver.send_request("/safe/1")
+        self.driver.apply(ev.GraceEnding())
+        effect = self.driver.end_attempt(serial, ev.Interrupted())
+        self.assertEqual(effect.status, 504)
+
+    def test_rejected_request_is_refused_in_place_of_a_retry(self):
+        serial = self.driver.send_request("/twice/1")
+        self.driver.apply(ev.GraceEnding())
+        effect = self.driver.end_attempt(serial, ev.Rejected(503, other_instance=False))
+        self.assertEqual(effect.status, 503)
+
+    def test_partly_delivered_response_is_cut(self):
+        serial = self.driver.send_request("/live/1", parts=chat_prompt("s"))
+        self.driver.apply(ev.GraceEnding())
+        effect = self.driver.end_attempt(serial, ev.Interrupted(started=True))
+        self.assertIsInstance(effect, ev.Cut)
+
+
 class FleetLimitTest(unittest.TestCase):
     """All gateways together stay within fleet-wide limits."""
 
--- /dev/null
+++ b/test/test_gateway_stop.py
@@ -0,0 +1,124 @@
+"""Tests of a gateway process that is stopped, alone and together with other signals."""
+
+import asyncio
+import signal
+import time
+import unittest
+from pathlib import Path
+
+from emulator.platform.deployment import API_KEY, HOST, build_configuration, build_route
+from emulator.platform.process import GatewayProcess, temporary_directory
+from emulator.platform.server import Behaviour, PlatformServer
+from emulator.platform.store import PlatformStoreServer
+from heatherswitch.util.http import ConnectionLost
+from heatherswitch.util.http_client import HttpClient
+
+# Third part of the gateways' addresses; differs from those of the soaks.
+ADDRESS_GROUP = 250
+GRACE_S = 4.0
+
+
+class GatewayStopTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        directory = Path(self.enterContext(temporary_directory()))
+        self.store = PlatformStoreServer()
+        await self.store.start()
+        self.addAsyncCleanup(self.store.stop)
+        routes = [
+            build_route("/settle/", "non_idempotent", "ledger", timeout_ms=20_000),
+            build_route("/draft/", "streaming", "appraiser", timeout_ms=20_000),
+        ]
+        self.store.put("op/config", build_configuration(routes=routes))
+        self.gateway = GatewayProcess(2, self.store.address, directory, ADDRESS_GROUP)
+        self.addAsyncCleanup(self.kill)
+        self._requests = 0
+
+    async def kill(self):
+        if self.gateway.running:
+            await self.gateway.kill()
+
+    async def start(self, service: str, behaviour: Behaviour, **entry):
+        """Starts a backend server and the gateway, and waits until it is in use."""
+        server = PlatformServer(f"{service}-1", behaviour)
+        await server.start()
+        self.addAsyncCleanup(server.stop)
+        entry = server.store_entry(service, **entry)
+        self.store.put(f"servers/{server.id}", entry)
+        await self.gateway.start()
+        async with asyncio.timeout(10.0):
+            while not await self.gateway.is_ready():
+                await asyncio.sleep(0.05)
+        return server
+
+    async def send(self, path: str, client: HttpClient | None = None):
+        self._requests += 1
+        client = client or HttpClient.from_address(self.gateway.address)
+        self.addCleanup(client.close)
+        headers = [
+            ("Host", HOST),
+            ("X-Attempt-Id", f"{self._requests:08x}"),
+            ("X-Deadline-Ms", "20000"),
+            ("Authorization", f"Bearer {API_KEY}"),
+        ]
+        return await client.request("POST", path, headers)
+
+    async def assert_stops(self) -> None:
+        """Waits for the process to end by itself, within its grace period."""
+        started_at = time.monotonic()
+        self.assertEqual(
+            await self.gateway.stop(), 0, self.gateway.log_path.read_text()
+        )
+        self.assertLess(time.monotonic() - started_at, GRACE_S)
+
+    async def test_requests_in_the_queue_are_refused_before_the_process_ends(self):
+        """The gateway had read them, and their connections closed without an answer."""
+        await self.start("ledger", Behaviour(silent=True), slots=1)
+        calls = [asyncio.create_task(self.send("/settle/1")) for _ in range(8)]
+        await asyncio.sleep(0.3)
+        await self.assert_stops()
+        responses = await asyncio.gather(*calls, return_exceptions=True)
+        # Those that have been sent to the server may have run.
+        statuses = [
+            getattr(response, "status", repr(response)) for response in responses
+        ]
+        self.assertLessEqual(set(statuses), {503, 504}, statuses)
+        self.assertIn(503, statuses)
+
+    async def test_stream_that_outlasts_the_grace_period_is_visibly_cut(self):
+        await self.start("appraiser", Behaviour(events=200, event_gap_s=0.1))
+        response = await self.send("/draft/1")
+        stop = asyncio.create_task(self.assert_stops())
+        with self.assertRaises(ConnectionLost):
+            await response.read()
+        await stop
+
+    async def test_stream_that_ends_in_the_grace_period_is_complete(self):
+        await self.start("appraiser", Behaviour(events=25, event_gap_s=0.1))
+        response = await self.send("/draft/1")
+        stop = asyncio.create_task(self.assert_stops())
+        self.assertIn(b"piece 25\n\n", await response.read())
+        await stop
+
+    async def test_request_is_answered_while_the_store_is_down(self):
+        await self.start("ledger", Behaviour(delay_s=1.0))
+        call = asyncio.create_task(self.send("/settle/1"))
+        await asyncio.sleep(0.2)
+        self.store.silent = True
+        await self.assert_stops()
+        self.assertEqual((await call).status, 200)
+
+    async def test_other_signals_during_a_stop_interrupt_no_request(self):
+        await self.start("ledger", Behaviour(delay_s=2.5))
+        call = asyncio.create_task(self.send("/settle/1"))
+        await asyncio.sleep(0.2)
+        self.gateway.signal(signal.SIGHUP)
+        stop = asyncio.create_task(self.assert_stops())
+        for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGINT, signal.SIGHUP):
+            await asyncio.sleep(0.1)
+            self.gateway.signal(number)
+        self.assertEqual((await call).status, 200)
+        await stop
+
+
+if __name__ == "__main__":
+    unittest.main()
