Handle signals that arrive while the gateway starts

A gateway that got SIGHUP or SIGTERM during its start ended at once; callers that waited in its listen queue were reset. For SIGHUP nobody had asked for an end: the platform sends it when the settings file has changed.

Cause: the handlers are installed in the event loop, after the modules are imported, which takes most of the start; the listeners are bound before. The default action of these signals ends a process. The same held for a second signal while the event loop is closed at the end.

The interpreter's own start, some 40 ms before main() is entered, stays unprotected.

The signals are blocked from the start of main() until the handlers exist, so the kernel keeps them meanwhile.

--- a/emulator/platform/process.py
+++ b/emulator/platform/process.py
@@ -75,6 +75,13 @@
 
         :raises TimeoutError: if it does not within :data:`START_TIMEOUT_S`.
         """
+        await self.launch()
+        async with asyncio.timeout(START_TIMEOUT_S):
+            while not await self.responds():
+                await asyncio.sleep(0.05)
+
+    async def launch(self) -> None:
+        """Starts the process and does not wait for it."""
         environment = os.environ | {"HEATHERSWITCH_CONFIG": str(self._settings_path)}
         with self.log_path.open("a") as log:
             self._process = await asyncio.create_subprocess_exec(
@@ -85,9 +92,6 @@
                 stderr=log,
                 env=environment,
             )
-        async with asyncio.timeout(START_TIMEOUT_S):
-            while not await self.responds():
-                await asyncio.sleep(0.05)
 
     async def responds(self) -> bool:
         """Returns True if the process responds to its readiness check, ready or not."""
--- a/heatherswitch/platform/gateway.py
+++ b/heatherswitch/platform/gateway.py
@@ -18,6 +18,7 @@
 from heatherswitch.platform.store import PlatformStore
 from heatherswitch.util.clock import Clock
 from heatherswitch.util.logs import configure_logs
+from heatherswitch.util.signals import hold_signals, release_signals
 
 log = logging.getLogger("heatherswitch.platform.gateway")
 
@@ -68,10 +69,13 @@
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, stop.set)
     loop.add_signal_handler(signal.SIGHUP, log_settings_change)
+    release_signals()
     gateway = build_gateway(config, Clock(), listeners)
     await gateway.start()
     await stop.wait()
     await gateway.stop()
+    # The event loop removes the handlers before the process ends.
+    hold_signals()
 
 
 def log_settings_change() -> None:
--- a/heatherswitch/platform/launch.py
+++ b/heatherswitch/platform/launch.py
@@ -2,7 +2,8 @@
 
 The listeners are bound before the gateway's modules are imported, which takes most of
 the start. Callers that connect meanwhile wait for a fraction of a second in the listen
-queue; otherwise their connections would be refused.
+queue; otherwise their connections would be refused. Signals that arrive meanwhile are
+handled once the gateway runs; otherwise they would end the process.
 """
 
 import socket
@@ -15,6 +16,7 @@
     settings_path,
 )
 from heatherswitch.util.listeners import bind_listener
+from heatherswitch.util.signals import hold_signals
 
 EXIT_USAGE = 2
 
@@ -24,6 +26,7 @@
 
     Exits with status 2 if the settings cannot be used.
     """
+    hold_signals()
     try:
         settings = read_settings(settings_path())
         listeners = bind_listeners(settings)
--- a/test/test_gateway_stop.py
+++ b/test/test_gateway_stop.py
@@ -18,7 +18,7 @@
 GRACE_S = 4.0
 
 
-class GatewayStopTest(unittest.IsolatedAsyncioTestCase):
+class GatewayCase(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         directory = Path(self.enterContext(temporary_directory()))
         self.store = PlatformStoreServer()
@@ -70,6 +70,8 @@
         )
         self.assertLess(time.monotonic() - started_at, GRACE_S)
 
+
+class GatewayStopTest(GatewayCase):
     async def test_requests_in_the_queue_are_refused_before_the_process_ends(self):
         """The gateway had read them, and their connections closed without an answer."""
         await self.start("ledger", Behaviour(silent=True), slots=1)
@@ -120,5 +122,44 @@
         await stop
 
 
+class SignalDuringStartTest(GatewayCase):
+    """Guards against a signal that ends the process while its modules are imported.
+
+    The listeners are bound then, so callers wait in their queue and were reset.
+    """
+
+    async def launch_until_listening(self) -> asyncio.StreamReader:
+        """Starts the process and connects as soon as it accepts connections."""
+        await self.gateway.launch()
+        host, _, port = self.gateway.address.rpartition(":")
+        async with asyncio.timeout(5.0):
+            while True:
+                try:
+                    reader, writer = await asyncio.open_connection(host, int(port))
+                except OSError:
+                    await asyncio.sleep(0.002)
+                    continue
+                self.addCleanup(writer.close)
+                writer.write(b"GET /settle/1 HTTP/1.1\r\nHost: unknown.example\r\n")
+                writer.write(b"X-Attempt-Id: 1\r\n\r\n")
+                return reader
+
+    async def test_settings_change_does_not_end_a_starting_gateway(self):
+        reader = await self.launch_until_listening()
+        self.gateway.signal(signal.SIGHUP)
+        async with asyncio.timeout(10.0):
+            self.assertIn(b"HTTP/1.1 404", await reader.readline())
+        self.assertIn("settings file changed", self.gateway.log_path.read_text())
+        await self.assert_stops()
+
+    async def test_stop_of_a_starting_gateway_answers_waiting_callers(self):
+        reader = await self.launch_until_listening()
+        for number in (signal.SIGTERM, signal.SIGHUP):
+            self.gateway.signal(number)
+        async with asyncio.timeout(10.0):
+            self.assertIn(b"HTTP/1.1 404", await reader.readline())
+        await self.assert_stops()
+
+
 if __name__ == "__main__":
     unittest.main()
