--- a/heatherswitch/util/http_server.py
+++ b/heatherswitch/util/http_server.py
@@ -186,6 +186,11 @@
         """True if responses ask the caller to close the connection."""
         return self.draining or self._stopping
 
+    @property
+    def accepts_requests(self) -> bool:
+        """False once requests are refused, since they could outlast the grace period."""
+        return asyncio.get_running_loop().time() < self._accept_requests_until
+
     @property
     def idle_timeout_s(self) -> float:
         """Seconds for which a connection may wait for its next request.
@@ -227,21 +232,23 @@
         # event loop accepts them first.
         await _run_loop_iterations()
         now = asyncio.get_running_loop().time()
-        self._accept_requests_until = now + LATE_REQUEST_GRACE_S
+        late_request_grace_s = min(LATE_REQUEST_GRACE_S, grace_s)
+        self._accept_requests_until = now + late_request_grace_s
         self._server.close()
         # Lets connections accepted last start their tasks.
         await _run_loop_iterations()
         if self._connections:
-            await asyncio.sleep(min(LATE_REQUEST_GRACE_S, grace_s))
-        for task, connection in list(self._connections.items()):
-            if not connection.busy:
-                task.cancel()
+            await asyncio.sleep(late_request_grace_s)
+        for connection in list(self._connections.values()):
+            connection.end_idle_wait()
         if self._connections:
-            await asyncio.wait(list(self._connections), timeout=grace_s)
+            await asyncio.wait(
+                list(self._connections), timeout=grace_s - late_request_grace_s
+            )
         for task in list(self._connections):
             task.cancel()
 
-    async def _on_connection(self, reader, writer, closed: asyncio.Event) -> None:
+    async def _on_connection(self, reader, writer, protocol: "_StreamProtocol") -> None:
         if len(self._connections) >= self.limits.connections:
             log.warning("connection limit reached; closing a new connection")
             writer.close()
@@ -250,7 +257,10 @@
         connection = _Connection(self, self._handler, reader, writer)
         self._connections[task] = connection
         try:
-            await connection.serve(closed)
+            await connection.serve(protocol.closed)
+            # Until then stop() waits for the connection: what the socket has not taken
+            # of a response would be lost when the process ends.
+            await _close_when_sent(writer, protocol.lost)
         except (OSError, h11.RemoteProtocolError):
             log.debug("connection closed by the peer")
         except asyncio.CancelledError:
@@ -267,16 +277,35 @@
         await asyncio.sleep(0)
 
 
+async def _close_when_sent(writer: asyncio.StreamWriter, lost: asyncio.Event) -> None:
+    """Closes a connection and waits until its caller has taken all data.
+
+    :param lost: set when the connection has ended.
+    """
+    transport = writer.transport
+    writer.close()
+    while not lost.is_set():
+        unsent_bytes = transport.get_write_buffer_size()
+        try:
+            async with asyncio.timeout(WRITE_STALL_TIMEOUT_S):
+                await lost.wait()
+        except TimeoutError:
+            if transport.get_write_buffer_size() >= unsent_bytes:
+                log.debug("the caller does not read")
+                transport.abort()
+                return
+
+
 class _Connection:
     """Serves the requests of one connection sequentially."""
 
     __slots__ = (
         "_h11_connection",
         "_handler",
+        "_idle_timeout",
         "_reader",
         "_server",
         "_writer",
-        "busy",
     )
 
     def __init__(self, server, handler, reader, writer) -> None:
@@ -287,8 +316,13 @@
         self._h11_connection = h11.Connection(
             h11.SERVER, max_incomplete_event_size=server.limits.header_bytes
         )
-        # True from the first byte of a request to the end of its response.
-        self.busy = False
+        # Set while the connection waits for a request.
+        self._idle_timeout: asyncio.Timeout | None = None
+
+    def end_idle_wait(self) -> None:
+        """Closes the connection if it waits for a request and none has arrived."""
+        if self._idle_timeout is not None and not self._idle_timeout.expired():
+            self._idle_timeout.reschedule(asyncio.get_running_loop().time())
 
     async def serve(self, closed: asyncio.Event) -> None:
         """Serves requests until the connection must close.
@@ -301,9 +335,12 @@
             )
             try:
                 request = await self._read_request()
-                if request is None or not await self._run_handler(
-                    request, responder, closed
-                ):
+                if request is None:
+                    return
+                if not self._server.accepts_requests:
+                    await self._refuse(responder)
+                    return
+                if not await self._run_handler(request, responder, closed):
                     return
             except h11.RemoteProtocolError as error:
                 await self._send_error(responder, error.error_status_hint, str(error))
@@ -315,7 +352,6 @@
             if states != (h11.DONE, h11.DONE):
                 return
             self._h11_connection.start_next_cycle()
-            self.busy = False
 
     async def _read_request(self) -> Request | None:
         """Reads a request with its body; returns None if no further one arrives.
@@ -324,21 +360,10 @@
         """
         event = self._h11_connection.next_event()
         if event is h11.NEED_DATA:
-            idle_s = self._server.idle_timeout_s
-            if idle_s <= 0:
-                # The previous response may have started before stop() was called and so
-                # lack "Connection: close". A request that the caller still sends could
-                # outlast the grace period.
-                return None
-            try:
-                async with asyncio.timeout(idle_s):
-                    data = await self._reader.read(MAX_READ_BYTES)
-            except TimeoutError:
+            data = await self._wait_for_data()
+            if not data:
                 return None
             self._h11_connection.receive_data(data)
-        else:
-            data = b"pipelined"
-        self.busy = bool(data)
         try:
             # Limits the total time for a request, so that a caller cannot keep a
             # connection busy by sending single bytes at intervals.
@@ -352,6 +377,30 @@
         except TimeoutError:
             raise BadRequest(408, "the request was not sent in time") from None
 
+    async def _wait_for_data(self) -> bytes:
+        """Returns the first bytes of the next request; empty if none arrives in time."""
+        idle_s = self._server.idle_timeout_s
+        if idle_s > 0:
+            try:
+                async with asyncio.timeout(idle_s) as self._idle_timeout:
+                    return await self._reader.read(MAX_READ_BYTES)
+            except TimeoutError:
+                pass
+            finally:
+                self._idle_timeout = None
+        # A request that has been received is not dropped: its caller could not tell
+        # whether it was run. Data that is still in the socket makes the kernel reset
+        # the connection, which tells the caller that it was not read.
+        transport = self._writer.transport
+        transport.pause_reading()
+        try:
+            async with asyncio.timeout(0):
+                data = await self._reader.read(MAX_READ_BYTES)
+        except TimeoutError:
+            return b""
+        transport.resume_reading()
+        return data
+
     async def _read_body(self, request: Request) -> Request:
         body = bytearray()
         while True:
@@ -428,6 +477,12 @@
             return False
         return True
 
+    async def _refuse(self, responder: Responder) -> None:
+        """Refuses a request that was read too late to be served before the stop."""
+        log.info("request refused: the server is stopping")
+        with contextlib.suppress(OSError):
+            await responder.send(503, b"", [("Retry-After", "0")])
+
     async def _send_error(
         self, responder: Responder, status: int, message: str
     ) -> None:
@@ -438,21 +493,25 @@
 
 
 class _StreamProtocol(asyncio.StreamReaderProtocol):
-    """Stream protocol with an event that is set when the peer closes its side.
+    """Stream protocol with events that are set when the connection closes.
 
     :class:`asyncio.StreamReader` detects this only by a read, which would consume the
     bytes of a pipelined request.
+
+    :ivar closed: set when the peer has closed its side, or the connection has ended.
+    :ivar lost: set when the connection has ended.
     """
 
     def __init__(self, on_connection, loop: asyncio.AbstractEventLoop) -> None:
         self.closed = asyncio.Event()
+        self.lost = asyncio.Event()
         self._on_connection = on_connection
         super().__init__(
             asyncio.StreamReader(MAX_READ_BYTES, loop), self._connected, loop
         )
 
     async def _connected(self, reader, writer) -> None:
-        await self._on_connection(reader, writer, self.closed)
+        await self._on_connection(reader, writer, self)
 
     def eof_received(self) -> bool | None:
         """Sets :attr:`closed` when the peer has sent its last byte."""
@@ -460,6 +519,7 @@
         return super().eof_received()
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Sets :attr:`closed` when the connection is lost or closed."""
+        """Sets both events when the connection is lost or closed."""
         self.closed.set()
+        self.lost.set()
         super().connection_lost(exc)
