Keep a stalled attempt until another server takes its request

Callers of slow but sound servers got cut streams, or status 504 before their deadline. A server that pauses for 2 s in a stream (long prompts in its batch, a preempted request) is enough, if the route allows no further server, no other server has room or the retry budget is used up.

Cause: when the stall timeout expired (1.2 s without a complete event in a resumable stream, 0.4 s or twice the objective in a safe request), the relay closed the connection, which cancels the run. Only then did the reducer check whether the request could be retried. If it could not, the request ended, although its server would have answered in time.

A stall is now an event for the reducer, AttemptStalled. If another server can take the request, the reducer ends the attempt, reserves that server and its token of the retry budget in the same step, and returns the send as the effect. Otherwise it returns KeepWaiting: the attempt goes on, is not queued, takes no token, and the stall is reported again after each further timeout. So an attempt cannot be abandoned and its retry then refused. The relay closes the old connection before the new send. Only the deadline ends an attempt that cannot move. The server is avoided for new requests from the moment of the stall until it completes a response, as before. Routes that allow no retry have no stall timeout, as before.

A stalled request does not move to a server that is itself avoided after failures.

One log line for each decision (server stalled) and a counter by decision (gateway_stalls_total).

--- a/emulator/platform/server.py
+++ b/emulator/platform/server.py
@@ -42,6 +42,8 @@
     :param delay_s: seconds before the head of the response.
     :param events: number of events in a stream; 0 for a plain response.
     :param event_gap_s: seconds between two events.
+    :param gate: events wait until it is set; the head does not.
+    :param pause_after: pauses for ``pause_s`` seconds after so many events of a response.
     :param cut_after: closes the connection after so many events, or after the head of a
         plain response if it is not None.
     :param silent: never responds.
@@ -63,6 +65,9 @@
     delay_s: float = 0.0
     events: int = 0
     event_gap_s: float = 0.0
+    gate: asyncio.Event | None = None
+    pause_after: int | None = None
+    pause_s: float = 0.0
     cut_after: int | None = None
     silent: bool = False
     reset_unread: bool = False
@@ -229,6 +234,10 @@
                 await writer.drain()
                 writer.close()
                 return False
+            if sent == behaviour.pause_after:
+                await asyncio.sleep(behaviour.pause_s)
+            if behaviour.gate is not None:
+                await behaviour.gate.wait()
             data = request.id if behaviour.echo else f"piece {number}"
             writer.write(_chunk(f"id: {number}\ndata: {data}\n\n".encode()))
             await writer.drain()
--- a/heatherswitch/gateway/pending.py
+++ b/heatherswitch/gateway/pending.py
@@ -16,14 +16,14 @@
 MAX_ATTEMPTS = 4
 # Minimum time before the deadline for a retry, in seconds.
 MIN_RETRY_TIME_S = 0.05
-# Idle timeout of a retryable request other than a stream, as a multiple of the route's
+# Stall timeout of a retryable request other than a stream, as a multiple of the route's
 # latency objective, ...
-IDLE_TIMEOUT_FACTOR = 2.0
+STALL_TIMEOUT_FACTOR = 2.0
 # ... and its minimum in seconds: slow responses of healthy servers take up to 0.25 s.
-MIN_IDLE_TIMEOUT_S = 0.4
-# Minimum idle timeout of a resumable stream, in seconds. Callers disconnect after 2 s
+MIN_STALL_TIMEOUT_S = 0.4
+# Minimum stall timeout of a resumable stream, in seconds. Callers disconnect after 2 s
 # without data.
-MIN_STREAM_IDLE_TIMEOUT_S = 1.2
+MIN_STREAM_STALL_TIMEOUT_S = 1.2
 
 
 class Pending(Record):
@@ -76,7 +76,8 @@
         self.arrived_at = arrived_at
         self.deadline_at = deadline_at
         self.tried_ids: list[str] = []
-        # Number of servers that may have started to run the request.
+        # Number of servers that may have started to run the request, without the current
+        # one.
         self.possible_runs = possible_runs
         self.current_server = current_server
         # Error status of the last server, whose response is buffered for delivery.
@@ -107,13 +108,13 @@
 
     @property
     def stall_timeout_s(self) -> float | None:
-        """Seconds without progress after which an attempt is abandoned, or None."""
+        """Seconds without progress after which a server is stalled, or None."""
         if not self.route.retryable:
             return None
         if self.route.kind is RequestKind.STREAMING:
-            return max(MIN_STREAM_IDLE_TIMEOUT_S, self.route.latency_objective_s)
+            return max(MIN_STREAM_STALL_TIMEOUT_S, self.route.latency_objective_s)
         return max(
-            MIN_IDLE_TIMEOUT_S, IDLE_TIMEOUT_FACTOR * self.route.latency_objective_s
+            MIN_STALL_TIMEOUT_S, STALL_TIMEOUT_FACTOR * self.route.latency_objective_s
         )
 
     def note_holder_reply(self, part_id: str) -> None:
@@ -122,11 +123,15 @@
             self.holders_known = True
 
     def reason_not_to_retry(self, now: float) -> str:
-        """Returns why the request may not be sent again, or an empty string."""
+        """Returns why the request may not be sent again, or an empty string.
+
+        The server of a running attempt counts as one that may have run the request.
+        """
         route = self.route
-        if self.possible_runs and not route.retryable:
+        possible_runs = self.possible_runs + (self.current_server is not None)
+        if possible_runs and not route.retryable:
             return "the request may have run"
-        if self.possible_runs >= route.max_servers:
+        if possible_runs >= route.max_servers:
             return "the route allows no further server"
         if len(self.tried_ids) >= MAX_ATTEMPTS:
             return "too many servers were tried"
--- a/heatherswitch/gateway/reducer.py
+++ b/heatherswitch/gateway/reducer.py
@@ -151,6 +151,8 @@
                 return self._on_arrival(now, event)
             case ev.ResponseStarted():
                 return self._on_response_started(now, event)
+            case ev.AttemptStalled():
+                return self._on_attempt_stalled(now, event)
             case ev.AttemptEnded():
                 return self._on_attempt_ended(now, event)
             case ev.CallerDisconnected():
@@ -363,17 +365,51 @@
             )
         return []
 
-    def _on_attempt_ended(self, now: float, event: ev.AttemptEnded) -> list[ev.Effect]:
+    def _on_attempt_stalled(
+        self, now: float, event: ev.AttemptStalled
+    ) -> list[ev.Effect]:
+        """Ends a stalled attempt only if another server takes over in the same step.
+
+        A slow server may still complete the response before the deadline, so an attempt
+        that has no replacement goes on.
+        """
+        pending = self._pending.get(event.serial)
+        if pending is None or pending.current_server is None:
+            return []
+        choice = self._choose_for_retry(now, pending)
+        reason = choice if isinstance(choice, str) else ""
+        if isinstance(choice, NoChoice):
+            reason = "no other server is available"
+        elif isinstance(choice, Choice) and choice.server.in_backoff(now):
+            reason = "the other servers failed recently"
+        if reason:
+            pending.current_server.record_failure(now, UNRESPONSIVE_BACKOFF_S)
+            return [ev.KeepWaiting(event.serial, reason)]
+        ended = ev.AttemptEnded(event.serial, event.outcome)
+        return self._on_attempt_ended(now, ended, choice)
+
+    def _on_attempt_ended(
+        self, now: float, event: ev.AttemptEnded, replacement: Choice | None = None
+    ) -> list[ev.Effect]:
+        """Retries or ends a request whose attempt ended.
+
+        :param replacement: server that was already chosen for the retry of a broken
+            attempt.
+        """
         pending = self._pending.get(event.serial)
         if pending is None or pending.current_server is None:
             return []
         state, pending.current_server = pending.current_server, None
         state.in_flight -= 1
         self._peers.note_changed(state)
-        effects = self._on_outcome(now, event.serial, pending, state, event.outcome)
+        effects = self._on_outcome(
+            now, event.serial, pending, state, event.outcome, replacement
+        )
         return effects + self._dispatch_waiting(now)
 
-    def _on_outcome(self, now, serial, pending, state, outcome) -> list[ev.Effect]:
+    def _on_outcome(
+        self, now, serial, pending, state, outcome, replacement: Choice | None = None
+    ) -> list[ev.Effect]:
         match outcome:
             case ev.Completed(_, total_s):
                 state.record_success(total_s)
@@ -401,22 +437,30 @@
                 pending.buffered_error = None
                 pending.ambiguous_failure = outcome
                 pending.partly_delivered = pending.partly_delivered or outcome.started
-                return self._retry(now, serial, pending, ran=True)
+                return self._retry(
+                    now, serial, pending, ran=True, replacement=replacement
+                )
         raise TypeError(f"unknown outcome {outcome!r}")
 
     def _retry(
-        self, now: float, serial: int, pending: Pending, ran: bool, arrived=True
+        self,
+        now: float,
+        serial: int,
+        pending: Pending,
+        ran: bool,
+        arrived: bool = True,
+        replacement: Choice | None = None,
     ) -> list[ev.Effect]:
         """Sends a request to another server if the retry rules allow it.
 
         :param ran: the request may have run at the last server.
         :param arrived: the request reached the last server.
+        :param replacement: server that :meth:`_choose_for_retry` returned in this step.
         """
         pending.possible_runs += ran
-        reason = pending.reason_not_to_retry(now)
-        if reason:
-            return self._end_unserved(serial, pending, reason)
-        choice = self._placer.choose(now, pending)
+        choice = replacement or self._choose_for_retry(now, pending, arrived)
+        if isinstance(choice, str):
+            return self._end_unserved(serial, pending, choice)
         if isinstance(choice, NoChoice):
             if (
                 choice.eligible
@@ -425,10 +469,26 @@
             ):
                 return self._enqueue(now, serial, pending, choice.wait_s)
             return self._end_unserved(serial, pending, "no other server is available")
-        if arrived and not self._retry_budget.take(now):
-            return self._end_unserved(serial, pending, "the retry budget is used up")
+        if arrived:
+            self._retry_budget.take(now)
         return [self._forward(now, serial, pending, choice)]
 
+    def _choose_for_retry(
+        self, now: float, pending: Pending, arrived: bool = True
+    ) -> Choice | NoChoice | str:
+        """Returns another server for a request, or why it may not be sent again."""
+        reason = pending.reason_not_to_retry(now)
+        if reason:
+            return reason
+        choice = self._placer.choose(now, pending)
+        if (
+            isinstance(choice, Choice)
+            and arrived
+            and not self._retry_budget.is_available(now)
+        ):
+            return "the retry budget is used up"
+        return choice
+
     def _end_unserved(
         self,
         serial: int,
--- a/heatherswitch/gateway/relay.py
+++ b/heatherswitch/gateway/relay.py
@@ -61,6 +61,9 @@
     :param request_id: id that the caller gave the request; responses must repeat it.
     :param on_response_started: called with the head of each response and the
         seconds from the send to it.
+    :param on_stalled: called when a server made no progress for the stall timeout, with
+        the seconds without progress and whether part of the response was delivered. The
+        attempt goes on unless it raises an exception.
     """
 
     __slots__ = (
@@ -70,6 +73,7 @@
         "_discarded",
         "_last_event_id",
         "_on_response_started",
+        "_on_stalled",
         "_pool",
         "_request",
         "_request_id",
@@ -87,6 +91,7 @@
         request_id: str,
         responder: Responder,
         on_response_started: Callable[[ev.Forward, ResponseHead, float], None],
+        on_stalled: Callable[[ev.Forward, float, bool], None],
     ) -> None:
         self._codec = codec
         self._pool = pool
@@ -95,6 +100,7 @@
         self._request_id = request_id
         self._responder = responder
         self._on_response_started = on_response_started
+        self._on_stalled = on_stalled
         self._buffered_response: BufferedResponse | None = None
         self._last_event_id: int | None = None
         self._response_started = False
@@ -193,7 +199,15 @@
         )
         headers = self._codec.encode_request(self._request, upstream)
         request = self._request
-        connection.send(request.method, request.target, headers, request.body)
+        connection.send(
+            request.method,
+            request.target,
+            headers,
+            request.body,
+            lambda stalled_s: self._on_stalled(
+                forward, stalled_s, self._response_started
+            ),
+        )
 
     async def _receive_head(self, connection, reused: bool, forward):
         """Returns the head of the response to this request, decoded and raw.
--- a/heatherswitch/gateway/shell.py
+++ b/heatherswitch/gateway/shell.py
@@ -112,6 +112,19 @@
         self.http = http if http is not None else HttpLimits()
 
 
+class AttemptReplaced(Exception):
+    """The reducer ended a stalled attempt.
+
+    :ivar outcome: outcome of the attempt.
+    :ivar effect: the reducer's next effect for the request.
+    """
+
+    def __init__(self, outcome: ev.Broken, effect: ev.Effect) -> None:
+        super().__init__("the attempt was replaced")
+        self.outcome = outcome
+        self.effect = effect
+
+
 class Gateway:
     """Accepts callers' requests and forwards them to backend servers.
 
@@ -340,20 +353,21 @@
             lambda forward, head, ttfb_s: self._on_response_started(
                 serial, forward, head, ttfb_s
             ),
+            lambda forward, stalled_s, started: self._on_stalled(
+                serial, caller_request, forward, stalled_s, started
+            ),
         )
         arrived_at = self._clock.now()
-        event: ev.Event = ev.RequestArrived(serial, caller_request)
         finished = False
         try:
+            arrival = ev.RequestArrived(serial, caller_request)
+            effect = await self._submit(serial, arrival)
             while not finished:
-                effect = await self._submit(serial, event)
                 if isinstance(effect, ev.Forward):
-                    self._log_forward(caller_request, effect)
-                    outcome = await self._run_attempt(relay, effect)
-                    self._log_outcome(caller_request, effect, outcome)
-                    event = ev.AttemptEnded(serial, outcome)
+                    effect = await self._forward(serial, relay, caller_request, effect)
                 elif isinstance(effect, ev.QueryLoad | ev.QueryHolder):
-                    event = await self._peers.ask(effect)
+                    reply = await self._peers.ask(effect)
+                    effect = await self._submit(serial, reply)
                 else:
                     await self._send_final_response(
                         relay, responder, caller_request, effect, arrived_at
@@ -379,6 +393,50 @@
         success = head.status < 300
         self._apply(ev.ResponseStarted(serial, head.load, ttfb_s, success, head.cold_s))
 
+    def _on_stalled(
+        self,
+        serial: int,
+        caller_request: CallerRequest,
+        forward: ev.Forward,
+        stalled_s: float,
+        started: bool,
+    ) -> None:
+        """Lets the reducer decide whether to go on with a stalled attempt.
+
+        :raises AttemptReplaced: if the attempt must end.
+        """
+        future = asyncio.get_running_loop().create_future()
+        self._effect_futures[serial] = future
+        outcome = ev.Broken("the server stalled", started, silent=True)
+        self._apply(ev.AttemptStalled(serial, outcome))
+        effect = future.result()
+        self._telemetry.count_stall(forward, effect)
+        log.info(
+            "server stalled",
+            extra={
+                "request": caller_request.id,
+                "server": forward.server.id,
+                "stalled_s": round(stalled_s, LOG_DECIMALS),
+                "decision": type(effect).__name__,
+                "reason": getattr(effect, "reason", ""),
+            },
+        )
+        if not isinstance(effect, ev.KeepWaiting):
+            raise AttemptReplaced(outcome, effect)
+
+    async def _forward(
+        self, serial: int, relay: RequestRelay, caller_request, forward: ev.Forward
+    ) -> ev.Effect:
+        """Sends the request to one backend server and returns the next effect."""
+        self._log_forward(caller_request, forward)
+        try:
+            outcome = await self._run_attempt(relay, forward)
+        except AttemptReplaced as replaced:
+            self._log_outcome(caller_request, forward, replaced.outcome)
+            return replaced.effect
+        self._log_outcome(caller_request, forward, outcome)
+        return await self._submit(serial, ev.AttemptEnded(serial, outcome))
+
     async def _run_attempt(
         self, relay: RequestRelay, forward: ev.Forward
     ) -> ev.Outcome:
--- a/heatherswitch/gateway/telemetry.py
+++ b/heatherswitch/gateway/telemetry.py
@@ -58,6 +58,17 @@
             ttfb_s,
         )
 
+    def count_stall(self, forward: ev.Forward, decision: ev.Effect) -> None:
+        """Counts a server that made no progress for the stall timeout, by decision."""
+        self._metrics.count(
+            "gateway_stalls_total",
+            "Stall timeouts of attempts that expired, by decision.",
+            {
+                "route": self._route_label(forward.route.name),
+                "decision": type(decision).__name__,
+            },
+        )
+
     def count_failed_attempt(self, forward: ev.Forward, outcome: ev.Outcome) -> None:
         """Counts a failed attempt, by its outcome."""
         self._metrics.count(
--- a/heatherswitch/gateway/upstream.py
+++ b/heatherswitch/gateway/upstream.py
@@ -5,7 +5,7 @@
 import re
 import socket
 from collections import deque
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from typing import Any
 
 import h11
@@ -151,6 +151,9 @@
         self._unread = 0
         # Event loop time of the last progress in the response.
         self._progress_at = 0.0
+        # Event loop time of the last progress or reported stall.
+        self._stall_timer_from = 0.0
+        self._on_stall: Callable[[float], None] | None = None
         # Body bytes received since then.
         self._body_bytes = 0
         self._sent_events: list[Any] = []
@@ -204,11 +207,24 @@
 
     def _wake(self) -> None:
         if self._waiter is not None and not self._waiter.done():
-            self._waiter.set_result(None)
+            self._waiter.set_result(True)
 
-    def send(self, method: str, target: str, headers: Headers, body: bytes) -> None:
-        """Sends a request; the connection must not have one open."""
+    def send(
+        self,
+        method: str,
+        target: str,
+        headers: Headers,
+        body: bytes,
+        on_stall: Callable[[float], None] | None = None,
+    ) -> None:
+        """Sends a request; the connection must not have one open.
+
+        :param on_stall: called with the seconds since the last progress each time that
+            a stall timeout expires. If it returns, reading goes on; its exceptions reach
+            the reader.
+        """
         self._busy = True
+        self._on_stall = on_stall
         head = h11.Request(method=method, target=target, headers=headers)
         self._sent_events = [head]
         if body:
@@ -221,13 +237,13 @@
     def record_progress(self) -> None:
         """Restarts the stall timeout."""
         self._progress_at = asyncio.get_running_loop().time()
+        self._stall_timer_from = self._progress_at
         self._body_bytes = 0
 
     async def head(self, stall_timeout_s: float | None) -> h11.Response:
         """Returns the head of the next final response; skips 1xx responses.
 
         :raises ConnectionLost: if none arrives or it is over :data:`MAX_HEAD_BYTES`.
-        :raises TimeoutError: if the server makes no progress for ``stall_timeout_s``.
         """
         for _ in range(MAX_INTERIM_RESPONSES + 1):
             event = await self.next_event(stall_timeout_s)
@@ -267,7 +283,6 @@
         """Yields the body of the response; each complete chunk is progress.
 
         :raises ConnectionLost: if the response is cut or malformed.
-        :raises TimeoutError: if the server makes no progress for ``stall_timeout_s``.
         """
         while True:
             event = await self.next_event(stall_timeout_s)
@@ -283,10 +298,9 @@
     async def next_event(self, stall_timeout_s: float | None) -> Any:
         """Returns the next h11 event of the response.
 
-        :param stall_timeout_s: seconds without progress after which to give up; None for
-            no limit. Single bytes are no progress, since a faulty server may keep
-            sending them.
-        :raises TimeoutError: if the server makes no progress in time.
+        :param stall_timeout_s: seconds without progress after which the callback given
+            to :meth:`send` is called; None for never. Single bytes are no progress,
+            since a faulty server may keep sending them.
         :raises ConnectionLost: if the response is cut or malformed.
         """
         while True:
@@ -302,16 +316,20 @@
             if self._closed:
                 raise ConnectionLost("the answer was cut")
             self._transport.resume_reading()
-            await self._wait_for_data(stall_timeout_s)
+            if not await self._wait_for_data(stall_timeout_s):
+                self._stall_timer_from = asyncio.get_running_loop().time()
+                self._on_stall(self._stall_timer_from - self._progress_at)
 
-    async def _wait_for_data(self, stall_timeout_s: float | None) -> None:
+    async def _wait_for_data(self, stall_timeout_s: float | None) -> bool:
+        """Returns False if the stall timeout expired first."""
         loop = asyncio.get_running_loop()
         waiter = self._waiter = loop.create_future()
         timer = None
-        if stall_timeout_s is not None:
-            timer = loop.call_at(self._progress_at + stall_timeout_s, _time_out, waiter)
+        if stall_timeout_s is not None and self._on_stall is not None:
+            expires_at = self._stall_timer_from + stall_timeout_s
+            timer = loop.call_at(expires_at, _expire, waiter)
         try:
-            await waiter
+            return await waiter
         finally:
             if timer is not None:
                 timer.cancel()
@@ -320,6 +338,7 @@
     def end_exchange(self, now: float) -> bool:
         """Ends the request; returns True if the connection can be reused."""
         self._busy = False
+        self._on_stall = None
         states = (self._http.our_state, self._http.their_state)
         # A server that responded early has not read the whole request yet.
         unsent = self._transport.get_write_buffer_size() > 0
@@ -341,9 +360,9 @@
     return h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
 
 
-def _time_out(waiter: asyncio.Future) -> None:
+def _expire(waiter: asyncio.Future) -> None:
     if not waiter.done():
-        waiter.set_exception(TimeoutError("the server is silent"))
+        waiter.set_result(False)
 
 
 class ConnectionPool:
