--- a/test/test_prompt_quarantine.py
+++ b/test/test_prompt_quarantine.py
@@ -331,6 +331,17 @@
         self.assertIsInstance(refusal, ev.Refuse)
         self.assertEqual(refusal.status, 502)
 
+    def test_stalled_request_with_a_quarantined_part_stays_at_its_server(self):
+        """Moving it would end it, since it is not sent to another server."""
+        serial = self.driver.send_request("/live/1", parts=prompt("deadly", "own"))
+        for number in range(3):
+            self.crash("deadly", f"own{number}")
+        self.driver.take_effects()
+        stall = ev.AttemptStalled(serial, ev.Broken("stalled", silent=True))
+        self.driver.apply(stall)
+        (effect,) = self.driver.take_effects()
+        self.assertIsInstance(effect, ev.KeepWaiting)
+
     def test_queued_request_with_a_quarantined_part_is_refused(self):
         self.driver = Driver()
         self.driver.add_servers(server("e0", "engine", slots=1))
