Forward header values with bytes other than ASCII

A request with such a header value was answered 502 without having been sent, and counted as a failure of its server. If a server's response had one, the caller got 502, and on a streaming route a closed connection without any response, although the request had run.

Cause: headers are decoded as Latin-1 when they are received, but h11 encodes text as ASCII. The resulting UnicodeEncodeError, a ValueError, was taken for a malformed answer. HTTP allows these bytes in values.

Headers are now encoded as they were decoded. A handler that ends a request without a response is logged.

--- a/heatherswitch/gateway/upstream.py
+++ b/heatherswitch/gateway/upstream.py
@@ -11,7 +11,12 @@
 import h11
 
 from heatherswitch.gateway.model import Load, Server
-from heatherswitch.util.http import ConnectFailed, ConnectionLost, Headers
+from heatherswitch.util.http import (
+    ConnectFailed,
+    ConnectionLost,
+    Headers,
+    encode_headers,
+)
 from heatherswitch.util.record import Record
 
 log = logging.getLogger("heatherswitch.gateway.upstream")
@@ -225,7 +230,9 @@
         """
         self._busy = True
         self._on_stall = on_stall
-        head = h11.Request(method=method, target=target, headers=headers)
+        head = h11.Request(
+            method=method, target=target, headers=encode_headers(headers)
+        )
         self._sent_events = [head]
         if body:
             self._sent_events.append(h11.Data(data=body))
--- a/heatherswitch/util/http.py
+++ b/heatherswitch/util/http.py
@@ -15,6 +15,16 @@
 Headers = list[tuple[str, str]]
 
 
+def encode_headers(headers: Headers) -> list[tuple[bytes, bytes]]:
+    """Returns the bytes that were decoded as Latin-1 when the headers were received.
+
+    h11 accepts only ASCII in text, but any bytes in a value.
+    """
+    return [
+        (name.encode("latin-1"), value.encode("latin-1")) for name, value in headers
+    ]
+
+
 class HttpError(Exception):
     """An HTTP exchange failed."""
 
--- a/heatherswitch/util/http_server.py
+++ b/heatherswitch/util/http_server.py
@@ -18,6 +18,7 @@
     Headers,
     HttpLimits,
     Request,
+    encode_headers,
 )
 from heatherswitch.util.listeners import LISTEN_BACKLOG
 
@@ -70,7 +71,9 @@
         if self._is_closing():
             all_headers.append(("Connection", "close"))
         reason = _REASON_PHRASES.get(status, b"")
-        response = h11.Response(status_code=status, headers=all_headers, reason=reason)
+        response = h11.Response(
+            status_code=status, headers=encode_headers(all_headers), reason=reason
+        )
         if defer_send:
             self._unsent_head = self._connection.send(response) or b""
         else:
@@ -468,7 +471,11 @@
             if responder.started:
                 return False
             raise
-        except (OSError, h11.LocalProtocolError):
+        except (OSError, h11.LocalProtocolError) as error:
+            if not responder.started:
+                log.warning(
+                    "request ended without a response", extra={"error": repr(error)}
+                )
             return False
         except Exception:
             log.exception("request handler failed")
--- a/test/test_gateway_service.py
+++ b/test/test_gateway_service.py
@@ -3,6 +3,7 @@
 import asyncio
 import unittest
 from collections import Counter
+from dataclasses import replace
 
 from emulator.platform.deployment import Deployment, build_configuration, build_route
 from emulator.platform.server import Behaviour
@@ -56,6 +57,22 @@
         await self.deployment.call("/settle/1", method="POST", body=b"x" * 50_000)
         self.assertEqual(server.received[0].body, b"x" * 50_000)
 
+    async def test_header_values_with_other_than_ascii_bytes_are_forwarded(self):
+        """The request failed with 502, and a stream ended without any response."""
+        behaviour = Behaviour(headers=[("X-Lot", "Gemälde")])
+        server = await self.start_ledger(behaviour)
+        await self.deployment.add_server(
+            "e1", "appraiser", replace(behaviour, events=2)
+        )
+        for path in ("/settle/1", "/draft/1"):
+            status, _, headers = await self.deployment.call(
+                path, method="POST", X_Buyer="Zoë".encode()
+            )
+            self.assertEqual(status, 200)
+            self.assertEqual(headers["x-lot"].encode("latin-1").decode(), "Gemälde")
+        buyer = server.received[0].headers["x-buyer"]
+        self.assertEqual(buyer, "Zoë")
+
     async def test_unknown_key_and_route_are_refused(self):
         await self.start_ledger()
         status, _, _ = await self.deployment.call("/lookup/1", Authorization="Bearer x")
