Reset truncated responses to HTTP/1.0 callers

An HTTP/1.0 caller took a response that the gateway broke off for a complete one. HTTP/1.0 has no chunks, so a response without a length ends with its connection, and the server closed that in the usual way, also at the end of a stop's grace period. Both new tests failed before (no ConnectionResetError). transport.abort() alone isn't enough: it closes the socket without a reset.

--- a/heatherswitch/util/http_server.py
+++ b/heatherswitch/util/http_server.py
@@ -6,6 +6,7 @@
 import logging
 import socket
 import ssl
+import struct
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
 from typing import Any
@@ -31,7 +32,8 @@
 # Seconds for which requests in transit on open connections are still accepted after the
 # listener is closed.
 LATE_REQUEST_GRACE_S = 0.25
-
+# Value of SO_LINGER (on, for 0 s) with which closing a socket resets its connection.
+LINGER_RESET = struct.pack("ii", 1, 0)
 
 _REASON_PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}
 
@@ -261,8 +263,9 @@
         self._connections[task] = connection
         try:
             await connection.serve(protocol.closed)
-            # Until then stop() waits for the connection: what the socket has not taken
-            # of a response would be lost when the process ends.
+            connection.reset_if_truncated()
+            # stop() waits for this: data that the socket has not taken would be lost
+            # when the process ends.
             await _close_when_sent(writer, protocol.lost)
         except (OSError, h11.RemoteProtocolError):
             log.debug("connection closed by the peer")
@@ -271,6 +274,7 @@
             log.debug("connection closed by shutdown")
         finally:
             del self._connections[task]
+            connection.reset_if_truncated()
             writer.close()
 
 
@@ -322,6 +326,19 @@
         # Set while the connection waits for a request.
         self._idle_timeout: asyncio.Timeout | None = None
 
+    def reset_if_truncated(self) -> None:
+        """Resets the connection if closing it would complete an unfinished response.
+
+        HTTP/1.0 has no chunks, so a response without a length ends with its connection.
+        """
+        http = self._h11_connection
+        if self._writer.is_closing() or http.our_state is not h11.SEND_BODY:
+            return
+        if http.their_http_version < b"1.1":
+            sock = self._writer.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
+            self._writer.transport.abort()
+
     def end_idle_wait(self) -> None:
         """Closes the connection if it waits for a request and none has arrived."""
         if self._idle_timeout is not None and not self._idle_timeout.expired():
--- a/test/test_http.py
+++ b/test/test_http.py
@@ -115,6 +115,19 @@
         with self.assertRaises(ConnectionLost):
             await response.read()
 
+    async def test_truncated_response_to_an_http_1_0_caller_ends_with_a_reset(self):
+        """Such a response ends with its connection, so a close would complete it."""
+        with self.assertRaises(ConnectionResetError):
+            await self.send_raw(b"GET /cut HTTP/1.0\r\nHost: h\r\n\r\n")
+
+    async def test_stop_resets_an_unfinished_response_to_an_http_1_0_caller(self):
+        request = b"GET /wait-after-head HTTP/1.0\r\nHost: h\r\n\r\n"
+        call = asyncio.create_task(self.send_raw(request))
+        await asyncio.sleep(0.1)
+        await self.server.stop(0.1)
+        with self.assertRaises(ConnectionResetError):
+            await call
+
     async def test_handler_is_cancelled_when_the_caller_disconnects(self):
         _, writer = await asyncio.open_connection("127.0.0.1", self.server.port)
         writer.write(b"GET /wait HTTP/1.1\r\nHost: h\r\n\r\n")
