Treat a stream that ends inside an event as broken off

A caller got a complete response whose last event was cut, if the server had ended the body inside the event: a stream that ends with its connection, one in chunks, or one with a length. An unframed stream of which nothing but the head came was delivered as an empty one.

Cause: at the end of the body the relay delivered the unfinished event and counted the response as complete.

Evidence: BrokenOffStreamTest failed before for streams in chunks, unframed ones, and unframed ones without an event, on both kinds of route: the body ended in "id: 4\ndata: half". Sound before, and tested now: an unframed response that is reset, small, large or an error, one whose server only closes its side, an empty stream with a length. Not detectable: an unframed stream that is closed in the regular way between two events.

The end inside an event is now a lost connection: the stream is resumed at another server if the route allows it, otherwise it is cut or answered 502. Line ends after the last event are no event and are still delivered.

--- a/emulator/platform/server.py
+++ b/emulator/platform/server.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import socket
 import time
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
@@ -12,6 +13,11 @@
 
 from emulator.standin import LOOPBACK
 from heatherswitch.util.http import MAX_READ_BYTES
+from heatherswitch.util.http_server import LINGER_RESET
+
+# Seconds between the last data of a response and the reset of its connection.
+RESET_DELAY_S = 0.1
+LAST_CHUNK = b"0\r\n\r\n"
 
 
 @dataclass(slots=True)
@@ -44,14 +50,19 @@
     :param event_gap_s: seconds between two events.
     :param gate: events wait until it is set; the head does not.
     :param pause_after: pauses for ``pause_s`` seconds after so many events of a response.
-    :param cut_after: closes the connection after so many events, or after the head of a
-        plain response if it is not None.
+    :param cut_after: closes the connection after so many events, in the middle of the
+        next one, or after the head of a plain response if it is not None.
     :param silent: never responds.
     :param reset_unread: aborts the connection when a request has arrived.
     :param stray: sends a response with another request's id first.
     :param late_refusal: sends a refusal without a request id first, on a connection that
         has served a request before.
-    :param unframed: the response has no Content-Length and ends with the connection.
+    :param unframed: the response has neither a Content-Length nor chunks and ends with
+        its connection.
+    :param end_cut: a stream that is cut by ``cut_after`` gets the regular end of its
+        framing.
+    :param reset: the connection is reset at the end of the response.
+    :param half_close: after an unframed response, only the server's side is closed.
     :param seal: the response carries the signature, ``X-Response-Seal``.
     :param echo: the body, or each event, is the request id.
     :param raw: returns the bytes to send in place of a response, which may be endless;
@@ -76,6 +87,9 @@
     stray: bool = False
     late_refusal: bool = False
     unframed: bool = False
+    end_cut: bool = False
+    reset: bool = False
+    half_close: bool = False
     seal: bool = True
     echo: bool = False
     raw: Callable[[bytes], Iterable[bytes]] | None = None
@@ -182,15 +196,13 @@
         await asyncio.wait(
             {disconnected, response}, return_when=asyncio.FIRST_COMPLETED
         )
+        disconnected.cancel()
+        await asyncio.gather(disconnected, return_exceptions=True)
         if not response.done():
             self.cancelled.append(request.id)
             response.cancel()
             return False
-        keep_open = response.result()
-        if keep_open:
-            disconnected.cancel()
-            await asyncio.gather(disconnected, return_exceptions=True)
-        return keep_open
+        return response.result()
 
     async def _respond(
         self, request, behaviour: Behaviour, writer, requests_before
@@ -217,7 +229,9 @@
     async def _send_raw(
         self, request: ReceivedRequest, behaviour: Behaviour, writer
     ) -> bool:
-        head = _head(200, request.id, self.id, None, behaviour, chunked=True)
+        head = _head(
+            200, request.id, self.id, None, behaviour, chunked=not behaviour.unframed
+        )
         for part in behaviour.raw(head):
             writer.write(part)
             try:
@@ -240,16 +254,31 @@
             return False
         writer.write(head + body)
         await writer.drain()
-        return length is not None
+        return await self._end_response(behaviour, writer, length is None)
+
+    async def _end_response(self, behaviour, writer, unframed: bool) -> bool:
+        """Ends a response; returns True if the connection stays open."""
+        if behaviour.reset:
+            # Lets the data reach the gateway, which a reset would discard.
+            await asyncio.sleep(RESET_DELAY_S)
+            reset_connection(writer)
+            return False
+        if behaviour.half_close:
+            writer.write_eof()
+            await asyncio.Event().wait()
+        return not unframed
 
     async def _send_stream(self, request, behaviour, writer) -> bool:
-        head = _head(200, request.id, self.id, None, behaviour, chunked=True)
+        chunked = not behaviour.unframed
+        head = _head(200, request.id, self.id, None, behaviour, chunked=chunked)
+        encode = _chunk if chunked else bytes
         first = int(request.headers.get("last-event-id") or 0) + 1
         writer.write(head)
         for sent, number in enumerate(range(first, behaviour.events + 1)):
             if behaviour.cut_after is not None and sent >= behaviour.cut_after:
-                # Ends in the middle of an event.
-                writer.write(_chunk(b"id: %d\ndata: half" % number))
+                writer.write(encode(b"id: %d\ndata: half" % number))
+                if behaviour.end_cut and chunked:
+                    writer.write(LAST_CHUNK)
                 await writer.drain()
                 writer.close()
                 return False
@@ -258,12 +287,20 @@
             if behaviour.gate is not None:
                 await behaviour.gate.wait()
             data = request.id if behaviour.echo else f"piece {number}"
-            writer.write(_chunk(f"id: {number}\ndata: {data}\n\n".encode()))
+            writer.write(encode(f"id: {number}\ndata: {data}\n\n".encode()))
             await writer.drain()
             await asyncio.sleep(behaviour.event_gap_s)
-        writer.write(b"0\r\n\r\n")
+        if chunked:
+            writer.write(LAST_CHUNK)
         await writer.drain()
-        return True
+        return await self._end_response(behaviour, writer, behaviour.unframed)
+
+
+def reset_connection(writer: asyncio.StreamWriter) -> None:
+    """Closes a connection by a reset; data that was not sent yet is discarded."""
+    sock = writer.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
+    writer.transport.abort()
 
 
 async def _read_request(reader) -> ReceivedRequest | None:
--- a/heatherswitch/gateway/event_stream.py
+++ b/heatherswitch/gateway/event_stream.py
@@ -60,9 +60,14 @@
         return complete
 
     def remainder(self) -> bytes:
-        """Returns the incomplete event at the end of the data."""
+        """Returns the incomplete event, or the line ends, at the end of the data."""
         return bytes(self._buffer)
 
+    @property
+    def inside_event(self) -> bool:
+        """True if the data ends inside an event; line ends alone begin none."""
+        return bool(self._buffer.strip(b"\r\n"))
+
     def _drop_delivered(self, complete: bytes) -> bytes:
         """Drops events that the caller already has; raises ValueError on a gap."""
         kept = []
--- a/heatherswitch/gateway/relay.py
+++ b/heatherswitch/gateway/relay.py
@@ -28,6 +28,8 @@
 MAX_BUFFERED_BYTES = 256 * 1024
 # Statuses that tell the caller that the request was not run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+# Headers that mark the end of a response; without them it ends with its connection.
+_FRAMING_HEADERS = frozenset({"content-length", "transfer-encoding"})
 
 
 class ServerCodec(Protocol):
@@ -192,7 +194,10 @@
             if not head.sealed or head.encoded:
                 raise ConnectionLost("the answer does not carry the server's signature")
             if forward.route.kind is RequestKind.STREAMING:
-                await self._relay_stream(connection, forward, head)
+                framed = not _FRAMING_HEADERS.isdisjoint(
+                    name for name, _ in raw_headers
+                )
+                await self._relay_stream(connection, forward, head, framed)
             else:
                 await self._relay_plain(connection, forward, head)
         else:
@@ -314,11 +319,17 @@
         else:
             await self._responder.send(head.status, bytes(buffered), head.headers)
 
-    async def _relay_stream(self, connection, forward, head: ResponseHead) -> None:
+    async def _relay_stream(
+        self, connection, forward, head: ResponseHead, framed: bool
+    ) -> None:
         """Forwards complete server-sent events as they arrive.
 
         The head is sent with the first event, since until then the request can still be
         sent to another server. Only complete events count as progress.
+
+        :param framed: the end of the stream is marked, so that it may have no event.
+            Otherwise it ends with the connection, also if the server breaks it off.
+        :raises ConnectionLost: if the stream is cut or ends inside an event.
         """
         reader = EventReader(self._last_event_id, resumed=self._response_started)
         while True:
@@ -332,6 +343,10 @@
                 await self._start_response(head, complete)
                 self._last_event_id = reader.last_id
                 connection.record_progress()
+        if reader.inside_event:
+            raise ConnectionLost("the stream ended inside an event")
+        if not framed and not self._response_started:
+            raise ConnectionLost("the stream ended before its first event")
         if reader.remainder() or not self._response_started:
             await self._start_response(head, reader.remainder())
         if not self._discarded:
--- a/test/test_gateway_service.py
+++ b/test/test_gateway_service.py
@@ -8,6 +8,7 @@
 from emulator.platform.deployment import Deployment, build_configuration, build_route
 from emulator.platform.server import Behaviour
 from heatherswitch.gateway.limits import Limits
+from heatherswitch.gateway.relay import MAX_BUFFERED_BYTES
 from heatherswitch.util.http import ConnectionLost
 
 
@@ -192,13 +193,15 @@
         self.assertEqual(status, 504)
 
 
-class StreamTest(GatewayCase):
+class StreamCase(GatewayCase):
     async def start_engines(self, *behaviours):
         await self.start_deployment()
         for number, behaviour in enumerate(behaviours):
             await self.deployment.add_server(f"e{number}", "appraiser", behaviour)
         return list(self.deployment.servers.values())
 
+
+class StreamTest(StreamCase):
     async def test_events_are_forwarded(self):
         await self.start_engines(Behaviour(events=5))
         _, body, _ = await self.deployment.call("/draft/1", method="POST")
@@ -383,6 +386,135 @@
         self.assertFalse(lost, f"{lost.total()} of {len(calls)} lost")
 
 
+class BrokenOffStreamTest(StreamCase):
+    """Guards against streams that end inside an event and look complete to callers.
+
+    A stream may come without a length and without chunks and end with its connection.
+    """
+
+    CUT = {
+        "chunks": Behaviour(events=6, cut_after=3, end_cut=True),
+        "unframed": Behaviour(events=6, cut_after=3, unframed=True),
+        "unframed, in the first event": Behaviour(events=6, cut_after=0, unframed=True),
+        "unframed, reset": Behaviour(events=3, unframed=True, reset=True),
+        "unframed, no event": Behaviour(body=b"", unframed=True),
+    }
+
+    async def test_unframed_stream_is_forwarded(self):
+        await self.start_engines(Behaviour(events=6, unframed=True))
+        for path in ("/draft/1", "/answer/1"):
+            _, body, _ = await self.deployment.call(path, method="POST")
+            self.assertEqual(body, event_bytes(6))
+
+    async def test_unframed_stream_is_complete_when_the_server_closes_its_side(self):
+        await self.start_engines(Behaviour(events=6, unframed=True, half_close=True))
+        _, body, _ = await self.deployment.call("/draft/1", method="POST")
+        self.assertEqual(body, event_bytes(6))
+
+    async def test_empty_stream_with_a_length_is_forwarded(self):
+        await self.start_engines(Behaviour(body=b""))
+        status, body, _ = await self.deployment.call("/draft/1", method="POST")
+        self.assertEqual((status, body), (200, b""))
+
+    async def test_line_ends_after_the_last_event_are_forwarded(self):
+        events = event_bytes(2) + b"\n"
+        await self.start_engines(Behaviour(body=events, unframed=True))
+        _, body, _ = await self.deployment.call("/draft/1", method="POST")
+        self.assertEqual(body, events)
+
+    async def set_behaviour(self, server_id: str, behaviour: Behaviour) -> None:
+        """Changes how a server responds once the gateway sends it requests again."""
+        self.deployment.servers[server_id].behaviour = behaviour
+        await self.deployment.wait_until(
+            lambda: self.deployment.gateway.routes_to(server_id)
+        )
+
+    async def test_broken_off_stream_does_not_look_complete(self):
+        await self.start_engines(Behaviour())
+        for name, behaviour in self.CUT.items():
+            with self.subTest(name):
+                await self.set_behaviour("e0", behaviour)
+                try:
+                    status, body, _ = await self.deployment.call(
+                        "/draft/1", method="POST"
+                    )
+                except ConnectionLost:
+                    status, body = 0, b""
+                self.assertNotEqual(status, 200, body)
+
+    async def assert_is_resumed(self, name: str) -> None:
+        """Checks that another server, in another zone, continues the stream."""
+        (bad,) = await self.start_engines(self.CUT[name])
+        await self.deployment.add_server(
+            "e1", "appraiser", Behaviour(events=6, unframed=True), zone="b"
+        )
+        _, body, _ = await self.deployment.call("/answer/1", method="POST")
+        self.assertEqual(body, event_bytes(6))
+        self.assertTrue(bad.received)
+
+    async def test_stream_in_chunks_is_resumed(self):
+        await self.assert_is_resumed("chunks")
+
+    async def test_unframed_stream_is_resumed(self):
+        await self.assert_is_resumed("unframed")
+
+    async def test_unframed_stream_without_a_complete_event_is_sent_again(self):
+        await self.assert_is_resumed("unframed, in the first event")
+
+    async def test_unframed_stream_that_is_reset_is_resumed(self):
+        await self.assert_is_resumed("unframed, reset")
+
+    async def test_unframed_stream_without_an_event_is_sent_again(self):
+        await self.assert_is_resumed("unframed, no event")
+
+
+class UnframedResponseTest(GatewayCase):
+    """Guards against plain responses without a length that look complete when cut."""
+
+    LARGE = b"x" * (2 * MAX_BUFFERED_BYTES)
+
+    async def test_large_response_is_complete_at_connection_close(self):
+        server = await self.start_ledger()
+        for half_close in (False, True):
+            with self.subTest(half_close=half_close):
+                server.behaviour = Behaviour(
+                    body=self.LARGE, unframed=True, half_close=half_close
+                )
+                status, body, _ = await self.deployment.call("/lookup/1")
+                self.assertEqual((status, body), (200, self.LARGE))
+
+    async def test_small_response_that_is_reset_is_retried(self):
+        await self.start_ledger(Behaviour(unframed=True, reset=True))
+        bad = self.deployment.servers["l1"]
+        await self.deployment.add_server("l2", "ledger", zone="b")
+        for _ in range(3):
+            status, body, headers = await self.deployment.call("/lookup/1")
+            self.assertEqual((status, body), (200, b"done"))
+            self.assertEqual(headers["x-response-seal"], "seal-of-l2")
+        self.assertTrue(bad.received)
+
+    async def test_small_response_to_a_settlement_that_is_reset_is_no_success(self):
+        await self.start_ledger(Behaviour(unframed=True, reset=True))
+        status, _, _ = await self.deployment.call("/settle/1", method="POST")
+        self.assertEqual(status, 502)
+
+    async def test_large_response_that_is_reset_does_not_look_complete(self):
+        await self.start_ledger(Behaviour(body=self.LARGE, unframed=True, reset=True))
+        for path in ("/lookup/1", "/settle/1"):
+            await self.deployment.wait_until(
+                lambda: self.deployment.gateway.routes_to("l1")
+            )
+            with self.assertRaises(ConnectionLost):
+                await self.deployment.call(path, method="POST")
+
+    async def test_error_response_that_is_reset_is_not_delivered(self):
+        await self.start_ledger(
+            Behaviour(status=500, body=b"oops", unframed=True, reset=True)
+        )
+        status, body, _ = await self.deployment.call("/settle/1", method="POST")
+        self.assertEqual((status, body), (502, b""))
+
+
 class ConfigurationTest(GatewayCase):
     async def test_new_configuration_applies_within_two_seconds(self):
         await self.start_ledger()
