Test endless bytes in responses without a length

Bytes without an end that are no response (zeros, empty lines, single ones at intervals), and unframed bodies, events, error bodies and unrelated responses without an end. They guard against a request, its server and the gateway's memory being held until the caller closes.

--- a/test/test_endless_answers.py
+++ b/test/test_endless_answers.py
@@ -49,11 +49,13 @@
         await self.deployment.start()
 
     async def assert_fails_by_deadline(
-        self, service: str, path: str, raw, gap_s: float = 0.0
+        self, service: str, path: str, raw, gap_s: float = 0.0, unframed: bool = False
     ):
         """Checks that a call to a faulty server fails in time and is cancelled there."""
         await self.deployment.add_server(
-            "bad", service, Behaviour(raw=raw, raw_gap_s=gap_s)
+            "bad",
+            service,
+            Behaviour(raw=raw, raw_gap_s=gap_s, unframed=unframed),
         )
         started_at = time.monotonic()
         milliseconds = str(int(DEADLINE_S * 1000))
@@ -177,6 +179,62 @@
         )
         await self.deployment.wait_until(lambda: bad.cancelled, timeout_s=MARGIN_S)
 
+    async def test_endless_bytes_that_are_no_response(self):
+        await self.assert_fails_by_deadline(
+            "ledger", "/settle/1", endless_response(b"", b"\0" * 4096)
+        )
+
+    async def test_endless_empty_lines(self):
+        await self.assert_fails_by_deadline(
+            "ledger", "/settle/1", endless_response(b"", b"\r\n" * 4096)
+        )
+
+    async def test_trickling_bytes_that_are_no_response(self):
+        raw = endless_response(b"", b"x")
+        await self.assert_fails_by_deadline("ledger", "/settle/1", raw, BYTE_INTERVAL_S)
+
+    async def test_endless_unframed_body(self):
+        raw = endless_after_head(b"", FILLER)
+        await self.assert_fails_by_deadline("ledger", "/settle/1", raw, unframed=True)
+
+    async def test_endless_unframed_body_of_a_safe_request(self):
+        raw = endless_after_head(b"", FILLER)
+        await self.assert_fails_by_deadline("ledger", "/lookup/1", raw, unframed=True)
+
+    async def test_trickling_unframed_body(self):
+        raw = endless_after_head(b"", b"x")
+        await self.assert_fails_by_deadline(
+            "ledger", "/settle/1", raw, BYTE_INTERVAL_S, unframed=True
+        )
+
+    async def test_endless_unframed_error_body(self):
+        head = b"HTTP/1.1 500 Error\r\nX-Response-Seal: s\r\n\r\n"
+        await self.assert_fails_by_deadline(
+            "ledger", "/settle/1", endless_response(head, FILLER)
+        )
+
+    async def test_endless_unframed_unrelated_response(self):
+        head = UNRELATED_RESPONSE.replace(b"Transfer-Encoding: chunked\r\n", b"")
+        await self.assert_fails_by_deadline(
+            "ledger", "/settle/1", endless_response(head, FILLER)
+        )
+
+    async def test_endless_unframed_event(self):
+        raw = endless_after_head(b"data: ", FILLER)
+        await self.assert_fails_by_deadline("appraiser", "/draft/1", raw, unframed=True)
+
+    async def test_endless_unframed_event_of_a_resumable_stream(self):
+        raw = endless_after_head(b"data: ", FILLER)
+        await self.assert_fails_by_deadline(
+            "appraiser", "/answer/1", raw, unframed=True
+        )
+
+    async def test_trickling_unframed_event_after_complete_ones(self):
+        raw = endless_after_head(b"id: 1\ndata: x\n\nid: 2\ndata: ", b"x")
+        await self.assert_fails_by_deadline(
+            "appraiser", "/draft/1", raw, BYTE_INTERVAL_S, unframed=True
+        )
+
     async def test_other_callers_are_served_meanwhile(self):
         raw = endless_after_head(b"", CHUNK)
         await self.deployment.add_server("bad", "appraiser", Behaviour(raw=raw))
