Cut a response that a retry has begun when the grace period ends

A caller whose first server had answered with an error, and whose retry had begun to deliver a response, would have got the buffered error of the first server behind the head of the second. Found on reading; the new test of the reducer fails without the line.

--- a/heatherswitch/gateway/reducer.py
+++ b/heatherswitch/gateway/reducer.py
@@ -482,6 +482,7 @@
                 return effects + reported
             case ev.Interrupted():
                 # Says nothing about the server or its version.
+                pending.buffered_error = None
                 pending.ambiguous_failure = ev.Broken(STOP_REASON, silent=True)
                 pending.partly_delivered = pending.partly_delivered or outcome.started
                 return self._end_unserved(serial, pending, STOP_REASON)
--- a/test/test_gateway_reducer.py
+++ b/test/test_gateway_reducer.py
@@ -495,6 +495,15 @@
         effect = self.driver.end_attempt(serial, ev.Rejected(503, other_instance=False))
         self.assertEqual(effect.status, 503)
 
+    def test_response_that_a_retry_has_begun_to_deliver_is_cut(self):
+        """The buffered error of the first server can't follow its head."""
+        serial = self.driver.send_request("/live/1", parts=chat_prompt("s"))
+        retry = self.driver.end_attempt(serial, ev.FailedAnswer(500))
+        self.assertIsInstance(retry, ev.Forward)
+        self.driver.apply(ev.GraceEnding())
+        effect = self.driver.end_attempt(serial, ev.Interrupted(started=True))
+        self.assertIsInstance(effect, ev.Cut)
+
     def test_partly_delivered_response_is_cut(self):
         serial = self.driver.send_request("/live/1", parts=chat_prompt("s"))
         self.driver.apply(ev.GraceEnding())
