--- a/heatherswitch/gateway/event_stream.py
+++ b/heatherswitch/gateway/event_stream.py
@@ -23,13 +23,14 @@
         has are dropped, and a gap in the ids is an error.
     """
 
-    __slots__ = ("_buffer", "_last_id", "_resumed", "_scanned_bytes")
+    __slots__ = ("_buffer", "_event_count", "_last_id", "_resumed", "_scanned_bytes")
 
     def __init__(self, after: int | None = None, resumed: bool = False) -> None:
         self._last_id = after
         self._buffer = bytearray()
         # Leading bytes of the buffer that contain no end of an event.
         self._scanned_bytes = 0
+        self._event_count = 0
         self._resumed = resumed
 
     @property
@@ -37,6 +38,11 @@
         """Id of the last complete event that had one, or None."""
         return self._last_id
 
+    @property
+    def event_count(self) -> int:
+        """Number of complete events so far, including those that were dropped."""
+        return self._event_count
+
     def feed(self, data: bytes) -> bytes:
         """Adds data and returns the events that it completes.
 
@@ -47,6 +53,7 @@
         end = 0
         for match in _EVENT_END.finditer(self._buffer, self._scanned_bytes):
             end = match.end()
+            self._event_count += 1
         if len(self._buffer) - end > MAX_EVENT_BYTES:
             raise ValueError(f"an event is over {MAX_EVENT_BYTES} bytes")
         complete = bytes(self._buffer[:end])
--- a/heatherswitch/gateway/relay.py
+++ b/heatherswitch/gateway/relay.py
@@ -55,6 +55,30 @@
         self.body = body
 
 
+class ResponseTiming(Record):
+    """Times of the current attempt's response, in seconds since its send.
+
+    :param head_s: the head arrived; None before that.
+    :param first_event_s: the first complete event of a stream arrived, or None.
+    :param last_event_s: the latest complete event arrived, or None.
+    :param events: number of complete events.
+    """
+
+    __slots__ = ("head_s", "first_event_s", "last_event_s", "events")
+
+    def __init__(
+        self,
+        head_s: float | None = None,
+        first_event_s: float | None = None,
+        last_event_s: float | None = None,
+        events: int = 0,
+    ) -> None:
+        self.head_s = head_s
+        self.first_event_s = first_event_s
+        self.last_event_s = last_event_s
+        self.events = events
+
+
 class RequestRelay:
     """Runs the attempts of one caller's request.
 
@@ -75,6 +99,8 @@
         "_request_id",
         "_responder",
         "_response_started",
+        "_sent_at",
+        "_timing",
         "_writing",
     )
 
@@ -99,9 +125,16 @@
         self._last_event_id: int | None = None
         self._response_started = False
         self._discarded = False
+        self._sent_at = 0.0
+        self._timing = ResponseTiming()
         # True while a write waits for the caller to read.
         self._writing = False
 
+    @property
+    def timing(self) -> ResponseTiming:
+        """Times of the current or last attempt's response."""
+        return self._timing
+
     def discard(self) -> None:
         """Stops delivery because the caller left; the response is still read."""
         self._discarded = True
@@ -118,7 +151,8 @@
             the deadline.
         """
         run_once = not forward.route.retryable
-        sent_at = self._clock()
+        sent_at = self._sent_at = self._clock()
+        self._timing = ResponseTiming()
         try:
             connection, reused = await self._pool.acquire(
                 sent_at, forward.server, run_once
@@ -161,7 +195,7 @@
         """
         self._send(connection, forward, sent_at)
         head, raw_headers = await self._receive_head(connection, reused, forward)
-        ttfb_s = self._clock() - sent_at
+        ttfb_s = self._timing.head_s = self._clock() - sent_at
         self._on_response_started(forward, head, ttfb_s)
         if head.not_run:
             # The body is not read, so the connection cannot be reused.
@@ -299,6 +333,7 @@
                 raise ConnectionLost("the answer was cut")
             complete = reader.feed(bytes(event.data))
             if complete:
+                self._record_events(reader.event_count)
                 await self._start_response(head, complete)
                 self._last_event_id = reader.last_id
                 connection.record_progress()
@@ -307,6 +342,13 @@
         if not self._discarded:
             await self._responder.finish()
 
+    def _record_events(self, count: int) -> None:
+        timing = self._timing
+        timing.events = count
+        timing.last_event_s = self._clock() - self._sent_at
+        if timing.first_event_s is None:
+            timing.first_event_s = timing.last_event_s
+
     async def _start_response(self, head: ResponseHead, data: bytes) -> None:
         if not self._response_started and not self._discarded:
             self._response_started = True
--- a/heatherswitch/gateway/shell.py
+++ b/heatherswitch/gateway/shell.py
@@ -13,7 +13,7 @@
 from heatherswitch.gateway.model import CallerRequest, RequestKind
 from heatherswitch.gateway.peer_link import PeerLink
 from heatherswitch.gateway.reducer import GatewayReducer
-from heatherswitch.gateway.relay import RequestRelay, ServerCodec
+from heatherswitch.gateway.relay import RequestRelay, ResponseTiming, ServerCodec
 from heatherswitch.gateway.rollouts import Rollout
 from heatherswitch.gateway.store_sync import Member, StoreSync
 from heatherswitch.gateway.telemetry import Telemetry
@@ -369,6 +369,7 @@
                     extra={
                         "request": caller_request.id,
                         "after_s": self._seconds_since(arrived_at),
+                        **_timing_fields(relay.timing),
                     },
                 )
 
@@ -428,6 +429,7 @@
                     self._reducer.configuration.age_s(self._clock.now()), 2
                 ),
                 "after_s": round(total_s, LOG_DECIMALS),
+                **_timing_fields(relay.timing),
             },
         )
 
@@ -442,6 +444,7 @@
                 "request": caller_request.id,
                 "route": forward.route.name,
                 "server": forward.server.id,
+                "version": forward.server.version,
                 "copy_from": forward.copy_source.id if forward.copy_source else "",
                 "reason": forward.reason,
                 "prompt": ",".join(
@@ -493,3 +496,17 @@
             # Only the load balancer sees the readiness checks fail; callers on open
             # connections are told by "Connection: close".
             self._caller_server.draining = not self.ready
+
+
+def _timing_fields(timing: ResponseTiming) -> dict[str, float | int | None]:
+    """Returns the log fields of the last attempt's response times."""
+    times = {
+        "head_s": timing.head_s,
+        "first_event_s": timing.first_event_s,
+        "last_event_s": timing.last_event_s,
+    }
+    rounded = {
+        name: None if value is None else round(value, LOG_DECIMALS)
+        for name, value in times.items()
+    }
+    return {**rounded, "events": timing.events}
