Judge the speed of a stream by its events, as soon as it is known

Cause: a response was timed by its head alone, and only when it had ended. The time to the head depends on the prompt and on what is cached: between requests of one version it varies more than between the versions (medians 0.02 and 0.06 s of one route, p95 of the old one 0.2 to 0.35 s), so the limit of twice the 95th percentile hid it. Requests whose callers had left, as they do when a stream is slow, were no evidence at all.

A stream is now also judged by the mean interval of its first eight events against the median of the old version, once those have arrived or are overdue, and also if the caller leaves. The excess over the old version is taken for failures and slow responses apart, as they are no longer counted together.

Ruled out: a limit on the duration of the stream, which depends on its length (1 to 187 events), and a lower percentile for heads, which a version that starts without cached prompts would exceed.

--- a/heatherswitch/fleet/evidence.py
+++ b/heatherswitch/fleet/evidence.py
@@ -9,7 +9,7 @@
 
 import math
 
-from heatherswitch.fleet.rollout import Counts, Verdict, VersionTest, Window
+from heatherswitch.fleet.rollout import Counts, Signal, Verdict, VersionTest, Window
 from heatherswitch.util.record import Record
 
 # Minimum length of a window, in seconds.
@@ -93,7 +93,8 @@
     :param seen: counted responses of the starting version, over all shares.
     :param step: counted responses of the starting version at the current share.
     :param excess: rate of bad responses of the starting version minus that of the
-        active one at the current share, from -1 to 1.
+        active one at the current share, from -1 to 1, for the signal by which the
+        starting version is worst.
     :param excess_standard_errors: ``excess`` in standard errors.
     """
 
@@ -124,7 +125,7 @@
 
 
 class _StepEvidence:
-    """Compares both versions at one share of the starting version.
+    """Compares both versions by one signal at one share of the starting version.
 
     The difference of the rates is computed within each window and then averaged with
     Mantel-Haenszel weights; its standard error is that of Cochran's test. The rates of
@@ -132,10 +133,11 @@
     window in which one version has more responses.
     """
 
-    __slots__ = ("_excess", "_variance", "_weight", "seen")
+    __slots__ = ("_excess", "_signal", "_variance", "_weight", "seen")
 
-    def __init__(self) -> None:
+    def __init__(self, signal: Signal) -> None:
         self.seen = Counts()
+        self._signal = signal
         self._excess = 0.0
         self._weight = 0.0
         self._variance = 0.0
@@ -146,11 +148,7 @@
 
         It is the starting version's own rate if no window has responses of both.
         """
-        return (
-            self._excess / self._weight
-            if self._weight
-            else _bad_response_rate(self.seen)
-        )
+        return self._excess / self._weight if self._weight else self._rate(self.seen)
 
     @property
     def excess_standard_errors(self) -> float:
@@ -163,23 +161,21 @@
         """Adds a window at this share."""
         starting, active = window.starting, window.active
         self.seen += starting
-        if not starting.requests or not active.requests:
+        n_starting = starting.total_count(self._signal)
+        n_active = active.total_count(self._signal)
+        if not n_starting or not n_active:
             return
-        both = starting + active
-        weight = starting.requests * active.requests / both.requests
-        rate = _bad_response_rate(both)
-        self._excess += weight * (
-            _bad_response_rate(starting) - _bad_response_rate(active)
-        )
+        n_both = n_starting + n_active
+        weight = n_starting * n_active / n_both
+        rate = self._rate(starting + active)
+        self._excess += weight * (self._rate(starting) - self._rate(active))
         self._weight += weight
-        self._variance += (
-            weight * rate * (1 - rate) * both.requests / (both.requests - 1)
-        )
+        self._variance += weight * rate * (1 - rate) * n_both / (n_both - 1)
 
-
-def _bad_response_rate(counts: Counts) -> float:
-    """Returns the fraction of the responses that failed or were slow."""
-    return min(1.0, (counts.failures + counts.slow) / max(1, counts.requests))
+    def _rate(self, counts: Counts) -> float:
+        """Returns the fraction of the responses that are bad."""
+        bad = counts.bad_count(self._signal)
+        return bad / max(1, counts.total_count(self._signal))
 
 
 class _OpenWindow:
@@ -220,7 +216,7 @@
         "_router",
         "_seen",
         "_share",
-        "_step",
+        "_steps",
         "_test",
         "_updated",
         "_window_s",
@@ -247,12 +243,12 @@
         self._records: dict[RecordKey, EvidenceRecord] = {}
         self._updated: dict[RecordKey, float] = {}
         self._seen = Counts()
-        self._step = _StepEvidence()
+        self._steps = _new_steps()
 
     @property
     def judgement(self) -> Judgement:
         """Result of the evidence so far."""
-        test, step = self._test, self._step
+        test, step = self._test, max(self._steps, key=lambda step: step.excess)
         return Judgement(
             test.verdict,
             test.reason,
@@ -283,7 +279,7 @@
         if share != self._share:
             self.close_windows(now)
             self._share = share
-            self._step = _StepEvidence()
+            self._steps = _new_steps()
             self._test.start_step()
         for route, window in self._open.items():
             longest_s = (
@@ -344,7 +340,8 @@
     def _apply_window(self, window: Window, share: float) -> None:
         self._seen += window.starting
         if share == self._share:
-            self._step.add(window)
+            for step in self._steps:
+                step.add(window)
         self._test.add(window)
 
     def recent_records(self, now: float) -> list[EvidenceRecord]:
@@ -356,6 +353,10 @@
         ]
 
 
+def _new_steps() -> list[_StepEvidence]:
+    return [_StepEvidence(signal) for signal in Signal]
+
+
 def _difference(known: EvidenceRecord | None, record: EvidenceRecord) -> Window | None:
     """Returns what a record adds to the known one, or None if the totals shrank."""
     if known is None or known.incarnation != record.incarnation:
--- a/heatherswitch/fleet/rollout.py
+++ b/heatherswitch/fleet/rollout.py
@@ -52,9 +52,10 @@
 
     :param requests: requests that ended.
     :param failures: ended requests that failed.
-    :param timed: requests whose first byte arrived, or is later than the threshold.
-    :param slow: timed requests whose first byte took longer than the threshold
-        that the router applied to both versions in the same window.
+    :param timed: requests whose first byte arrived, or is later than the threshold, or
+        whose speed is known otherwise. They may be counted before they end.
+    :param slow: timed requests that took longer than the threshold that the router
+        applied to both versions in the same window.
     """
 
     __slots__ = (
--- a/heatherswitch/fleet/slowness.py
+++ b/heatherswitch/fleet/slowness.py
@@ -29,10 +29,18 @@
     than the new version can.
 
     :param now: current time in seconds.
+    :param percentile: percentile of the times on which the threshold is based.
+    :param factor: multiple of that percentile.
+    :param min_samples: number of samples without which there is no threshold.
+    :param min_threshold_s: lower limit of the threshold, in seconds.
     """
 
     __slots__ = (
         "_computed_at",
+        "_factor",
+        "_min_samples",
+        "_min_threshold_s",
+        "_percentile",
         "_previous",
         "_recent",
         "_reference",
@@ -40,7 +48,18 @@
         "_threshold_s",
     )
 
-    def __init__(self, now: float) -> None:
+    def __init__(
+        self,
+        now: float,
+        percentile: float = PERCENTILE,
+        factor: float = SLOW_FACTOR,
+        min_samples: int = MIN_SAMPLES,
+        min_threshold_s: float = MIN_THRESHOLD_S,
+    ) -> None:
+        self._percentile = percentile
+        self._factor = factor
+        self._min_samples = min_samples
+        self._min_threshold_s = min_threshold_s
         self._reference = HdrHistogram(1, MAX_US, DIGITS)
         self._recent = HdrHistogram(1, MAX_US, DIGITS)
         self._previous = HdrHistogram(1, MAX_US, DIGITS)
@@ -77,12 +96,14 @@
         both.add(self._recent)
         both.add(self._previous)
         known = [
-            h for h in (both, self._reference) if h.get_total_count() >= MIN_SAMPLES
+            h
+            for h in (both, self._reference)
+            if h.get_total_count() >= self._min_samples
         ]
         if not known:
             return None
-        quantile_us = max(h.get_value_at_percentile(PERCENTILE) for h in known)
-        return max(MIN_THRESHOLD_S, SLOW_FACTOR * quantile_us / 1e6)
+        quantile_us = max(h.get_value_at_percentile(self._percentile) for h in known)
+        return max(self._min_threshold_s, self._factor * quantile_us / 1e6)
 
     def _rotate(self, now: float) -> None:
         self._rotated_at = now
--- a/heatherswitch/gateway/events.py
+++ b/heatherswitch/gateway/events.py
@@ -124,6 +124,27 @@
         self.cold_for_s = cold_for_s
 
 
+class StreamProgressed(Record):
+    """The first event of a stream arrived, or the interval between events is known.
+
+    :param first_event_s: seconds from sending the request to the first event.
+    :param event_interval_s: mean seconds between the first events, or None.
+    """
+
+    __slots__ = (
+        "serial",
+        "first_event_s",
+        "event_interval_s",
+    )
+
+    def __init__(
+        self, serial: int, first_event_s: float, event_interval_s: float | None
+    ) -> None:
+        self.serial = serial
+        self.first_event_s = first_event_s
+        self.event_interval_s = event_interval_s
+
+
 class AttemptEnded(Record):
     """An attempt to serve a request at a backend server ended."""
 
@@ -405,6 +426,7 @@
 Event = (
     RequestArrived
     | ResponseStarted
+    | StreamProgressed
     | AttemptEnded
     | CallerDisconnected
     | ConfigurationRead
--- a/heatherswitch/gateway/pending.py
+++ b/heatherswitch/gateway/pending.py
@@ -8,6 +8,7 @@
     Service,
     Workspace,
 )
+from heatherswitch.gateway.response_speed import AttemptTimes
 from heatherswitch.gateway.servers import ServerState
 from heatherswitch.util.record import Record
 
@@ -47,7 +48,7 @@
         "queried_parts",
         "holders_known",
         "in_version_split",
-        "first_byte_s",
+        "times",
     )
 
     def __init__(
@@ -67,7 +68,6 @@
         load_queries: int = 0,
         holders_known: bool = False,
         in_version_split: bool = False,
-        first_byte_s: float | None = None,
     ) -> None:
         self.request = request
         self.route = route
@@ -95,8 +95,8 @@
         # During the current attempt, both versions of a rollout could get the request, so
         # that its result counts as evidence about them.
         self.in_version_split = in_version_split
-        # Seconds from the send to the response headers in the current attempt.
-        self.first_byte_s = first_byte_s
+        # Times of the current or last attempt.
+        self.times = AttemptTimes(arrived_at)
 
     @property
     def priority(self) -> int:
--- a/heatherswitch/gateway/reducer.py
+++ b/heatherswitch/gateway/reducer.py
@@ -21,6 +21,7 @@
     QueuedRequest,
     RequestQueue,
 )
+from heatherswitch.gateway.response_speed import AttemptTimes
 from heatherswitch.gateway.rollout_table import RolloutTable
 from heatherswitch.gateway.rollouts import Rollout
 from heatherswitch.gateway.selection import (
@@ -151,6 +152,8 @@
                 return self._on_arrival(now, event)
             case ev.ResponseStarted():
                 return self._on_response_started(now, event)
+            case ev.StreamProgressed():
+                return self._on_stream_progressed(now, event)
             case ev.AttemptEnded():
                 return self._on_attempt_ended(now, event)
             case ev.CallerDisconnected():
@@ -194,6 +197,8 @@
             case ev.Tick():
                 self._servers.expire(now)
                 self._retry_budget.set_rate(now, 0.0, self._retry_budget_burst(now))
+                for pending in self._pending.values():
+                    self._judge_speed(now, pending)
                 self._rollouts.tick(now)
         return self._dispatch_waiting(now)
 
@@ -271,7 +276,7 @@
         state.in_flight += 1
         self._peers.note_changed(state)
         pending.current_server = state
-        pending.first_byte_s = None
+        pending.times = AttemptTimes(now)
         pending.queued = False
         pending.in_version_split = self._rollouts.count_request(
             pending.service.name,
@@ -353,7 +358,7 @@
         pending = self._pending.get(event.serial)
         if pending is None or pending.current_server is None:
             return []
-        pending.first_byte_s = event.first_byte_s
+        pending.times.head_s = event.first_byte_s
         if event.load is not None:
             pending.current_server.set_reported_load(now, event.load)
         pending.current_server.extend_cold_period(now, event.cold_for_s)
@@ -363,6 +368,16 @@
             )
         return []
 
+    def _on_stream_progressed(
+        self, now: float, event: ev.StreamProgressed
+    ) -> list[ev.Effect]:
+        pending = self._pending.get(event.serial)
+        if pending is not None:
+            pending.times.first_event_s = event.first_event_s
+            pending.times.event_interval_s = event.event_interval_s
+            self._judge_speed(now, pending)
+        return []
+
     def _on_attempt_ended(self, now: float, event: ev.AttemptEnded) -> list[ev.Effect]:
         pending = self._pending.get(event.serial)
         if pending is None or pending.current_server is None:
@@ -461,10 +476,25 @@
         if pending.queued:
             self._queues[pending.service.name].discard(event.serial)
         if pending.current_server is not None:
+            # Callers leave when a response is slow, so their requests are evidence too.
+            self._judge_speed(now, pending)
             pending.current_server.in_flight -= 1
             self._peers.note_changed(pending.current_server)
         return self._dispatch_waiting(now)
 
+    def _judge_speed(self, now: float, pending: Pending) -> None:
+        """Counts the speed of an open attempt as evidence once it is known."""
+        state = pending.current_server
+        if state is None or not pending.in_version_split:
+            return
+        self._rollouts.count_speed(
+            now,
+            pending.service.name,
+            pending.route.name,
+            state.record.version,
+            pending.times,
+        )
+
     def _count_version_result(
         self, now: float, pending: Pending, state: ServerState, failed: bool
     ) -> None:
@@ -474,6 +504,6 @@
             pending.route.name,
             state.record.version,
             failed,
-            pending.first_byte_s,
+            pending.times,
             pending.in_version_split,
         )
--- a/heatherswitch/gateway/relay.py
+++ b/heatherswitch/gateway/relay.py
@@ -10,6 +10,7 @@
 from heatherswitch.gateway import events as ev
 from heatherswitch.gateway.event_stream import EventReader
 from heatherswitch.gateway.model import RequestKind
+from heatherswitch.gateway.response_speed import MEASURED_INTERVALS, MIN_INTERVALS
 from heatherswitch.gateway.upstream import (
     MAX_UNRELATED_RESPONSES,
     ConnectionPool,
@@ -62,9 +63,16 @@
     :param first_event_s: the first complete event of a stream arrived, or None.
     :param last_event_s: the latest complete event arrived, or None.
     :param events: number of complete events.
+    :param event_interval_s: mean interval between the first events, once known.
     """
 
-    __slots__ = ("head_s", "first_event_s", "last_event_s", "events")
+    __slots__ = (
+        "head_s",
+        "first_event_s",
+        "last_event_s",
+        "events",
+        "event_interval_s",
+    )
 
     def __init__(
         self,
@@ -72,11 +80,13 @@
         first_event_s: float | None = None,
         last_event_s: float | None = None,
         events: int = 0,
+        event_interval_s: float | None = None,
     ) -> None:
         self.head_s = head_s
         self.first_event_s = first_event_s
         self.last_event_s = last_event_s
         self.events = events
+        self.event_interval_s = event_interval_s
 
 
 class RequestRelay:
@@ -85,6 +95,8 @@
     :param request_id: id that the caller gave the request; responses must repeat it.
     :param on_response_started: called with the head of each response and the
         seconds from the send to it.
+    :param on_stream_progress: called at the first event of a stream and when the
+        interval between its events is known.
     """
 
     __slots__ = (
@@ -94,6 +106,7 @@
         "_discarded",
         "_last_event_id",
         "_on_response_started",
+        "_on_stream_progress",
         "_pool",
         "_request",
         "_request_id",
@@ -113,6 +126,7 @@
         request_id: str,
         responder: Responder,
         on_response_started: Callable[[ev.Forward, ResponseHead, float], None],
+        on_stream_progress: Callable[[ResponseTiming], None],
     ) -> None:
         self._codec = codec
         self._pool = pool
@@ -121,6 +135,7 @@
         self._request_id = request_id
         self._responder = responder
         self._on_response_started = on_response_started
+        self._on_stream_progress = on_stream_progress
         self._buffered_response: BufferedResponse | None = None
         self._last_event_id: int | None = None
         self._response_started = False
@@ -328,6 +343,7 @@
         while True:
             event = await connection.next_event(forward.stall_timeout_s)
             if isinstance(event, h11.EndOfMessage):
+                self._measure_interval(MIN_INTERVALS)
                 break
             if not isinstance(event, h11.Data):
                 raise ConnectionLost("the answer was cut")
@@ -348,6 +364,16 @@
         timing.last_event_s = self._clock() - self._sent_at
         if timing.first_event_s is None:
             timing.first_event_s = timing.last_event_s
+            self._on_stream_progress(timing)
+        self._measure_interval(MEASURED_INTERVALS)
+
+    def _measure_interval(self, min_intervals: int) -> None:
+        """Takes the mean interval so far, unless it is known, if there are enough."""
+        timing = self._timing
+        if timing.event_interval_s is None and timing.events > min_intervals:
+            streaming_s = timing.last_event_s - timing.first_event_s
+            timing.event_interval_s = streaming_s / (timing.events - 1)
+            self._on_stream_progress(timing)
 
     async def _start_response(self, head: ResponseHead, data: bytes) -> None:
         if not self._response_started and not self._discarded:
--- a/heatherswitch/gateway/rollout_table.py
+++ b/heatherswitch/gateway/rollout_table.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from heatherswitch.gateway import events as ev
+from heatherswitch.gateway.response_speed import AttemptTimes
 from heatherswitch.gateway.rollouts import ExposureLimit, Rollout, rollout_id
 from heatherswitch.statecore.hashing import unit_hash
 
@@ -114,17 +115,32 @@
         route: str,
         version: str,
         failed: bool,
-        ttfb_s: float | None,
+        times: AttemptTimes,
         randomized: bool,
     ) -> None:
-        """Counts a response of a version.
+        """Counts a response of a version that has ended.
 
-        :param ttfb_s: seconds to the head of the response; None if none arrived.
         :param randomized: what :meth:`count_request` returned for the request.
         """
         rollout = self._rollouts.get(service)
         if rollout is not None:
-            rollout.count_response(now, route, version, failed, ttfb_s, randomized)
+            rollout.count_response(now, route, version, failed, times, randomized)
+
+    def count_speed(
+        self,
+        now: float,
+        service: str,
+        route: str,
+        version: str,
+        times: AttemptTimes,
+    ) -> None:
+        """Counts whether a response is slow, if that is known before its end.
+
+        The request must have been assigned to one of both versions at random.
+        """
+        rollout = self._rollouts.get(service)
+        if rollout is not None:
+            rollout.count_speed(now, route, version, times)
 
 
 def _any_version(version: str) -> bool:
--- a/heatherswitch/gateway/rollouts.py
+++ b/heatherswitch/gateway/rollouts.py
@@ -9,7 +9,7 @@
 
 from heatherswitch.fleet.evidence import EvidenceRecord, MoveEvidence
 from heatherswitch.fleet.rollout import Counts, SequentialTest, Verdict
-from heatherswitch.fleet.slowness import SlowThreshold
+from heatherswitch.gateway.response_speed import AttemptTimes, SpeedLimits
 from heatherswitch.util.record import Record
 
 # Bound on the probability that a good version is ever judged bad.
@@ -113,7 +113,7 @@
         "_evidence",
         "_exposure",
         "_request_count",
-        "_slow_thresholds",
+        "_speed_limits",
         "_started_at",
         "_target_request_count",
         "order",
@@ -136,7 +136,7 @@
         self._exposure = exposure
         self._request_count = 0
         self._target_request_count = 0
-        self._slow_thresholds: dict[str, SlowThreshold] = {}
+        self._speed_limits = SpeedLimits(now)
         self._evidence = MoveEvidence(
             rollout_id(order),
             gateway_id,
@@ -213,28 +213,44 @@
         route: str,
         version: str,
         failed: bool,
-        ttfb_s: float | None,
+        times: AttemptTimes,
         randomized: bool = True,
     ) -> None:
-        """Counts a response of either version.
+        """Counts a response of either version that has ended.
 
-        :param ttfb_s: seconds to the head of the response; None if none arrived.
         :param randomized: the request was assigned to a version at random. Others date
             from times in which the new version got none and are no comparison.
         """
-        threshold = self._slow_thresholds.get(route)
-        if threshold is None:
-            threshold = self._slow_thresholds[route] = SlowThreshold(now)
-        limit_s = threshold.threshold_s(now)
+        self.count_speed(now, route, version, times, randomized, ended=True)
         is_target = version == self.order.target
-        if not is_target and ttfb_s is not None:
-            threshold.add(ttfb_s, loaded=self.stage == 0)
-        if not randomized:
+        if not is_target:
+            self._speed_limits.add(now, route, times, loaded=self.stage == 0)
+        if randomized:
+            self._evidence.count(now, route, is_target, Counts(1, int(failed)))
+
+    def count_speed(
+        self,
+        now: float,
+        route: str,
+        version: str,
+        times: AttemptTimes,
+        randomized: bool = True,
+        ended: bool = False,
+    ) -> None:
+        """Counts whether a response is slow, once, as soon as that is known.
+
+        :param randomized: see :meth:`count_response`.
+        :param ended: nothing more of the response will arrive.
+        """
+        if times.judged:
+            return
+        slow = self._speed_limits.is_slow(now, route, times, ended)
+        if slow is None:
             return
-        timed = ttfb_s is not None and limit_s is not None
-        slow = timed and ttfb_s > limit_s
-        counts = Counts(1, int(failed), int(timed), int(slow))
-        self._evidence.count(now, route, is_target, counts)
+        times.judged = True
+        if randomized:
+            is_target = version == self.order.target
+            self._evidence.count(now, route, is_target, Counts(0, 0, 1, int(slow)))
 
     def advance_evidence(self, now: float) -> None:
         """Closes the evidence windows that have reached their length."""
--- a/heatherswitch/gateway/shell.py
+++ b/heatherswitch/gateway/shell.py
@@ -340,6 +340,11 @@
             lambda forward, head, ttfb_s: self._on_response_started(
                 serial, forward, head, ttfb_s
             ),
+            lambda timing: self._apply(
+                ev.StreamProgressed(
+                    serial, timing.first_event_s, timing.event_interval_s
+                )
+            ),
         )
         arrived_at = self._clock.now()
         event: ev.Event = ev.RequestArrived(serial, caller_request)
--- a/test/test_rollouts.py
+++ b/test/test_rollouts.py
@@ -2,8 +2,11 @@
 
 import asyncio
 import contextlib
+import heapq
+import itertools
 import random
 import unittest
+from collections.abc import Iterator
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -12,6 +15,12 @@
 from emulator.platform.server import Behaviour
 from emulator.platform.store import PlatformStoreServer
 from heatherswitch.gateway import events as ev
+from heatherswitch.gateway.limits import Limits
+from heatherswitch.gateway.response_speed import (
+    MEASURED_INTERVALS,
+    MIN_INTERVALS,
+    AttemptTimes,
+)
 from heatherswitch.gateway.rollout_owner import OWNER_KEY, RolloutOwner
 from heatherswitch.gateway.rollout_records import (
     Progress,
@@ -41,18 +50,52 @@
 EXPOSURE_SHARE, EXPOSURE_SLACK = 0.1, 50.0
 
 
+class Response:
+    """A response of the simulated servers.
+
+    :param interval_s: seconds between the events of a stream.
+    :param events: number of events; 0 if the response is no stream.
+    """
+
+    def __init__(
+        self,
+        head_s: float = 0.05,
+        interval_s: float = 0.0,
+        events: int = 0,
+        failed: bool = False,
+        route: str = "/r/",
+    ) -> None:
+        self.head_s, self.interval_s, self.events = head_s, interval_s, events
+        self.failed, self.route = failed, route
+
+    def slowed(self, head: float = 1.0, interval: float = 1.0) -> "Response":
+        """Returns the response of a version that is slower by these factors."""
+        return Response(
+            self.head_s * head,
+            self.interval_s * interval,
+            self.events,
+            self.failed,
+            self.route,
+        )
+
+
 class SimulatedFleet:
     """Gateways that get random requests and share their evidence.
 
     :ivar exposed_requests: number of requests to the new version.
     :ivar bad_response_times: times of its bad responses.
+    :ivar patience_s: seconds after which the callers leave.
     """
 
     def __init__(self, gateways: int, rate: float, seed: int) -> None:
         exposure = ExposureLimit(EXPOSURE_SHARE, EXPOSURE_SLACK)
-        self.rollouts = [
-            Rollout(0.0, ORDER, f"g{n}", 1, exposure) for n in range(gateways)
-        ]
+        self.tables = [RolloutTable(f"g{n}", 1, exposure) for n in range(gateways)]
+        self.patience_s = 8.0
+        # Responses in flight, with the time of their next change.
+        self.in_flight: list[tuple[float, int, Iterator[float]]] = []
+        self.serials = itertools.count()
+        # Attempts that could go to either version and whose callers still wait.
+        self.open_attempts: list[tuple] = []
         self.rate = rate
         self.random = random.Random(seed)
         self.total_requests = self.exposed_requests = 0
@@ -62,42 +105,114 @@
         self.slow_from, self.slow_to = 0.0, 0.0
         self.outcome = RolloutState.RUNNING
 
+    @property
+    def rollouts(self) -> list[Rollout]:
+        return [table.by_service["ledger"] for table in self.tables]
+
     def run(self, is_bad) -> None:
-        """Simulates a rollout.
+        """Simulates a rollout of a version that answers as fast as the old one.
 
         :param is_bad: called with the time and the share of v2; returns True if a
             response of v2 fails.
         """
-        now, next_update_at = 0.0, 0.5
+
+        def respond(now: float, share: float, to_target: bool) -> Response:
+            own_failure = self.random.random() < 0.01
+            failed = is_bad(now, share) if to_target else own_failure
+            slow = self.slow_from <= now < self.slow_to
+            return Response(0.4 if slow else 0.05, failed=failed)
+
+        self.simulate(respond)
+
+    def simulate(self, respond, before_s: float = 0.0) -> None:
+        """Simulates requests and a rollout that is ordered at time 0.
+
+        :param respond: called with the time, the share of v2 and whether v2 answers;
+            returns the response.
+        :param before_s: seconds of requests before the order.
+        """
+        now, next_update_at = -before_s, 0.5
+        if not before_s:
+            self._order()
         while now < ORDER.duration_s:
+            was_ordered = now >= 0
             now += self.random.expovariate(self.rate)
-            self._request(now, is_bad)
+            if now >= 0 and not was_ordered and before_s:
+                self._order()
+            self._advance_responses(now)
+            self._request(now, respond)
             if now >= next_update_at:
                 next_update_at = now + 0.5
                 self._update(now)
 
-    def _request(self, now: float, is_bad) -> None:
-        rollout = self.random.choice(self.rollouts)
-        share = rollout.share(len(self.rollouts))
+    def _order(self) -> None:
+        for table in self.tables:
+            table.on_order(0.0, ev.RolloutOrdered("ledger", ORDER))
+
+    def _request(self, now: float, respond) -> None:
+        table = self.random.choice(self.tables)
+        rollout = table.by_service.get("ledger")
+        share = rollout.share(len(self.tables)) if rollout else 0.0
         to_target = self.random.random() < share
-        rollout.count_request(to_target)
-        self.total_requests += 1
-        failed = self.random.random() < 0.01
+        version = "v2" if to_target else "v1"
+        randomized = table.count_request("ledger", version, len(self.tables))
+        response = respond(now, share, to_target)
+        if rollout is not None:
+            self.total_requests += 1
         if to_target:
             self.exposed_requests += 1
             self.last_exposed_at = now
-            failed = is_bad(now, share)
-            if failed:
-                self.bad_response_times.append(now)
-        ttfb_s = 0.4 if self.slow_from <= now < self.slow_to else 0.05
-        version = "v2" if to_target else "v1"
-        rollout.count_response(
-            now, "/r/", version, failed, ttfb_s, randomized=share > 0
-        )
+        changes = self._changes(now, table, version, response, randomized)
+        self.in_flight.append((now, next(self.serials), changes))
+
+    def _advance_responses(self, until: float) -> None:
+        heapq.heapify(self.in_flight)
+        while self.in_flight and self.in_flight[0][0] <= until:
+            _, serial, changes = heapq.heappop(self.in_flight)
+            for at in changes:
+                heapq.heappush(self.in_flight, (at, serial, changes))
+                break
+
+    def _changes(
+        self, now, table, version, response: Response, randomized: bool
+    ) -> Iterator[float]:
+        """Reports a response to a gateway; yields the times of the changes."""
+        times = AttemptTimes(now)
+        identity = ("ledger", response.route, version)
+        attempt = (table, identity, times)
+        if randomized:
+            self.open_attempts.append(attempt)
+        head_at = now + response.head_s
+        intervals = max(0, response.events - 1)
+        measured_at = head_at + response.interval_s * min(intervals, MEASURED_INTERVALS)
+        ends_at = head_at + response.interval_s * intervals
+        leaves_at = now + self.patience_s
+        if head_at < leaves_at:
+            yield head_at
+            times.head_s = response.head_s
+            if response.events:
+                times.first_event_s = response.head_s
+        if intervals >= MIN_INTERVALS and measured_at < leaves_at:
+            yield measured_at
+            times.event_interval_s = response.interval_s
+            if randomized:
+                table.count_speed(measured_at, *identity, times)
+        yield min(ends_at, leaves_at)
+        if randomized:
+            self.open_attempts.remove(attempt)
+        if ends_at >= leaves_at:
+            if randomized:
+                table.count_speed(leaves_at, *identity, times)
+            return
+        if version == "v2" and response.failed:
+            self.bad_response_times.append(ends_at)
+        table.count_response(ends_at, *identity, response.failed, times, randomized)
 
     def _update(self, now: float) -> None:
-        for rollout in self.rollouts:
-            rollout.advance_evidence(now)
+        for table, identity, times in self.open_attempts:
+            table.count_speed(now, *identity, times)
+        for table in self.tables:
+            table.tick(now)
         records = [
             r
             for n, rollout in enumerate(self.rollouts)
@@ -164,6 +279,52 @@
                         )
                         self.assertLessEqual(exposed_after_s, 5.0)
 
+    def simulate_streams(
+        self, slow_down, gateways=5, rate=30.0, seed=1, before_s=4.0
+    ) -> SimulatedFleet:
+        """Simulates streams with the spread of lengths, prompts and caches seen.
+
+        :param slow_down: called with a response of v2, the time and the share of v2;
+            returns the response that is sent instead.
+        """
+        fleet = SimulatedFleet(gateways, rate, seed)
+        rng = random.Random(seed)
+
+        def respond(now: float, share: float, to_target: bool) -> Response:
+            cached = rng.random() < 0.6
+            route, mean_events = rng.choice((("/r/", 40), ("/chat/", 60), ("/tag/", 4)))
+            response = Response(
+                head_s=rng.uniform(0.01, 0.03) if cached else rng.uniform(0.03, 0.4),
+                interval_s=0.03 * rng.lognormvariate(0.0, 0.2),
+                events=1 + int(rng.expovariate(1 / mean_events)),
+                failed=rng.random() < 0.01,
+                route=route,
+            )
+            return slow_down(response, now, share) if to_target else response
+
+        fleet.simulate(respond, before_s)
+        return fleet
+
+    def assert_kept_within_bound(self, fleet: SimulatedFleet) -> None:
+        self.assertIs(fleet.outcome, RolloutState.ROLLED_BACK)
+        self.assertLessEqual(
+            fleet.exposed_requests,
+            EXPOSURE_SHARE * fleet.total_requests + EXPOSURE_SLACK,
+        )
+
+    def test_slow_version_is_rolled_back_within_the_exposure_bound(self):
+        """Guards EXPOSURE for versions several times slower (issue 29, hasty day)."""
+        kinds = {
+            "generation": lambda r, now, share: r.slowed(interval=4.4),
+            "both": lambda r, now, share: r.slowed(3.0, 4.4),
+        }
+        for name, slow_down in kinds.items():
+            for seed in range(6):
+                with self.subTest(name, seed=seed):
+                    self.assert_kept_within_bound(
+                        self.simulate_streams(slow_down, seed=seed)
+                    )
+
     def test_exposure_bound_holds_for_all_fleet_sizes_and_rates(self):
         for gateways in (1, 5, 31):
             for rate in (5.0, 60.0):
@@ -192,8 +353,12 @@
             0.0, RolloutOrder("ledger", "v2", 12.0, 3), "g1", 1, ExposureLimit()
         )
         for _ in range(50):
-            earlier_rollout.count_response(0.1, "/r/", "v2", True, 0.05)
-            earlier_rollout.count_response(0.1, "/r/", "v1", False, 0.05)
+            earlier_rollout.count_response(
+                0.1, "/r/", "v2", True, AttemptTimes(0.05, 0.05)
+            )
+            earlier_rollout.count_response(
+                0.1, "/r/", "v1", False, AttemptTimes(0.05, 0.05)
+            )
         earlier_rollout.advance_evidence(6.0)
         rollout = Rollout(0.0, ORDER, "g2", 1, ExposureLimit())
         for record in earlier_rollout.own_evidence(6.0, "g1"):
@@ -313,36 +478,45 @@
 
 
 class RolloutServiceTest(unittest.IsolatedAsyncioTestCase):
-    async def play(self, behaviour: Behaviour) -> str:
+    async def play(
+        self,
+        behaviour: Behaviour,
+        old_behaviour: Behaviour | None = None,
+        service: str = "ledger",
+        path: str = "/lookup/1",
+        method: str = "GET",
+        callers: int = 4,
+        limits: Limits | None = None,
+    ) -> str:
         """Rolls out v2 of a service under load; returns the final status entry."""
         deployment = Deployment()
         self.addAsyncCleanup(deployment.stop)
-        await deployment.start()
-        await deployment.add_server("l1", "ledger", version="v1")
-        await deployment.add_server("l2", "ledger", behaviour, version="v2")
-        order = {"service": "ledger", "target": "v2", "duration_s": 5}
-        deployment.store.put("op/rollout/ledger", order)
+        await deployment.start(limits)
+        await deployment.add_server("l1", service, old_behaviour, version="v1")
+        await deployment.add_server("l2", service, behaviour, version="v2")
+        order = {"service": service, "target": "v2", "duration_s": 5}
+        deployment.store.put(f"op/rollout/{service}", order)
 
         async def load():
             while True:
                 # Connections may fail on a busy machine. Without further requests the
                 # rollout would be rolled back for lack of responses.
                 with contextlib.suppress(HttpError):
-                    await deployment.call("/lookup/1")
+                    await deployment.call(path, method=method)
                 await asyncio.sleep(0)
 
-        callers = [asyncio.create_task(load()) for _ in range(4)]
+        tasks = [asyncio.create_task(load()) for _ in range(callers)]
 
         def status() -> str:
-            value = deployment.store.read("status/rollout/ledger") or b""
+            value = deployment.store.read(f"status/rollout/{service}") or b""
             return value.decode()
 
         await deployment.wait_until(
             lambda: "completed" in status() or "rolled_back" in status(), 8.0
         )
-        for caller in callers:
-            caller.cancel()
-        await asyncio.gather(*callers, return_exceptions=True)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
         return status()
 
     async def test_good_version_takes_all_requests(self):
