Compare the versions in windows over all gateways

Each window was compared at the gateway that had filled it, and only if it held responses of both versions.

A gateway now adds the totals of all gateways to one window for each route and compares the versions in it. That is sound as the counted requests were assigned at random with the same share everywhere. Routers keep windows of their own; whether all of them assign the same share was not examined.

test_versions_at_different_routers_are_compared could not run before, as the parameter is new; without it the test sees two windows of one version each.

--- a/heatherswitch/fleet/evidence.py
+++ b/heatherswitch/fleet/evidence.py
@@ -205,6 +205,9 @@
     :param window_s: minimum length of a window, in seconds.
     :param max_window_s: maximum length of a window that lacks responses of one of the
         versions, in seconds.
+    :param pooled: compare the responses of all routers in common windows. Then a router
+        needs not get responses of both versions in a window, but all must assign the
+        same share of the counted requests to the starting version.
     """
 
     __slots__ = (
@@ -212,6 +215,8 @@
         "_max_window_s",
         "_move",
         "_open",
+        "_pool",
+        "_pooled",
         "_records",
         "_router",
         "_seen",
@@ -230,6 +235,7 @@
         test: VersionTest,
         window_s: float = WINDOW_S,
         max_window_s: float = MAX_WINDOW_S,
+        pooled: bool = False,
     ) -> None:
         self._move = move
         self._router = router
@@ -239,6 +245,9 @@
         self._max_window_s = max_window_s
         self._share = 0.0
         self._open: dict[str, _OpenWindow] = {}
+        self._pooled = pooled
+        # Windows of all routers that are not yet compared.
+        self._pool: dict[str, _OpenWindow] = {}
         # Newest record of each key, and the time at which it was stored.
         self._records: dict[RecordKey, EvidenceRecord] = {}
         self._updated: dict[RecordKey, float] = {}
@@ -282,18 +291,25 @@
             self._steps = _new_steps()
             self._test.start_step()
         for route, window in self._open.items():
-            longest_s = (
-                self._window_s if window.has_both_versions() else self._max_window_s
-            )
-            if now - window.since >= longest_s:
+            if self._pooled or self._is_due(now, window):
                 self._close_window(now, route, window)
                 self._open[route] = _OpenWindow(now)
+        for route, window in list(self._pool.items()):
+            if self._is_due(now, window):
+                self._compare(self._pool.pop(route), route)
+
+    def _is_due(self, now: float, window: _OpenWindow) -> bool:
+        longest_s = self._window_s if window.has_both_versions() else self._max_window_s
+        return now - window.since >= longest_s
 
     def close_windows(self, now: float) -> None:
         """Closes all windows, so that a decision includes the newest responses."""
         for route, window in self._open.items():
             self._close_window(now, route, window)
             self._open[route] = _OpenWindow(now)
+        for route, window in self._pool.items():
+            self._compare(window, route)
+        self._pool.clear()
 
     def _close_window(self, now: float, route: str, window: _OpenWindow) -> None:
         if window.active == window.starting == Counts():
@@ -313,7 +329,9 @@
             starting + window.starting,
         )
         self._store(now, record)
-        self._apply_window(Window(route, window.active, window.starting), self._share)
+        self._apply_window(
+            now, Window(route, window.active, window.starting), self._share
+        )
 
     def merge(self, now: float, record: EvidenceRecord) -> bool:
         """Stores a record of another router.
@@ -330,18 +348,30 @@
         window = _difference(known, record)
         self._store(now, record)
         if window is not None:
-            self._apply_window(window, record.share)
+            self._apply_window(now, window, record.share)
         return True
 
     def _store(self, now: float, record: EvidenceRecord) -> None:
         self._records[record.key] = record
         self._updated[record.key] = now
 
-    def _apply_window(self, window: Window, share: float) -> None:
+    def _apply_window(self, now: float, window: Window, share: float) -> None:
         self._seen += window.starting
-        if share == self._share:
-            for step in self._steps:
-                step.add(window)
+        if share != self._share:
+            self._test.add(window)
+        elif self._pooled:
+            pool = self._pool.setdefault(window.route, _OpenWindow(now))
+            pool.active += window.active
+            pool.starting += window.starting
+        else:
+            self._add_to_step(window)
+
+    def _compare(self, pool: _OpenWindow, route: str) -> None:
+        self._add_to_step(Window(route, pool.active, pool.starting))
+
+    def _add_to_step(self, window: Window) -> None:
+        for step in self._steps:
+            step.add(window)
         self._test.add(window)
 
     def recent_records(self, now: float) -> list[EvidenceRecord]:
--- a/heatherswitch/gateway/rollouts.py
+++ b/heatherswitch/gateway/rollouts.py
@@ -144,6 +144,7 @@
             SequentialTest(FALSE_ALARM_RATE),
             WINDOW_FRACTION * order.duration_s,
             MAX_WINDOW_FRACTION * order.duration_s,
+            pooled=True,
         )
 
     @property
--- a/test/test_evidence.py
+++ b/test/test_evidence.py
@@ -124,6 +124,25 @@
             (judgement.excess, judgement.excess_standard_errors), (0.4, math.inf)
         )
 
+    def test_versions_at_different_routers_are_compared(self):
+        # In a large fleet no router may get responses of both versions in a window, and
+        # the evidence must not be lost for that.
+        first, second = (
+            MoveEvidence("m1", router, 1, RecordingVersionTest(), pooled=True)
+            for router in ("r1", "r2")
+        )
+        for source in (first, second):
+            source.advance(0.0, 0.2)
+        first.count(0.0, "/a", False, Counts(20))
+        second.count(0.0, "/a", True, Counts(5, 4))
+        second.advance(0.5, 0.2)
+        for record in second.recent_records(0.5):
+            first.merge(0.5, record)
+        first.advance(0.6, 0.2)
+        first.advance(0.6 + WINDOW_S, 0.2)
+        self.assertEqual(first._test.windows, [Window("/a", Counts(20), Counts(5, 4))])
+        self.assertAlmostEqual(first.judgement.excess, 0.8)
+
     def test_impossible_totals_are_ignored(self):
         # A peer may send malformed totals (F17).
         source, receiver = evidence("r1"), evidence("r2")
