Learn the old version's speed before a rollout is ordered

Each gateway learned how fast the old version is from its responses since the order and needed 20 of a route.

A gateway now keeps the times of the last 64 responses of each route while no rollout is running, and starts the limits from those of the last 30 s.

Three of the tests of RolloutEvidenceTest failed before (0 slow responses counted instead of 1).

--- a/heatherswitch/gateway/rollout_table.py
+++ b/heatherswitch/gateway/rollout_table.py
@@ -1,15 +1,25 @@
 """All rollouts at one gateway and which version of a service may take a request."""
 
+from collections import deque
 from collections.abc import Callable
 
 from heatherswitch.gateway import events as ev
 from heatherswitch.gateway.response_speed import AttemptTimes
-from heatherswitch.gateway.rollouts import ExposureLimit, Rollout, rollout_id
+from heatherswitch.gateway.rollouts import (
+    ExposureLimit,
+    RecentTimes,
+    Rollout,
+    RolloutState,
+    rollout_id,
+)
 from heatherswitch.statecore.hashing import unit_hash
 
 # Returns True if servers of a version may take a request.
 VersionFilter = Callable[[str], bool]
 
+# Number of responses per route whose times are kept for a later rollout.
+MAX_RECENT_TIMES = 64
+
 
 class RolloutTable:
     """The latest rollout of each service.
@@ -18,7 +28,13 @@
     :param incarnation: higher for a later run of this gateway, to order its evidence.
     """
 
-    __slots__ = ("_exposure", "_gateway_id", "_incarnation", "_rollouts")
+    __slots__ = (
+        "_exposure",
+        "_gateway_id",
+        "_incarnation",
+        "_recent_times",
+        "_rollouts",
+    )
 
     def __init__(
         self, gateway_id: str, incarnation: int, exposure: ExposureLimit
@@ -27,6 +43,8 @@
         self._incarnation = incarnation
         self._exposure = exposure
         self._rollouts: dict[str, Rollout] = {}
+        # Latest responses by service and route while no rollout is running.
+        self._recent_times: dict[str, RecentTimes] = {}
 
     @property
     def by_service(self) -> dict[str, Rollout]:
@@ -39,9 +57,11 @@
         if event.order is None:
             self._rollouts.pop(event.service, None)
         elif current is None or current.order.revision != event.order.revision:
-            self._rollouts[event.service] = Rollout(
+            rollout = Rollout(
                 now, event.order, self._gateway_id, self._incarnation, self._exposure
             )
+            rollout.learn_speed(now, self._recent_times.pop(event.service, {}))
+            self._rollouts[event.service] = rollout
 
     def on_status(self, event: ev.RolloutStatusRead) -> None:
         """Applies a decision recorded in the store."""
@@ -123,6 +143,10 @@
         :param randomized: what :meth:`count_request` returned for the request.
         """
         rollout = self._rollouts.get(service)
+        if rollout is None or rollout.state is not RolloutState.RUNNING:
+            routes = self._recent_times.setdefault(service, {})
+            recent = routes.setdefault(route, deque(maxlen=MAX_RECENT_TIMES))
+            recent.append((version, times))
         if rollout is not None:
             rollout.count_response(now, route, version, failed, times, randomized)
 
--- a/heatherswitch/gateway/rollouts.py
+++ b/heatherswitch/gateway/rollouts.py
@@ -5,6 +5,7 @@
 or is rolled back. Does no input or output and reads no clock.
 """
 
+from collections.abc import Iterable, Mapping
 from enum import Enum
 
 from heatherswitch.fleet.evidence import EvidenceRecord, MoveEvidence
@@ -42,6 +43,12 @@
 # Bad responses in a later stage after which a suspicious version gets no more requests.
 # Waiting for proof at a large share would exceed the exposure bound.
 SUSPEND_AFTER_BAD_RESPONSES = 4
+# Age in seconds up to which a request from before the order tells how fast the old
+# version is under the present load.
+MAX_LEARNED_AGE_S = 30.0
+
+# Latest attempts of each route and the versions that served them.
+RecentTimes = Mapping[str, Iterable[tuple[str, AttemptTimes]]]
 
 
 class RolloutState(Enum):
@@ -157,6 +164,18 @@
         """Route and signal that led to a ``BAD`` verdict, or an empty string."""
         return self._evidence.judgement.reason
 
+    def learn_speed(self, now: float, recent: RecentTimes) -> None:
+        """Learns the speed of the old version from responses before the order.
+
+        Otherwise no response could be judged until each gateway has seen enough of
+        them, by when much of the time for the rollout is over.
+        """
+        for route, attempts in recent.items():
+            for version, times in attempts:
+                is_recent = now - times.sent_at < MAX_LEARNED_AGE_S
+                if is_recent and version != self.order.target:
+                    self._speed_limits.add(now, route, times, loaded=True)
+
     def elapsed_s(self, now: float) -> float:
         """Returns the seconds since the order, by the earliest start known."""
         return now - self._started_at
--- a/test/test_gateway_reducer.py
+++ b/test/test_gateway_reducer.py
@@ -7,6 +7,7 @@
 from heatherswitch.gateway import events as ev
 from heatherswitch.gateway.limits import Limits
 from heatherswitch.gateway.model import Load, PromptPart, Service
+from heatherswitch.gateway.rollouts import RolloutOrder
 from heatherswitch.gateway.servers import MAX_LOAD_TTL_S, REAPPEAR_GRACE_S
 from test.gateway_fakes import Driver, chat_prompt, configuration, server
 
@@ -57,6 +58,69 @@
         self.assertIsNone(table.find("other.example", "/safe/1"))
 
 
+class RolloutEvidenceTest(unittest.TestCase):
+    """Which responses count as evidence about a new version."""
+
+    def setUp(self):
+        self.driver = Driver()
+        self.old, self.new = server("e1", "engine"), server("e2", "engine")
+        self.new = self.new.replace(version="v2")
+        self.driver.add_servers(self.old, self.new)
+        order = RolloutOrder("engine", "v2", 12.0, 7)
+        for _ in range(20):
+            self.stream(interval_s=0.03)
+        self.driver.apply(ev.RolloutOrdered("engine", order))
+        self.driver.advance(5.0)
+
+    def stream(self, interval_s: float | None) -> ev.Forward:
+        sent = self.driver.decide("/chat/1", parts=chat_prompt("guide"))
+        self.driver.apply(ev.ResponseStarted(sent.serial, None, 0.02, True))
+        self.driver.apply(ev.StreamProgressed(sent.serial, 0.02, None))
+        if interval_s is not None:
+            self.driver.apply(ev.StreamProgressed(sent.serial, 0.02, interval_s))
+            self.driver.end_attempt(sent.serial, ev.Completed(200, 0.1))
+        return sent
+
+    def count_slow(self) -> int:
+        """Returns the number of slow responses of the new version."""
+        self.driver.advance(0.5)
+        rollout = self.driver.reducer.rollouts["engine"]
+        records = rollout.own_evidence(self.driver.now, "me")
+        return sum(record.starting.slow for record in records)
+
+    def wait_for_new_version(self, interval_s: float | None) -> ev.Forward:
+        for _ in range(100):
+            sent = self.stream(interval_s)
+            if sent.server.id == "e2":
+                return sent
+            if interval_s is None:
+                self.driver.end_attempt(sent.serial, ev.Completed(200, 0.1))
+        self.fail("the new version got no request")
+
+    def test_slow_events_count_before_the_stream_ends(self):
+        sent = self.wait_for_new_version(None)
+        self.driver.apply(ev.StreamProgressed(sent.serial, 0.02, 0.12))
+        self.assertEqual(self.count_slow(), 1)
+
+    def test_caller_that_leaves_a_slow_stream_counts(self):
+        """Their requests were no evidence, so a slow version looked better."""
+        sent = self.wait_for_new_version(None)
+        self.driver.now += 2.0
+        self.driver.apply(ev.CallerDisconnected(sent.serial))
+        self.assertEqual(self.count_slow(), 1)
+
+    def test_caller_that_leaves_early_does_not_count(self):
+        sent = self.wait_for_new_version(None)
+        self.driver.now += 0.1
+        self.driver.apply(ev.CallerDisconnected(sent.serial))
+        self.assertEqual(self.count_slow(), 0)
+
+    def test_stream_without_further_events_counts_while_it_waits(self):
+        self.wait_for_new_version(None)
+        self.driver.advance(2.0)
+        self.assertEqual(self.count_slow(), 1)
+
+
 class PlacementTest(unittest.TestCase):
     def test_draining_and_removed_servers_get_no_requests(self):
         driver = Driver()
