Keep within the exposure bound in every stage of a rollout

The exposure bound was applied in the first stage only. No verdict can lift the bound, since a fault may begin late or under load and all requests count.

Now each stage has a part of the bound, and a stage needs ten responses that are known not to be slower than the old version's. Two stages instead of three leave enough requests for each. The second one gives half of the requests to the new version, since the comparison needs as many of the old one. A version on which there is too little evidence is rolled back: a missed rollout can be ordered again, a completed one has lost its old servers.

Ruled out: lifting the bound for a proven version, by the same test.

--- a/heatherswitch/gateway/placement.py
+++ b/heatherswitch/gateway/placement.py
@@ -53,7 +53,10 @@
             now, service.name, sum(not s.removed for s in servers)
         )
         rules = self._rollouts.version_filters(
-            service.name, pending.request.id, self._fleet.size_upper_bound(now)
+            now,
+            service.name,
+            pending.request.id,
+            self._fleet.size_upper_bound(now),
         )
         choice: Choice | NoChoice = NoChoice(0, float("inf"))
         for rule in rules:
--- a/heatherswitch/gateway/reducer.py
+++ b/heatherswitch/gateway/reducer.py
@@ -279,6 +279,7 @@
         pending.times = AttemptTimes(now)
         pending.queued = False
         pending.in_version_split = self._rollouts.count_request(
+            now,
             pending.service.name,
             state.record.version,
             self._fleet.size_upper_bound(now),
--- a/heatherswitch/gateway/rollout_table.py
+++ b/heatherswitch/gateway/rollout_table.py
@@ -89,7 +89,7 @@
             rollout.advance_evidence(now)
 
     def version_filters(
-        self, service: str, request_id: str, gateways: int
+        self, now: float, service: str, request_id: str, gateways: int
     ) -> list[VersionFilter]:
         """Returns filters for the versions that may serve a request, preferred first.
 
@@ -101,7 +101,7 @@
         rollout = self._rollouts.get(service)
         if rollout is None:
             return [_any_version]
-        target, share = rollout.order.target, rollout.share(gateways)
+        target, share = rollout.order.target, rollout.share(now, gateways)
         to_target = unit_hash("rollout", request_id) < share
 
         def is_target(version: str) -> bool:
@@ -115,7 +115,9 @@
             _any_version if share >= 1.0 else is_other,
         ]
 
-    def count_request(self, service: str, version: str, gateways: int) -> bool:
+    def count_request(
+        self, now: float, service: str, version: str, gateways: int
+    ) -> bool:
         """Counts a request that is sent to a version.
 
         :param gateways: number of gateways that share the exposure bound.
@@ -124,7 +126,7 @@
         rollout = self._rollouts.get(service)
         if rollout is None:
             return False
-        randomized = rollout.share(gateways) > 0
+        randomized = rollout.share(now, gateways) > 0
         rollout.count_request(version == rollout.order.target)
         return randomized
 
--- a/heatherswitch/gateway/rollouts.py
+++ b/heatherswitch/gateway/rollouts.py
@@ -15,24 +15,25 @@
 
 # Bound on the probability that a good version is ever judged bad.
 FALSE_ALARM_RATE = 0.01
-# Fraction used of the platform's bound on requests to an unproven version. The rest
-# covers requests in flight and gateways that disagree on the number of gateways.
-EXPOSURE_FRACTION = 0.7
-# Share of requests that the new version gets in each stage. The first share applies only
-# within the exposure bound; the later ones reveal faults that occur under load. The old
-# version keeps some requests to the end, as both are compared in the same window.
-STAGE_SHARES = (0.2, 0.4, 0.75)
+# Fraction of the platform's bound on requests to a bad version that may be used up to the
+# end of each stage. Each stage needs requests of its own, as a fault may begin late or
+# under load. The rest covers gateways that disagree on the number of gateways.
+STAGE_EXPOSURE_FRACTIONS = (0.65, 0.9)
+# Share of requests that the new version gets in each stage, within the exposure bound. The
+# second one reveals faults that occur under load. The old version keeps as many, as both
+# are compared in the same window and the bound leaves few requests to compare.
+STAGE_SHARES = (0.2, 0.5)
 # Fraction of the rollout's duration from which a stage may end if the version is proven.
-STAGE_EARLIEST_END = (0.25, 0.6, 0.8)
+STAGE_EARLIEST_END = (0.45, 0.8)
 # Fraction at which a stage ends without proof, if enough responses were good.
-STAGE_LATEST_END = (0.6, 0.75, 0.92)
+STAGE_LATEST_END = (0.6, 0.92)
 # Length of an evidence window as a fraction of the rollout's duration: the minimum, and
 # the maximum for a window that lacks responses of one version. The last stage takes 0.12
-# to 0.32 of the duration, and its responses must be counted before it ends.
+# to 0.47 of the duration, and its responses must be counted before it ends.
 WINDOW_FRACTION = 0.06
 MAX_WINDOW_FRACTION = 0.1
-# Responses of the new version that a stage needs to end without proof; the version must
-# not be suspicious either.
+# Responses of the new version that a stage needs, complete ones and ones that are known
+# not to be slow; the version must not be suspicious either.
 MIN_STAGE_RESPONSES = 10
 # A version is suspicious if its rate of bad responses exceeds the old version's by more
 # than this, ...
@@ -199,11 +200,14 @@
         if is_own and state is not RolloutState.RUNNING:
             self.state = state
 
-    def share(self, gateways: int) -> float:
+    def share(self, now: float, gateways: int) -> float:
         """Returns the fraction of new requests that the new version gets.
 
-        In the first stage it is 0 while one more request to the new version would
-        exceed this gateway's part of the exposure limit.
+        It is 0 while one more request to the new version would exceed this gateway's
+        part of the exposure limit. No verdict lifts the limit before the rollout is
+        completed, since a fault may begin at any time. The limit's slack is released
+        gradually in the first stage, since responses that arrive before the speed of
+        the old version is known show nothing about the speed of the new one.
 
         :param gateways: number of gateways among which the limit's slack, the requests
             allowed on top of its share, is divided evenly.
@@ -212,12 +216,15 @@
             return 1.0
         if self.state is RolloutState.ROLLED_BACK or self.verdict is Verdict.BAD:
             return 0.0
-        if self.stage > 0:
-            return 0.0 if self._is_suspended() else STAGE_SHARES[self.stage]
-        allowed = EXPOSURE_FRACTION * (
-            self._exposure.share * self._request_count + self._exposure.slack / gateways
+        if self.stage > 0 and self._is_suspended():
+            return 0.0
+        released = min(1.0, self._elapsed_fraction(now) / STAGE_EARLIEST_END[0])
+        allowed = STAGE_EXPOSURE_FRACTIONS[self.stage] * (
+            self._exposure.share * self._request_count
+            + self._exposure.slack * released / gateways
         )
-        return STAGE_SHARES[0] if self._target_request_count + 1 <= allowed else 0.0
+        is_within_limit = self._target_request_count + 1 <= allowed
+        return STAGE_SHARES[self.stage] if is_within_limit else 0.0
 
     def count_request(self, to_target: bool) -> None:
         """Counts a request to the service.
@@ -291,27 +298,36 @@
             return Step.WAIT
         if self.verdict is Verdict.BAD:
             return Step.ROLL_BACK
-        elapsed_fraction = self.elapsed_s(now) / max(self.order.duration_s, 1e-3)
+        elapsed_fraction = self._elapsed_fraction(now)
         if elapsed_fraction >= STAGE_LATEST_END[self.stage]:
             self._evidence.close_windows(now)
             if self.verdict is Verdict.BAD:
                 return Step.ROLL_BACK
         proven = self.verdict is Verdict.PROVEN
-        enough = proven or self._meets_stage_criteria()
         due = (
             elapsed_fraction
             >= (STAGE_EARLIEST_END if proven else STAGE_LATEST_END)[self.stage]
         )
-        if due and enough:
+        if due and self._meets_stage_criteria():
             last = self.stage == len(STAGE_SHARES) - 1
             return Step.COMPLETE if last else Step.ADVANCE
         # A version without enough good responses is not rolled out.
         return Step.ROLL_BACK if elapsed_fraction >= STAGE_LATEST_END[-1] else Step.WAIT
 
+    def _elapsed_fraction(self, now: float) -> float:
+        return self.elapsed_s(now) / max(self.order.duration_s, 1e-3)
+
     def _meets_stage_criteria(self) -> bool:
-        """Returns True if this stage has enough responses and no suspicious excess."""
-        enough = self._evidence.judgement.step.requests >= MIN_STAGE_RESPONSES
-        return enough and not self._is_suspicious()
+        """Returns True if this stage has enough responses and no suspicious excess.
+
+        Responses whose speed is not known do not show that the version is not slow.
+        """
+        judgement = self._evidence.judgement
+        step = judgement.step
+        # While all servers are slow, responses of both versions are.
+        not_slower = step.timed * (1.0 - max(0.0, judgement.excess))
+        good = min(step.requests - step.failures, not_slower)
+        return good >= MIN_STAGE_RESPONSES and not self._is_suspicious()
 
     def _is_suspended(self) -> bool:
         """Returns True if a suspicious version gets no more requests in this stage."""
--- a/test/test_rollouts.py
+++ b/test/test_rollouts.py
@@ -104,6 +104,8 @@
         # Period in which the responses of both versions are slow.
         self.slow_from, self.slow_to = 0.0, 0.0
         self.outcome = RolloutState.RUNNING
+        # Requests to the new version before the decision.
+        self.exposed_while_running = 0
 
     @property
     def rollouts(self) -> list[Rollout]:
@@ -152,10 +154,10 @@
     def _request(self, now: float, respond) -> None:
         table = self.random.choice(self.tables)
         rollout = table.by_service.get("ledger")
-        share = rollout.share(len(self.tables)) if rollout else 0.0
+        share = rollout.share(now, len(self.tables)) if rollout else 0.0
         to_target = self.random.random() < share
         version = "v2" if to_target else "v1"
-        randomized = table.count_request("ledger", version, len(self.tables))
+        randomized = table.count_request(now, "ledger", version, len(self.tables))
         response = respond(now, share, to_target)
         if rollout is not None:
             self.total_requests += 1
@@ -230,6 +232,7 @@
             completed = step is Step.COMPLETE
             state = RolloutState.COMPLETED if completed else RolloutState.ROLLED_BACK
             self.outcome = state
+            self.exposed_while_running = self.exposed_requests
             for rollout in self.rollouts:
                 rollout.state = state
 
@@ -317,6 +320,14 @@
         kinds = {
             "generation": lambda r, now, share: r.slowed(interval=4.4),
             "both": lambda r, now, share: r.slowed(3.0, 4.4),
+            "first event": lambda r, now, share: r.slowed(head=20.0),
+            "under load": lambda r, now, share: (
+                r.slowed(3.0, 4.0) if share > 0.3 else r
+            ),
+            "later": lambda r, now, share: r.slowed(3.0, 4.0) if now > 5 else r,
+            "one route": lambda r, now, share: (
+                r.slowed(3.0, 4.4) if r.route == "/chat/" else r
+            ),
         }
         for name, slow_down in kinds.items():
             for seed in range(6):
@@ -325,6 +336,45 @@
                         self.simulate_streams(slow_down, seed=seed)
                     )
 
+    def test_slow_version_is_rolled_back_by_fleets_of_other_sizes(self):
+        for gateways, rate in ((1, 8.0), (5, 8.0), (31, 60.0), (31, 8.0)):
+            for seed in range(4):
+                with self.subTest(gateways=gateways, rate=rate, seed=seed):
+                    self.assert_kept_within_bound(
+                        self.simulate_streams(
+                            lambda r, now, share: r.slowed(3.0, 4.4),
+                            gateways,
+                            rate,
+                            seed,
+                        )
+                    )
+
+    def test_version_that_starts_with_cold_caches_is_completed(self):
+        """A new version has no prompt cached, so its first events are late at first."""
+
+        rng = random.Random(0)
+
+        def start_cold(response: Response, now: float, share: float) -> Response:
+            if now < 5:
+                response.head_s = rng.uniform(0.03, 0.4)
+            return response.slowed(head=1.2, interval=1.1)
+
+        for gateways, rate in ((5, 30.0), (2, 20.0), (31, 200.0)):
+            for seed in range(6):
+                with self.subTest(gateways=gateways, rate=rate, seed=seed):
+                    fleet = self.simulate_streams(start_cold, gateways, rate, seed)
+                    self.assertIs(fleet.outcome, RolloutState.COMPLETED)
+
+    def test_exposure_bound_holds_until_a_good_version_is_completed(self):
+        """A fault may begin at any time, and all requests before it count too."""
+        for gateways, rate in ((5, 30.0), (31, 200.0)):
+            fleet = self.simulate_streams(lambda r, now, share: r, gateways, rate)
+            self.assertIs(fleet.outcome, RolloutState.COMPLETED)
+            self.assertLessEqual(
+                fleet.exposed_while_running,
+                EXPOSURE_SHARE * fleet.total_requests + EXPOSURE_SLACK,
+            )
+
     def test_exposure_bound_holds_for_all_fleet_sizes_and_rates(self):
         for gateways in (1, 5, 31):
             for rate in (5.0, 60.0):
@@ -517,6 +567,7 @@
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
+        self.reason = deployment.gateway._reducer.rollouts[service].reason
         return status()
 
     async def test_good_version_takes_all_requests(self):
@@ -527,3 +578,23 @@
     async def test_bad_version_is_rolled_back(self):
         status = await self.play(Behaviour(status=500, delay_s=0.01))
         self.assertIn("rolled_back", status)
+
+    async def play_streams(self, event_gap_s: float) -> str:
+        """Rolls out v2 of a service whose streams have this interval of events."""
+        return await self.play(
+            Behaviour(events=12, event_gap_s=event_gap_s),
+            Behaviour(events=12, event_gap_s=0.01),
+            service="appraiser",
+            path="/draft/1",
+            method="POST",
+            callers=8,
+            limits=Limits(expected_fleet=1),
+        )
+
+    async def test_version_that_generates_as_fast_is_completed(self):
+        self.assertIn("completed", await self.play_streams(0.01))
+
+    async def test_version_whose_heads_are_early_but_events_slow_is_rolled_back(self):
+        """Guards EXPOSURE: it was completed as only the heads were timed (issue 29)."""
+        self.assertIn("rolled_back", await self.play_streams(0.05))
+        self.assertIn("slow", self.reason)
