--- a/heatherswitch/fleet/evidence.py
+++ b/heatherswitch/fleet/evidence.py
@@ -9,7 +9,7 @@
 
 import math
 
-from heatherswitch.fleet.rollout import Counts, Verdict, VersionTest, Window
+from heatherswitch.fleet.rollout import Counts, Signal, Verdict, VersionTest, Window
 from heatherswitch.util.record import Record
 
 # Minimum length of a window, in seconds.
@@ -93,7 +93,8 @@
     :param seen: counted responses of the starting version, over all shares.
     :param step: counted responses of the starting version at the current share.
     :param excess: rate of bad responses of the starting version minus that of the
-        active one at the current share, from -1 to 1.
+        active one at the current share, from -1 to 1, for the signal by which the
+        starting version is worst.
     :param excess_standard_errors: ``excess`` in standard errors.
     """
 
@@ -124,7 +125,7 @@
 
 
 class _StepEvidence:
-    """Compares both versions at one share of the starting version.
+    """Compares both versions by one signal at one share of the starting version.
 
     The difference of the rates is computed within each window and then averaged with
     Mantel-Haenszel weights; its standard error is that of Cochran's test. The rates of
@@ -132,10 +133,11 @@
     window in which one version has more responses.
     """
 
-    __slots__ = ("_excess", "_variance", "_weight", "seen")
+    __slots__ = ("_excess", "_signal", "_variance", "_weight", "seen")
 
-    def __init__(self) -> None:
+    def __init__(self, signal: Signal) -> None:
         self.seen = Counts()
+        self._signal = signal
         self._excess = 0.0
         self._weight = 0.0
         self._variance = 0.0
@@ -146,11 +148,7 @@
 
         It is the starting version's own rate if no window has responses of both.
         """
-        return (
-            self._excess / self._weight
-            if self._weight
-            else _bad_response_rate(self.seen)
-        )
+        return self._excess / self._weight if self._weight else self._rate(self.seen)
 
     @property
     def excess_standard_errors(self) -> float:
@@ -163,23 +161,21 @@
         """Adds a window at this share."""
         starting, active = window.starting, window.active
         self.seen += starting
-        if not starting.requests or not active.requests:
+        n_starting = starting.total_count(self._signal)
+        n_active = active.total_count(self._signal)
+        if not n_starting or not n_active:
             return
-        both = starting + active
-        weight = starting.requests * active.requests / both.requests
-        rate = _bad_response_rate(both)
-        self._excess += weight * (
-            _bad_response_rate(starting) - _bad_response_rate(active)
-        )
+        n_both = n_starting + n_active
+        weight = n_starting * n_active / n_both
+        rate = self._rate(starting + active)
+        self._excess += weight * (self._rate(starting) - self._rate(active))
         self._weight += weight
-        self._variance += (
-            weight * rate * (1 - rate) * both.requests / (both.requests - 1)
-        )
+        self._variance += weight * rate * (1 - rate) * n_both / (n_both - 1)
 
-
-def _bad_response_rate(counts: Counts) -> float:
-    """Returns the fraction of the responses that failed or were slow."""
-    return min(1.0, (counts.failures + counts.slow) / max(1, counts.requests))
+    def _rate(self, counts: Counts) -> float:
+        """Returns the fraction of the responses that are bad."""
+        bad = counts.bad_count(self._signal)
+        return bad / max(1, counts.total_count(self._signal))
 
 
 class _OpenWindow:
@@ -209,6 +205,9 @@
     :param window_s: minimum length of a window, in seconds.
     :param max_window_s: maximum length of a window that lacks responses of one of the
         versions, in seconds.
+    :param pooled: compare the responses of all routers in common windows. Then a router
+        needs not get responses of both versions in a window, but all must assign the
+        same share of the counted requests to the starting version.
     """
 
     __slots__ = (
@@ -216,11 +215,13 @@
         "_max_window_s",
         "_move",
         "_open",
+        "_pool",
+        "_pooled",
         "_records",
         "_router",
         "_seen",
         "_share",
-        "_step",
+        "_steps",
         "_test",
         "_updated",
         "_window_s",
@@ -234,6 +235,7 @@
         test: VersionTest,
         window_s: float = WINDOW_S,
         max_window_s: float = MAX_WINDOW_S,
+        pooled: bool = False,
     ) -> None:
         self._move = move
         self._router = router
@@ -243,16 +245,19 @@
         self._max_window_s = max_window_s
         self._share = 0.0
         self._open: dict[str, _OpenWindow] = {}
+        self._pooled = pooled
+        # Windows of all routers that are not yet compared.
+        self._pool: dict[str, _OpenWindow] = {}
         # Newest record of each key, and the time at which it was stored.
         self._records: dict[RecordKey, EvidenceRecord] = {}
         self._updated: dict[RecordKey, float] = {}
         self._seen = Counts()
-        self._step = _StepEvidence()
+        self._steps = _new_steps()
 
     @property
     def judgement(self) -> Judgement:
         """Result of the evidence so far."""
-        test, step = self._test, self._step
+        test, step = self._test, max(self._steps, key=lambda step: step.excess)
         return Judgement(
             test.verdict,
             test.reason,
@@ -283,21 +288,28 @@
         if share != self._share:
             self.close_windows(now)
             self._share = share
-            self._step = _StepEvidence()
+            self._steps = _new_steps()
             self._test.start_step()
         for route, window in self._open.items():
-            longest_s = (
-                self._window_s if window.has_both_versions() else self._max_window_s
-            )
-            if now - window.since >= longest_s:
+            if self._pooled or self._is_due(now, window):
                 self._close_window(now, route, window)
                 self._open[route] = _OpenWindow(now)
+        for route, window in list(self._pool.items()):
+            if self._is_due(now, window):
+                self._compare(self._pool.pop(route), route)
+
+    def _is_due(self, now: float, window: _OpenWindow) -> bool:
+        longest_s = self._window_s if window.has_both_versions() else self._max_window_s
+        return now - window.since >= longest_s
 
     def close_windows(self, now: float) -> None:
         """Closes all windows, so that a decision includes the newest responses."""
         for route, window in self._open.items():
             self._close_window(now, route, window)
             self._open[route] = _OpenWindow(now)
+        for route, window in self._pool.items():
+            self._compare(window, route)
+        self._pool.clear()
 
     def _close_window(self, now: float, route: str, window: _OpenWindow) -> None:
         if window.active == window.starting == Counts():
@@ -317,7 +329,9 @@
             starting + window.starting,
         )
         self._store(now, record)
-        self._apply_window(Window(route, window.active, window.starting), self._share)
+        self._apply_window(
+            now, Window(route, window.active, window.starting), self._share
+        )
 
     def merge(self, now: float, record: EvidenceRecord) -> bool:
         """Stores a record of another router.
@@ -334,17 +348,30 @@
         window = _difference(known, record)
         self._store(now, record)
         if window is not None:
-            self._apply_window(window, record.share)
+            self._apply_window(now, window, record.share)
         return True
 
     def _store(self, now: float, record: EvidenceRecord) -> None:
         self._records[record.key] = record
         self._updated[record.key] = now
 
-    def _apply_window(self, window: Window, share: float) -> None:
+    def _apply_window(self, now: float, window: Window, share: float) -> None:
         self._seen += window.starting
-        if share == self._share:
-            self._step.add(window)
+        if share != self._share:
+            self._test.add(window)
+        elif self._pooled:
+            pool = self._pool.setdefault(window.route, _OpenWindow(now))
+            pool.active += window.active
+            pool.starting += window.starting
+        else:
+            self._add_to_step(window)
+
+    def _compare(self, pool: _OpenWindow, route: str) -> None:
+        self._add_to_step(Window(route, pool.active, pool.starting))
+
+    def _add_to_step(self, window: Window) -> None:
+        for step in self._steps:
+            step.add(window)
         self._test.add(window)
 
     def recent_records(self, now: float) -> list[EvidenceRecord]:
@@ -356,6 +383,10 @@
         ]
 
 
+def _new_steps() -> list[_StepEvidence]:
+    return [_StepEvidence(signal) for signal in Signal]
+
+
 def _difference(known: EvidenceRecord | None, record: EvidenceRecord) -> Window | None:
     """Returns what a record adds to the known one, or None if the totals shrank."""
     if known is None or known.incarnation != record.incarnation:
--- a/heatherswitch/gateway/events.py
+++ b/heatherswitch/gateway/events.py
@@ -155,6 +155,27 @@
         self.outcome = outcome
 
 
+class StreamProgressed(Record):
+    """The first event of a stream arrived, or the interval between events is known.
+
+    :param first_event_s: seconds from sending the request to the first event.
+    :param event_interval_s: mean seconds between the first events, or None.
+    """
+
+    __slots__ = (
+        "serial",
+        "first_event_s",
+        "event_interval_s",
+    )
+
+    def __init__(
+        self, serial: int, first_event_s: float, event_interval_s: float | None
+    ) -> None:
+        self.serial = serial
+        self.first_event_s = first_event_s
+        self.event_interval_s = event_interval_s
+
+
 class AttemptEnded(Record):
     """An attempt to serve a request at a backend server ended."""
 
@@ -489,6 +510,7 @@
     RequestArrived
     | ResponseStarted
     | AttemptStalled
+    | StreamProgressed
     | AttemptEnded
     | CallerDisconnected
     | ConfigurationRead
--- a/heatherswitch/gateway/pending.py
+++ b/heatherswitch/gateway/pending.py
@@ -8,6 +8,7 @@
     Service,
     Workspace,
 )
+from heatherswitch.gateway.response_speed import AttemptTimes
 from heatherswitch.gateway.servers import ServerState
 from heatherswitch.util.record import Record
 
@@ -35,7 +36,6 @@
         "service",
         "workspace",
         "arrived_at",
-        "sent_at",
         "deadline_at",
         "tried_ids",
         "possible_runs",
@@ -48,7 +48,7 @@
         "queried_parts",
         "holders_known",
         "in_version_split",
-        "first_byte_s",
+        "times",
     )
 
     def __init__(
@@ -68,15 +68,12 @@
         load_queries: int = 0,
         holders_known: bool = False,
         in_version_split: bool = False,
-        first_byte_s: float | None = None,
     ) -> None:
         self.request = request
         self.route = route
         self.service = service
         self.workspace = workspace
         self.arrived_at = arrived_at
-        # Time of the last send to a server; that of the arrival before the first.
-        self.sent_at = arrived_at
         self.deadline_at = deadline_at
         self.tried_ids: list[str] = []
         # Number of servers that may have started to run the request, without the current
@@ -99,8 +96,8 @@
         # During the current attempt, both versions of a rollout could get the request, so
         # that its result counts as evidence about them.
         self.in_version_split = in_version_split
-        # Seconds from the send to the response headers in the current attempt.
-        self.first_byte_s = first_byte_s
+        # Times of the current or last attempt.
+        self.times = AttemptTimes(arrived_at)
 
     @property
     def priority(self) -> int:
--- a/heatherswitch/gateway/reducer.py
+++ b/heatherswitch/gateway/reducer.py
@@ -26,6 +26,7 @@
     QueuedRequest,
     RequestQueue,
 )
+from heatherswitch.gateway.response_speed import AttemptTimes
 from heatherswitch.gateway.rollout_table import RolloutTable
 from heatherswitch.gateway.rollouts import Rollout
 from heatherswitch.gateway.selection import (
@@ -169,6 +170,8 @@
                 return self._on_response_started(now, event)
             case ev.AttemptStalled():
                 return self._on_attempt_stalled(now, event)
+            case ev.StreamProgressed():
+                return self._on_stream_progressed(now, event)
             case ev.AttemptEnded():
                 return self._on_attempt_ended(now, event)
             case ev.CallerDisconnected():
@@ -226,6 +229,8 @@
             case ev.Tick():
                 self._servers.expire(now)
                 self._retry_budget.set_rate(now, 0.0, self._retry_budget_burst(now))
+                for pending in self._pending.values():
+                    self._judge_speed(now, pending)
                 self._rollouts.tick(now)
                 return self._quarantine_changed(now, self._quarantine.expire(now))
         return self._dispatch_waiting(now)
@@ -306,10 +311,10 @@
         state.in_flight += 1
         self._peers.note_changed(state)
         pending.current_server = state
-        pending.first_byte_s = None
-        pending.sent_at = now
+        pending.times = AttemptTimes(now)
         pending.queued = False
         pending.in_version_split = self._rollouts.count_request(
+            now,
             pending.service.name,
             state.record.version,
             self._fleet.size_upper_bound(now),
@@ -393,7 +398,7 @@
         pending = self._pending.get(event.serial)
         if pending is None or pending.current_server is None:
             return []
-        pending.first_byte_s = event.first_byte_s
+        pending.times.head_s = event.first_byte_s
         if event.load is not None:
             pending.current_server.set_reported_load(now, event.load)
         pending.current_server.extend_cold_period(now, event.cold_for_s)
@@ -403,6 +408,16 @@
             )
         return []
 
+    def _on_stream_progressed(
+        self, now: float, event: ev.StreamProgressed
+    ) -> list[ev.Effect]:
+        pending = self._pending.get(event.serial)
+        if pending is not None:
+            pending.times.first_event_s = event.first_event_s
+            pending.times.event_interval_s = event.event_interval_s
+            self._judge_speed(now, pending)
+        return []
+
     def _on_attempt_stalled(
         self, now: float, event: ev.AttemptStalled
     ) -> list[ev.Effect]:
@@ -588,7 +603,9 @@
         if outcome.silent or pending.partly_delivered:
             return []
         prompt = pending.request.prompt_parts
-        report = self._quarantine.report(now, state.record, pending.sent_at, prompt)
+        report = self._quarantine.report(
+            now, state.record, pending.times.sent_at, prompt
+        )
         if report is None:
             return []
         change = self._quarantine.add(report)
@@ -621,10 +638,25 @@
         if pending.queued:
             self._queues[pending.service.name].discard(event.serial)
         if pending.current_server is not None:
+            # Callers leave when a response is slow, so their requests are evidence too.
+            self._judge_speed(now, pending)
             pending.current_server.in_flight -= 1
             self._peers.note_changed(pending.current_server)
         return self._dispatch_waiting(now)
 
+    def _judge_speed(self, now: float, pending: Pending) -> None:
+        """Counts the speed of an open attempt as evidence once it is known."""
+        state = pending.current_server
+        if state is None or not pending.in_version_split:
+            return
+        self._rollouts.count_speed(
+            now,
+            pending.service.name,
+            pending.route.name,
+            state.record.version,
+            pending.times,
+        )
+
     def _count_version_result(
         self, now: float, pending: Pending, state: ServerState, failed: bool
     ) -> None:
@@ -634,6 +666,6 @@
             pending.route.name,
             state.record.version,
             failed,
-            pending.first_byte_s,
+            pending.times,
             pending.in_version_split,
         )
--- a/heatherswitch/gateway/relay.py
+++ b/heatherswitch/gateway/relay.py
@@ -10,6 +10,7 @@
 from heatherswitch.gateway import events as ev
 from heatherswitch.gateway.event_stream import EventReader
 from heatherswitch.gateway.model import RequestKind
+from heatherswitch.gateway.response_speed import MEASURED_INTERVALS, MIN_INTERVALS
 from heatherswitch.gateway.upstream import (
     MAX_UNRELATED_RESPONSES,
     ConnectionPool,
@@ -57,6 +58,39 @@
         self.body = body
 
 
+class ResponseTiming(Record):
+    """Times of the current attempt's response, in seconds since its send.
+
+    :param head_s: the head arrived; None before that.
+    :param first_event_s: the first complete event of a stream arrived, or None.
+    :param last_event_s: the latest complete event arrived, or None.
+    :param events: number of complete events.
+    :param event_interval_s: mean interval between the first events, once known.
+    """
+
+    __slots__ = (
+        "head_s",
+        "first_event_s",
+        "last_event_s",
+        "events",
+        "event_interval_s",
+    )
+
+    def __init__(
+        self,
+        head_s: float | None = None,
+        first_event_s: float | None = None,
+        last_event_s: float | None = None,
+        events: int = 0,
+        event_interval_s: float | None = None,
+    ) -> None:
+        self.head_s = head_s
+        self.first_event_s = first_event_s
+        self.last_event_s = last_event_s
+        self.events = events
+        self.event_interval_s = event_interval_s
+
+
 class RequestRelay:
     """Runs the attempts of one caller's request.
 
@@ -66,6 +100,8 @@
     :param on_stalled: called when a server made no progress for the stall timeout, with
         the seconds without progress and whether part of the response was delivered. The
         attempt goes on unless it raises an exception.
+    :param on_stream_progress: called at the first event of a stream and when the
+        interval between its events is known.
     """
 
     __slots__ = (
@@ -77,12 +113,15 @@
         "_last_event_id",
         "_on_response_started",
         "_on_stalled",
+        "_on_stream_progress",
         "_pool",
         "_request",
         "_request_id",
         "_responder",
         "_response_started",
         "_timeout",
+        "_sent_at",
+        "_timing",
         "_writing",
     )
 
@@ -96,6 +135,7 @@
         responder: Responder,
         on_response_started: Callable[[ev.Forward, ResponseHead, float], None],
         on_stalled: Callable[[ev.Forward, float, bool], None],
+        on_stream_progress: Callable[[ResponseTiming], None],
     ) -> None:
         self._codec = codec
         self._pool = pool
@@ -105,6 +145,7 @@
         self._responder = responder
         self._on_response_started = on_response_started
         self._on_stalled = on_stalled
+        self._on_stream_progress = on_stream_progress
         self._buffered_response: BufferedResponse | None = None
         self._last_event_id: int | None = None
         self._response_started = False
@@ -112,9 +153,16 @@
         self._interrupted = False
         # Set while an attempt runs.
         self._timeout: asyncio.Timeout | None = None
+        self._sent_at = 0.0
+        self._timing = ResponseTiming()
         # True while a write waits for the caller to read.
         self._writing = False
 
+    @property
+    def timing(self) -> ResponseTiming:
+        """Times of the current or last attempt's response."""
+        return self._timing
+
     def discard(self) -> None:
         """Stops delivery because the caller left; the response is still read."""
         self._discarded = True
@@ -137,7 +185,8 @@
             the deadline.
         """
         run_once = not forward.route.retryable
-        sent_at = self._clock()
+        sent_at = self._sent_at = self._clock()
+        self._timing = ResponseTiming()
         try:
             connection, reused = await self._pool.acquire(
                 sent_at, forward.server, run_once
@@ -185,7 +234,7 @@
         """
         self._send(connection, forward, sent_at)
         head, raw_headers = await self._receive_head(connection, reused, forward)
-        ttfb_s = self._clock() - sent_at
+        ttfb_s = self._timing.head_s = self._clock() - sent_at
         self._on_response_started(forward, head, ttfb_s)
         if head.not_run:
             # The body is not read, so the connection cannot be reused.
@@ -335,11 +384,13 @@
         while True:
             event = await connection.next_event(forward.stall_timeout_s)
             if isinstance(event, h11.EndOfMessage):
+                self._measure_interval(MIN_INTERVALS)
                 break
             if not isinstance(event, h11.Data):
                 raise ConnectionLost("the answer was cut")
             complete = reader.feed(bytes(event.data))
             if complete:
+                self._record_events(reader.event_count)
                 await self._start_response(head, complete)
                 self._last_event_id = reader.last_id
                 connection.record_progress()
@@ -352,6 +403,23 @@
         if not self._discarded:
             await self._responder.finish()
 
+    def _record_events(self, count: int) -> None:
+        timing = self._timing
+        timing.events = count
+        timing.last_event_s = self._clock() - self._sent_at
+        if timing.first_event_s is None:
+            timing.first_event_s = timing.last_event_s
+            self._on_stream_progress(timing)
+        self._measure_interval(MEASURED_INTERVALS)
+
+    def _measure_interval(self, min_intervals: int) -> None:
+        """Takes the mean interval so far, unless it is known, if there are enough."""
+        timing = self._timing
+        if timing.event_interval_s is None and timing.events > min_intervals:
+            streaming_s = timing.last_event_s - timing.first_event_s
+            timing.event_interval_s = streaming_s / (timing.events - 1)
+            self._on_stream_progress(timing)
+
     async def _start_response(self, head: ResponseHead, data: bytes) -> None:
         if not self._response_started and not self._discarded:
             self._response_started = True
--- a/heatherswitch/gateway/rollout_table.py
+++ b/heatherswitch/gateway/rollout_table.py
@@ -1,14 +1,25 @@
 """All rollouts at one gateway and which version of a service may take a request."""
 
+from collections import deque
 from collections.abc import Callable
 
 from heatherswitch.gateway import events as ev
-from heatherswitch.gateway.rollouts import ExposureLimit, Rollout, rollout_id
+from heatherswitch.gateway.response_speed import AttemptTimes
+from heatherswitch.gateway.rollouts import (
+    ExposureLimit,
+    RecentTimes,
+    Rollout,
+    RolloutState,
+    rollout_id,
+)
 from heatherswitch.statecore.hashing import unit_hash
 
 # Returns True if servers of a version may take a request.
 VersionFilter = Callable[[str], bool]
 
+# Number of responses per route whose times are kept for a later rollout.
+MAX_RECENT_TIMES = 64
+
 
 class RolloutTable:
     """The latest rollout of each service.
@@ -17,7 +28,13 @@
     :param incarnation: higher for a later run of this gateway, to order its evidence.
     """
 
-    __slots__ = ("_exposure", "_gateway_id", "_incarnation", "_rollouts")
+    __slots__ = (
+        "_exposure",
+        "_gateway_id",
+        "_incarnation",
+        "_recent_times",
+        "_rollouts",
+    )
 
     def __init__(
         self, gateway_id: str, incarnation: int, exposure: ExposureLimit
@@ -26,6 +43,8 @@
         self._incarnation = incarnation
         self._exposure = exposure
         self._rollouts: dict[str, Rollout] = {}
+        # Latest responses by service and route while no rollout is running.
+        self._recent_times: dict[str, RecentTimes] = {}
 
     @property
     def by_service(self) -> dict[str, Rollout]:
@@ -38,9 +57,11 @@
         if event.order is None:
             self._rollouts.pop(event.service, None)
         elif current is None or current.order.revision != event.order.revision:
-            self._rollouts[event.service] = Rollout(
+            rollout = Rollout(
                 now, event.order, self._gateway_id, self._incarnation, self._exposure
             )
+            rollout.learn_speed(now, self._recent_times.pop(event.service, {}))
+            self._rollouts[event.service] = rollout
 
     def on_status(self, event: ev.RolloutStatusRead) -> None:
         """Applies a decision recorded in the store."""
@@ -68,7 +89,7 @@
             rollout.advance_evidence(now)
 
     def version_filters(
-        self, service: str, request_id: str, gateways: int
+        self, now: float, service: str, request_id: str, gateways: int
     ) -> list[VersionFilter]:
         """Returns filters for the versions that may serve a request, preferred first.
 
@@ -80,7 +101,7 @@
         rollout = self._rollouts.get(service)
         if rollout is None:
             return [_any_version]
-        target, share = rollout.order.target, rollout.share(gateways)
+        target, share = rollout.order.target, rollout.share(now, gateways)
         to_target = unit_hash("rollout", request_id) < share
 
         def is_target(version: str) -> bool:
@@ -94,7 +115,9 @@
             _any_version if share >= 1.0 else is_other,
         ]
 
-    def count_request(self, service: str, version: str, gateways: int) -> bool:
+    def count_request(
+        self, now: float, service: str, version: str, gateways: int
+    ) -> bool:
         """Counts a request that is sent to a version.
 
         :param gateways: number of gateways that share the exposure bound.
@@ -103,7 +126,7 @@
         rollout = self._rollouts.get(service)
         if rollout is None:
             return False
-        randomized = rollout.share(gateways) > 0
+        randomized = rollout.share(now, gateways) > 0
         rollout.count_request(version == rollout.order.target)
         return randomized
 
@@ -114,17 +137,36 @@
         route: str,
         version: str,
         failed: bool,
-        ttfb_s: float | None,
+        times: AttemptTimes,
         randomized: bool,
     ) -> None:
-        """Counts a response of a version.
+        """Counts a response of a version that has ended.
 
-        :param ttfb_s: seconds to the head of the response; None if none arrived.
         :param randomized: what :meth:`count_request` returned for the request.
         """
         rollout = self._rollouts.get(service)
+        if rollout is None or rollout.state is not RolloutState.RUNNING:
+            routes = self._recent_times.setdefault(service, {})
+            recent = routes.setdefault(route, deque(maxlen=MAX_RECENT_TIMES))
+            recent.append((version, times))
+        if rollout is not None:
+            rollout.count_response(now, route, version, failed, times, randomized)
+
+    def count_speed(
+        self,
+        now: float,
+        service: str,
+        route: str,
+        version: str,
+        times: AttemptTimes,
+    ) -> None:
+        """Counts whether a response is slow, if that is known before its end.
+
+        The request must have been assigned to one of both versions at random.
+        """
+        rollout = self._rollouts.get(service)
         if rollout is not None:
-            rollout.count_response(now, route, version, failed, ttfb_s, randomized)
+            rollout.count_speed(now, route, version, times)
 
 
 def _any_version(version: str) -> bool:
--- a/heatherswitch/gateway/rollouts.py
+++ b/heatherswitch/gateway/rollouts.py
@@ -5,33 +5,35 @@
 or is rolled back. Does no input or output and reads no clock.
 """
 
+from collections.abc import Iterable, Mapping
 from enum import Enum
 
 from heatherswitch.fleet.evidence import EvidenceRecord, MoveEvidence
 from heatherswitch.fleet.rollout import Counts, SequentialTest, Verdict
-from heatherswitch.fleet.slowness import SlowThreshold
+from heatherswitch.gateway.response_speed import AttemptTimes, SpeedLimits
 from heatherswitch.util.record import Record
 
 # Bound on the probability that a good version is ever judged bad.
 FALSE_ALARM_RATE = 0.01
-# Fraction used of the platform's bound on requests to an unproven version. The rest
-# covers requests in flight and gateways that disagree on the number of gateways.
-EXPOSURE_FRACTION = 0.7
-# Share of requests that the new version gets in each stage. The first share applies only
-# within the exposure bound; the later ones reveal faults that occur under load. The old
-# version keeps some requests to the end, as both are compared in the same window.
-STAGE_SHARES = (0.2, 0.4, 0.75)
+# Fraction of the platform's bound on requests to a bad version that may be used up to the
+# end of each stage. Each stage needs requests of its own, as a fault may begin late or
+# under load. The rest covers gateways that disagree on the number of gateways.
+STAGE_EXPOSURE_FRACTIONS = (0.65, 0.9)
+# Share of requests that the new version gets in each stage, within the exposure bound. The
+# second one reveals faults that occur under load. The old version keeps as many, as both
+# are compared in the same window and the bound leaves few requests to compare.
+STAGE_SHARES = (0.2, 0.5)
 # Fraction of the rollout's duration from which a stage may end if the version is proven.
-STAGE_EARLIEST_END = (0.25, 0.6, 0.8)
+STAGE_EARLIEST_END = (0.45, 0.8)
 # Fraction at which a stage ends without proof, if enough responses were good.
-STAGE_LATEST_END = (0.6, 0.75, 0.92)
+STAGE_LATEST_END = (0.6, 0.92)
 # Length of an evidence window as a fraction of the rollout's duration: the minimum, and
 # the maximum for a window that lacks responses of one version. The last stage takes 0.12
-# to 0.32 of the duration, and its responses must be counted before it ends.
+# to 0.47 of the duration, and its responses must be counted before it ends.
 WINDOW_FRACTION = 0.06
 MAX_WINDOW_FRACTION = 0.1
-# Responses of the new version that a stage needs to end without proof; the version must
-# not be suspicious either.
+# Responses of the new version that a stage needs, complete ones and ones that are known
+# not to be slow; the version must not be suspicious either.
 MIN_STAGE_RESPONSES = 10
 # A version is suspicious if its rate of bad responses exceeds the old version's by more
 # than this, ...
@@ -42,6 +44,12 @@
 # Bad responses in a later stage after which a suspicious version gets no more requests.
 # Waiting for proof at a large share would exceed the exposure bound.
 SUSPEND_AFTER_BAD_RESPONSES = 4
+# Age in seconds up to which a request from before the order tells how fast the old
+# version is under the present load.
+MAX_LEARNED_AGE_S = 30.0
+
+# Latest attempts of each route and the versions that served them.
+RecentTimes = Mapping[str, Iterable[tuple[str, AttemptTimes]]]
 
 
 class RolloutState(Enum):
@@ -113,7 +121,7 @@
         "_evidence",
         "_exposure",
         "_request_count",
-        "_slow_thresholds",
+        "_speed_limits",
         "_started_at",
         "_target_request_count",
         "order",
@@ -136,7 +144,7 @@
         self._exposure = exposure
         self._request_count = 0
         self._target_request_count = 0
-        self._slow_thresholds: dict[str, SlowThreshold] = {}
+        self._speed_limits = SpeedLimits(now)
         self._evidence = MoveEvidence(
             rollout_id(order),
             gateway_id,
@@ -144,6 +152,7 @@
             SequentialTest(FALSE_ALARM_RATE),
             WINDOW_FRACTION * order.duration_s,
             MAX_WINDOW_FRACTION * order.duration_s,
+            pooled=True,
         )
 
     @property
@@ -156,6 +165,18 @@
         """Route and signal that led to a ``BAD`` verdict, or an empty string."""
         return self._evidence.judgement.reason
 
+    def learn_speed(self, now: float, recent: RecentTimes) -> None:
+        """Learns the speed of the old version from responses before the order.
+
+        Otherwise no response could be judged until each gateway has seen enough of
+        them, by when much of the time for the rollout is over.
+        """
+        for route, attempts in recent.items():
+            for version, times in attempts:
+                is_recent = now - times.sent_at < MAX_LEARNED_AGE_S
+                if is_recent and version != self.order.target:
+                    self._speed_limits.add(now, route, times, loaded=True)
+
     def elapsed_s(self, now: float) -> float:
         """Returns the seconds since the order, by the earliest start known."""
         return now - self._started_at
@@ -179,11 +200,14 @@
         if is_own and state is not RolloutState.RUNNING:
             self.state = state
 
-    def share(self, gateways: int) -> float:
+    def share(self, now: float, gateways: int) -> float:
         """Returns the fraction of new requests that the new version gets.
 
-        In the first stage it is 0 while one more request to the new version would
-        exceed this gateway's part of the exposure limit.
+        It is 0 while one more request to the new version would exceed this gateway's
+        part of the exposure limit. No verdict lifts the limit before the rollout is
+        completed, since a fault may begin at any time. The limit's slack is released
+        gradually in the first stage, since responses that arrive before the speed of
+        the old version is known show nothing about the speed of the new one.
 
         :param gateways: number of gateways among which the limit's slack, the requests
             allowed on top of its share, is divided evenly.
@@ -192,12 +216,15 @@
             return 1.0
         if self.state is RolloutState.ROLLED_BACK or self.verdict is Verdict.BAD:
             return 0.0
-        if self.stage > 0:
-            return 0.0 if self._is_suspended() else STAGE_SHARES[self.stage]
-        allowed = EXPOSURE_FRACTION * (
-            self._exposure.share * self._request_count + self._exposure.slack / gateways
+        if self.stage > 0 and self._is_suspended():
+            return 0.0
+        released = min(1.0, self._elapsed_fraction(now) / STAGE_EARLIEST_END[0])
+        allowed = STAGE_EXPOSURE_FRACTIONS[self.stage] * (
+            self._exposure.share * self._request_count
+            + self._exposure.slack * released / gateways
         )
-        return STAGE_SHARES[0] if self._target_request_count + 1 <= allowed else 0.0
+        is_within_limit = self._target_request_count + 1 <= allowed
+        return STAGE_SHARES[self.stage] if is_within_limit else 0.0
 
     def count_request(self, to_target: bool) -> None:
         """Counts a request to the service.
@@ -213,28 +240,44 @@
         route: str,
         version: str,
         failed: bool,
-        ttfb_s: float | None,
+        times: AttemptTimes,
         randomized: bool = True,
     ) -> None:
-        """Counts a response of either version.
+        """Counts a response of either version that has ended.
 
-        :param ttfb_s: seconds to the head of the response; None if none arrived.
         :param randomized: the request was assigned to a version at random. Others date
             from times in which the new version got none and are no comparison.
         """
-        threshold = self._slow_thresholds.get(route)
-        if threshold is None:
-            threshold = self._slow_thresholds[route] = SlowThreshold(now)
-        limit_s = threshold.threshold_s(now)
+        self.count_speed(now, route, version, times, randomized, ended=True)
         is_target = version == self.order.target
-        if not is_target and ttfb_s is not None:
-            threshold.add(ttfb_s, loaded=self.stage == 0)
-        if not randomized:
+        if not is_target:
+            self._speed_limits.add(now, route, times, loaded=self.stage == 0)
+        if randomized:
+            self._evidence.count(now, route, is_target, Counts(1, int(failed)))
+
+    def count_speed(
+        self,
+        now: float,
+        route: str,
+        version: str,
+        times: AttemptTimes,
+        randomized: bool = True,
+        ended: bool = False,
+    ) -> None:
+        """Counts whether a response is slow, once, as soon as that is known.
+
+        :param randomized: see :meth:`count_response`.
+        :param ended: nothing more of the response will arrive.
+        """
+        if times.judged:
+            return
+        slow = self._speed_limits.is_slow(now, route, times, ended)
+        if slow is None:
             return
-        timed = ttfb_s is not None and limit_s is not None
-        slow = timed and ttfb_s > limit_s
-        counts = Counts(1, int(failed), int(timed), int(slow))
-        self._evidence.count(now, route, is_target, counts)
+        times.judged = True
+        if randomized:
+            is_target = version == self.order.target
+            self._evidence.count(now, route, is_target, Counts(0, 0, 1, int(slow)))
 
     def advance_evidence(self, now: float) -> None:
         """Closes the evidence windows that have reached their length."""
@@ -255,27 +298,36 @@
             return Step.WAIT
         if self.verdict is Verdict.BAD:
             return Step.ROLL_BACK
-        elapsed_fraction = self.elapsed_s(now) / max(self.order.duration_s, 1e-3)
+        elapsed_fraction = self._elapsed_fraction(now)
         if elapsed_fraction >= STAGE_LATEST_END[self.stage]:
             self._evidence.close_windows(now)
             if self.verdict is Verdict.BAD:
                 return Step.ROLL_BACK
         proven = self.verdict is Verdict.PROVEN
-        enough = proven or self._meets_stage_criteria()
         due = (
             elapsed_fraction
             >= (STAGE_EARLIEST_END if proven else STAGE_LATEST_END)[self.stage]
         )
-        if due and enough:
+        if due and self._meets_stage_criteria():
             last = self.stage == len(STAGE_SHARES) - 1
             return Step.COMPLETE if last else Step.ADVANCE
         # A version without enough good responses is not rolled out.
         return Step.ROLL_BACK if elapsed_fraction >= STAGE_LATEST_END[-1] else Step.WAIT
 
+    def _elapsed_fraction(self, now: float) -> float:
+        return self.elapsed_s(now) / max(self.order.duration_s, 1e-3)
+
     def _meets_stage_criteria(self) -> bool:
-        """Returns True if this stage has enough responses and no suspicious excess."""
-        enough = self._evidence.judgement.step.requests >= MIN_STAGE_RESPONSES
-        return enough and not self._is_suspicious()
+        """Returns True if this stage has enough responses and no suspicious excess.
+
+        Responses whose speed is not known do not show that the version is not slow.
+        """
+        judgement = self._evidence.judgement
+        step = judgement.step
+        # While all servers are slow, responses of both versions are.
+        not_slower = step.timed * (1.0 - max(0.0, judgement.excess))
+        good = min(step.requests - step.failures, not_slower)
+        return good >= MIN_STAGE_RESPONSES and not self._is_suspicious()
 
     def _is_suspended(self) -> bool:
         """Returns True if a suspicious version gets no more requests in this stage."""
