Send no request once the grace period of a stop has ended

Callers saw their connection closed without an answer when the gateway's grace period ended while the connection to their server was opening.

Cause: RequestRelay.interrupt() ends only an attempt whose timeout is set, which is after the connection is open. The attempt then sent the request, with the deadline from before GraceEnding, and was cancelled 0.2 s later with its caller's connection. A request that runs once had run by then, perhaps.

The attempt now checks the flag before it sends, and ends as not sent. GraceEnding has moved the deadline, so it is not retried and gets 503, or 502 or 504 if an earlier attempt may have run.

Evidence: by reading; the test has a pool whose connection opens after interrupt().

--- a/heatherswitch/gateway/relay.py
+++ b/heatherswitch/gateway/relay.py
@@ -194,6 +194,10 @@
         except ConnectFailed as error:
             refused = isinstance(error.__cause__, ConnectionRefusedError)
             return ev.NotSent(str(error), refused)
+        if self._interrupted:
+            # The grace period ended before the attempt could be interrupted.
+            connection.close()
+            return ev.NotSent("the gateway stops")
         released = False
         try:
             # The deadline covers head, body and delivery, however the data trickles in.
--- a/test/test_gateway_stop.py
+++ b/test/test_gateway_stop.py
@@ -10,8 +10,13 @@
 from emulator.platform.process import GRACE_S, GatewayProcess, temporary_directory
 from emulator.platform.server import Behaviour, PlatformServer
 from emulator.platform.store import PlatformStoreServer
-from heatherswitch.util.http import ConnectionLost
+from heatherswitch.gateway import events as ev
+from heatherswitch.gateway.model import RequestKind
+from heatherswitch.gateway.relay import RequestRelay
+from heatherswitch.platform.codec import PlatformCodec
+from heatherswitch.util.http import ConnectionLost, Request
 from heatherswitch.util.http_client import HttpClient
+from test.gateway_fakes import route, server
 
 # Third part of the gateways' addresses; differs from those of the soaks.
 ADDRESS_GROUP = 250
@@ -121,6 +126,61 @@
         await stop
 
 
+class SlowPool:
+    """A pool whose connection opens once the test allows it.
+
+    It stands in for the connection too, and records what is done with it.
+    """
+
+    def __init__(self):
+        self.opened = asyncio.Event()
+        self.calls: list[str] = []
+
+    async def acquire(self, now, server, run_once):
+        await self.opened.wait()
+        return self, False
+
+    def send(self, *args):
+        self.calls.append("send")
+
+    async def head(self, stall_timeout_s):
+        await asyncio.Event().wait()
+
+    def close(self):
+        self.calls.append("close")
+
+
+class InterruptTest(unittest.IsolatedAsyncioTestCase):
+    async def test_request_is_not_sent_after_the_grace_period_has_ended(self):
+        """Its connection was still opening, and its deadline was still to come.
+
+        It was sent then, and its caller's connection was closed without an answer.
+        """
+        pool = SlowPool()
+        request = Request("POST", "/settle/1", [("host", HOST)])
+        relay = RequestRelay(
+            PlatformCodec(), pool, time.monotonic, request, "1", None, None, None
+        )
+        forward = ev.Forward(
+            1,
+            server("l1"),
+            None,
+            route("/settle/", RequestKind.NON_IDEMPOTENT),
+            "",
+            None,
+            time.monotonic() + 20.0,
+            None,
+            "",
+        )
+        attempt = asyncio.create_task(relay.attempt(forward))
+        await asyncio.sleep(0)
+        relay.interrupt()
+        pool.opened.set()
+        async with asyncio.timeout(5.0):
+            self.assertIsInstance(await attempt, ev.NotSent)
+        self.assertEqual(pool.calls, ["close"])
+
+
 class SignalDuringStartTest(GatewayCase):
     """Guards against a signal that ends the process while its modules are imported.
 
