Count servers whose connections were reset twice as one crash

Callers with a sound part of a prompt would get 503 for ten minutes after two moments at which the connections to three servers were reset, although each moment counts once and no server had crashed.

Cause: reports of one start of a server were merged to the earliest time of the crash and the latest send. After the second moment the send was later than the crash, and the rule that a request sent after the crash before makes a crash a separate one held for each of the servers.

A server that was sent a request after its crash had not crashed, so only its last time counts now. Reports of gateways whose clocks differ by up to COINCIDENCE_S are merged as before.

Evidence: reports of three servers at 100 s and 120 s. The test failed with QuarantineChange(added=(('root', 3),)).

--- a/heatherswitch/gateway/prompt_quarantine.py
+++ b/heatherswitch/gateway/prompt_quarantine.py
@@ -260,14 +260,26 @@
     for report in reports:
         for part in report.parts:
             crashes = times.setdefault(part, {})
-            at, sent_at = crashes.get(report.crash, (report.at, report.sent_at))
-            crashes[report.crash] = (
-                min(at, report.at),
-                max(sent_at, report.sent_at),
-            )
+            crashes[report.crash] = _merge(crashes.get(report.crash), report)
     return times
 
 
+def _merge(
+    known: tuple[float, float] | None, report: CrashReport
+) -> tuple[float, float]:
+    """Adds a report to the times of its crash.
+
+    A server that was sent a request after it had broken off others did not crash then:
+    its connections were reset, for instance. Only the last time counts.
+    """
+    if known is None or report.sent_at > known[0] + COINCIDENCE_S:
+        return (report.at, report.sent_at)
+    at, sent_at = known
+    if sent_at > report.at + COINCIDENCE_S:
+        return known
+    return (min(at, report.at), max(sent_at, report.sent_at))
+
+
 def _most_suspected(
     reports: Iterable[CrashReport], crash_times: CrashTimes
 ) -> str | None:
--- a/test/test_prompt_quarantine.py
+++ b/test/test_prompt_quarantine.py
@@ -367,6 +367,22 @@
         self.driver.advance(REPORT_TTL_S)
         self.assertIsInstance(self.decide("deadly", "own"), ev.Forward)
 
+    def test_resets_of_many_connections_quarantine_nothing(self):
+        """No server was started again, so none had crashed the first time.
+
+        The time of the first reset with the send before the second one made each of the
+        servers count as a crash of its own.
+        """
+        reports = [
+            CrashReport(f"g/{server}{at}", server, 1, at - 0.5, at, ("root",))
+            for at in (100.0, 120.0)
+            for server in ("e1", "e2", "e3")
+        ]
+        for order in (reports, reports[::-1]):
+            quarantine = PromptQuarantine("g")
+            for report in order:
+                self.assertIsNone(quarantine.add(report))
+
     def test_last_part_of_a_prompt_is_never_suspected(self):
         """It belongs to one request or session, so it tells nothing about others."""
         for _ in range(3):
