Drop crash reports about servers that live on

The callers of one session whose connections were reset by the network for two seconds got 503 with Retry-After: 600 from then on, from all gateways, although every server was sound.

Cause: any broken-off answer counts as a crash. Three on different servers, which a few repeats of one caller reach, quarantine the session's part, and no request with it can complete any more and so release it: it is refused everywhere, and there is no other evidence.

A server that crashes starts again, under a new start time in its store entry. So four heartbeats of the same start after a report show that the server lives, and each gateway then drops the reports about that start. Up to two can be under way when a server crashes, as the store is read about every two heartbeats. A session is thus refused for some five seconds. Servers that state no start time are left out.

Ruled out: taking a later response of the server as the sign. A gateway that has not read the new entry yet would take the next start of a crashed server for the same one.

Evidence: the test failed with Refuse(status=503, retry_after_s=600.0). The test beside it shows that restarts keep a deadly part in quarantine.

--- a/heatherswitch/gateway/prompt_quarantine.py
+++ b/heatherswitch/gateway/prompt_quarantine.py
@@ -31,6 +31,10 @@
 # Parts of one prompt in a report: the last ones, since fewer prompts share them.
 MAX_REPORTED_PARTS = 8
 
+# Heartbeats after which a server that broke off requests counts as not crashed: more
+# than the store delivers late.
+ALIVE_HEARTBEATS = 4
+
 # Time of each crash and of the last send before it, in seconds since the epoch, by
 # prompt part and crash.
 CrashTimes = dict[str, dict[tuple[str, int], tuple[float, float]]]
@@ -108,6 +112,7 @@
         "_crash_reports",
         "_crash_times",
         "_gateway_id",
+        "_heartbeats",
         "_quarantined",
         "_report_count",
         "_reports",
@@ -119,6 +124,8 @@
         self._reports: OrderedDict[str, CrashReport] = OrderedDict()
         # The same by crash.
         self._crash_reports: dict[tuple[str, int], dict[str, CrashReport]] = {}
+        # Heartbeats since the last report of a crash.
+        self._heartbeats: dict[tuple[str, int], int] = {}
         self._report_count = 0
         # Time of the last completed request with a part, least recent first.
         self._completed_at: OrderedDict[str, float] = OrderedDict()
@@ -204,6 +211,21 @@
             return None
         return self._update([self._delete(report_id)])
 
+    def note_heartbeat(self, server: Server) -> QuarantineChange | None:
+        """Removes the reports of a server that has not started again since.
+
+        A reset of its connections looks like a crash to its callers. Returns as
+        :meth:`add` does.
+        """
+        crash = (server.id, server.incarnation)
+        # Without a start time, the next start of the server would look the same.
+        if not server.incarnation or crash not in self._crash_reports:
+            return None
+        self._heartbeats[crash] = self._heartbeats.get(crash, 0) + 1
+        if self._heartbeats[crash] < ALIVE_HEARTBEATS:
+            return None
+        return self._update([self._delete(i) for i in list(self._crash_reports[crash])])
+
     def clear(self, parts: Collection[str]) -> QuarantineChange | None:
         """Removes parts from all reports so far: a request with them was completed.
 
@@ -237,6 +259,7 @@
 
     def _insert(self, report: CrashReport) -> None:
         self._reports[report.id] = report
+        self._heartbeats.pop(report.crash, None)
         self._crash_reports.setdefault(report.crash, {})[report.id] = report
         for part in report.parts:
             crashes = self._crash_times.setdefault(part, {})
@@ -261,6 +284,7 @@
                 del self._crash_times[part]
         if not others:
             del self._crash_reports[report.crash]
+            self._heartbeats.pop(report.crash, None)
         return report
 
     def _update(self, changed: Iterable[CrashReport]) -> QuarantineChange | None:
--- a/heatherswitch/gateway/reducer.py
+++ b/heatherswitch/gateway/reducer.py
@@ -179,6 +179,8 @@
             case ev.ServerListed():
                 if self._servers.upsert(now, event.server):
                     self._prefixes.remove_server(event.server.id)
+                change = self._quarantine.note_heartbeat(event.server)
+                return self._quarantine_changed(now, change)
             case ev.ServerRemoved():
                 self._servers.remove(now, event.server_id, event.after_outage)
             case ev.ConfigurationRead():
--- a/test/test_prompt_quarantine.py
+++ b/test/test_prompt_quarantine.py
@@ -26,6 +26,7 @@
 from heatherswitch.gateway.model import PromptPart
 from heatherswitch.gateway.peer_link import PeerLink
 from heatherswitch.gateway.prompt_quarantine import (
+    ALIVE_HEARTBEATS,
     COINCIDENCE_S,
     COMPLETION_TTL_S,
     MAX_REPORTS,
@@ -384,6 +385,38 @@
             for report in order:
                 self.assertIsNone(quarantine.add(report))
 
+    def reset(self, *ids: str) -> str:
+        """Sends a request whose connection is reset; returns the server's id."""
+        self.driver.advance(1.0)
+        self.driver.take_effects()
+        serial = self.driver.send_request("/chat/1", parts=prompt(*ids))
+        (forward,) = self.driver.take_effects()
+        self.driver.end_attempt(serial, CRASHED)
+        return forward.server.id
+
+    def test_part_is_released_if_its_servers_had_not_crashed(self):
+        """The connections of one session were reset, and it was refused for long."""
+        used = set()
+        while len(used) < 3:
+            used.add(self.reset("root", "session", "own"))
+        self.assertIsInstance(self.decide("root", "session", "own"), ev.Refuse)
+        for _ in range(ALIVE_HEARTBEATS):
+            self.driver.advance(1.2)
+            self.driver.add_servers(*self.servers)
+        self.assertIsInstance(self.decide("root", "session", "own"), ev.Forward)
+
+    def test_part_stays_in_quarantine_when_its_servers_have_restarted(self):
+        """A few heartbeats from before a crash may arrive after it."""
+        for number in range(3):
+            self.crash("root", "deadly", f"own{number}")
+        for _ in range(ALIVE_HEARTBEATS - 1):
+            self.driver.advance(1.2)
+            self.driver.add_servers(*self.servers)
+        for _ in range(ALIVE_HEARTBEATS * 2):
+            self.driver.advance(1.2)
+            self.driver.add_servers(*(s.replace(incarnation=2) for s in self.servers))
+        self.assertIsInstance(self.decide("root", "deadly", "own"), ev.Refuse)
+
     def test_last_part_of_a_prompt_is_never_suspected(self):
         """It belongs to one request or session, so it tells nothing about others."""
         for _ in range(3):
