Let the stand-in server leave and ask for time, and check what reaches it

The stand-in of the users' backend servers gains two behaviours: all its responses may carry Server-Leaving, and its refusals may carry Retry-After. It records each response that does. The checks of the soak count, for each server and gateway, the requests that arrive although the gateway was told not to send them: none after the gateway has passed on a response of a leaving server, and at most two in the time that a server asked for, from half a second on. A gateway that was stopped or paused since is excused.

The checks use what servers saw and which gateway each caller used, not the state of the gateway. test_platform_soak.ChecksTest has a constructed history for each new violation and for each excuse.

--- a/emulator/platform/server.py
+++ b/emulator/platform/server.py
@@ -34,6 +34,22 @@
         return self.headers.get("x-attempt-id", "")
 
 
+@dataclass(slots=True)
+class SentNotice:
+    """A response in which the server said something of itself.
+
+    :param request_id: the request that it responded to.
+    :param at: when the head was sent, in seconds of the monotonic clock.
+    :param retry_after_s: seconds for which the server wants no requests; 0 for none.
+    """
+
+    server_id: str
+    request_id: str
+    leaving: bool
+    retry_after_s: float
+    at: float = field(default_factory=time.monotonic)
+
+
 @dataclass(slots=True)
 class Behaviour:
     """How the server responds; a test replaces it.
@@ -56,6 +72,9 @@
         its argument is the head of a normal response.
     :param raw_gap_s: seconds between two parts of ``raw``.
     :param headers: further response headers.
+    :param leaving: responses say that the server is shutting down.
+    :param retry_after_s: with status 503, the server asks for no requests for so many
+        seconds; 0 to ask for nothing.
     """
 
     status: int = 200
@@ -74,6 +93,23 @@
     raw: Callable[[bytes], Iterable[bytes]] | None = None
     raw_gap_s: float = 0.0
     headers: list[tuple[str, str]] = field(default_factory=list)
+    leaving: bool = False
+    retry_after_s: float = 0.0
+
+    @property
+    def all_headers(self) -> list[tuple[str, str]]:
+        """Further response headers, with those that the other fields stand for."""
+        headers = list(self.headers)
+        if self.leaving:
+            headers.append(("Server-Leaving", "1"))
+        if self.asked_s:
+            headers.append(("Retry-After", f"{self.asked_s:g}"))
+        return headers
+
+    @property
+    def asked_s(self) -> float:
+        """Seconds for which the responses ask for no requests; 0 for none."""
+        return self.retry_after_s if self.status == 503 else 0.0
 
 
 class PlatformServer:
@@ -81,6 +117,7 @@
 
     :ivar received: requests that reached it.
     :ivar runs: requests that it started to run.
+    :ivar notices: responses in which it said that it leaves or wants no requests.
     :ivar cancelled: ids of requests whose caller disconnected before the response ended.
     :ivar connections: number of connections accepted so far.
     """
@@ -90,6 +127,7 @@
         self.behaviour = behaviour or Behaviour()
         self.received: list[ReceivedRequest] = []
         self.runs: list[ReceivedRequest] = []
+        self.notices: list[SentNotice] = []
         self.cancelled: list[str] = []
         self.connections = 0
         self._server: asyncio.Server | None = None
@@ -180,6 +218,10 @@
             await asyncio.Event().wait()
         if behaviour.raw is not None:
             return await self._send_raw(request, behaviour, writer)
+        if behaviour.leaving or behaviour.asked_s:
+            self.notices.append(
+                SentNotice(self.id, request.id, behaviour.leaving, behaviour.asked_s)
+            )
         if behaviour.stray:
             writer.write(_head(200, "another", self.id, 5, behaviour) + b"stray")
         if behaviour.late_refusal and requests_before:
@@ -271,7 +313,7 @@
         lines.append(f"Content-Length: {length}")
     if chunked:
         lines.append("Transfer-Encoding: chunked")
-    lines += [f"{name}: {value}" for name, value in behaviour.headers]
+    lines += [f"{name}: {value}" for name, value in behaviour.all_headers]
     return ("\r\n".join(lines) + "\r\n\r\n").encode()
 
 
--- a/emulator/platform/soak_checks.py
+++ b/emulator/platform/soak_checks.py
@@ -3,12 +3,16 @@
 from collections import Counter, defaultdict
 from dataclasses import dataclass, field
 
-from emulator.platform.server import ReceivedRequest
+from emulator.platform.server import PlatformServer, ReceivedRequest, SentNotice
 
 # Statuses by which a gateway guarantees that a request has not run and never will.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 # Paths of routes whose requests must not run more than once.
 RUN_ONCE_PREFIXES = ("/settle/", "/draft/")
+# Seconds after a server asked for no requests within which those on their way arrive.
+ON_THE_WAY_S = 0.5
+# Requests that may reach such a server from one gateway after that.
+MAX_ARRIVALS_WHILE_BUSY = 2
 
 
 @dataclass(slots=True)
@@ -18,6 +22,8 @@
     :param key: API key.
     :param sent_at: seconds of the monotonic clock.
     :param status: status of the response; 0 if no complete response arrived.
+    :param gateway: name of the gateway that it was sent to.
+    :param ended_at: when the response was complete.
     """
 
     id: str
@@ -26,6 +32,9 @@
     sent_at: float
     status: int = 0
     body: bytes = b""
+    headers: dict[str, str] = field(default_factory=dict)
+    gateway: str = ""
+    ended_at: float = 0.0
 
 
 @dataclass(slots=True)
@@ -37,12 +46,33 @@
     :param revoked_at: by API key, when the store acknowledged that it was withdrawn, in
         seconds of the monotonic clock.
     :param events: number of events in a complete stream.
+    :param arrivals: all requests that reached backend servers.
+    :param notices: all responses in which servers said that they leave or are busy.
+    :param disturbed: for each gateway, when it was stopped or paused, and until when.
     """
 
     calls: list[Call] = field(default_factory=list)
     runs: list[ReceivedRequest] = field(default_factory=list)
     revoked_at: dict[str, float] = field(default_factory=dict)
     events: int = 0
+    arrivals: list[ReceivedRequest] = field(default_factory=list)
+    notices: list[SentNotice] = field(default_factory=list)
+    disturbed: dict[str, list[tuple[float, float]]] = field(
+        default_factory=lambda: defaultdict(list)
+    )
+
+    def add_server(self, server: PlatformServer) -> None:
+        """Adds what a backend server has recorded."""
+        self.runs += server.runs
+        self.arrivals += server.received
+        self.notices += server.notices
+
+    def was_disturbed(self, gateway: str, since: float, until: float) -> bool:
+        """Tells whether a gateway was stopped or paused in a span of time."""
+        return any(
+            start < until and end > since
+            for start, end in self.disturbed.get(gateway, ())
+        )
 
 
 def find_violations(
@@ -69,6 +99,47 @@
         )
     for call in history.calls:
         found += _check_response(call, runs[call.id], history.events)
+    return found + find_unwanted_arrivals(history)
+
+
+def find_unwanted_arrivals(
+    history: History, max_while_busy: int = MAX_ARRIVALS_WHILE_BUSY
+) -> list[str]:
+    """Checks what reached servers from gateways that they had told not to send it.
+
+    A server counts as leaving for a gateway once that has passed on a response that says
+    so. It counts as busy from :data:`ON_THE_WAY_S` after a response that asks for time,
+    unless the caller did not wait for the outcome.
+
+    :param max_while_busy: requests that may reach a busy server from one gateway.
+    :returns: one line for each violation.
+    """
+    calls = {call.id: call for call in history.calls}
+    arrivals = defaultdict(list)
+    for arrival in history.arrivals:
+        call = calls.get(arrival.id)
+        if call is not None:
+            server_id = arrival.headers.get("x-expect-instance")
+            arrivals[server_id, call.gateway].append((arrival.at, call))
+    found = []
+    for notice in history.notices:
+        call = calls.get(notice.request_id)
+        if call is None or not call.status:
+            continue
+        later = [
+            (at, later_call)
+            for at, later_call in arrivals[notice.server_id, call.gateway]
+            if at > notice.at and not history.was_disturbed(call.gateway, notice.at, at)
+        ]
+        text = f"{notice.server_id} from {call.gateway}, told by {call.id}"
+        if notice.leaving and call.status == 200:
+            late = [c.id for _, c in later if c.sent_at > call.ended_at]
+            if late:
+                found.append(f"leaving: {late} reached {text}")
+        since, until = notice.at + ON_THE_WAY_S, notice.at + notice.retry_after_s
+        unwanted = [c.id for at, c in later if since < at < until]
+        if len(unwanted) > max_while_busy:
+            found.append(f"busy: {unwanted} reached {text}")
     return found
 
 
--- a/test/test_platform_soak.py
+++ b/test/test_platform_soak.py
@@ -7,7 +7,7 @@
 import time
 import unittest
 
-from emulator.platform.server import ReceivedRequest
+from emulator.platform.server import ReceivedRequest, SentNotice
 from emulator.platform.soak import API_KEYS, REVOCATION_LIMIT_S, run_seed
 from emulator.platform.soak_checks import Call, History, find_violations
 
@@ -74,5 +74,25 @@
         self.assertIn("wrong body", self.check(run, calls=[self.call(body=b"r2")]))
         stream = self.call("/draft/1", body=b"id: 1\ndata: r1\n\n")
         self.assertIn("stream", self.check(self.make_run("/draft/1"), calls=[stream]))
+        notice = SentNotice("l1", "r1", True, 2.0, at=self.now)
+        told = self.call(gateway="g1", ended_at=self.now)
+        arrivals = [
+            ReceivedRequest("POST", "/settle/1", fields, b"", self.now + 1.0)
+            for number in range(2, 5)
+            for fields in [{"x-attempt-id": f"r{number}", "x-expect-instance": "l1"}]
+        ]
+        calls = [told] + [
+            Call(f"r{n}", "/settle/1", self.key, self.now + 0.9, gateway="g1")
+            for n in range(2, 5)
+        ]
+        recorded = {"calls": calls, "notices": [notice], "arrivals": arrivals}
+        self.assertIn("leaving", self.check(**recorded))
+        self.assertIn("busy", self.check(**recorded))
+        self.assertNotIn("busy", self.check(**recorded | {"arrivals": arrivals[:2]}))
+        paused = {"g1": [(self.now + 0.1, self.now + 0.2)]}
+        self.assertEqual(self.check(**recorded, disturbed=paused), "")
+        for call in calls[1:]:
+            call.gateway = "g2"
+        self.assertEqual(self.check(**recorded), "")
         revoked = {self.key: self.now - REVOCATION_LIMIT_S - 1}
         self.assertIn("revoked", self.check(run, revoked_at=revoked))
