Take a server out that says in a response that it is leaving

Callers saw requests go to a server that was shutting down until its store entry said so, and for as long as the gateway was cut off the store. No source file knew the header Server-Leaving, which the server sends with all its responses from then on.

The header is decoded once, in heatherswitch/platform/headers.py. The relay reports it for each response head that it reads: successes, refusals, failures, responses that break off later, and responses to another request on the same connection. It is an event of its own, NoticeReceived, rather than a field of ResponseStarted, because that event is dropped if the caller has left. A response by which a different server at the address rejects the request (421) says nothing about the server meant.

The notice belongs to a start of the server, its id and incarnation. What the server has accepted runs to its end, and prompts are copied from it as from one that the store lists as draining. The header is not forwarded to callers: it concerns the choice of the server, which callers do not make.

--- a/heatherswitch/gateway/events.py
+++ b/heatherswitch/gateway/events.py
@@ -124,6 +124,28 @@
         self.cold_for_s = cold_for_s
 
 
+class NoticeReceived(Record):
+    """A backend server said in the head of a response that it is leaving.
+
+    It is separate from :class:`ResponseStarted`, since it also counts if the caller has
+    left or the response belongs to another request.
+
+    :param server: the server as the request was sent to it.
+    :param request_id: id of the caller's request, for the log.
+    """
+
+    __slots__ = (
+        "server",
+        "request_id",
+        "leaving",
+    )
+
+    def __init__(self, server: Server, request_id: str, leaving: bool) -> None:
+        self.server = server
+        self.request_id = request_id
+        self.leaving = leaving
+
+
 class AttemptEnded(Record):
     """An attempt to serve a request at a backend server ended."""
 
@@ -405,6 +427,7 @@
 Event = (
     RequestArrived
     | ResponseStarted
+    | NoticeReceived
     | AttemptEnded
     | CallerDisconnected
     | ConfigurationRead
@@ -620,5 +643,51 @@
         self.peer = peer
 
 
+class ServerTakenOut(Record):
+    """A backend server gets no new requests, as it asked for in a response.
+
+    :param request_id: id of the caller's request that it responded to.
+    :param reason: ``leaving``.
+    """
+
+    __slots__ = (
+        "server_id",
+        "request_id",
+        "reason",
+    )
+
+    def __init__(self, server_id: str, request_id: str, reason: str) -> None:
+        self.server_id = server_id
+        self.request_id = request_id
+        self.reason = reason
+
+
+class ServerReturned(Record):
+    """A backend server that was taken out gets requests again.
+
+    :param reason: why it was taken out.
+    """
+
+    __slots__ = (
+        "server_id",
+        "reason",
+    )
+
+    def __init__(self, server_id: str, reason: str) -> None:
+        self.server_id = server_id
+        self.reason = reason
+
+
 PeerEffect = SendCounts | ReplyToPeer | RejectPeerMessage
-Effect = Forward | Refuse | Relay | Cut | Finish | QueryLoad | QueryHolder | PeerEffect
+ServerEffect = ServerTakenOut | ServerReturned
+Effect = (
+    Forward
+    | Refuse
+    | Relay
+    | Cut
+    | Finish
+    | QueryLoad
+    | QueryHolder
+    | PeerEffect
+    | ServerEffect
+)
--- a/heatherswitch/gateway/reducer.py
+++ b/heatherswitch/gateway/reducer.py
@@ -151,6 +151,8 @@
                 return self._on_arrival(now, event)
             case ev.ResponseStarted():
                 return self._on_response_started(now, event)
+            case ev.NoticeReceived():
+                return self._on_notice(now, event)
             case ev.AttemptEnded():
                 return self._on_attempt_ended(now, event)
             case ev.CallerDisconnected():
@@ -195,8 +197,20 @@
                 self._servers.expire(now)
                 self._retry_budget.set_rate(now, 0.0, self._retry_budget_burst(now))
                 self._rollouts.tick(now)
+                return [*self._returned_servers(), *self._dispatch_waiting(now)]
         return self._dispatch_waiting(now)
 
+    def _returned_servers(self) -> list[ev.Effect]:
+        returned = self._servers.take_returned()
+        return [ev.ServerReturned(server_id, reason) for server_id, reason in returned]
+
+    def _on_notice(self, now: float, event: ev.NoticeReceived) -> list[ev.Effect]:
+        """Takes a server out that says that it is leaving."""
+        reason = self._servers.take_out(now, event.server)
+        if not reason:
+            return []
+        return [ev.ServerTakenOut(event.server.id, event.request_id, reason)]
+
     def _retry_budget_burst(self, now: float) -> float:
         routers = self._fleet.size_upper_bound(now)
         return max(1.0, RETRY_BUDGET_SHARE * self._limits.budget_slack / routers)
--- a/heatherswitch/gateway/relay.py
+++ b/heatherswitch/gateway/relay.py
@@ -61,6 +61,8 @@
     :param request_id: id that the caller gave the request; responses must repeat it.
     :param on_response_started: called with the head of each response and the
         seconds from the send to it.
+    :param on_notice: called with the head of each response, also one to another request,
+        in which the server says something of itself.
     """
 
     __slots__ = (
@@ -69,6 +71,7 @@
         "_codec",
         "_discarded",
         "_last_event_id",
+        "_on_notice",
         "_on_response_started",
         "_pool",
         "_request",
@@ -87,6 +90,7 @@
         request_id: str,
         responder: Responder,
         on_response_started: Callable[[ev.Forward, ResponseHead, float], None],
+        on_notice: Callable[[ev.Forward, ResponseHead], None],
     ) -> None:
         self._codec = codec
         self._pool = pool
@@ -95,6 +99,7 @@
         self._request_id = request_id
         self._responder = responder
         self._on_response_started = on_response_started
+        self._on_notice = on_notice
         self._buffered_response: BufferedResponse | None = None
         self._last_event_id: int | None = None
         self._response_started = False
@@ -211,6 +216,8 @@
                 for name, value in response.headers
             ]
             head = self._codec.decode_answer(response.status_code, raw_headers)
+            if head.leaving:
+                self._on_notice(forward, head)
             if head.request_id == self._request_id:
                 return head, raw_headers
             if not head.request_id and head.not_run:
--- a/heatherswitch/gateway/servers.py
+++ b/heatherswitch/gateway/servers.py
@@ -1,9 +1,15 @@
 """State of the backend servers as seen by one gateway."""
 
+from collections import OrderedDict
 from collections.abc import Iterable, Iterator
 
 from heatherswitch.fleet.shares import FleetSize, TokenBucket
 from heatherswitch.gateway.model import Load, Server, Service
+from heatherswitch.gateway.notices import (
+    MAX_REMEMBERED_STARTS,
+    NoticeMemory,
+    ServerNotices,
+)
 
 # A reported load is valid for this multiple of the server's own latency, within the
 # limits below in seconds. After that the requests that it counted have ended, and only
@@ -56,11 +62,17 @@
         "latency_s",
         "first_seen_at",
         "entry_lost_at",
+        "notices",
         "record",
     )
 
-    def __init__(self, now: float, record: Server) -> None:
+    def __init__(
+        self, now: float, record: Server, notices: ServerNotices | None = None
+    ) -> None:
         self.record = record
+        # What this start of the server has said of itself in its responses. A store
+        # entry does not change it.
+        self.notices = notices or ServerNotices()
         # Time at which this gateway first read the server's entry.
         self.first_seen_at = now
         self.in_flight = 0
@@ -84,6 +96,11 @@
         self._fleet_load_at = float("-inf")
         self._cold_bucket: TokenBucket | None = None
 
+    @property
+    def leaving(self) -> bool:
+        """True if the store or the server itself says that it is shutting down."""
+        return self.record.draining or self.notices.leaving
+
     def update(self, now: float, record: Server) -> None:
         """Takes a newer store entry of the same start of the server."""
         self.record = record
@@ -98,7 +115,7 @@
 
     def accepts_work(self, now: float) -> bool:
         """Tells whether new requests may be sent to the server."""
-        if self.removed or self.connection_refused or self.record.draining:
+        if self.removed or self.connection_refused or self.leaving:
             return False
         return self.entry_lost_at is None or now - self.entry_lost_at < REAPPEAR_GRACE_S
 
@@ -182,9 +199,12 @@
 class ServerTable:
     """The backend servers by id and by service."""
 
-    __slots__ = ("_by_service", "_servers")
+    __slots__ = ("_by_service", "_notices", "_out", "_servers")
 
     def __init__(self) -> None:
+        self._notices = NoticeMemory()
+        # Ids of servers that were taken out and why, the newest last.
+        self._out: OrderedDict[str, str] = OrderedDict()
         self._servers: dict[str, ServerState] = {}
         self._by_service: dict[str, dict[str, ServerState]] = {}
 
@@ -214,8 +234,8 @@
         if same_start:
             existing.update(now, record)
             return False
-        self._drop(record.id)
-        state = ServerState(now, record)
+        self._drop(now, record.id)
+        state = ServerState(now, record, self._notices.find(now, record))
         self._servers[record.id] = state
         self._by_service.setdefault(record.service, {})[record.id] = state
         return True
@@ -225,15 +245,15 @@
 
         :param after_outage: the entry may have expired because the store was
             unreachable, so the server is kept for a grace period unless it was
-            draining.
+            shutting down.
         """
         state = self._servers.get(server_id)
         if state is None:
             return
-        if after_outage and not state.record.draining:
+        if after_outage and not state.leaving:
             state.entry_lost_at = now
         else:
-            self._drop(server_id)
+            self._drop(now, server_id)
 
     def expire(self, now: float) -> None:
         """Removes servers whose entry did not reappear after a store outage."""
@@ -242,10 +262,49 @@
                 state.entry_lost_at is not None
                 and now - state.entry_lost_at >= REAPPEAR_GRACE_S
             ):
-                self._drop(state.record.id)
+                self._drop(now, state.record.id)
+
+    def take_out(self, now: float, server: Server) -> str:
+        """Takes a start of a server out that says that it is leaving.
 
-    def _drop(self, server_id: str) -> None:
+        :param server: the server as the request was sent to it; its entry may have
+            changed or disappeared since.
+        :returns: the reason, or an empty string if the server was out already.
+        """
+        notices = self._notices_of(now, server)
+        reason = notices.note_leaving()
+        self._notices.remember(now, server, notices)
+        if reason:
+            self._out[server.id] = reason
+            self._out.move_to_end(server.id)
+            while len(self._out) > MAX_REMEMBERED_STARTS:
+                self._out.popitem(last=False)
+        return reason
+
+    def _notices_of(self, now: float, server: Server) -> ServerNotices:
+        state = self._servers.get(server.id)
+        if state is not None and state.record.incarnation == server.incarnation:
+            return state.notices
+        return self._notices.find(now, server) or ServerNotices()
+
+    def take_returned(self) -> list[tuple[str, str]]:
+        """Returns the ids of servers that are no longer out, and why they were out.
+
+        Each one is returned once.
+        """
+        returned = [
+            (server_id, reason)
+            for server_id, reason in self._out.items()
+            if server_id in self._servers and not self._servers[server_id].notices.out
+        ]
+        for server_id, _ in returned:
+            del self._out[server_id]
+        return returned
+
+    def _drop(self, now: float, server_id: str) -> None:
         state = self._servers.pop(server_id, None)
         if state is not None:
             state.removed = True
             del self._by_service[state.record.service][server_id]
+            if state.notices.out:
+                self._notices.remember(now, state.record, state.notices)
--- a/heatherswitch/gateway/shell.py
+++ b/heatherswitch/gateway/shell.py
@@ -287,6 +287,9 @@
             if isinstance(effect, ev.PeerEffect):
                 self._peers.send_effect(effect)
                 continue
+            if isinstance(effect, ev.ServerEffect):
+                self._log_server_change(effect)
+                continue
             future = self._effect_futures.get(effect.serial)
             if future is not None and not future.done():
                 future.set_result(effect)
@@ -340,6 +343,9 @@
             lambda forward, head, ttfb_s: self._on_response_started(
                 serial, forward, head, ttfb_s
             ),
+            lambda forward, head: self._apply(
+                ev.NoticeReceived(forward.server, caller_request.id, head.leaving)
+            ),
         )
         arrived_at = self._clock.now()
         event: ev.Event = ev.RequestArrived(serial, caller_request)
@@ -468,6 +474,23 @@
             },
         )
 
+    def _log_server_change(self, effect: ev.ServerEffect) -> None:
+        self._telemetry.count_server_change(effect)
+        if isinstance(effect, ev.ServerTakenOut):
+            log.info(
+                "server taken out",
+                extra={
+                    "server": effect.server_id,
+                    "request": effect.request_id,
+                    "reason": effect.reason,
+                },
+            )
+        else:
+            log.info(
+                "server returned",
+                extra={"server": effect.server_id, "reason": effect.reason},
+            )
+
     # Background work
 
     async def _poll_waiting_requests(self) -> None:
--- a/heatherswitch/gateway/telemetry.py
+++ b/heatherswitch/gateway/telemetry.py
@@ -83,6 +83,22 @@
             total_s,
         )
 
+    def count_server_change(self, effect: ev.ServerEffect) -> None:
+        """Counts a server that was taken out or returned, by the reason."""
+        labels = {"reason": effect.reason}
+        if isinstance(effect, ev.ServerTakenOut):
+            self._metrics.count(
+                "gateway_servers_taken_out_total",
+                "Servers that get no requests, as they asked for in an answer.",
+                labels,
+            )
+        else:
+            self._metrics.count(
+                "gateway_servers_returned_total",
+                "Servers that get requests again after they were taken out.",
+                labels,
+            )
+
     def count_caller_left(self) -> None:
         """Counts a caller that disconnected before the end of the response."""
         self._metrics.count(
--- a/heatherswitch/gateway/upstream.py
+++ b/heatherswitch/gateway/upstream.py
@@ -98,6 +98,7 @@
     :param load: load that the server reports, or None.
     :param length: bytes of the body; None if not stated.
     :param cold_s: seconds for which the server reports that it stays cold.
+    :param leaving: the server is shutting down and must get no new requests.
     """
 
     __slots__ = (
@@ -111,6 +112,7 @@
         "load",
         "length",
         "cold_s",
+        "leaving",
     )
 
     def __init__(
@@ -125,6 +127,7 @@
         load: Load | None,
         length: int | None,
         cold_s: float,
+        leaving: bool = False,
     ) -> None:
         self.status = status
         self.headers = headers
@@ -136,6 +139,7 @@
         self.load = load
         self.length = length
         self.cold_s = cold_s
+        self.leaving = leaving
 
 
 class ServerConnection(asyncio.Protocol):
--- a/heatherswitch/platform/headers.py
+++ b/heatherswitch/platform/headers.py
@@ -22,6 +22,8 @@
     }
 )
 
+_UNFORWARDED_HEADERS = names.HOP_BY_HOP_HEADERS | names.GATEWAY_ONLY_HEADERS
+
 
 def decode_request(request: Request) -> CallerRequest:
     """Returns the header fields of a caller's request that routing needs.
@@ -129,23 +131,38 @@
 def decode_response(status: int, headers: Headers) -> ResponseHead:
     """Returns the status and decoded headers of a backend server's response.
 
-    Malformed load, length and cold-start headers are ignored.
+    Malformed load, length and cold-start headers are ignored. What a different server at
+    the address says of itself is ignored too.
     """
     fields = dict(headers)
+    other_instance = status == names.STATUS_OTHER_INSTANCE
     return ResponseHead(
         status=status,
-        headers=[(n, v) for n, v in headers if n not in names.HOP_BY_HOP_HEADERS],
+        headers=[(n, v) for n, v in headers if n not in _UNFORWARDED_HEADERS],
         request_id=fields.get(names.ATTEMPT_ID, ""),
         sealed=names.RESPONSE_SEAL in fields,
-        not_run=names.NOT_EXECUTED in fields or status == names.STATUS_OTHER_INSTANCE,
-        other_instance=status == names.STATUS_OTHER_INSTANCE,
+        not_run=names.NOT_EXECUTED in fields or other_instance,
+        other_instance=other_instance,
         encoded="content-encoding" in fields,
         load=_parse_load(fields.get(names.SERVER_LOAD, "")),
         length=_parse_content_length(fields.get("content-length")),
         cold_s=_parse_cold_s(fields.get(names.COLD_MS)),
+        leaving=not other_instance and _parse_leaving(headers),
     )
 
 
+def _parse_leaving(headers: Headers) -> bool:
+    """Tells whether the server says that it is leaving.
+
+    If the header is repeated, one valid value is enough: a request sent to a server that
+    is leaving may be lost, while a server taken out by mistake is only idle.
+    """
+    values = [v.strip() for n, v in headers if n == names.SERVER_LEAVING]
+    if values and values != ["1"]:
+        log.info("malformed leaving header", extra={"value": repr(values)[:100]})
+    return "1" in values
+
+
 def _parse_cold_s(text: str | None) -> float:
     try:
         return max(0.0, float(text or 0) / 1000)
--- a/heatherswitch/platform/names.py
+++ b/heatherswitch/platform/names.py
@@ -20,6 +20,8 @@
 NOT_EXECUTED = "x-not-executed"
 SERVER_LOAD = "x-server-load"
 COLD_MS = "x-cold-ms"
+# The server is shutting down and must get no new requests; its value is "1".
+SERVER_LEAVING = "server-leaving"
 STATUS_OTHER_INSTANCE = 421
 
 # Headers that only the gateway may set; a caller's values are not forwarded.
@@ -38,6 +40,8 @@
         DEADLINE_MS,
     }
 )
+# Response headers that concern the gateway only; never forwarded to callers.
+GATEWAY_ONLY_HEADERS = frozenset({SERVER_LEAVING})
 # Headers that apply to a single connection or to message framing; never forwarded.
 HOP_BY_HOP_HEADERS = frozenset(
     {
--- a/test/test_platform_formats.py
+++ b/test/test_platform_formats.py
@@ -143,6 +143,37 @@
         self.assertTrue(decode_response(421, []).other_instance)
         self.assertIsNone(decode_response(200, [("x-server-load", "many")]).load)
 
+    def test_leaving_header_is_decoded_and_not_forwarded(self):
+        for status in (200, 404, 500, 503):
+            head = decode_response(status, [("server-leaving", "1"), ("x-a", "b")])
+            self.assertTrue(head.leaving)
+            self.assertEqual(head.headers, [("x-a", "b")])
+        self.assertFalse(decode_response(200, []).leaving)
+
+    def test_malformed_leaving_header_is_logged_once_and_bounded(self):
+        """A repeated header counts if one of its values is valid."""
+        for values, leaving in (
+            (["0"], False),
+            (["true"], False),
+            ([""], False),
+            (["1, 1"], False),
+            (["x" * 9000], False),
+            (["1", "1"], True),
+            (["0", "1"], True),
+        ):
+            with (
+                self.subTest(values=[v[:9] for v in values]),
+                self.assertLogs("heatherswitch.platform.headers") as logs,
+            ):
+                headers = [("server-leaving", value) for value in values]
+                self.assertEqual(decode_response(200, headers).leaving, leaving)
+            self.assertEqual(len(logs.records), 1)
+            self.assertLessEqual(len(logs.records[0].value), 100)
+
+    def test_notice_of_a_different_server_at_the_address_is_ignored(self):
+        """It concerns a server that this request was not meant for."""
+        self.assertFalse(decode_response(421, [("server-leaving", "1")]).leaving)
+
 
 class RecordsTest(unittest.TestCase):
     def test_configuration_is_decoded(self):
