Send nothing to a server for the time that it asks for in a refusal

Callers of an overloaded service saw their requests go to servers that had just refused others with 503 and Retry-After; the gateway avoided them for 0.3 s, and when all of them refused, it told callers to come back after 0.3 s whatever the servers had said. Retry-After was only written, never read.

Retry-After of a 503 is decoded to ResponseHead.busy_s. Values that are no finite number of seconds have no effect beyond one log line; longer times than MAX_BUSY_S, 300 s, count as that, so that an absurd value costs a server five minutes and one request each. It is honoured without the proof that the request did not run, too; the request itself is then treated as before. A 429 or 3xx with Retry-After concerns the caller's request, not the server, and is left alone.

ServerNotices keeps the time for a start of the server, like the notice that it is leaving. ServerState.wait_s() joins it with the wait for a cold server, so that selection, queue and refusal treat both alike: other servers are used, a request waits only for a short time (MAX_WAIT_TIME_SHARE), and otherwise it is refused at once. The Retry-After of such a refusal is the shortest remaining time of all servers that could take the request, including those that have just refused it. Requests that wait already are refused when all servers become busy. After the time, a server gets one request at a time until it has taken one. Its refusals do not count as failures: with them, the least expected latency kept requests away from it for good at a low load. No prompt is copied from a busy server, and the owner of the prompt part is asked for another one. If the whole new version of a completed rollout is busy, the old one serves.

The gateway has no health checks of servers and opens no connection ahead of a request, so nothing else reaches them. Requests that were sent before the refusal arrives are not called back.

--- a/heatherswitch/gateway/events.py
+++ b/heatherswitch/gateway/events.py
@@ -125,25 +125,30 @@
 
 
 class NoticeReceived(Record):
-    """A backend server said in the head of a response that it is leaving.
+    """A backend server said in a response that it is leaving or wants no requests.
 
     It is separate from :class:`ResponseStarted`, since it also counts if the caller has
     left or the response belongs to another request.
 
     :param server: the server as the request was sent to it.
     :param request_id: id of the caller's request, for the log.
+    :param busy_s: seconds for which it wants no requests; 0 for none.
     """
 
     __slots__ = (
         "server",
         "request_id",
         "leaving",
+        "busy_s",
     )
 
-    def __init__(self, server: Server, request_id: str, leaving: bool) -> None:
+    def __init__(
+        self, server: Server, request_id: str, leaving: bool, busy_s: float = 0.0
+    ) -> None:
         self.server = server
         self.request_id = request_id
         self.leaving = leaving
+        self.busy_s = busy_s
 
 
 class AttemptEnded(Record):
@@ -647,7 +652,7 @@
     """A backend server gets no new requests, as it asked for in a response.
 
     :param request_id: id of the caller's request that it responded to.
-    :param reason: ``leaving``.
+    :param reason: ``leaving`` or ``busy``.
     """
 
     __slots__ = (
--- a/heatherswitch/gateway/notices.py
+++ b/heatherswitch/gateway/notices.py
@@ -4,6 +4,9 @@
 
 from heatherswitch.gateway.model import Server
 
+# Longest time for which a server that asks for it gets no requests, in seconds. Then one
+# request shows whether it still refuses, so that an absurd value does not take it out.
+MAX_BUSY_S = 300.0
 # Seconds for which the notices of a server without a store entry are remembered. An
 # entry that expired in an outage of the store is back within seconds of its end, while a
 # server that left ends within about a minute.
@@ -16,28 +19,69 @@
 class ServerNotices:
     """What one start of a server has said of itself in its responses.
 
+    A server that wanted no requests for some time gets one at a time after that, until
+    it has taken one.
+
     :ivar leaving: it is shutting down and must get no new requests.
     """
 
-    __slots__ = ("leaving",)
+    __slots__ = ("leaving", "_busy_until", "_on_trial", "_trial_serial")
 
     def __init__(self) -> None:
         self.leaving = False
+        self._busy_until = 0.0
+        # True from a refusal that asks for time to the first request taken after it.
+        self._on_trial = False
+        # Serial number of the only request that the server has got since.
+        self._trial_serial: int | None = None
 
     @property
     def out(self) -> bool:
-        """True if the server gets no new requests, or not as many as others."""
-        return self.leaving
+        """True if the server gets no new requests, or only one at a time."""
+        return self.leaving or self._on_trial
+
+    @property
+    def trial_runs(self) -> bool:
+        """True while a request runs that shows whether the server takes work again."""
+        return self._trial_serial is not None
+
+    def busy_s(self, now: float) -> float:
+        """Returns the seconds for which the server still wants no requests."""
+        return max(0.0, self._busy_until - now)
 
-    def note_leaving(self) -> str:
-        """Notes that the server is leaving, which holds until it starts again.
+    def note(self, now: float, leaving: bool, busy_s: float) -> str:
+        """Notes what the server said in a response.
 
-        :returns: ``leaving``, or an empty string if that was known.
+        :param leaving: it is shutting down, which holds until it starts again.
+        :param busy_s: seconds for which it wants no requests; 0 for none.
+        :returns: ``leaving`` or ``busy`` if the server is taken out by it, and an empty
+            string if it was out already.
         """
-        reason = "" if self.leaving else "leaving"
-        self.leaving = True
+        reason = ""
+        if busy_s > 0:
+            reason = "" if self.out else "busy"
+            self._busy_until = max(self._busy_until, now + busy_s)
+            self._on_trial = True
+            self._trial_serial = None
+        if leaving and not self.leaving:
+            reason = "leaving"
+            self.leaving = True
         return reason
 
+    def start_request(self, serial: int) -> None:
+        """Notes that a request is sent to the server."""
+        if self._on_trial:
+            self._trial_serial = serial
+
+    def end_request(self, serial: int, taken: bool) -> None:
+        """Notes that a request has ended or was taken.
+
+        :param taken: the server has started to run it.
+        """
+        if serial == self._trial_serial:
+            self._trial_serial = None
+            self._on_trial = not taken
+
 
 class NoticeMemory:
     """Notices by server id and incarnation, for servers without a store entry.
--- a/heatherswitch/gateway/peers.py
+++ b/heatherswitch/gateway/peers.py
@@ -146,7 +146,8 @@
         if self.peer_count < 2:
             return None
         for part in reversed(pending.request.shared_parts):
-            if any(self._can_serve_copies(i) for i in self._prefixes.holders(part.id)):
+            holders = filter(self._can_serve_copies, self._prefixes.holders(part.id))
+            if any(not self._servers.get(i).notices.busy_s(now) for i in holders):
                 return None
             if part.id in pending.queried_parts:
                 continue
--- a/heatherswitch/gateway/placement.py
+++ b/heatherswitch/gateway/placement.py
@@ -6,7 +6,7 @@
 from heatherswitch.gateway import events as ev
 from heatherswitch.gateway.peers import PeerView
 from heatherswitch.gateway.pending import Pending
-from heatherswitch.gateway.rollout_table import RolloutTable
+from heatherswitch.gateway.rollout_table import RolloutTable, VersionFilter
 from heatherswitch.gateway.selection import Choice, Constraints, NoChoice, Selector
 from heatherswitch.gateway.servers import ServerState, ServerTable
 
@@ -52,11 +52,8 @@
         fleet_mean_load = self._peers.mean_load(
             now, service.name, sum(not s.removed for s in servers)
         )
-        rules = self._rollouts.version_filters(
-            service.name, pending.request.id, self._fleet.size_upper_bound(now)
-        )
-        choice: Choice | NoChoice = NoChoice(0, float("inf"))
-        for rule in rules:
+        best = NoChoice(0, float("inf"))
+        for rule in self._version_filters(now, pending):
             constraints = Constraints(
                 service,
                 lambda state, version_allowed=rule: (
@@ -68,9 +65,37 @@
                 pending.holders_known,
             )
             choice = self._selector.choose(now, pending.request, servers, constraints)
-            if isinstance(choice, Choice) or choice.eligible:
-                break
-        return choice
+            if isinstance(choice, Choice):
+                return choice
+            if choice.eligible:
+                best = choice
+                if not choice.busy:
+                    break
+        return best
+
+    def retry_after_s(self, now: float, pending: Pending) -> float | None:
+        """Returns the seconds until a server takes a request like this one.
+
+        :returns: None if that is unknown, because a server may take one now, all of
+            them are leaving, or there is none.
+        """
+        service = pending.service
+        rules = self._version_filters(now, pending)
+        waits = [
+            state.wait_s(now, service, self._fleet)
+            for state in self._servers.for_service(service.name)
+            if state.accepts_work(now)
+            and self._allowed(state, pending)
+            and any(version_allowed(state.record.version) for version_allowed in rules)
+        ]
+        return min(waits, default=0.0) or None
+
+    def _version_filters(self, now: float, pending: Pending) -> list[VersionFilter]:
+        return self._rollouts.version_filters(
+            pending.service.name,
+            pending.request.id,
+            self._fleet.size_upper_bound(now),
+        )
 
     def choose_or_query(
         self, now: float, serial: int, pending: Pending
--- a/heatherswitch/gateway/reducer.py
+++ b/heatherswitch/gateway/reducer.py
@@ -205,8 +205,8 @@
         return [ev.ServerReturned(server_id, reason) for server_id, reason in returned]
 
     def _on_notice(self, now: float, event: ev.NoticeReceived) -> list[ev.Effect]:
-        """Takes a server out that says that it is leaving."""
-        reason = self._servers.take_out(now, event.server)
+        """Takes a server out that says that it is leaving or wants no requests."""
+        reason = self._servers.take_out(now, event.server, event.leaving, event.busy_s)
         if not reason:
             return []
         return [ev.ServerTakenOut(event.server.id, event.request_id, reason)]
@@ -249,7 +249,12 @@
         if isinstance(choice, Choice):
             return [self._forward(now, serial, pending, choice)]
         if choice.eligible == 0:
-            return self._end_unserved(serial, pending, "no server is available")
+            return self._end_unserved(
+                serial,
+                pending,
+                "no server is available",
+                self._retry_after_s(now, pending),
+            )
         return self._enqueue(now, serial, pending, choice.wait_s)
 
     def _on_peer_reply(
@@ -283,6 +288,7 @@
         state = choice.server
         state.take_cold_token(now)
         state.in_flight += 1
+        state.notices.start_request(serial)
         self._peers.note_changed(state)
         pending.current_server = state
         pending.first_byte_s = None
@@ -310,17 +316,20 @@
     ) -> list[ev.Effect]:
         """Queues a request, or refuses it.
 
-        It is refused if it would wait for a cold server longer than
-        ``MAX_WAIT_TIME_SHARE`` of the time left until its deadline, or if the queue is
-        full of requests that are at least as urgent. Otherwise, it displaces the least
+        It is refused if it would wait for a cold server, or for one that wants no
+        requests for some time, longer than ``MAX_WAIT_TIME_SHARE`` of the time left
+        until its deadline, or if the queue is full of requests that are at least as urgent. Otherwise, it displaces the least
         urgent request of a full queue.
 
-        :param wait_s: seconds until a cold server takes one more request; infinite if
-            that depends on other requests ending.
+        :param wait_s: seconds until a server takes one more request; infinite if that
+            depends on other requests ending.
         """
         longest_s = MAX_WAIT_TIME_SHARE * (pending.deadline_at - now)
         if longest_s < wait_s < float("inf"):
-            return self._end_unserved(serial, pending, "the servers are cold", wait_s)
+            retry_after_s = self._placer.retry_after_s(now, pending) or wait_s
+            return self._end_unserved(
+                serial, pending, "the servers are cold or busy", retry_after_s
+            )
         queue = self._queues.setdefault(pending.service.name, RequestQueue())
         queued = QueuedRequest(pending.priority, now, serial, now + longest_s)
         effects: list[ev.Effect] = []
@@ -337,10 +346,16 @@
         slots = sum(s.record.slots for s in self._servers.for_service(service.name))
         return max(MIN_QUEUE_LENGTH, int(QUEUE_SLOT_RATIO * slots / self._fleet.size))
 
-    def _refuse_queued(self, queued: QueuedRequest, reason: str) -> list[ev.Effect]:
+    def _refuse_queued(
+        self, queued: QueuedRequest, reason: str, retry_after_s: float = RETRY_BUSY_S
+    ) -> list[ev.Effect]:
         pending = self._pending[queued.serial]
         self._queues[pending.service.name].discard(queued.serial)
-        return self._end_unserved(queued.serial, pending, reason)
+        return self._end_unserved(queued.serial, pending, reason, retry_after_s)
+
+    def _retry_after_s(self, now: float, pending: Pending) -> float:
+        """Returns the seconds after which a server is likely to take the request."""
+        return self._placer.retry_after_s(now, pending) or RETRY_BUSY_S
 
     def _dispatch_waiting(self, now: float) -> list[ev.Effect]:
         effects: list[ev.Effect] = []
@@ -354,7 +369,17 @@
                     queue.discard(queued.serial)
                     effects.append(self._forward(now, queued.serial, pending, choice))
                 elif choice.eligible == 0:
-                    effects += self._refuse_queued(queued, "no server is available")
+                    effects += self._refuse_queued(
+                        queued,
+                        "no server is available",
+                        self._retry_after_s(now, pending),
+                    )
+                elif choice.busy and now + choice.wait_s > queued.expires_at:
+                    effects += self._refuse_queued(
+                        queued,
+                        "the servers are cold or busy",
+                        self._retry_after_s(now, pending),
+                    )
                 else:
                     break
         return effects
@@ -372,6 +397,7 @@
             pending.current_server.set_reported_load(now, event.load)
         pending.current_server.extend_cold_period(now, event.cold_for_s)
         if event.success:
+            pending.current_server.notices.end_request(event.serial, taken=True)
             self._prefixes.add(
                 pending.request.shared_parts, pending.current_server.record.id
             )
@@ -383,6 +409,9 @@
             return []
         state, pending.current_server = pending.current_server, None
         state.in_flight -= 1
+        state.notices.end_request(
+            event.serial, isinstance(event.outcome, ev.Completed | ev.FailedAnswer)
+        )
         self._peers.note_changed(state)
         effects = self._on_outcome(now, event.serial, pending, state, event.outcome)
         return effects + self._dispatch_waiting(now)
@@ -429,7 +458,9 @@
         pending.possible_runs += ran
         reason = pending.reason_not_to_retry(now)
         if reason:
-            return self._end_unserved(serial, pending, reason)
+            return self._end_unserved(
+                serial, pending, reason, self._retry_after_s(now, pending)
+            )
         choice = self._placer.choose(now, pending)
         if isinstance(choice, NoChoice):
             if (
@@ -438,7 +469,12 @@
                 and not pending.partly_delivered
             ):
                 return self._enqueue(now, serial, pending, choice.wait_s)
-            return self._end_unserved(serial, pending, "no other server is available")
+            return self._end_unserved(
+                serial,
+                pending,
+                "no other server is available",
+                self._retry_after_s(now, pending),
+            )
         if arrived and not self._retry_budget.take(now):
             return self._end_unserved(serial, pending, "the retry budget is used up")
         return [self._forward(now, serial, pending, choice)]
@@ -476,6 +512,7 @@
             self._queues[pending.service.name].discard(event.serial)
         if pending.current_server is not None:
             pending.current_server.in_flight -= 1
+            pending.current_server.notices.end_request(event.serial, taken=False)
             self._peers.note_changed(pending.current_server)
         return self._dispatch_waiting(now)
 
--- a/heatherswitch/gateway/relay.py
+++ b/heatherswitch/gateway/relay.py
@@ -216,7 +216,7 @@
                 for name, value in response.headers
             ]
             head = self._codec.decode_answer(response.status_code, raw_headers)
-            if head.leaving:
+            if head.leaving or head.busy_s:
                 self._on_notice(forward, head)
             if head.request_id == self._request_id:
                 return head, raw_headers
--- a/heatherswitch/gateway/selection.py
+++ b/heatherswitch/gateway/selection.py
@@ -59,20 +59,23 @@
 class NoChoice(Record):
     """No server can take the request now.
 
-    :param eligible: number of servers that could take it if it were not for their load
-        or cold-start rate limit.
-    :param wait_s: seconds until a cold server takes one more request; infinite if that
-        depends on other requests ending.
+    :param eligible: number of servers that could take it if it were not for their load,
+        their cold-start rate limit or the time for which they want no requests.
+    :param wait_s: seconds until a server that is cold or wants no requests takes one
+        more; infinite if that depends on other requests ending.
+    :param busy: all of these servers are waited for, and some of them want no requests.
     """
 
     __slots__ = (
         "eligible",
         "wait_s",
+        "busy",
     )
 
-    def __init__(self, eligible: int, wait_s: float) -> None:
+    def __init__(self, eligible: int, wait_s: float, busy: bool = False) -> None:
         self.eligible = eligible
         self.wait_s = wait_s
+        self.busy = busy
 
 
 class Constraints(Record):
@@ -139,11 +142,13 @@
         usable = [s for s in open_servers if s.record.id not in constraints.tried_ids]
         if not usable:
             return NoChoice(0, float("inf"))
-        waits = {s.record.id: s.cold_wait_s(now, service, self._fleet) for s in usable}
+        waits = {s.record.id: s.wait_s(now, service, self._fleet) for s in usable}
         ready = [s for s in usable if waits[s.record.id] <= 0]
         ready = [s for s in ready if self._has_room(now, s, service)]
         if not ready:
-            return NoChoice(len(usable), min(waits.values()) or float("inf"))
+            shortest_s = min(waits.values())
+            busy = shortest_s > 0 and any(s.notices.busy_s(now) for s in usable)
+            return NoChoice(len(usable), shortest_s or float("inf"), busy)
         healthy = [s for s in ready if not s.in_backoff(now)]
         if service.is_model:
             listed = [s for s in servers if not s.removed]
@@ -156,6 +161,8 @@
         return self._select_by_latency(now, request, healthy or ready)
 
     def _has_room(self, now: float, state: ServerState, service: Service) -> bool:
+        if state.notices.trial_runs:
+            return False
         slots = state.record.slots or service.slots or DEFAULT_SLOTS
         fill = MAX_MODEL_OCCUPANCY if service.is_model else MAX_PLAIN_OCCUPANCY
         connections = CONNECTION_SHARE * service.max_connections / self._fleet.size
@@ -219,6 +226,7 @@
             for s in servers
             if s is not chosen
             and not (s.removed or s.connection_refused or s.in_backoff(now))
+            and not s.notices.busy_s(now)
         }
         is_new = now - chosen.first_seen_at < NEW_SERVER_AGE_S
         allow_guess = allow_guess and bool(others) and (is_new or self._fleet.size > 1)
--- a/heatherswitch/gateway/servers.py
+++ b/heatherswitch/gateway/servers.py
@@ -159,9 +159,14 @@
     def record_failure(self, now: float, base_backoff_s: float = BACKOFF_S) -> None:
         """Records a failure of the server.
 
+        One that has asked for time is not avoided any longer than that, so that work
+        returns when the time is over.
+
         :param base_backoff_s: seconds for which the server is avoided after a first
             failure; 0 if the failure does not predict that the next request fails.
         """
+        if self.notices.busy_s(now):
+            return
         self.failure_rate += EWMA_WEIGHT * (1 - self.failure_rate)
         if base_backoff_s > 0:
             backoff_s = min(MAX_BACKOFF_S, base_backoff_s * 2**self._failures_in_row)
@@ -190,6 +195,13 @@
             self._cold_bucket.set_rate(now, rate, 1.0)
         return self._cold_bucket.wait_s(now)
 
+    def wait_s(self, now: float, service: Service, fleet: FleetSize) -> float:
+        """Returns the seconds until this gateway may send a request.
+
+        The server may be cold, or have asked for no requests for some time.
+        """
+        return max(self.notices.busy_s(now), self.cold_wait_s(now, service, fleet))
+
     def take_cold_token(self, now: float) -> None:
         """Counts a request against the rate limit of a cold server."""
         if self.is_cold(now) and self._cold_bucket is not None:
@@ -264,15 +276,16 @@
             ):
                 self._drop(now, state.record.id)
 
-    def take_out(self, now: float, server: Server) -> str:
-        """Takes a start of a server out that says that it is leaving.
+    def take_out(self, now: float, server: Server, leaving: bool, busy_s: float) -> str:
+        """Takes a start of a server out that is leaving or wants no requests.
 
         :param server: the server as the request was sent to it; its entry may have
             changed or disappeared since.
+        :param busy_s: seconds for which it wants no requests; 0 for none.
         :returns: the reason, or an empty string if the server was out already.
         """
         notices = self._notices_of(now, server)
-        reason = notices.note_leaving()
+        reason = notices.note(now, leaving, busy_s)
         self._notices.remember(now, server, notices)
         if reason:
             self._out[server.id] = reason
--- a/heatherswitch/gateway/shell.py
+++ b/heatherswitch/gateway/shell.py
@@ -44,6 +44,8 @@
 # responds within milliseconds; if it is down, callers must be refused before they give
 # up, the most hurried ones after a third of a deadline of one and a half seconds.
 START_WAIT_S = 0.3
+# Smallest value of Retry-After, in seconds. Smaller ones would need an exponent.
+MIN_RETRY_AFTER_S = 0.001
 # Decimal places to which log lines round seconds.
 LOG_DECIMALS = 4
 
@@ -344,7 +346,9 @@
                 serial, forward, head, ttfb_s
             ),
             lambda forward, head: self._apply(
-                ev.NoticeReceived(forward.server, caller_request.id, head.leaving)
+                ev.NoticeReceived(
+                    forward.server, caller_request.id, head.leaving, head.busy_s
+                )
             ),
         )
         arrived_at = self._clock.now()
@@ -412,7 +416,8 @@
                 status = effect.status
                 headers = []
                 if effect.retry_after_s is not None:
-                    headers.append(("Retry-After", f"{effect.retry_after_s:g}"))
+                    seconds = max(MIN_RETRY_AFTER_S, round(effect.retry_after_s, 3))
+                    headers.append(("Retry-After", f"{seconds:g}"))
                 await responder.send(status, b"", headers)
             case ev.Relay():
                 await relay.deliver_buffered()
--- a/heatherswitch/gateway/upstream.py
+++ b/heatherswitch/gateway/upstream.py
@@ -99,6 +99,7 @@
     :param length: bytes of the body; None if not stated.
     :param cold_s: seconds for which the server reports that it stays cold.
     :param leaving: the server is shutting down and must get no new requests.
+    :param busy_s: seconds for which the server wants no requests; 0 for none.
     """
 
     __slots__ = (
@@ -113,6 +114,7 @@
         "length",
         "cold_s",
         "leaving",
+        "busy_s",
     )
 
     def __init__(
@@ -128,6 +130,7 @@
         length: int | None,
         cold_s: float,
         leaving: bool = False,
+        busy_s: float = 0.0,
     ) -> None:
         self.status = status
         self.headers = headers
@@ -140,6 +143,7 @@
         self.length = length
         self.cold_s = cold_s
         self.leaving = leaving
+        self.busy_s = busy_s
 
 
 class ServerConnection(asyncio.Protocol):
--- a/heatherswitch/platform/headers.py
+++ b/heatherswitch/platform/headers.py
@@ -3,6 +3,7 @@
 import logging
 
 from heatherswitch.gateway.model import CallerRequest, Load, PromptPart
+from heatherswitch.gateway.notices import MAX_BUSY_S
 from heatherswitch.gateway.upstream import ResponseHead, UpstreamContext
 from heatherswitch.platform import names
 from heatherswitch.util.http import BadRequest, Headers, Request
@@ -148,9 +149,34 @@
         length=_parse_content_length(fields.get("content-length")),
         cold_s=_parse_cold_s(fields.get(names.COLD_MS)),
         leaving=not other_instance and _parse_leaving(headers),
+        busy_s=_parse_busy_s(headers) if status == names.STATUS_BUSY else 0.0,
     )
 
 
+def _parse_busy_s(headers: Headers) -> float:
+    """Returns the seconds for which the server wants no requests; 0 for none.
+
+    Values that are no finite number of seconds have no effect, and longer times than
+    :data:`MAX_BUSY_S` count as that. The longest of several values counts.
+    """
+    values = [v.strip() for n, v in headers if n == names.RETRY_AFTER]
+    busy_s, invalid = 0.0, len(values) > 1
+    for value in values:
+        try:
+            seconds = float(value)
+        except ValueError:
+            seconds = -1.0
+        if 0 <= seconds < float("inf"):
+            busy_s = max(busy_s, min(seconds, MAX_BUSY_S))
+        invalid = invalid or not 0 <= seconds <= MAX_BUSY_S
+    if invalid:
+        log.info(
+            "malformed or excessive retry time",
+            extra={"value": repr(values)[:100], "busy_s": busy_s},
+        )
+    return busy_s
+
+
 def _parse_leaving(headers: Headers) -> bool:
     """Tells whether the server says that it is leaving.
 
--- a/heatherswitch/platform/names.py
+++ b/heatherswitch/platform/names.py
@@ -22,6 +22,9 @@
 COLD_MS = "x-cold-ms"
 # The server is shutting down and must get no new requests; its value is "1".
 SERVER_LEAVING = "server-leaving"
+# With STATUS_BUSY: seconds for which the server wants no requests from this gateway.
+RETRY_AFTER = "retry-after"
+STATUS_BUSY = 503
 STATUS_OTHER_INSTANCE = 421
 
 # Headers that only the gateway may set; a caller's values are not forwarded.
--- a/test/test_notices.py
+++ b/test/test_notices.py
@@ -1,4 +1,7 @@
-"""Servers that say in their responses that they are leaving (rule DRAIN)."""
+"""Servers that say in their responses that they are leaving or busy.
+
+Rules DRAIN and BUDGET.
+"""
 
 import asyncio
 import itertools
@@ -12,8 +15,11 @@
 from emulator.platform.soak_checks import Call, History, find_unwanted_arrivals
 from emulator.platform.store import PlatformStoreServer
 from emulator.proxy import FaultProxy
+from heatherswitch.fleet.peer_messages import PrefixHolder
 from heatherswitch.gateway import events as ev
+from heatherswitch.gateway.limits import Limits
 from heatherswitch.gateway.notices import MAX_REMEMBERED_STARTS, NOTICE_MEMORY_S
+from heatherswitch.gateway.rollouts import RolloutOrder, RolloutState
 from heatherswitch.util.http import HttpError
 from heatherswitch.util.http_client import HttpClient
 from test.gateway_fakes import Driver, chat_prompt, server
@@ -29,6 +35,14 @@
     def say_leaving(self, record, request_id: str = "r") -> None:
         self.driver.apply(ev.NoticeReceived(record, request_id, leaving=True))
 
+    def say_busy(self, record, seconds: float, request_id: str = "r") -> None:
+        self.driver.apply(ev.NoticeReceived(record, request_id, False, seconds))
+
+    def refuse(self, sent: ev.Forward, seconds: float) -> ev.Effect:
+        """Lets the server refuse a request and ask for time."""
+        self.say_busy(sent.server, seconds)
+        return self.driver.end_attempt(sent.serial, ev.Rejected(503, False))
+
 
 class LeavingTest(NoticeCase):
     def setUp(self):
@@ -188,6 +202,212 @@
         )
 
 
+class BusyTest(NoticeCase):
+    def setUp(self):
+        super().setUp()
+        self.busy, self.other = server("l1", slots=64), server("l2", slots=64)
+        self.driver.add_servers(self.busy, self.other)
+
+    def used_servers(self, requests: int = 6) -> list[str]:
+        return [self.driver.decide("/safe/1").server.id for _ in range(requests)]
+
+    def test_busy_server_gets_nothing_until_its_time_is_over(self):
+        self.say_busy(self.busy, 2.0)
+        for _ in range(4):
+            self.assertNotIn("l1", self.used_servers())
+            self.driver.advance(0.49)
+        self.driver.advance(0.1)
+        self.assertIn("l1", self.used_servers())
+
+    def test_longest_of_several_times_counts(self):
+        self.say_busy(self.busy, 2.0)
+        self.say_busy(self.busy, 0.2)
+        self.driver.advance(1.9)
+        self.assertNotIn("l1", self.used_servers())
+
+    def test_one_request_shows_whether_the_server_takes_work_again(self):
+        self.say_busy(self.busy, 1.0)
+        self.driver.advance(1.1)
+        sent = [self.driver.decide("/safe/1") for _ in range(8)]
+        (trial,) = [s for s in sent if s.server.id == "l1"]
+        self.driver.apply(ev.ResponseStarted(trial.serial, None, 0.01, True))
+        self.assertGreater(self.used_servers(8).count("l1"), 1)
+
+    def test_trial_that_is_refused_takes_the_server_out_again(self):
+        self.say_busy(self.busy, 1.0)
+        self.driver.advance(1.1)
+        sent = [self.driver.decide("/safe/1") for _ in range(8)]
+        (trial,) = [s for s in sent if s.server.id == "l1"]
+        self.assertEqual(self.refuse(trial, 1.0).server.id, "l2")
+        self.driver.advance(0.9)
+        self.assertNotIn("l1", self.used_servers())
+
+    def test_trial_without_an_outcome_makes_room_for_the_next_one(self):
+        for end in (
+            lambda serial: ev.AttemptEnded(serial, ev.Broken("reset")),
+            lambda serial: ev.AttemptEnded(serial, ev.NotSent("refused")),
+            lambda serial: ev.AttemptEnded(serial, ev.Rejected(503, False)),
+            ev.CallerDisconnected,
+        ):
+            self.setUp()
+            self.driver.apply(ev.ServerRemoved("l2", after_outage=False))
+            self.say_busy(self.busy, 1.0)
+            self.driver.advance(1.1)
+            trial = self.driver.decide("/once/1")
+            waiting = self.driver.send_request("/once/2")
+            self.assertEqual(self.driver.take_effects(), [])
+            self.driver.apply(end(trial.serial))
+            forwarded = [
+                e.serial
+                for e in self.driver.take_effects()
+                if isinstance(e, ev.Forward)
+            ]
+            self.assertEqual(forwarded, [waiting])
+
+    def test_response_to_an_earlier_request_does_not_end_the_time(self):
+        sent = [self.driver.decide("/safe/1") for _ in range(8)]
+        (earlier, *_) = [s for s in sent if s.server.id == "l1"]
+        self.say_busy(self.busy, 2.0)
+        self.driver.apply(ev.ResponseStarted(earlier.serial, None, 0.1, True))
+        self.driver.end_attempt(earlier.serial, ev.Completed(200, 0.1))
+        self.assertNotIn("l1", self.used_servers())
+
+    def test_store_entry_does_not_shorten_the_time_but_a_new_start_ends_it(self):
+        self.say_busy(self.busy, 2.0)
+        self.driver.add_servers(self.busy.replace(slots=9))
+        self.driver.apply(ev.ServerRemoved("l1", after_outage=False))
+        self.driver.add_servers(self.busy)
+        self.assertNotIn("l1", self.used_servers())
+        self.driver.add_servers(self.busy.replace(incarnation=2))
+        self.assertIn("l1", self.used_servers())
+
+    def test_no_prompt_is_copied_from_a_busy_server(self):
+        self.driver.add_servers(*(server(f"e{n}", "engine") for n in range(2)))
+        first = self.driver.decide("/chat/1", parts=chat_prompt("guide"))
+        self.driver.apply(ev.ResponseStarted(first.serial, None, 0.1, True))
+        self.say_busy(first.server, 2.0)
+        second = self.driver.decide("/chat/1", parts=chat_prompt("guide"))
+        self.assertNotEqual(second.server.id, first.server.id)
+        self.assertIsNone(second.copy_source)
+
+    def test_owner_is_asked_for_another_holder_if_the_known_one_is_busy(self):
+        addresses = (("me", "10.0.0.1:7341"), ("peer", "10.0.0.2:7341"))
+        driver = self.driver = Driver(routers=("me", "peer"))
+        driver.apply(ev.RoutersListed(("me", "peer"), addresses))
+        driver.add_servers(*(server(f"e{n}", "engine") for n in range(8)))
+        for number in range(20):
+            parts = chat_prompt(f"chat-{number}")
+            for busy_s in (0.0, 2.0):
+                effect = driver.decide("/chat/1", parts=parts)
+                if isinstance(effect, ev.QueryLoad):
+                    count = effect.count
+                    reply = ev.LoadReplyReceived(
+                        effect.serial, effect.peer, count.key, 0
+                    )
+                    driver.apply(reply)
+                    (effect,) = driver.take_effects()
+                if not busy_s and isinstance(effect, ev.QueryHolder):
+                    holder = PrefixHolder(effect.holder.part, "e0")
+                    driver.apply(
+                        ev.PrefixOwnerReplyReceived(effect.serial, effect.peer, holder)
+                    )
+                    driver.take_effects()
+                    self.say_busy(server("e0", "engine"), 2.0)
+                elif busy_s and isinstance(effect, ev.QueryHolder):
+                    return
+        self.fail("the owner of the prompt part was not asked")
+
+    def test_refusal_at_once_names_the_shortest_remaining_time(self):
+        """It counts servers that have just refused the request, too."""
+        self.say_busy(self.other, 5.0)
+        sent = self.driver.decide("/once/1")
+        refusal = self.refuse(sent, 2.0)
+        self.assertEqual(refusal.status, 503)
+        self.assertAlmostEqual(refusal.retry_after_s, 2.0)
+        self.driver.advance(0.5)
+        refusal = self.driver.decide("/once/1", deadline_s=1.0)
+        self.assertEqual(refusal.status, 503)
+        self.assertAlmostEqual(refusal.retry_after_s, 1.5)
+
+    def test_refusal_by_as_many_servers_as_may_be_tried_names_the_time(self):
+        self.driver = Driver(Limits(budget_slack=5000.0))
+        self.driver.add_servers(*(server(f"l{n}") for n in range(4)))
+        effect = self.driver.decide("/once/1")
+        while isinstance(effect, ev.Forward):
+            effect = self.refuse(effect, 3.0)
+        self.assertEqual(effect.reason, "too many servers were tried")
+        self.assertAlmostEqual(effect.retry_after_s, 3.0)
+
+    def test_leaving_servers_do_not_count_for_the_time(self):
+        self.say_leaving(self.other)
+        self.say_busy(self.other, 0.5)
+        self.say_busy(self.busy, 3.0)
+        refusal = self.driver.decide("/safe/1")
+        self.assertAlmostEqual(refusal.retry_after_s, 3.0)
+        self.driver.advance(3.1)
+        self.assertEqual(self.used_servers(1), ["l1"])
+
+    def test_request_that_may_have_run_is_not_refused_as_not_run(self):
+        sent = self.driver.decide("/safe/1")
+        (busy,) = {"l1", "l2"} - {sent.server.id}
+        self.say_busy(server(busy), 5.0)
+        refusal = self.driver.end_attempt(sent.serial, ev.Broken("reset"))
+        self.assertEqual(refusal.status, 502)
+
+    def test_request_waits_for_a_short_time_only(self):
+        self.driver.apply(ev.ServerRemoved("l2", after_outage=False))
+        self.say_busy(self.busy, 0.3)
+        self.driver.take_effects()
+        waiting = self.driver.send_request("/safe/1", deadline_s=2.0)
+        self.assertEqual(self.driver.take_effects(), [])
+        self.driver.advance(0.31)
+        (forward,) = self.driver.take_effects()
+        self.assertEqual((forward.serial, forward.server.id), (waiting, "l1"))
+
+    def test_waiting_requests_are_refused_once_all_servers_are_busy(self):
+        """Otherwise, they would be held until their time in the queue is over."""
+        driver = self.driver = Driver()
+        driver.add_servers(server("l1", slots=1))
+        sent = [driver.decide("/safe/1") for _ in range(2)]
+        waiting = driver.send_request("/safe/1")
+        driver.take_effects()
+        self.say_busy(sent[0].server, 3.0)
+        driver.apply(ev.AttemptEnded(sent[0].serial, ev.Rejected(503, False)))
+        refusals = {e.serial: e for e in driver.take_effects() if hasattr(e, "serial")}
+        self.assertAlmostEqual(refusals[waiting].retry_after_s, 3.0)
+
+    def test_old_version_serves_if_the_whole_new_one_is_busy(self):
+        """Both versions may take all requests once the rollout has proven the new one."""
+        for busy_version in ("v1", "v2"):
+            driver = self.driver = Driver()
+            driver.add_servers(server("l1"), server("l2", version="v2"))
+            driver.apply(
+                ev.RolloutOrdered("ledger", RolloutOrder("ledger", "v2", 60.0, 5))
+            )
+            driver.apply(
+                ev.RolloutStatusRead("ledger", "v2", RolloutState.COMPLETED, 6)
+            )
+            busy = {"v1": server("l1"), "v2": server("l2")}[busy_version]
+            self.say_busy(busy, 9.0)
+            for _ in range(4):
+                self.assertNotEqual(driver.decide("/safe/1").server.id, busy.id)
+
+    def test_server_is_reported_once_when_taken_out_and_once_when_back(self):
+        self.driver.apply(ev.ServerRemoved("l2", after_outage=False))
+        self.driver.take_effects()
+        self.say_busy(self.busy, 1.0, "r7")
+        self.say_busy(self.busy, 1.0, "r8")
+        self.driver.advance(1.1)
+        self.assertEqual(
+            self.driver.take_effects(), [ev.ServerTakenOut("l1", "r7", "busy")]
+        )
+        trial = self.driver.decide("/safe/1")
+        self.driver.end_attempt(trial.serial, ev.Completed(200, 0.1))
+        self.driver.advance(0.5)
+        self.driver.advance(0.5)
+        self.assertEqual(self.driver.take_effects(), [ev.ServerReturned("l1", "busy")])
+
+
 class ReplayCase(NoticeCase):
     """Replays load at servers whose requests take a while."""
 
@@ -239,6 +459,104 @@
             self.assertEqual(self.refused, 0)
 
 
+class SheddingReplayTest(ReplayCase):
+    """Servers refuse requests in waves and ask for time.
+
+    The refusal reaches the gateway 20 ms after the request was sent.
+    """
+
+    ANSWER_S = 0.02
+    BUSY_S = 1.5
+    WAVE_S = 3.0
+
+    def setUp(self):
+        super().setUp()
+        self.answers: list[tuple[float, ev.Forward]] = []
+        self.told: dict[str, float] = {}
+        self.unwanted: list[str] = []
+        # Ids of the servers that refuse requests now.
+        self.shedding: set[str] = set()
+
+    def arrive(self, path: str, parts=()) -> None:
+        for answer in [a for a in self.answers if a[0] <= self.driver.now]:
+            self.answers.remove(answer)
+            self.say_busy(answer[1].server, self.BUSY_S)
+            self.told[answer[1].server.id] = self.driver.now
+            rejected = ev.Rejected(503, False)
+            self.driver.apply(ev.AttemptEnded(answer[1].serial, rejected))
+            for effect in self.driver.take_effects():
+                self.refused += isinstance(effect, ev.Refuse)
+                if isinstance(effect, ev.Forward):
+                    self.on_forward(effect)
+        super().arrive(path, parts)
+
+    def on_forward(self, effect: ev.Forward) -> None:
+        told_at = self.told.get(effect.server.id)
+        if told_at is not None and self.driver.now < told_at + self.BUSY_S:
+            self.unwanted.append(effect.server.id)
+        if effect.server.id not in self.shedding:
+            super().on_forward(effect)
+            return
+        self.answers.append((self.driver.now + self.ANSWER_S, effect))
+
+    def in_wave(self) -> bool:
+        return self.driver.now % (2 * self.WAVE_S) < self.WAVE_S
+
+    def test_half_of_the_servers_shed_in_waves(self):
+        for path, service in (("/once/1", "ledger"), ("/chat/1", "engine")):
+            servers = [server(f"{service}-{n}", service, slots=64) for n in range(6)]
+            self.driver.add_servers(*servers)
+            for number in range(1800):
+                shedding = {s.id for s in servers[:3]}
+                self.shedding = shedding if self.in_wave() else set()
+                self.arrive(path, chat_prompt(f"s{number % 40}"))
+            self.assertEqual(set(self.told) & shedding, shedding)
+            self.assertEqual(self.unwanted, [])
+            # The retry budget bounds the requests of a new wave that go elsewhere.
+            self.assertLess(self.refused, 0.03 * number)
+            after = {s for at, s in self.sent if at > max(self.told.values())}
+            self.assertLessEqual(shedding, after)
+
+    def test_rolling_leave_while_half_of_the_servers_shed_in_waves(self):
+        servers = [server(f"e{n}", "engine", slots=64) for n in range(6)]
+        self.driver.add_servers(*servers)
+        left: dict[str, float] = {}
+        for number in range(1800):
+            self.shedding = {s.id for s in servers[:3]} if self.in_wave() else set()
+            if number % 300 == 150:
+                leaving = servers.pop(0)
+                self.say_leaving(leaving)
+                left[leaving.id] = self.driver.now
+                servers.append(leaving.replace(id=leaving.id + "-new"))
+                self.driver.add_servers(servers[-1])
+            self.arrive("/chat/1", chat_prompt(f"s{number % 40}"))
+        late = [s for at, s in self.sent if at > left.get(s, float("inf"))]
+        self.assertEqual((late, self.unwanted), ([], []))
+        self.assertLess(self.refused, 0.05 * number)
+
+    def test_all_servers_shed(self):
+        """Requests are refused at once, and work returns with one request each."""
+        servers = [server(f"l{n}", slots=64) for n in range(4)]
+        self.driver.add_servers(*servers)
+        self.shedding = {s.id for s in servers}
+        for _ in range(300):
+            self.arrive("/once/1")
+        self.assertEqual(self.unwanted, [])
+        self.assertGreater(self.refused, 50)
+        self.shedding = set()
+        before = len(self.sent)
+        self.driver.advance(self.BUSY_S)
+        self.driver.take_effects()
+        for _ in range(8):
+            self.arrive("/once/1")
+        first = [s for _, s in self.sent[before:]]
+        self.assertEqual(len(first), len(set(first)))
+        refused = self.refused
+        for _ in range(200):
+            self.arrive("/once/1")
+        self.assertEqual(self.refused, refused)
+
+
 class ProcessCase(unittest.IsolatedAsyncioTestCase):
     """Gateway processes with stand-ins; checks what the backend servers saw."""
 
@@ -263,7 +581,12 @@
         self.addAsyncCleanup(self.store_link.stop)
         self.gateways = [
             GatewayProcess(
-                2 + n, self.store_link.address, Path(directory.name), ADDRESS_GROUP
+                2 + n,
+                self.store_link.address,
+                Path(directory.name),
+                ADDRESS_GROUP,
+                # Enough for all requests that a server refuses at the same time.
+                retry_budget_slack=1000,
             )
             for n in range(gateways)
         ]
@@ -384,5 +707,73 @@
         self.assertEqual(sum("server returned" in line for line in lines), 1)
 
 
+class BusyProcessTest(ProcessCase):
+    RETRY_AFTER_S = 1.6
+
+    async def test_busy_server_gets_nothing_in_its_time_and_work_returns_after_it(self):
+        """The gateways are cut off the store, and callers keep their connections."""
+        await self.start(l1="ledger", l2="ledger", l3="ledger")
+        for server_id in ("l2", "l3"):
+            # Gateways prefer the other server to these slower ones.
+            self.servers[server_id].behaviour = Behaviour(delay_s=0.05)
+        await self.load(0.3)
+        self.cut_store()
+        shedding = self.servers["l1"]
+        shedding.behaviour = Behaviour(status=503, retry_after_s=self.RETRY_AFTER_S)
+        await self.load(1.0)
+        shedding.behaviour = Behaviour()
+        before = len(shedding.runs)
+        await self.load(1.5)
+        self.assertGreaterEqual(len(shedding.notices), 2)
+        self.assertGreater(len(shedding.runs), before)
+        metrics = await self.read_metrics(self.gateways[0])
+        for name in ("taken_out", "returned"):
+            self.assertIn(f'gateway_servers_{name}_total{{reason="busy"}} 1', metrics)
+        self.assertEqual(self.violations(), [])
+        self.assertEqual({c.status for c in self.history.calls}, {200})
+
+    async def test_time_without_the_proof_that_a_request_did_not_run_holds(self):
+        await self.start(1, l1="ledger")
+        self.servers["l1"].behaviour = Behaviour(
+            raw=lambda head: [
+                head.replace(b"200", b"503").replace(
+                    b"X-Response", b"Retry-After: 2\r\nX-Response"
+                )
+                + b"0\r\n\r\n"
+            ]
+        )
+        await self.load(1.5, callers=1)
+        self.assertEqual(len(self.arrivals("l1")), 1)
+        first, *later = [call.status for call in self.history.calls]
+        self.assertEqual((first, set(later)), (502, {503}))
+
+    async def test_callers_are_refused_at_once_if_all_servers_are_busy(self):
+        await self.start(1, l1="ledger", l2="ledger")
+        for stand_in in self.servers.values():
+            stand_in.behaviour = Behaviour(status=503, retry_after_s=3.0)
+        await self.load(0.3, "/settle/1")
+        await self.load(1.0, "/settle/1")
+        self.assertEqual(self.violations(), [])
+        free_at = min(n.at for n in self.history.notices) + 3.0
+        later = [c for c in self.history.calls if c.sent_at > free_at - 2.5]
+        self.assertGreater(len(later), 20)
+        for call in later:
+            self.assertEqual(call.status, 503)
+            self.assertLess(call.ended_at - call.sent_at, 0.5)
+            returns_at = call.ended_at + float(call.headers["retry-after"])
+            self.assertAlmostEqual(returns_at, free_at, delta=0.3)
+
+    async def test_leaving_server_that_also_sheds_gets_nothing_after_its_time(self):
+        await self.start(1, l1="ledger", l2="ledger")
+        self.servers["l2"].behaviour = Behaviour(delay_s=0.05)
+        self.servers["l1"].behaviour = Behaviour(
+            status=503, retry_after_s=0.5, leaving=True
+        )
+        await self.load(1.5)
+        self.assertLessEqual(len(self.arrivals("l1")), 3)
+        self.assertEqual(self.violations(), [])
+        self.assertEqual({c.status for c in self.history.calls}, {200})
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/test/test_platform_formats.py
+++ b/test/test_platform_formats.py
@@ -8,6 +8,7 @@
 
 from emulator.platform.deployment import build_configuration
 from heatherswitch.gateway.model import Load, PromptPart, RequestKind
+from heatherswitch.gateway.notices import MAX_BUSY_S
 from heatherswitch.gateway.upstream import UpstreamContext
 from heatherswitch.platform.headers import (
     decode_request,
@@ -170,6 +171,41 @@
             self.assertEqual(len(logs.records), 1)
             self.assertLessEqual(len(logs.records[0].value), 100)
 
+    def test_retry_time_of_a_refusal_is_decoded(self):
+        for value, busy_s in (("2", 2.0), (" 0.25 ", 0.25), ("0", 0.0)):
+            head = decode_response(503, [("retry-after", value)])
+            self.assertEqual(head.busy_s, busy_s)
+        self.assertEqual(decode_response(503, []).busy_s, 0.0)
+        for status in (200, 301, 421, 429, 500):
+            head = decode_response(status, [("retry-after", "2")])
+            self.assertEqual(head.busy_s, 0.0)
+
+    def test_malformed_or_excessive_retry_time_is_logged_once_and_bounded(self):
+        """The refusal counts in any case; only valid times have an effect."""
+        for values, busy_s in (
+            (["-1"], 0.0),
+            (["soon"], 0.0),
+            ([""], 0.0),
+            (["Wed, 21 Oct 2026 07:28:00 GMT"], 0.0),
+            (["inf"], 0.0),
+            (["nan"], 0.0),
+            (["1e999"], 0.0),
+            (["x" * 9000], 0.0),
+            (["1000000000"], MAX_BUSY_S),
+            (["9" * 300], MAX_BUSY_S),
+            (["3", "-1"], 3.0),
+            (["3", "5"], 5.0),
+        ):
+            with (
+                self.subTest(values=[v[:9] for v in values]),
+                self.assertLogs("heatherswitch.platform.headers") as logs,
+            ):
+                headers = [("retry-after", value) for value in values]
+                head = decode_response(503, [*headers, ("x-not-executed", "1")])
+                self.assertEqual((head.busy_s, head.not_run), (busy_s, True))
+            self.assertEqual(len(logs.records), 1)
+            self.assertLessEqual(len(logs.records[0].value), 100)
+
     def test_notice_of_a_different_server_at_the_address_is_ignored(self):
         """It concerns a server that this request was not meant for."""
         self.assertFalse(decode_response(421, [("server-leaving", "1")]).leaving)
