Report no server as taken out by a response of its earlier start

A late response of a start that has ended was logged and counted as "server taken out", and half a second later as "server returned", although the new start was never out. Such a notice is still kept for the start that it came from.

Two more tests through gateway processes cover why notices are an event of their own: the caller of a settlement leaves before its response, and the notice comes in a response to another request.

--- a/heatherswitch/gateway/reducer.py
+++ b/heatherswitch/gateway/reducer.py
@@ -318,8 +318,8 @@
 
         It is refused if it would wait for a cold server, or for one that wants no
         requests for some time, longer than ``MAX_WAIT_TIME_SHARE`` of the time left
-        until its deadline, or if the queue is full of requests that are at least as urgent. Otherwise, it displaces the least
-        urgent request of a full queue.
+        until its deadline, or if the queue is full of requests that are at least as
+        urgent. Otherwise, it displaces the least urgent request of a full queue.
 
         :param wait_s: seconds until a server takes one more request; infinite if that
             depends on other requests ending.
--- a/heatherswitch/gateway/servers.py
+++ b/heatherswitch/gateway/servers.py
@@ -282,24 +282,27 @@
         :param server: the server as the request was sent to it; its entry may have
             changed or disappeared since.
         :param busy_s: seconds for which it wants no requests; 0 for none.
-        :returns: the reason, or an empty string if the server was out already.
+        :returns: the reason, or an empty string if the server was out already or has
+            started again since.
         """
-        notices = self._notices_of(now, server)
+        state = self._servers.get(server.id)
+        same_start = (
+            state is not None and state.record.incarnation == server.incarnation
+        )
+        if same_start:
+            notices = state.notices
+        else:
+            notices = self._notices.find(now, server) or ServerNotices()
         reason = notices.note(now, leaving, busy_s)
         self._notices.remember(now, server, notices)
-        if reason:
-            self._out[server.id] = reason
-            self._out.move_to_end(server.id)
-            while len(self._out) > MAX_REMEMBERED_STARTS:
-                self._out.popitem(last=False)
+        if not reason or (state is not None and not same_start):
+            return ""
+        self._out[server.id] = reason
+        self._out.move_to_end(server.id)
+        while len(self._out) > MAX_REMEMBERED_STARTS:
+            self._out.popitem(last=False)
         return reason
 
-    def _notices_of(self, now: float, server: Server) -> ServerNotices:
-        state = self._servers.get(server.id)
-        if state is not None and state.record.incarnation == server.incarnation:
-            return state.notices
-        return self._notices.find(now, server) or ServerNotices()
-
     def take_returned(self) -> list[tuple[str, str]]:
         """Returns the ids of servers that are no longer out, and why they were out.
 
--- a/test/test_notices.py
+++ b/test/test_notices.py
@@ -98,7 +98,9 @@
     def test_notice_of_an_earlier_start_does_not_take_the_new_one_out(self):
         self.driver.add_servers(self.leaving.replace(incarnation=2))
         self.driver.apply(ev.ServerRemoved("l2", after_outage=False))
+        self.driver.take_effects()
         self.say_leaving(self.leaving)
+        self.assertEqual(self.driver.take_effects(), [])
         self.assertEqual(self.driver.decide("/safe/1").server.id, "l1")
 
     def test_lost_entry_does_not_leave_the_notice_behind_for_good(self):
@@ -681,6 +683,37 @@
         for server_id in ("l1", "l2", "l3"):
             self.assertEqual(len(self.arrivals(server_id)), 1, server_id)
 
+    async def test_mark_counts_although_the_caller_left_before_the_response(self):
+        """A settlement is not cancelled, so its response still arrives."""
+        await self.start(1, l1="ledger")
+        self.servers["l1"].behaviour = Behaviour(leaving=True, delay_s=0.3)
+        clients = [HttpClient.from_address(self.gateways[0].address) for _ in range(2)]
+        left = asyncio.create_task(self.send(self.gateways[0], "/settle/1", clients[0]))
+        await asyncio.sleep(0.1)
+        left.cancel()
+        await asyncio.sleep(0.5)
+        call = await self.send(self.gateways[0], "/settle/1", clients[1])
+        self.assertEqual((call.status, len(self.arrivals("l1"))), (503, 1))
+        clients[1].close()
+
+    async def test_mark_counts_in_a_response_to_another_request(self):
+        """A late response is skipped, but it comes from the same server."""
+        await self.start(1, l1="ledger")
+        stray = (
+            b"HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\nServer-Leaving: 1\r\n"
+            b"Content-Length: 0\r\n\r\n"
+        )
+        self.servers["l1"].behaviour = Behaviour(
+            raw=lambda head: [stray, head, b"0\r\n\r\n"]
+        )
+        client = HttpClient.from_address(self.gateways[0].address)
+        statuses = [
+            (await self.send(self.gateways[0], "/lookup/1", client)).status
+            for _ in range(2)
+        ]
+        client.close()
+        self.assertEqual(statuses, [200, 503])
+
     async def test_mark_is_logged_counted_and_not_forwarded(self):
         await self.start(1, l1="ledger")
         self.servers["l1"].behaviour = Behaviour(leaving=True)
@@ -737,7 +770,7 @@
         self.servers["l1"].behaviour = Behaviour(
             raw=lambda head: [
                 head.replace(b"200", b"503").replace(
-                    b"X-Response", b"Retry-After: 2\r\nX-Response"
+                    b"X-Response", b"Retry-After: 3\r\nX-Response"
                 )
                 + b"0\r\n\r\n"
             ]
