--- a/test/test_platform_soak.py
+++ b/test/test_platform_soak.py
@@ -76,6 +76,7 @@
         self.assertIn("stream", self.check(self.make_run("/draft/1"), calls=[stream]))
         notice = SentNotice("l1", "r1", True, 2.0, at=self.now)
         told = self.call(gateway="g1", ended_at=self.now)
+        told.headers["x-response-seal"] = "seal-of-l1"
         arrivals = [
             ReceivedRequest("POST", "/settle/1", fields, b"", self.now + 1.0)
             for number in range(2, 5)
