Play leaving and shedding services in the soak of gateways

The soak gains two faults. The servers of a service say one by one that they leave and are replaced at the same address, while their store entries still say that they are ready; and some or all servers of a service refuse requests in two waves and ask for time. Half of the time the gateways are cut off the store meanwhile. Other faults are kept away from these servers and their links, and a link is left alone for a while before, so that each response reaches its gateway. The soak records when gateways are stopped or paused, which excuses them, and which gateway each call used.

A response counts as passed on only if the caller got the signature of that server, and it is recorded under the id that the request was meant for, since ids change while requests run. The stand-in answered a stream with status 200 although its behaviour said 500 or 503, without recording the run; such a response is now no stream.

--- a/emulator/platform/server.py
+++ b/emulator/platform/server.py
@@ -38,6 +38,7 @@
 class SentNotice:
     """A response in which the server said something of itself.
 
+    :param server_id: the server that the request was meant for.
     :param request_id: the request that it responded to.
     :param at: when the head was sent, in seconds of the monotonic clock.
     :param retry_after_s: seconds for which the server wants no requests; 0 for none.
@@ -56,7 +57,8 @@
 
     :param status: response status; 503 says that the request did not run.
     :param delay_s: seconds before the head of the response.
-    :param events: number of events in a stream; 0 for a plain response.
+    :param events: number of events in a stream; 0 for a plain response. A response
+        with another status than 200 is no stream.
     :param event_gap_s: seconds between two events.
     :param cut_after: closes the connection after so many events, or after the head of a
         plain response if it is not None.
@@ -220,7 +222,12 @@
             return await self._send_raw(request, behaviour, writer)
         if behaviour.leaving or behaviour.asked_s:
             self.notices.append(
-                SentNotice(self.id, request.id, behaviour.leaving, behaviour.asked_s)
+                SentNotice(
+                    request.headers.get("x-expect-instance", self.id),
+                    request.id,
+                    behaviour.leaving,
+                    behaviour.asked_s,
+                )
             )
         if behaviour.stray:
             writer.write(_head(200, "another", self.id, 5, behaviour) + b"stray")
@@ -228,7 +235,7 @@
             writer.write(
                 b"HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
             )
-        if behaviour.events:
+        if behaviour.events and behaviour.status == 200:
             return await self._send_stream(request, behaviour, writer)
         return await self._send_plain(request, behaviour, writer)
 
--- a/emulator/platform/soak.py
+++ b/emulator/platform/soak.py
@@ -7,6 +7,7 @@
 
 import argparse
 import asyncio
+import contextlib
 import json
 import random
 import signal
@@ -38,6 +39,9 @@
 REVOCATION_LIMIT_S = 5.0
 # Seconds after the last fault in which the deployment must serve again.
 RECOVERY_S = 8.0
+# Seconds after a link fault in which connections whose data was discarded are given up,
+# so that later responses reach the gateways.
+LINK_SETTLE_S = 1.5
 # Workspace by API key.
 API_KEYS = {"key-huon": "huon", "key-derwent": "derwent", "key-tamar": "tamar"}
 PATHS = ("/lookup/1", "/settle/1", "/draft/1", "/answer/1")
@@ -97,7 +101,8 @@
         for result in results:
             if isinstance(result, BaseException):
                 raise result
-        self.history.runs = [run for s, _, _ in self._servers for run in s.runs]
+        for server, _, _ in self._servers:
+            self.history.add_server(server)
         found = find_violations(self.history, REVOCATION_LIMIT_S, API_KEYS)
         return found + self._check_recovery()
 
@@ -196,6 +201,7 @@
                 rng.choice(PATHS),
                 rng.choice(list(API_KEYS)),
                 time.monotonic(),
+                gateway=gateway.name,
             )
             self.history.calls.append(call)
             if rng.random() < 0.05:
@@ -217,6 +223,8 @@
         try:
             response = await client.request(method, call.path, headers, timeout=4.0)
             call.body = await response.read()
+            call.headers = dict(response.headers)
+            call.ended_at = time.monotonic()
             call.status = response.status
         except HttpError:
             call.status = 0
@@ -246,6 +254,22 @@
         free = [target for target in targets if id(target) not in self._faulty_ids]
         return self._random.choice(free) if free else None
 
+    @contextlib.contextmanager
+    def _reserved(self, *targets):
+        """Keeps other faults away from targets."""
+        self._faulty_ids.update(map(id, targets))
+        yield
+        self._faulty_ids.difference_update(map(id, targets))
+
+    @contextlib.contextmanager
+    def _disturbance(self, gateway: GatewayProcess):
+        """Records that a gateway is stopped or paused."""
+        spans, started_at = self.history.disturbed[gateway.name], time.monotonic()
+        spans.append((started_at, float("inf")))
+        yield
+        spans.remove((started_at, float("inf")))
+        spans.append((started_at, time.monotonic()))
+
     async def _apply_fault(
         self, target, start_fault, end_fault, max_duration_s: float = 3.0
     ) -> None:
@@ -262,11 +286,10 @@
         gateway = self._choose_target(self._gateways)
         if gateway is None:
             return
-        self._faulty_ids.add(id(gateway))
-        await end_process(gateway)
-        await asyncio.sleep(self._random.uniform(0.0, 1.0))
-        await gateway.start()
-        self._faulty_ids.discard(id(gateway))
+        with self._reserved(gateway), self._disturbance(gateway):
+            await end_process(gateway)
+            await asyncio.sleep(self._random.uniform(0.0, 1.0))
+            await gateway.start()
 
     async def _fault_gateway_killed(self) -> None:
         await self._restart_gateway(GatewayProcess.kill)
@@ -276,12 +299,15 @@
 
     async def _fault_gateway_paused(self) -> None:
         gateway = self._choose_target(self._gateways)
-        await self._apply_fault(
-            gateway,
-            lambda: gateway.signal(signal.SIGSTOP),
-            lambda: gateway.signal(signal.SIGCONT),
-            max_duration_s=7.0,
-        )
+        if gateway is None:
+            return
+        with self._disturbance(gateway):
+            await self._apply_fault(
+                gateway,
+                lambda: gateway.signal(signal.SIGSTOP),
+                lambda: gateway.signal(signal.SIGCONT),
+                max_duration_s=7.0,
+            )
 
     async def _fault_gateway_reloads(self) -> None:
         gateway = self._choose_target(self._gateways)
@@ -365,6 +391,61 @@
                 lambda: self._publish_server(server, link, service),
             )
 
+    @contextlib.asynccontextmanager
+    async def _reserved_service(self):
+        """Yields the servers of a service that are free of faults, with their links.
+
+        Half of the time, the gateways are cut off the store meanwhile.
+        """
+        service = self._random.choice(list(NORMAL_BEHAVIOUR))
+        items = [
+            item
+            for item in self._servers
+            if item[2] == service and not {id(item), id(item[1])} & self._faulty_ids
+        ]
+        links = [x for x in self._store_links if id(x) not in self._faulty_ids]
+        links = links if self._random.random() < 0.5 else []
+        with self._reserved(*items, *links, *(link for _, link, _ in items)):
+            await asyncio.sleep(LINK_SETTLE_S)
+            for link in links:
+                link.set_faults({"to_target": {"cut": True}})
+            yield items
+            for link in links:
+                link.set_faults({})
+
+    async def _fault_service_leaves(self) -> None:
+        """The servers of a service leave one by one and are replaced.
+
+        Their store entries say nothing of it.
+        """
+        async with self._reserved_service() as items:
+            for server, link, service in items:
+                normal_behaviour = NORMAL_BEHAVIOUR[service]
+                server.behaviour = replace(normal_behaviour, leaving=True)
+                await asyncio.sleep(self._random.uniform(0.5, 1.0))
+                self._store.delete(f"servers/{server.id}")
+                server.id += "x"
+                server.behaviour = normal_behaviour
+                self._publish_server(
+                    server, link, service, born=int(time.time() * 1000)
+                )
+
+    async def _fault_service_sheds(self) -> None:
+        """Some or all servers of a service refuse requests in two waves."""
+        async with self._reserved_service() as items:
+            count = self._random.randint(min(1, len(items)), len(items))
+            shedding = self._random.sample(items, count)
+            for _ in range(2):
+                asked_s = self._random.uniform(0.6, 1.5)
+                for server, _, service in shedding:
+                    server.behaviour = replace(
+                        NORMAL_BEHAVIOUR[service], status=503, retry_after_s=asked_s
+                    )
+                await asyncio.sleep(self._random.uniform(0.5, 1.0))
+                for server, _, service in shedding:
+                    server.behaviour = NORMAL_BEHAVIOUR[service]
+                await asyncio.sleep(asked_s)
+
     async def _fault_store(self) -> None:
         """Lets the store refuse, hang, be slow, report no changes or lose responses."""
         name, value, normal = self._random.choice(
@@ -423,6 +504,7 @@
             "seed": seed,
             "calls": len(soak.history.calls),
             "runs": len(soak.history.runs),
+            "notices": len(soak.history.notices),
             "statuses": count_statuses(soak.history),
             "faults": dict(soak.faults),
             "violations": found[:20],
--- a/emulator/platform/soak_checks.py
+++ b/emulator/platform/soak_checks.py
@@ -107,9 +107,9 @@
 ) -> list[str]:
     """Checks what reached servers from gateways that they had told not to send it.
 
-    A server counts as leaving for a gateway once that has passed on a response that says
-    so. It counts as busy from :data:`ON_THE_WAY_S` after a response that asks for time,
-    unless the caller did not wait for the outcome.
+    A server counts as leaving for a gateway once that has passed on a response, with the
+    server's signature, that says so. It counts as busy from :data:`ON_THE_WAY_S` after a
+    response that asks for time, unless the caller did not wait for the outcome.
 
     :param max_while_busy: requests that may reach a busy server from one gateway.
     :returns: one line for each violation.
@@ -132,7 +132,8 @@
             if at > notice.at and not history.was_disturbed(call.gateway, notice.at, at)
         ]
         text = f"{notice.server_id} from {call.gateway}, told by {call.id}"
-        if notice.leaving and call.status == 200:
+        seal = call.headers.get("x-response-seal")
+        if notice.leaving and seal == f"seal-of-{notice.server_id}":
             late = [c.id for _, c in later if c.sent_at > call.ended_at]
             if late:
                 found.append(f"leaving: {late} reached {text}")
