--- a/heatherswitch/gateway/reducer.py
+++ b/heatherswitch/gateway/reducer.py
@@ -169,6 +169,8 @@
                 return self._on_response_started(now, event)
             case ev.AttemptStalled():
                 return self._on_attempt_stalled(now, event)
+            case ev.NoticeReceived():
+                return self._on_notice(now, event)
             case ev.AttemptEnded():
                 return self._on_attempt_ended(now, event)
             case ev.CallerDisconnected():
@@ -227,9 +229,23 @@
                 self._servers.expire(now)
                 self._retry_budget.set_rate(now, 0.0, self._retry_budget_burst(now))
                 self._rollouts.tick(now)
-                return self._quarantine_changed(now, self._quarantine.expire(now))
+                return [
+                    *self._returned_servers(),
+                    *self._quarantine_changed(now, self._quarantine.expire(now)),
+                ]
         return self._dispatch_waiting(now)
 
+    def _returned_servers(self) -> list[ev.Effect]:
+        returned = self._servers.take_returned()
+        return [ev.ServerReturned(server_id, reason) for server_id, reason in returned]
+
+    def _on_notice(self, now: float, event: ev.NoticeReceived) -> list[ev.Effect]:
+        """Takes a server out that says that it is leaving or wants no requests."""
+        reason = self._servers.take_out(now, event.server, event.leaving, event.busy_s)
+        if not reason:
+            return []
+        return [ev.ServerTakenOut(event.server.id, event.request_id, reason)]
+
     def _retry_budget_burst(self, now: float) -> float:
         routers = self._fleet.size_upper_bound(now)
         return max(1.0, RETRY_BUDGET_SHARE * self._limits.budget_slack / routers)
@@ -270,7 +286,12 @@
         if isinstance(choice, Choice):
             return [self._forward(now, serial, pending, choice)]
         if choice.eligible == 0:
-            return self._end_unserved(serial, pending, "no server is available")
+            return self._end_unserved(
+                serial,
+                pending,
+                "no server is available",
+                self._retry_after_s(now, pending),
+            )
         return self._enqueue(now, serial, pending, choice.wait_s)
 
     def _on_peer_reply(
@@ -304,6 +325,7 @@
         state = choice.server
         state.take_cold_token(now)
         state.in_flight += 1
+        state.notices.start_request(serial)
         self._peers.note_changed(state)
         pending.current_server = state
         pending.first_byte_s = None
@@ -332,17 +354,20 @@
     ) -> list[ev.Effect]:
         """Queues a request, or refuses it.
 
-        It is refused if it would wait for a cold server longer than
-        ``MAX_WAIT_TIME_SHARE`` of the time left until its deadline, or if the queue is
-        full of requests that are at least as urgent. Otherwise, it displaces the least
-        urgent request of a full queue.
+        It is refused if it would wait for a cold server, or for one that wants no
+        requests for some time, longer than ``MAX_WAIT_TIME_SHARE`` of the time left
+        until its deadline, or if the queue is full of requests that are at least as
+        urgent. Otherwise, it displaces the least urgent request of a full queue.
 
-        :param wait_s: seconds until a cold server takes one more request; infinite if
-            that depends on other requests ending.
+        :param wait_s: seconds until a server takes one more request; infinite if that
+            depends on other requests ending.
         """
         longest_s = MAX_WAIT_TIME_SHARE * (pending.deadline_at - now)
         if longest_s < wait_s < float("inf"):
-            return self._end_unserved(serial, pending, "the servers are cold", wait_s)
+            retry_after_s = self._placer.retry_after_s(now, pending) or wait_s
+            return self._end_unserved(
+                serial, pending, "the servers are cold or busy", retry_after_s
+            )
         queue = self._queues.setdefault(pending.service.name, RequestQueue())
         queued = QueuedRequest(pending.priority, now, serial, now + longest_s)
         effects: list[ev.Effect] = []
@@ -359,10 +384,16 @@
         slots = sum(s.record.slots for s in self._servers.for_service(service.name))
         return max(MIN_QUEUE_LENGTH, int(QUEUE_SLOT_RATIO * slots / self._fleet.size))
 
-    def _refuse_queued(self, queued: QueuedRequest, reason: str) -> list[ev.Effect]:
+    def _refuse_queued(
+        self, queued: QueuedRequest, reason: str, retry_after_s: float = RETRY_BUSY_S
+    ) -> list[ev.Effect]:
         pending = self._pending[queued.serial]
         self._queues[pending.service.name].discard(queued.serial)
-        return self._end_unserved(queued.serial, pending, reason)
+        return self._end_unserved(queued.serial, pending, reason, retry_after_s)
+
+    def _retry_after_s(self, now: float, pending: Pending) -> float:
+        """Returns the seconds after which a server is likely to take the request."""
+        return self._placer.retry_after_s(now, pending) or RETRY_BUSY_S
 
     def _dispatch_waiting(self, now: float) -> list[ev.Effect]:
         effects: list[ev.Effect] = []
@@ -380,7 +411,17 @@
                     queue.discard(queued.serial)
                     effects.append(self._forward(now, queued.serial, pending, choice))
                 elif choice.eligible == 0:
-                    effects += self._refuse_queued(queued, "no server is available")
+                    effects += self._refuse_queued(
+                        queued,
+                        "no server is available",
+                        self._retry_after_s(now, pending),
+                    )
+                elif choice.busy and now + choice.wait_s > queued.expires_at:
+                    effects += self._refuse_queued(
+                        queued,
+                        "the servers are cold or busy",
+                        self._retry_after_s(now, pending),
+                    )
                 else:
                     break
         return effects
@@ -398,6 +439,7 @@
             pending.current_server.set_reported_load(now, event.load)
         pending.current_server.extend_cold_period(now, event.cold_for_s)
         if event.success:
+            pending.current_server.notices.end_request(event.serial, taken=True)
             self._prefixes.add(
                 pending.request.shared_parts, pending.current_server.record.id
             )
@@ -439,6 +481,9 @@
             return []
         state, pending.current_server = pending.current_server, None
         state.in_flight -= 1
+        state.notices.end_request(
+            event.serial, isinstance(event.outcome, ev.Completed | ev.FailedAnswer)
+        )
         self._peers.note_changed(state)
         effects = self._on_outcome(
             now, event.serial, pending, state, event.outcome, replacement
@@ -507,7 +552,9 @@
             return self._end_quarantined(serial, pending)
         choice = replacement or self._choose_for_retry(now, pending, arrived)
         if isinstance(choice, str):
-            return self._end_unserved(serial, pending, choice)
+            return self._end_unserved(
+                serial, pending, choice, self._retry_after_s(now, pending)
+            )
         if isinstance(choice, NoChoice):
             if (
                 choice.eligible
@@ -515,7 +562,12 @@
                 and not pending.partly_delivered
             ):
                 return self._enqueue(now, serial, pending, choice.wait_s)
-            return self._end_unserved(serial, pending, "no other server is available")
+            return self._end_unserved(
+                serial,
+                pending,
+                "no other server is available",
+                self._retry_after_s(now, pending),
+            )
         if arrived:
             self._retry_budget.take(now)
         return [self._forward(now, serial, pending, choice)]
@@ -621,6 +673,7 @@
             self._queues[pending.service.name].discard(event.serial)
         if pending.current_server is not None:
             pending.current_server.in_flight -= 1
+            pending.current_server.notices.end_request(event.serial, taken=False)
             self._peers.note_changed(pending.current_server)
         return self._dispatch_waiting(now)
 
--- a/heatherswitch/gateway/relay.py
+++ b/heatherswitch/gateway/relay.py
@@ -64,6 +64,8 @@
     :param on_stalled: called when a server made no progress for the stall timeout, with
         the seconds without progress and whether part of the response was delivered. The
         attempt goes on unless it raises an exception.
+    :param on_notice: called with the head of each response, also one to another request,
+        in which the server says something of itself.
     """
 
     __slots__ = (
@@ -73,6 +75,7 @@
         "_discarded",
         "_interrupted",
         "_last_event_id",
+        "_on_notice",
         "_on_response_started",
         "_on_stalled",
         "_pool",
@@ -94,6 +97,7 @@
         responder: Responder,
         on_response_started: Callable[[ev.Forward, ResponseHead, float], None],
         on_stalled: Callable[[ev.Forward, float, bool], None],
+        on_notice: Callable[[ev.Forward, ResponseHead], None],
     ) -> None:
         self._codec = codec
         self._pool = pool
@@ -103,6 +107,7 @@
         self._responder = responder
         self._on_response_started = on_response_started
         self._on_stalled = on_stalled
+        self._on_notice = on_notice
         self._buffered_response: BufferedResponse | None = None
         self._last_event_id: int | None = None
         self._response_started = False
@@ -241,6 +246,8 @@
                 for name, value in response.headers
             ]
             head = self._codec.decode_answer(response.status_code, raw_headers)
+            if head.leaving or head.busy_s:
+                self._on_notice(forward, head)
             if head.request_id == self._request_id:
                 return head, raw_headers
             if not head.request_id and head.not_run:
--- a/heatherswitch/gateway/shell.py
+++ b/heatherswitch/gateway/shell.py
@@ -49,6 +49,8 @@
 # responds within milliseconds; if it is down, callers must be refused before they give
 # up, the most hurried ones after a third of a deadline of one and a half seconds.
 START_WAIT_S = 0.3
+# Smallest value of Retry-After, in seconds. Smaller ones would need an exponent.
+MIN_RETRY_AFTER_S = 0.001
 # Decimal places to which log lines round seconds.
 LOG_DECIMALS = 4
 
@@ -330,6 +332,9 @@
             if isinstance(effect, ev.CrashEffect | QuarantineChange):
                 self._handle_crash_effect(effect)
                 continue
+            if isinstance(effect, ev.ServerEffect):
+                self._log_server_change(effect)
+                continue
             future = self._effect_futures.get(effect.serial)
             if future is not None and not future.done():
                 future.set_result(effect)
@@ -402,6 +407,11 @@
             lambda forward, stalled_s, started: self._on_stalled(
                 serial, caller_request, forward, stalled_s, started
             ),
+            lambda forward, head: self._apply(
+                ev.NoticeReceived(
+                    forward.server, caller_request.id, head.leaving, head.busy_s
+                )
+            ),
         )
         self._relays[serial] = relay
         arrived_at = self._clock.now()
@@ -517,7 +527,8 @@
                 status = effect.status
                 headers = []
                 if effect.retry_after_s is not None:
-                    headers.append(("Retry-After", f"{effect.retry_after_s:g}"))
+                    seconds = max(MIN_RETRY_AFTER_S, round(effect.retry_after_s, 3))
+                    headers.append(("Retry-After", f"{seconds:g}"))
                 await responder.send(status, b"", headers)
             case ev.Relay():
                 await relay.deliver_buffered()
@@ -577,6 +588,23 @@
             },
         )
 
+    def _log_server_change(self, effect: ev.ServerEffect) -> None:
+        self._telemetry.count_server_change(effect)
+        if isinstance(effect, ev.ServerTakenOut):
+            log.info(
+                "server taken out",
+                extra={
+                    "server": effect.server_id,
+                    "request": effect.request_id,
+                    "reason": effect.reason,
+                },
+            )
+        else:
+            log.info(
+                "server returned",
+                extra={"server": effect.server_id, "reason": effect.reason},
+            )
+
     # Background work
 
     async def _poll_waiting_requests(self) -> None:
--- a/heatherswitch/gateway/upstream.py
+++ b/heatherswitch/gateway/upstream.py
@@ -98,6 +98,8 @@
     :param load: load that the server reports, or None.
     :param length: bytes of the body; None if not stated.
     :param cold_s: seconds for which the server reports that it stays cold.
+    :param leaving: the server is shutting down and must get no new requests.
+    :param busy_s: seconds for which the server wants no requests; 0 for none.
     """
 
     __slots__ = (
@@ -111,6 +113,8 @@
         "load",
         "length",
         "cold_s",
+        "leaving",
+        "busy_s",
     )
 
     def __init__(
@@ -125,6 +129,8 @@
         load: Load | None,
         length: int | None,
         cold_s: float,
+        leaving: bool = False,
+        busy_s: float = 0.0,
     ) -> None:
         self.status = status
         self.headers = headers
@@ -136,6 +142,8 @@
         self.load = load
         self.length = length
         self.cold_s = cold_s
+        self.leaving = leaving
+        self.busy_s = busy_s
 
 
 class ServerConnection(asyncio.Protocol):
--- a/heatherswitch/platform/headers.py
+++ b/heatherswitch/platform/headers.py
@@ -3,6 +3,7 @@
 import logging
 
 from heatherswitch.gateway.model import CallerRequest, Load, PromptPart
+from heatherswitch.gateway.notices import MAX_BUSY_S
 from heatherswitch.gateway.upstream import ResponseHead, UpstreamContext
 from heatherswitch.platform import names
 from heatherswitch.util.http import BadRequest, Headers, Request
@@ -22,6 +23,8 @@
     }
 )
 
+_UNFORWARDED_HEADERS = names.HOP_BY_HOP_HEADERS | names.GATEWAY_ONLY_HEADERS
+
 
 def decode_request(request: Request) -> CallerRequest:
     """Returns the header fields of a caller's request that routing needs.
@@ -129,23 +132,63 @@
 def decode_response(status: int, headers: Headers) -> ResponseHead:
     """Returns the status and decoded headers of a backend server's response.
 
-    Malformed load, length and cold-start headers are ignored.
+    Malformed load, length and cold-start headers are ignored. What a different server at
+    the address says of itself is ignored too.
     """
     fields = dict(headers)
+    other_instance = status == names.STATUS_OTHER_INSTANCE
     return ResponseHead(
         status=status,
-        headers=[(n, v) for n, v in headers if n not in names.HOP_BY_HOP_HEADERS],
+        headers=[(n, v) for n, v in headers if n not in _UNFORWARDED_HEADERS],
         request_id=fields.get(names.ATTEMPT_ID, ""),
         sealed=names.RESPONSE_SEAL in fields,
-        not_run=names.NOT_EXECUTED in fields or status == names.STATUS_OTHER_INSTANCE,
-        other_instance=status == names.STATUS_OTHER_INSTANCE,
+        not_run=names.NOT_EXECUTED in fields or other_instance,
+        other_instance=other_instance,
         encoded="content-encoding" in fields,
         load=_parse_load(fields.get(names.SERVER_LOAD, "")),
         length=_parse_content_length(fields.get("content-length")),
         cold_s=_parse_cold_s(fields.get(names.COLD_MS)),
+        leaving=not other_instance and _parse_leaving(headers),
+        busy_s=_parse_busy_s(headers) if status == names.STATUS_BUSY else 0.0,
     )
 
 
+def _parse_busy_s(headers: Headers) -> float:
+    """Returns the seconds for which the server wants no requests; 0 for none.
+
+    Values that are no finite number of seconds have no effect, and longer times than
+    :data:`MAX_BUSY_S` count as that. The longest of several values counts.
+    """
+    values = [v.strip() for n, v in headers if n == names.RETRY_AFTER]
+    busy_s, invalid = 0.0, len(values) > 1
+    for value in values:
+        try:
+            seconds = float(value)
+        except ValueError:
+            seconds = -1.0
+        if 0 <= seconds < float("inf"):
+            busy_s = max(busy_s, min(seconds, MAX_BUSY_S))
+        invalid = invalid or not 0 <= seconds <= MAX_BUSY_S
+    if invalid:
+        log.info(
+            "malformed or excessive retry time",
+            extra={"value": repr(values)[:100], "busy_s": busy_s},
+        )
+    return busy_s
+
+
+def _parse_leaving(headers: Headers) -> bool:
+    """Tells whether the server says that it is leaving.
+
+    If the header is repeated, one valid value is enough: a request sent to a server that
+    is leaving may be lost, while a server taken out by mistake is only idle.
+    """
+    values = [v.strip() for n, v in headers if n == names.SERVER_LEAVING]
+    if values and values != ["1"]:
+        log.info("malformed leaving header", extra={"value": repr(values)[:100]})
+    return "1" in values
+
+
 def _parse_cold_s(text: str | None) -> float:
     try:
         return max(0.0, float(text or 0) / 1000)
