--- a/emulator/platform/soak.py
+++ b/emulator/platform/soak.py
@@ -7,6 +7,7 @@
 
 import argparse
 import asyncio
+import contextlib
 import json
 import random
 import signal
@@ -47,6 +48,9 @@
 RECOVERY_S = 8.0
 # Seconds that a caller waits for a response.
 CALL_TIMEOUT_S = 3.0
+# Seconds after a link fault in which connections whose data was discarded are given up,
+# so that later responses reach the gateways.
+LINK_SETTLE_S = 1.5
 # Workspace by API key.
 API_KEYS = {"key-huon": "huon", "key-derwent": "derwent", "key-tamar": "tamar"}
 PATHS = ("/lookup/1", "/settle/1", "/draft/1", "/answer/1")
@@ -107,7 +111,8 @@
         for result in results:
             if isinstance(result, BaseException):
                 raise result
-        self.history.runs = [run for s, _, _ in self._servers for run in s.runs]
+        for server, _, _ in self._servers:
+            self.history.add_server(server)
         found = find_violations(self.history, REVOCATION_LIMIT_S, API_KEYS)
         return found + self._check_recovery()
 
@@ -232,6 +237,7 @@
                 method, call.path, headers, timeout=CALL_TIMEOUT_S + 1.0
             )
             call.body = await response.read()
+            call.headers = dict(response.headers)
             call.status = response.status
         except HttpError as error:
             call.status = 0
@@ -265,6 +271,22 @@
         free = [target for target in targets if id(target) not in self._faulty_ids]
         return self._random.choice(free) if free else None
 
+    @contextlib.contextmanager
+    def _reserved(self, *targets):
+        """Keeps other faults away from targets."""
+        self._faulty_ids.update(map(id, targets))
+        yield
+        self._faulty_ids.difference_update(map(id, targets))
+
+    @contextlib.contextmanager
+    def _disturbance(self, gateway: GatewayProcess):
+        """Records that a gateway is stopped or paused."""
+        spans, started_at = self.history.disturbed[gateway.name], time.monotonic()
+        spans.append((started_at, float("inf")))
+        yield
+        spans.remove((started_at, float("inf")))
+        spans.append((started_at, time.monotonic()))
+
     async def _apply_fault(
         self,
         target,
@@ -294,11 +316,10 @@
         gateway = self._choose_target(self._gateways)
         if gateway is None:
             return
-        self._faulty_ids.add(id(gateway))
-        await end_process(gateway)
-        await asyncio.sleep(self._random.uniform(0.0, 1.0))
-        await gateway.start()
-        self._faulty_ids.discard(id(gateway))
+        with self._reserved(gateway), self._disturbance(gateway):
+            await end_process(gateway)
+            await asyncio.sleep(self._random.uniform(0.0, 1.0))
+            await gateway.start()
 
     async def _kill_gateway(self, gateway: GatewayProcess) -> None:
         interval = Interval(gateway.name, time.monotonic())
@@ -344,13 +365,16 @@
 
     async def _fault_gateway_paused(self) -> None:
         gateway = self._choose_target(self._gateways)
-        await self._apply_fault(
-            gateway,
-            lambda: gateway.signal(signal.SIGSTOP),
-            lambda: gateway.signal(signal.SIGCONT),
-            max_duration_s=7.0,
-            impaired=gateway.name if gateway else "",
-        )
+        if gateway is None:
+            return
+        with self._disturbance(gateway):
+            await self._apply_fault(
+                gateway,
+                lambda: gateway.signal(signal.SIGSTOP),
+                lambda: gateway.signal(signal.SIGCONT),
+                max_duration_s=7.0,
+                impaired=gateway.name,
+            )
 
     async def _fault_gateway_reloads(self) -> None:
         gateway = self._choose_target(self._gateways)
@@ -436,6 +460,61 @@
                 lambda: self._publish_server(server, link, service),
             )
 
+    @contextlib.asynccontextmanager
+    async def _reserved_service(self):
+        """Yields the servers of a service that are free of faults, with their links.
+
+        Half of the time, the gateways are cut off the store meanwhile.
+        """
+        service = self._random.choice(list(NORMAL_BEHAVIOUR))
+        items = [
+            item
+            for item in self._servers
+            if item[2] == service and not {id(item), id(item[1])} & self._faulty_ids
+        ]
+        links = [x for x in self._store_links if id(x) not in self._faulty_ids]
+        links = links if self._random.random() < 0.5 else []
+        with self._reserved(*items, *links, *(link for _, link, _ in items)):
+            await asyncio.sleep(LINK_SETTLE_S)
+            for link in links:
+                link.set_faults({"to_target": {"cut": True}})
+            yield items
+            for link in links:
+                link.set_faults({})
+
+    async def _fault_service_leaves(self) -> None:
+        """The servers of a service leave one by one and are replaced.
+
+        Their store entries say nothing of it.
+        """
+        async with self._reserved_service() as items:
+            for server, link, service in items:
+                normal_behaviour = NORMAL_BEHAVIOUR[service]
+                server.behaviour = replace(normal_behaviour, leaving=True)
+                await asyncio.sleep(self._random.uniform(0.5, 1.0))
+                self._store.delete(f"servers/{server.id}")
+                server.id += "x"
+                server.behaviour = normal_behaviour
+                self._publish_server(
+                    server, link, service, born=int(time.time() * 1000)
+                )
+
+    async def _fault_service_sheds(self) -> None:
+        """Some or all servers of a service refuse requests in two waves."""
+        async with self._reserved_service() as items:
+            count = self._random.randint(min(1, len(items)), len(items))
+            shedding = self._random.sample(items, count)
+            for _ in range(2):
+                asked_s = self._random.uniform(0.6, 1.5)
+                for server, _, service in shedding:
+                    server.behaviour = replace(
+                        NORMAL_BEHAVIOUR[service], status=503, retry_after_s=asked_s
+                    )
+                await asyncio.sleep(self._random.uniform(0.5, 1.0))
+                for server, _, service in shedding:
+                    server.behaviour = NORMAL_BEHAVIOUR[service]
+                await asyncio.sleep(asked_s)
+
     async def _fault_store(self) -> None:
         """Lets the store refuse, hang, be slow, report no changes or lose responses."""
         name, value, normal = self._random.choice(
@@ -496,6 +575,7 @@
             "seed": seed,
             "calls": len(soak.history.calls),
             "runs": len(soak.history.runs),
+            "notices": len(soak.history.notices),
             "statuses": count_statuses(soak.history),
             "calls_during_stops": len(during_stops),
             "calls_run_during_stops": sum(c.id in run_ids for c in during_stops),
--- a/emulator/platform/soak_checks.py
+++ b/emulator/platform/soak_checks.py
@@ -3,7 +3,7 @@
 from collections import Counter, defaultdict
 from dataclasses import dataclass, field
 
-from emulator.platform.server import ReceivedRequest
+from emulator.platform.server import PlatformServer, ReceivedRequest, SentNotice
 
 # Statuses by which a gateway guarantees that a request has not run and never will.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
@@ -14,6 +14,10 @@
 # Seconds after the last byte of a request in which a connection may close without an
 # answer if no server got the request, since the request and the close may have crossed.
 LOSS_SLACK_S = 0.2
+# Seconds after a server asked for no requests within which those on their way arrive.
+ON_THE_WAY_S = 0.5
+# Requests that may reach such a server from one gateway after that.
+MAX_ARRIVALS_WHILE_BUSY = 2
 
 
 @dataclass(slots=True)
@@ -35,6 +39,7 @@
     sent_at: float
     status: int = 0
     body: bytes = b""
+    headers: dict[str, str] = field(default_factory=dict)
     gateway: str = ""
     ended_at: float = 0.0
     lost: bool = False
@@ -69,6 +74,9 @@
     :param stops: planned stops, from SIGTERM to the end of the process.
     :param failed_stops: descriptions of stops that ended badly.
     :param impairments: faults of gateways, servers and the links to servers.
+    :param arrivals: all requests that reached backend servers.
+    :param notices: all responses in which servers said that they leave or are busy.
+    :param disturbed: for each gateway, when it was stopped or paused, and until when.
     """
 
     calls: list[Call] = field(default_factory=list)
@@ -78,6 +86,24 @@
     stops: list[Interval] = field(default_factory=list)
     failed_stops: list[str] = field(default_factory=list)
     impairments: list[Interval] = field(default_factory=list)
+    arrivals: list[ReceivedRequest] = field(default_factory=list)
+    notices: list[SentNotice] = field(default_factory=list)
+    disturbed: dict[str, list[tuple[float, float]]] = field(
+        default_factory=lambda: defaultdict(list)
+    )
+
+    def add_server(self, server: PlatformServer) -> None:
+        """Adds what a backend server has recorded."""
+        self.runs += server.runs
+        self.arrivals += server.received
+        self.notices += server.notices
+
+    def was_disturbed(self, gateway: str, since: float, until: float) -> bool:
+        """Tells whether a gateway was stopped or paused in a span of time."""
+        return any(
+            start < until and end > since
+            for start, end in self.disturbed.get(gateway, ())
+        )
 
 
 def find_violations(
@@ -106,7 +132,8 @@
         found += _check_response(call, runs[call.id], history.events)
     for call in calls_during_stops(history):
         found += _check_loss(call, runs[call.id])
-    return found + [f"stop: {text}" for text in history.failed_stops]
+    found += [f"stop: {text}" for text in history.failed_stops]
+    return found + find_unwanted_arrivals(history)
 
 
 def calls_during_stops(history: History) -> list[Call]:
@@ -143,6 +170,48 @@
     return []
 
 
+def find_unwanted_arrivals(
+    history: History, max_while_busy: int = MAX_ARRIVALS_WHILE_BUSY
+) -> list[str]:
+    """Checks what reached servers from gateways that they had told not to send it.
+
+    A server counts as leaving for a gateway once that has passed on a response, with the
+    server's signature, that says so. It counts as busy from :data:`ON_THE_WAY_S` after a
+    response that asks for time, unless the caller did not wait for the outcome.
+
+    :param max_while_busy: requests that may reach a busy server from one gateway.
+    :returns: one line for each violation.
+    """
+    calls = {call.id: call for call in history.calls}
+    arrivals = defaultdict(list)
+    for arrival in history.arrivals:
+        call = calls.get(arrival.id)
+        if call is not None:
+            server_id = arrival.headers.get("x-expect-instance")
+            arrivals[server_id, call.gateway].append((arrival.at, call))
+    found = []
+    for notice in history.notices:
+        call = calls.get(notice.request_id)
+        if call is None or not call.status:
+            continue
+        later = [
+            (at, later_call)
+            for at, later_call in arrivals[notice.server_id, call.gateway]
+            if at > notice.at and not history.was_disturbed(call.gateway, notice.at, at)
+        ]
+        text = f"{notice.server_id} from {call.gateway}, told by {call.id}"
+        seal = call.headers.get("x-response-seal")
+        if notice.leaving and seal == f"seal-of-{notice.server_id}":
+            late = [c.id for _, c in later if c.sent_at > call.ended_at]
+            if late:
+                found.append(f"leaving: {late} reached {text}")
+        since, until = notice.at + ON_THE_WAY_S, notice.at + notice.retry_after_s
+        unwanted = [c.id for at, c in later if since < at < until]
+        if len(unwanted) > max_while_busy:
+            found.append(f"busy: {unwanted} reached {text}")
+    return found
+
+
 def _check_runs(
     call, request_runs, history, revocation_limit_s, workspaces
 ) -> list[str]:
--- a/heatherswitch/gateway/events.py
+++ b/heatherswitch/gateway/events.py
@@ -176,6 +176,33 @@
         self.event_interval_s = event_interval_s
 
 
+class NoticeReceived(Record):
+    """A backend server said in a response that it is leaving or wants no requests.
+
+    It is separate from :class:`ResponseStarted`, since it also counts if the caller has
+    left or the response belongs to another request.
+
+    :param server: the server as the request was sent to it.
+    :param request_id: id of the caller's request, for the log.
+    :param busy_s: seconds for which it wants no requests; 0 for none.
+    """
+
+    __slots__ = (
+        "server",
+        "request_id",
+        "leaving",
+        "busy_s",
+    )
+
+    def __init__(
+        self, server: Server, request_id: str, leaving: bool, busy_s: float = 0.0
+    ) -> None:
+        self.server = server
+        self.request_id = request_id
+        self.leaving = leaving
+        self.busy_s = busy_s
+
+
 class AttemptEnded(Record):
     """An attempt to serve a request at a backend server ended."""
 
@@ -511,6 +538,7 @@
     | ResponseStarted
     | AttemptStalled
     | StreamProgressed
+    | NoticeReceived
     | AttemptEnded
     | CallerDisconnected
     | ConfigurationRead
@@ -784,8 +812,44 @@
         self.parts = parts
 
 
+class ServerTakenOut(Record):
+    """A backend server gets no new requests, as it asked for in a response.
+
+    :param request_id: id of the caller's request that it responded to.
+    :param reason: ``leaving`` or ``busy``.
+    """
+
+    __slots__ = (
+        "server_id",
+        "request_id",
+        "reason",
+    )
+
+    def __init__(self, server_id: str, request_id: str, reason: str) -> None:
+        self.server_id = server_id
+        self.request_id = request_id
+        self.reason = reason
+
+
+class ServerReturned(Record):
+    """A backend server that was taken out gets requests again.
+
+    :param reason: why it was taken out.
+    """
+
+    __slots__ = (
+        "server_id",
+        "reason",
+    )
+
+    def __init__(self, server_id: str, reason: str) -> None:
+        self.server_id = server_id
+        self.reason = reason
+
+
 CrashEffect = PublishCrash | PublishCleared
 PeerEffect = SendCounts | ReplyToPeer | SendCrash | RejectPeerMessage
+ServerEffect = ServerTakenOut | ServerReturned
 Effect = (
     Forward
     | KeepWaiting
@@ -798,4 +862,5 @@
     | PeerEffect
     | CrashEffect
     | QuarantineChange
+    | ServerEffect
 )
--- a/heatherswitch/gateway/relay.py
+++ b/heatherswitch/gateway/relay.py
@@ -102,6 +102,8 @@
         attempt goes on unless it raises an exception.
     :param on_stream_progress: called at the first event of a stream and when the
         interval between its events is known.
+    :param on_notice: called with the head of each response, also one to another request,
+        in which the server says something of itself.
     """
 
     __slots__ = (
@@ -111,6 +113,7 @@
         "_discarded",
         "_interrupted",
         "_last_event_id",
+        "_on_notice",
         "_on_response_started",
         "_on_stalled",
         "_on_stream_progress",
@@ -136,6 +139,7 @@
         on_response_started: Callable[[ev.Forward, ResponseHead, float], None],
         on_stalled: Callable[[ev.Forward, float, bool], None],
         on_stream_progress: Callable[[ResponseTiming], None],
+        on_notice: Callable[[ev.Forward, ResponseHead], None],
     ) -> None:
         self._codec = codec
         self._pool = pool
@@ -146,6 +150,7 @@
         self._on_response_started = on_response_started
         self._on_stalled = on_stalled
         self._on_stream_progress = on_stream_progress
+        self._on_notice = on_notice
         self._buffered_response: BufferedResponse | None = None
         self._last_event_id: int | None = None
         self._response_started = False
@@ -299,6 +304,8 @@
                 for name, value in response.headers
             ]
             head = self._codec.decode_answer(response.status_code, raw_headers)
+            if head.leaving or head.busy_s:
+                self._on_notice(forward, head)
             if head.request_id == self._request_id:
                 return head, raw_headers
             if not head.request_id and head.not_run:
--- a/heatherswitch/gateway/upstream.py
+++ b/heatherswitch/gateway/upstream.py
@@ -103,6 +103,8 @@
     :param load: load that the server reports, or None.
     :param length: bytes of the body; None if not stated.
     :param cold_s: seconds for which the server reports that it stays cold.
+    :param leaving: the server is shutting down and must get no new requests.
+    :param busy_s: seconds for which the server wants no requests; 0 for none.
     """
 
     __slots__ = (
@@ -116,6 +118,8 @@
         "load",
         "length",
         "cold_s",
+        "leaving",
+        "busy_s",
     )
 
     def __init__(
@@ -130,6 +134,8 @@
         load: Load | None,
         length: int | None,
         cold_s: float,
+        leaving: bool = False,
+        busy_s: float = 0.0,
     ) -> None:
         self.status = status
         self.headers = headers
@@ -141,6 +147,8 @@
         self.load = load
         self.length = length
         self.cold_s = cold_s
+        self.leaving = leaving
+        self.busy_s = busy_s
 
 
 class ServerConnection(asyncio.Protocol):
