Let old crash reports expire behind one from a wrong clock

Callers with a quarantined part would be refused past the ten minutes for which reports count, until the store has removed each report.

Cause: expire() went through the reports in order of arrival and ended at the first one that was not old. One report from a gateway whose clock is ahead stopped it. It now looks at all reports, and drops those that are as far in the future.

Evidence: a report at 9e9 s before three others. The test failed with {'session': 3} != {} at ten minutes.

--- a/heatherswitch/gateway/prompt_quarantine.py
+++ b/heatherswitch/gateway/prompt_quarantine.py
@@ -244,14 +244,12 @@
         return self._update(changed)
 
     def expire(self, now: float) -> QuarantineChange | None:
-        """Removes reports older than :data:`REPORT_TTL_S`; returns as :meth:`add`."""
-        expired = []
-        while self._reports:
-            oldest = next(iter(self._reports.values()))
-            if now - oldest.at < REPORT_TTL_S:
-                break
-            expired.append(self._delete(oldest.id))
-        return self._update(expired) if expired else None
+        """Removes reports older than :data:`REPORT_TTL_S`; returns as :meth:`add`.
+
+        Those that far in the future come from a gateway whose clock is wrong.
+        """
+        old = [r.id for r in self._reports.values() if abs(now - r.at) >= REPORT_TTL_S]
+        return self._update([self._delete(i) for i in old]) if old else None
 
     def _is_completed(self, now: float, part: str) -> bool:
         completed_at = self._completed_at.get(part)
--- a/test/test_prompt_quarantine.py
+++ b/test/test_prompt_quarantine.py
@@ -417,6 +417,19 @@
             self.driver.add_servers(*(s.replace(incarnation=2) for s in self.servers))
         self.assertIsInstance(self.decide("root", "deadly", "own"), ev.Refuse)
 
+    def test_report_from_a_wrong_clock_keeps_no_other_report(self):
+        """The first report that was not old ended the search for old ones."""
+        quarantine = PromptQuarantine("g")
+        quarantine.add(CrashReport("h/1", "e9", 1, 9e9, 9e9, ("root",)))
+        for number in range(3):
+            at = 100.0 + number
+            report = CrashReport(f"g/{number}", f"e{number}", 1, at, at, ("session",))
+            quarantine.add(report)
+        self.assertEqual(len(quarantine.crash_counts), 1)
+        quarantine.expire(102.0 + REPORT_TTL_S)
+        self.assertEqual(quarantine.crash_counts, {})
+        self.assertEqual(quarantine._reports, {})
+
     def test_last_part_of_a_prompt_is_never_suspected(self):
         """It belongs to one request or session, so it tells nothing about others."""
         for _ in range(3):
