--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")/../.." || exit 2
+export PYTHONPATH=target/deps:. PYTHONDONTWRITEBYTECODE=1
+exec python3 -S -m review.5.case
