--- a/review/5/case.py
+++ b/review/5/case.py
@@ -20,7 +20,7 @@
 # Line end of the streams: one of the three that text/event-stream allows.
 LINE_END = b"\r"
 PIECES = 8
-STREAMS = 40
+STREAMS = 50
 # The stream that a worker breaks off, after so many pieces: one of STREAMS.
 BROKEN_STREAM = 20
 BROKEN_AFTER = 4
