--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,11 +1,13 @@
-"""A resumed stream whose lines end with CR is delivered with its first pieces twice."""
+"""A part that crashes workers after the first piece of an answer stays unnoticed."""
 
 import asyncio
-import re
+import time
+from collections.abc import Iterator
 from pathlib import Path
 
 from review.standins.clients import Answer, Client
 from review.standins.deployment import (
+    BOUNDS,
     HOST,
     KEY,
     Deployment,
@@ -17,89 +19,148 @@
 )
 from review.standins.workers import SEAL, Connection, Request, Worker, head
 
-# Line end of the streams: one of the three that text/event-stream allows.
-LINE_END = b"\r"
-PIECES = 8
-STREAMS = 50
-# The stream that a worker breaks off, after so many pieces: one of STREAMS.
-BROKEN_STREAM = 20
-BROKEN_AFTER = 4
-_ID = re.compile(rb"(?:^|[\r\n])id: (\d+)")
+CRASH_PART = "bad0bad0"
+SOUND_PART = "600d0001"
+CONTACT_S = BOUNDS["contact_ms"] / 1000
+WORKERS = 6
+# Seconds until a crashed worker is back.
+BACK_S = 2.5
+# Seconds before a worker writes its first piece, and between two pieces.
+FIRST_PIECE_S = 0.05
+PIECE_S = 0.03
+PIECES = 30
+# Requests a second of both kinds, and seconds without and with those that crash workers.
+SOUND_PER_S = 8.0
+CRASH_PER_S = 8.0
+CALM_S = 5.0
+TROUBLE_S = 22.0
+DRAFT_MS = 12_000
 
 
-async def case(deployment: Deployment, record: Record) -> bool:
-    """Asks for streams that may be resumed, one after the other."""
-    broken_off: list[str] = []
+class Scene:
+    """The workers' and consumers' doings.
+
+    :ivar crashes: when workers crashed.
+    """
+
+    def __init__(self, deployment: Deployment, record: Record) -> None:
+        self.crashes: list[float] = []
+        # Arrivals of requests with the part that crashes workers.
+        self.crash_arrivals: list[float] = []
+        self._deployment = deployment
+        self._record = record
+        self._numbers: Iterator[int] = iter(range(1, 100_000))
 
-    async def respond(worker: Worker, request: Request, connection: Connection):
+    async def respond(self, worker: Worker, request: Request, connection: Connection):
+        """Streams an answer, and crashes after the first piece on the bad part."""
+        crashes = f"{CRASH_PART}:" in request.headers["x-prompt-prefix"]
+        if crashes:
+            self.crash_arrivals.append(time.monotonic())
         worker.ran.append(request)
-        first = int(request.headers.get("last-event-id") or 0) + 1
-        record.note(f"{worker.id} runs {request.id} from piece {first} on")
-        await connection.write(
-            head(
-                200,
-                request.id,
-                [("X-Response-Seal", SEAL), ("Content-Type", "text/event-stream")],
-            )
-        )
-        for number in range(first, PIECES + 1):
-            fails = trouble() and request.id.endswith(f"-{BROKEN_STREAM}")
-            if fails and number > BROKEN_AFTER and not broken_off:
-                broken_off.append(request.id)
-                record.note(f"{worker.id} breaks off {request.id}")
-                await asyncio.sleep(0.05)
-                connection.reset()
-                return False
-            lines = [b"id: %d" % number, b"data: piece %d" % number, b"", b""]
-            event = LINE_END.join(lines)
+        await asyncio.sleep(FIRST_PIECE_S)
+        headers = [("X-Response-Seal", SEAL), ("Content-Type", "text/event-stream")]
+        await connection.write(head(200, request.id, headers))
+        for number in range(1, PIECES + 1):
+            event = b"id: %d\ndata: piece %d\n\n" % (number, number)
             await connection.write(b"%x\r\n%s\r\n" % (len(event), event))
-            await asyncio.sleep(0.005)
+            await asyncio.sleep(PIECE_S)
+            if crashes:
+                self._record.note(f"{worker.id} crashes on {request.id}")
+                self.crashes.append(time.monotonic())
+                asyncio.create_task(self._crash(worker))
+                return False
         await connection.write(b"0\r\n\r\n")
         return True
 
-    workers = [Worker(f"i-{n}", "appraiser", respond) for n in range(3)]
-    routes = [route("/query/", "streaming", "appraiser", stream_resume=True)]
+    async def _crash(self, worker: Worker) -> None:
+        """Ends a worker; a new boot of it is back after some seconds."""
+        self._deployment.quiet.add(worker.id)
+        await worker.stop()
+        await asyncio.sleep(BACK_S)
+        worker.born = int(time.time() * 1000)
+        worker.seq = 0
+        await worker.start()
+        self._deployment.quiet.discard(worker.id)
+        self._deployment.store.put(f"servers/{worker.id}", worker.entry())
+
+    def has_run(self, attempt_id: str) -> bool:
+        """Tells whether a worker began to work on a request."""
+        return any(r.id == attempt_id for w in self._deployment.workers for r in w.ran)
+
+    async def load(
+        self, name: str, first_part: str, per_s: float, duration_s: float
+    ) -> list[Answer]:
+        """Sends requests with the same first part, to the gateways in turn."""
+        ends_at = time.monotonic() + duration_s
+        calls = []
+        while time.monotonic() < ends_at:
+            calls.append(asyncio.create_task(self._send(name, first_part)))
+            await asyncio.sleep(1 / per_s)
+        return list(await asyncio.gather(*calls))
+
+    async def _send(self, name: str, first_part: str) -> Answer:
+        number = next(self._numbers)
+        gateways = self._deployment.gateways
+        client = Client(gateways[number % len(gateways)].address, HOST, KEY)
+        prefix = f"{first_part}:300,{number % 9 + 1:08x}:400,{number + 4096:08x}:60"
+        got = await client.call(
+            f"{name}-{number:04x}",
+            "POST",
+            "/draft/1",
+            b"{}",
+            DRAFT_MS,
+            headers=[
+                ("X-Model", "m"),
+                ("X-Token-Count", "760,60"),
+                ("X-Prompt-Prefix", prefix),
+            ],
+        )
+        self._record.note(
+            f"{got.id} prompt {prefix}: status {got.status}, complete {got.complete}, "
+            f"ran {self.has_run(got.id)} {got.error}"
+        )
+        return got
+
+
+async def case(deployment: Deployment, record: Record) -> bool:
+    """Sends sound requests alone and then beside some that crash workers."""
+    scene = Scene(deployment, record)
+    workers = [Worker(f"i-{n}", "appraiser", scene.respond) for n in range(WORKERS)]
+    options = {"retry_attempts": 1, "timeout_ms": DRAFT_MS}
+    routes = [route("/draft/", "streaming", "appraiser", **options)]
     configuration = manifest(1, routes, ["appraiser"])
     configuration["services"][0]["engine"] = {
         "slots": 64,
         "kv_capacity_tokens": 436460,
     }
-    await deployment.start(configuration, workers, gateways=1)
-    client = Client(deployment.gateways[0].address, HOST, KEY)
-    results = [await _ask(client, record, number) for number in range(STREAMS)]
-    return any(_is_broken(got) for got in results)
-
-
-async def _ask(client: Client, record: Record, number: int) -> Answer:
-    got = await client.call(
-        f"5c1e07a291bd-{number}",
-        "POST",
-        "/query/1",
-        b"{}",
-        headers=[
-            ("X-Model", "m"),
-            ("X-Token-Count", "760,48"),
-            ("X-Prompt-Prefix", f"5c1e07a2:700,{number:08x}:60"),
-        ],
-        keep=True,
-    )
+    await deployment.start(configuration, workers, gateways=2)
+    before = await scene.load("before", SOUND_PART, SOUND_PER_S, CALM_S)
+    began_at = time.monotonic()
+    sound = scene.load("sound", SOUND_PART, SOUND_PER_S, TROUBLE_S)
+    crash_s = TROUBLE_S if trouble() else 0.0
+    crashing = scene.load("crash", CRASH_PART, CRASH_PER_S, crash_s)
+    beside, _ = await asyncio.gather(sound, crashing)
+    fifth_at = scene.crashes[4] if len(scene.crashes) > 4 else began_at
+    after = [a for a in beside if a.sent_at > fifth_at + 2 * CONTACT_S]
+    arrivals = sum(at > fifth_at + CONTACT_S for at in scene.crash_arrivals)
     record.note(
-        f"{got.id}: status {got.status}, complete {got.complete}, pieces "
-        f"{_pieces(got)} {got.error}"
+        f"{len(scene.crashes)} crashes; {arrivals} requests with the part reached "
+        f"workers later than contact_ms after the fifth"
     )
-    return got
+    share_before = _begun_share(scene, record, "before", before)
+    share_after = _begun_share(scene, record, "after", after)
+    return share_after < share_before / 2
 
 
-def _pieces(got: Answer) -> list[int]:
-    return [int(number) for number in _ID.findall(got.body)]
-
-
-def _is_broken(got: Answer) -> bool:
-    """Tells whether a piece is missing or comes twice in a stream."""
-    pieces = _pieces(got)
-    if got.complete and got.status == 200:
-        return pieces != list(range(1, PIECES + 1))
-    return pieces != list(range(1, len(pieces) + 1))
+def _begun_share(
+    scene: Scene, record: Record, name: str, answers: list[Answer]
+) -> float:
+    begun = sum(scene.has_run(a.id) for a in answers)
+    whole = sum(a.complete and a.status == 200 for a in answers)
+    record.note(
+        f"sound requests {name}: {begun} of {len(answers)} began, {whole} were served"
+    )
+    return begun / len(answers)
 
 
 if __name__ == "__main__":
