--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,7 +1,8 @@
-"""A part that crashes workers after the first piece of an answer stays unnoticed."""
+"""A part that crashes workers stays unnoticed in a chat with many earlier turns."""
 
 import asyncio
 import time
+from collections import deque
 from collections.abc import Iterator
 from pathlib import Path
 
@@ -19,19 +20,22 @@
 )
 from review.standins.workers import SEAL, Connection, Request, Worker, head
 
+FIRST_PART = "a11ce001"
 CRASH_PART = "bad0bad0"
 SOUND_PART = "600d0001"
+# Parts of the earlier turns of a chat, behind the part that differs.
+TURNS = 9
 CONTACT_S = BOUNDS["contact_ms"] / 1000
-WORKERS = 6
+WORKERS = 4
 # Seconds until a crashed worker is back.
-BACK_S = 2.5
-# Seconds before a worker writes its first piece, and between two pieces.
+BACK_S = 3.0
+# Seconds before a worker begins to write its answer, and between two pieces.
 FIRST_PIECE_S = 0.05
 PIECE_S = 0.03
 PIECES = 30
 # Requests a second of both kinds, and seconds without and with those that crash workers.
 SOUND_PER_S = 8.0
-CRASH_PER_S = 8.0
+CRASH_PER_S = 4.0
 CALM_S = 5.0
 TROUBLE_S = 22.0
 DRAFT_MS = 12_000
@@ -50,25 +54,27 @@
         self._deployment = deployment
         self._record = record
         self._numbers: Iterator[int] = iter(range(1, 100_000))
+        # Turns of the chats that crashed workers, for sound requests that share them.
+        self._turns: deque[str] = deque()
 
     async def respond(self, worker: Worker, request: Request, connection: Connection):
-        """Streams an answer, and crashes after the first piece on the bad part."""
+        """Streams an answer, or crashes when it begins to write one on the bad part."""
         crashes = f"{CRASH_PART}:" in request.headers["x-prompt-prefix"]
         if crashes:
             self.crash_arrivals.append(time.monotonic())
         worker.ran.append(request)
         await asyncio.sleep(FIRST_PIECE_S)
+        if crashes:
+            self._record.note(f"{worker.id} crashes on {request.id}")
+            self.crashes.append(time.monotonic())
+            asyncio.create_task(self._crash(worker))
+            return False
         headers = [("X-Response-Seal", SEAL), ("Content-Type", "text/event-stream")]
         await connection.write(head(200, request.id, headers))
         for number in range(1, PIECES + 1):
             event = b"id: %d\ndata: piece %d\n\n" % (number, number)
             await connection.write(b"%x\r\n%s\r\n" % (len(event), event))
             await asyncio.sleep(PIECE_S)
-            if crashes:
-                self._record.note(f"{worker.id} crashes on {request.id}")
-                self.crashes.append(time.monotonic())
-                asyncio.create_task(self._crash(worker))
-                return False
         await connection.write(b"0\r\n\r\n")
         return True
 
@@ -88,21 +94,31 @@
         return any(r.id == attempt_id for w in self._deployment.workers for r in w.ran)
 
     async def load(
-        self, name: str, first_part: str, per_s: float, duration_s: float
+        self, name: str, part: str, per_s: float, duration_s: float
     ) -> list[Answer]:
-        """Sends requests with the same first part, to the gateways in turn."""
+        """Sends requests with the same part, to the gateways in turn."""
         ends_at = time.monotonic() + duration_s
         calls = []
         while time.monotonic() < ends_at:
-            calls.append(asyncio.create_task(self._send(name, first_part)))
+            calls.append(asyncio.create_task(self._send(name, part)))
             await asyncio.sleep(1 / per_s)
         return list(await asyncio.gather(*calls))
 
-    async def _send(self, name: str, first_part: str) -> Answer:
+    def _chat(self, number: int, part: str) -> str:
+        """Returns the turns of a chat; sound ones share those of earlier bad ones."""
+        turns = ",".join(f"{number:06x}{turn:02x}:40" for turn in range(TURNS))
+        if part == CRASH_PART:
+            self._turns.append(turns)
+        elif self._turns:
+            return self._turns.popleft()
+        return turns
+
+    async def _send(self, name: str, part: str) -> Answer:
         number = next(self._numbers)
         gateways = self._deployment.gateways
         client = Client(gateways[number % len(gateways)].address, HOST, KEY)
-        prefix = f"{first_part}:300,{number % 9 + 1:08x}:400,{number + 4096:08x}:60"
+        turns = self._chat(number, part)
+        prefix = f"{FIRST_PART}:300,{part}:200,{turns},{number:06x}ff:60"
         got = await client.call(
             f"{name}-{number:04x}",
             "POST",
@@ -111,12 +127,12 @@
             DRAFT_MS,
             headers=[
                 ("X-Model", "m"),
-                ("X-Token-Count", "760,60"),
+                ("X-Token-Count", "920,60"),
                 ("X-Prompt-Prefix", prefix),
             ],
         )
         self._record.note(
-            f"{got.id} prompt {prefix}: status {got.status}, complete {got.complete}, "
+            f"{got.id} part {part}: status {got.status}, complete {got.complete}, "
             f"ran {self.has_run(got.id)} {got.error}"
         )
         return got
