Log what a repeat draws on, and the route of a request that ends

Operators saw more repeats at a service than the fleet's budget allows, and refused requests on added routes. The log lines told neither whether a repeat drew on the retry budget, how much of it was left and for how many gateways, nor the route of a refused request. They do now, and gateway_repeats_total counts repeats by service. The lines about requests move from the shell into decision_log.py; names and messages are unchanged.

--- a/heatherswitch/fleet/shares.py
+++ b/heatherswitch/fleet/shares.py
@@ -26,6 +26,11 @@
         self._tokens = burst
         self._refilled_at = now
 
+    @property
+    def tokens(self) -> float:
+        """Tokens at the last operation."""
+        return self._tokens
+
     def set_rate(self, now: float, rate: float, burst: float) -> None:
         """Changes rate and burst; the tokens stay, up to the new burst."""
         self._refill(now)
--- a/heatherswitch/gateway/events.py
+++ b/heatherswitch/gateway/events.py
@@ -575,6 +575,7 @@
     :param stall_timeout_s: seconds without progress after which
         :class:`AttemptStalled` is due; None for never.
     :param reason: which rule decided the choice, for the log.
+    :param repeats: number of servers that the request has reached before.
     """
 
     __slots__ = (
@@ -587,6 +588,7 @@
         "deadline_at",
         "stall_timeout_s",
         "reason",
+        "repeats",
     )
 
     def __init__(
@@ -600,6 +602,7 @@
         deadline_at: float,
         stall_timeout_s: float | None,
         reason: str,
+        repeats: int = 0,
     ) -> None:
         self.serial = serial
         self.server = server
@@ -610,6 +613,7 @@
         self.deadline_at = deadline_at
         self.stall_timeout_s = stall_timeout_s
         self.reason = reason
+        self.repeats = repeats
 
 
 class KeepWaiting(Record):
--- a/heatherswitch/gateway/pending.py
+++ b/heatherswitch/gateway/pending.py
@@ -39,6 +39,7 @@
         "deadline_at",
         "tried_ids",
         "possible_runs",
+        "arrivals",
         "current_server",
         "buffered_error",
         "ambiguous_failure",
@@ -79,6 +80,9 @@
         # Number of servers that may have started to run the request, without the current
         # one.
         self.possible_runs = possible_runs
+        # Number of servers that the request has reached, whether they ran it or not,
+        # without the current one.
+        self.arrivals = 0
         self.current_server = current_server
         # Error status of the last server, whose response is buffered for delivery.
         self.buffered_error = buffered_error
--- a/heatherswitch/gateway/reducer.py
+++ b/heatherswitch/gateway/reducer.py
@@ -146,6 +146,10 @@
         """Number of requests whose final response was not sent yet."""
         return len(self._pending)
 
+    def retry_budget_left(self, service: str) -> float:
+        """Returns the number of repeats that this gateway may send now."""
+        return self._retry_budget.tokens
+
     def ready(self, now: float) -> bool:
         """Tells whether the configuration is recent enough to serve new callers."""
         if self._configuration.configuration is None:
@@ -354,6 +358,7 @@
             pending.deadline_at,
             pending.stall_timeout_s,
             f"{choice.reason}; load {state.load(now):.0f}",
+            pending.arrivals,
         )
 
     def _enqueue(
@@ -566,6 +571,7 @@
         :param replacement: server that :meth:`_choose_for_retry` returned in this step.
         """
         pending.possible_runs += ran
+        pending.arrivals += arrived
         if self._quarantine.blocks(pending.request.prompt_parts):
             return self._end_quarantined(serial, pending)
         choice = replacement or self._choose_for_retry(now, pending, arrived)
--- a/heatherswitch/gateway/shell.py
+++ b/heatherswitch/gateway/shell.py
@@ -10,12 +10,13 @@
 
 from heatherswitch.gateway import events as ev
 from heatherswitch.gateway.crash_publisher import CrashOutbox
+from heatherswitch.gateway.decision_log import DecisionLog
 from heatherswitch.gateway.limits import Limits
 from heatherswitch.gateway.model import CallerRequest, RequestKind
 from heatherswitch.gateway.peer_link import PeerLink
 from heatherswitch.gateway.prompt_quarantine import QuarantineChange
 from heatherswitch.gateway.reducer import GatewayReducer
-from heatherswitch.gateway.relay import RequestRelay, ResponseTiming, ServerCodec
+from heatherswitch.gateway.relay import RequestRelay, ServerCodec
 from heatherswitch.gateway.rollouts import Rollout
 from heatherswitch.gateway.store_sync import Member, StoreSync
 from heatherswitch.gateway.telemetry import Telemetry
@@ -51,8 +52,6 @@
 START_WAIT_S = 0.3
 # Smallest value of Retry-After, in seconds. Smaller ones would need an exponent.
 MIN_RETRY_AFTER_S = 0.001
-# Decimal places to which log lines round seconds.
-LOG_DECIMALS = 4
 
 
 class GatewayCodec(ServerCodec, Protocol):
@@ -149,6 +148,7 @@
         "_configuration_version",
         "_configured",
         "_crash_outbox",
+        "_decisions",
         "_effect_futures",
         "_follow_store",
         "_listeners",
@@ -190,6 +190,7 @@
         self._pool = ConnectionPool()
         self._metrics = Metrics()
         self._telemetry = Telemetry(self._metrics)
+        self._decisions = DecisionLog(clock, self._reducer, self._telemetry)
         self._peers = PeerLink(self._apply, self._metrics)
         self._crash_outbox = CrashOutbox()
         self._caller_server = HttpServer(self._handle, config.http)
@@ -333,7 +334,7 @@
                 self._handle_crash_effect(effect)
                 continue
             if isinstance(effect, ev.ServerEffect):
-                self._log_server_change(effect)
+                self._decisions.log_server_change(effect)
                 continue
             future = self._effect_futures.get(effect.serial)
             if future is not None and not future.done():
@@ -442,15 +443,8 @@
             del self._relays[serial]
             if not finished:
                 self._apply(ev.CallerDisconnected(serial))
-                self._telemetry.count_caller_left()
-                log.info(
-                    "request not finished: the caller left",
-                    extra={
-                        "request": caller_request.id,
-                        "after_s": self._seconds_since(arrived_at),
-                        **_timing_fields(relay.timing),
-                    },
-                )
+                total_s = self._clock.now() - arrived_at
+                self._decisions.log_caller_left(caller_request, total_s, relay.timing)
 
     def _on_response_started(
         self, serial: int, forward: ev.Forward, head: ResponseHead, ttfb_s: float
@@ -476,17 +470,7 @@
         outcome = ev.Broken("the server stalled", started, silent=True)
         self._apply(ev.AttemptStalled(serial, outcome))
         effect = future.result()
-        self._telemetry.count_stall(forward, effect)
-        log.info(
-            "server stalled",
-            extra={
-                "request": caller_request.id,
-                "server": forward.server.id,
-                "stalled_s": round(stalled_s, LOG_DECIMALS),
-                "decision": type(effect).__name__,
-                "reason": getattr(effect, "reason", ""),
-            },
-        )
+        self._decisions.log_stall(caller_request, forward, stalled_s, effect)
         if not isinstance(effect, ev.KeepWaiting):
             raise AttemptReplaced(outcome, effect)
 
@@ -494,13 +478,13 @@
         self, serial: int, relay: RequestRelay, caller_request, forward: ev.Forward
     ) -> ev.Effect:
         """Sends the request to one backend server and returns the next effect."""
-        self._log_forward(caller_request, forward)
+        self._decisions.log_forward(caller_request, forward)
         try:
             outcome = await self._run_attempt(relay, forward)
         except AttemptReplaced as replaced:
-            self._log_outcome(caller_request, forward, replaced.outcome)
+            self._decisions.log_failure(caller_request, forward, replaced.outcome)
             return replaced.effect
-        self._log_outcome(caller_request, forward, outcome)
+        self._decisions.log_failure(caller_request, forward, outcome)
         return await self._submit(serial, ev.AttemptEnded(serial, outcome))
 
     async def _run_attempt(
@@ -539,80 +523,10 @@
             case ev.Relay():
                 await relay.deliver_buffered()
         total_s = self._clock.now() - arrived_at
-        self._telemetry.count_request(effect, status, total_s)
-        log.info(
-            "request ended",
-            extra={
-                "request": caller_request.id,
-                "effect": type(effect).__name__,
-                "status": status,
-                "reason": getattr(effect, "reason", ""),
-                "configuration": self._configuration_version,
-                "configuration_age_s": round(
-                    self._reducer.configuration.age_s(self._clock.now()), 2
-                ),
-                "after_s": round(total_s, LOG_DECIMALS),
-                **_timing_fields(relay.timing),
-            },
-        )
+        self._decisions.log_end(caller_request, effect, status, total_s, relay.timing)
         if isinstance(effect, ev.Cut):
             raise ConnectionAbortedError(effect.reason)
 
-    def _seconds_since(self, at: float) -> float:
-        return round(self._clock.now() - at, LOG_DECIMALS)
-
-    def _log_forward(self, caller_request: CallerRequest, forward: ev.Forward) -> None:
-        self._telemetry.count_forward(forward)
-        log.info(
-            "request forwarded",
-            extra={
-                "request": caller_request.id,
-                "route": forward.route.name,
-                "server": forward.server.id,
-                "version": forward.server.version,
-                "copy_from": forward.copy_source.id if forward.copy_source else "",
-                "reason": forward.reason,
-                "prompt": ",".join(
-                    f"{p.id}:{p.tokens}" for p in caller_request.prompt_parts
-                ),
-                "time_left_s": round(
-                    forward.deadline_at - self._clock.now(), LOG_DECIMALS
-                ),
-            },
-        )
-
-    def _log_outcome(
-        self, caller_request, forward: ev.Forward, outcome: ev.Outcome
-    ) -> None:
-        if isinstance(outcome, ev.Completed):
-            return
-        self._telemetry.count_failed_attempt(forward, outcome)
-        log.info(
-            "attempt failed",
-            extra={
-                "request": caller_request.id,
-                "server": forward.server.id,
-                "outcome": repr(outcome),
-            },
-        )
-
-    def _log_server_change(self, effect: ev.ServerEffect) -> None:
-        self._telemetry.count_server_change(effect)
-        if isinstance(effect, ev.ServerTakenOut):
-            log.info(
-                "server taken out",
-                extra={
-                    "server": effect.server_id,
-                    "request": effect.request_id,
-                    "reason": effect.reason,
-                },
-            )
-        else:
-            log.info(
-                "server returned",
-                extra={"server": effect.server_id, "reason": effect.reason},
-            )
-
     # Background work
 
     async def _poll_waiting_requests(self) -> None:
@@ -638,17 +552,3 @@
             # Only the load balancer sees the readiness checks fail; callers on open
             # connections are told by "Connection: close".
             self._caller_server.draining = not self.ready
-
-
-def _timing_fields(timing: ResponseTiming) -> dict[str, float | int | None]:
-    """Returns the log fields of the last attempt's response times."""
-    times = {
-        "head_s": timing.head_s,
-        "first_event_s": timing.first_event_s,
-        "last_event_s": timing.last_event_s,
-    }
-    rounded = {
-        name: None if value is None else round(value, LOG_DECIMALS)
-        for name, value in times.items()
-    }
-    return {**rounded, "events": timing.events}
--- a/heatherswitch/gateway/telemetry.py
+++ b/heatherswitch/gateway/telemetry.py
@@ -36,6 +36,12 @@
             "Requests sent to backend servers.",
             {"route": self._route_label(forward.route.name), "reason": reason},
         )
+        if forward.repeats:
+            self._metrics.count(
+                "gateway_repeats_total",
+                "Requests sent to a further server after they had reached one.",
+                {"service": forward.server.service},
+            )
         if forward.copy_source is not None:
             self._metrics.count(
                 "gateway_prompt_copies_total",
