Count repeats from the queue in the retry budget

A request that a server rejected, while the others had no room, was queued and sent from the queue without drawing on the retry budget, so that servers that reject part of their requests under load got repeats without a limit.

The draw moves into the send itself, which is the only place that every repeat passes. A repeat that the budget does not allow is refused at once with 503, since it has not run, instead of waiting in the queue. One that reached no server is returned to the budget.

--- a/heatherswitch/gateway/pending.py
+++ b/heatherswitch/gateway/pending.py
@@ -40,6 +40,7 @@
         "tried_ids",
         "possible_runs",
         "arrivals",
+        "drew_budget",
         "current_server",
         "buffered_error",
         "ambiguous_failure",
@@ -83,6 +84,8 @@
         # Number of servers that the request has reached, whether they ran it or not,
         # without the current one.
         self.arrivals = 0
+        # The current attempt was counted in the retry budget.
+        self.drew_budget = False
         self.current_server = current_server
         # Error status of the last server, whose response is buffered for delivery.
         self.buffered_error = buffered_error
@@ -121,6 +124,11 @@
             MIN_STALL_TIMEOUT_S, STALL_TIMEOUT_FACTOR * self.route.latency_objective_s
         )
 
+    @property
+    def reached_server(self) -> bool:
+        """True if a further send would be a repeat: a server got the request before."""
+        return self.arrivals > 0 or self.current_server is not None
+
     def note_holder_reply(self, part_id: str) -> None:
         """Notes that the owner of a prompt part replied to the query for its holders."""
         if part_id == self.request.affinity_key:
--- a/heatherswitch/gateway/reducer.py
+++ b/heatherswitch/gateway/reducer.py
@@ -46,6 +46,8 @@
 STOP_REASON = "the gateway stops"
 # Why requests with a quarantined part of the prompt are refused or not sent again.
 QUARANTINE_REASON = "servers crash on a part of the prompt"
+# Why requests that have reached a server are not sent to another one.
+BUDGET_REASON = "the retry budget is used up"
 
 
 class GatewayReducer:
@@ -337,6 +339,9 @@
         pending.current_server = state
         pending.times = AttemptTimes(now)
         pending.queued = False
+        pending.drew_budget = pending.arrivals > 0
+        if pending.drew_budget:
+            self._retry_budget.draw(now, pending.service.name)
         pending.in_version_split = self._rollouts.count_request(
             now,
             pending.service.name,
@@ -415,7 +420,11 @@
                     effects += self._end_quarantined(queued.serial, pending)
                     continue
                 choice = self._placer.choose(now, pending)
-                if isinstance(choice, Choice):
+                if isinstance(choice, Choice) and self._denies_repeat(now, pending):
+                    effects += self._refuse_queued(
+                        queued, BUDGET_REASON, self._retry_after_s(now, pending)
+                    )
+                elif isinstance(choice, Choice):
                     queue.discard(queued.serial)
                     effects.append(self._forward(now, queued.serial, pending, choice))
                 elif choice.eligible == 0:
@@ -568,14 +577,20 @@
         """
         pending.possible_runs += ran
         pending.arrivals += arrived
+        if pending.drew_budget and not arrived:
+            self._retry_budget.refund(now, pending.service.name)
         if self._quarantine.blocks(pending.request.prompt_parts):
             return self._end_quarantined(serial, pending)
-        choice = replacement or self._choose_for_retry(now, pending, arrived)
+        choice = replacement or self._choose_for_retry(now, pending)
         if isinstance(choice, str):
             return self._end_unserved(
                 serial, pending, choice, self._retry_after_s(now, pending)
             )
         if isinstance(choice, NoChoice):
+            if self._denies_repeat(now, pending):
+                return self._end_unserved(
+                    serial, pending, BUDGET_REASON, self._retry_after_s(now, pending)
+                )
             if (
                 choice.eligible
                 and not pending.possible_runs
@@ -588,12 +603,17 @@
                 "no other server is available",
                 self._retry_after_s(now, pending),
             )
-        if arrived:
-            self._retry_budget.draw(now, pending.service.name)
         return [self._forward(now, serial, pending, choice)]
 
+    def _denies_repeat(self, now: float, pending: Pending) -> bool:
+        """Tells whether a send would be a repeat that the retry budget doesn't allow."""
+        service = pending.service.name
+        return pending.reached_server and not self._retry_budget.is_available(
+            now, service
+        )
+
     def _choose_for_retry(
-        self, now: float, pending: Pending, arrived: bool = True
+        self, now: float, pending: Pending
     ) -> Choice | NoChoice | str:
         """Returns another server for a request, or why it may not be sent again."""
         if self._quarantine.blocks(pending.request.prompt_parts):
@@ -602,12 +622,8 @@
         if reason:
             return reason
         choice = self._placer.choose(now, pending)
-        if (
-            isinstance(choice, Choice)
-            and arrived
-            and not self._retry_budget.is_available(now, pending.service.name)
-        ):
-            return "the retry budget is used up"
+        if isinstance(choice, Choice) and self._denies_repeat(now, pending):
+            return BUDGET_REASON
         return choice
 
     def _end_unserved(
--- a/test/test_gateway_reducer.py
+++ b/test/test_gateway_reducer.py
@@ -520,6 +520,48 @@
                 self.assertEqual(effects[0].status, 503)
                 self.assertAlmostEqual(effects[0].retry_after_s, cold_s)
 
+    def test_rejected_requests_sent_from_the_queue_draw_on_the_retry_budget(self):
+        """Replays rejections while the other server is full (rule BUDGET)."""
+        allowed = 3
+        limits = Limits(
+            budget_ratio=0.0, budget_slack=allowed / BUDGET_SHARE, expected_fleet=1
+        )
+        driver = Driver(limits)
+        driver.add_servers(server("l1", slots=2))
+        running = [driver.decide("/safe/1").serial for _ in range(3)]
+        driver.add_servers(server("l2", slots=20))
+        repeats = 0
+        for _ in range(10):
+            rejected = driver.decide("/safe/1")
+            self.assertEqual(rejected.server.id, "l2")
+            driver.apply(ev.AttemptEnded(rejected.serial, ev.Rejected(503, False)))
+            driver.take_effects()
+            driver.apply(ev.AttemptEnded(running.pop(0), ev.Completed(200, 0.05)))
+            for effect in driver.take_effects():
+                if isinstance(effect, ev.Forward):
+                    self.assertEqual(effect.repeats, 1)
+                    repeats += 1
+                    running.append(effect.serial)
+            while len(running) < 3:
+                driver.reducer._servers.get("l2").record.draining = True
+                running.append(driver.decide("/safe/1").serial)
+                driver.reducer._servers.get("l2").record.draining = False
+        self.assertLessEqual(repeats, allowed)
+        self.assertEqual(driver.reducer.waiting_count, 0)
+
+    def test_repeat_that_reached_no_server_is_returned_to_the_retry_budget(self):
+        limits = Limits(budget_ratio=0.0, budget_slack=1.0, expected_fleet=1)
+        driver = Driver(limits)
+        driver.add_servers(*(server(f"l{n}") for n in range(4)))
+        sent = driver.decide("/safe/1")
+        sent = driver.end_attempt(sent.serial, ev.Rejected(503, False))
+        self.assertEqual(driver.reducer.retry_budget_left("ledger"), 0.0)
+        sent = driver.end_attempt(sent.serial, ev.NotSent("no route", False))
+        self.assertIsInstance(sent, ev.Forward)
+        sent = driver.end_attempt(sent.serial, ev.Rejected(503, False))
+        self.assertIsInstance(sent, ev.Refuse)
+        self.assertEqual(sent.reason, "the retry budget is used up")
+
     def test_queued_request_is_refused_long_before_its_deadline(self):
         driver = self.driver_without_free_slots()
         driver.advance(0.51)
