Count the retry budget of each service for itself in routers too

Before: 100 requests for one service allow 10 retries at another with a share of 0.1. After: the one a second that is always allowed.

--- a/heatherswitch/router/reducer.py
+++ b/heatherswitch/router/reducer.py
@@ -22,7 +22,7 @@
     Dispatch,
     Resume,
 )
-from heatherswitch.router.retries import AvoidedAgents, RetryBudget
+from heatherswitch.router.retries import AvoidedAgents, ServiceRetryBudgets
 from heatherswitch.statecore.reducer import Effect, Event, Log
 
 # How often one attempt is resumed after silence.
@@ -105,7 +105,7 @@
         "_handlers",
         "_placement",
         "_requests",
-        "_retry_budget",
+        "_retry_budgets",
         "_serve_until",
     )
 
@@ -113,7 +113,7 @@
         self._config = config
         self._placement = Placement(config, members)
         self._avoided = AvoidedAgents()
-        self._retry_budget = RetryBudget()
+        self._retry_budgets = ServiceRetryBudgets()
         self._requests: dict[str, _RequestState] = {}
         self._deadlines: list[tuple[float, str]] = []
         self._serve_until: float | None = None
@@ -163,7 +163,7 @@
         if self._serve_until is not None and event.now >= self._serve_until:
             refusal = NotRun(Reason.NOT_READY, RETRY_AFTER_MS, "the router is stopping")
             return self._complete(state, refusal)
-        self._retry_budget.count_request(event.now)
+        self._retry_budgets.count_request(event.now, event.service)
         entry = (event.deadline_at + DEADLINE_GRACE_S, event.request_id)
         heapq.heappush(self._deadlines, entry)
         return self._dispatch_next(event.now, state)
@@ -242,6 +242,7 @@
 
     def _on_tick(self, event: events.Tick) -> list[Effect]:
         self._avoided.expire(event.now)
+        self._retry_budgets.expire(event.now)
         effects: list[Effect] = []
         while self._deadlines and self._deadlines[0][0] <= event.now:
             _, request_id = heapq.heappop(self._deadlines)
@@ -259,8 +260,9 @@
     def _may_retry(self, now: float, state: _RequestState) -> bool:
         if not state.arrived.idempotent:
             return False
-        settings = self._config.settings(service=state.arrived.service)
-        return self._retry_budget.try_acquire(now, settings.get("routing.retry_budget"))
+        service = state.arrived.service
+        share = self._config.settings(service=service).get("routing.retry_budget")
+        return self._retry_budgets.try_acquire(now, service, share)
 
     def _dispatch_next(self, now: float, state: _RequestState) -> list[Effect]:
         """Dispatches the next attempt, or ends the request without one."""
--- a/heatherswitch/router/retries.py
+++ b/heatherswitch/router/retries.py
@@ -1,6 +1,6 @@
-"""The retry budget, and the agents that a router temporarily avoids."""
+"""The retry budgets, and the agents that a router temporarily avoids."""
 
-from collections import deque
+from collections import defaultdict, deque
 
 from heatherswitch.fleet.outcomes import Reason
 
@@ -62,6 +62,11 @@
         self._retries.append(now)
         return True
 
+    def is_unused(self, now: float) -> bool:
+        """Tells whether the window holds neither requests nor retries."""
+        self._expire(now)
+        return not self._requests and not self._retries
+
     def _expire(self, now: float) -> None:
         oldest = now - BUDGET_WINDOW_S
         while self._requests and self._requests[0][0] < oldest:
@@ -70,6 +75,34 @@
             self._retries.popleft()
 
 
+class ServiceRetryBudgets:
+    """A retry budget for each service.
+
+    Requests for one service allow no retries at another, whose agents may all fail.
+    """
+
+    __slots__ = ("_budgets",)
+
+    def __init__(self) -> None:
+        self._budgets: defaultdict[str, RetryBudget] = defaultdict(RetryBudget)
+
+    def count_request(self, now: float, service: str) -> None:
+        """Counts a new request, which enlarges the budget of its service."""
+        self._budgets[service].count_request(now)
+
+    def try_acquire(self, now: float, service: str, share: float) -> bool:
+        """Returns whether a retry is allowed at a service, and counts it if so.
+
+        :param share: allowed retries per request, 0 to 1.
+        """
+        return self._budgets[service].try_acquire(now, share)
+
+    def expire(self, now: float) -> None:
+        """Removes the budgets of services without requests in the window."""
+        for service in [s for s, b in self._budgets.items() if b.is_unused(now)]:
+            del self._budgets[service]
+
+
 class AvoidedAgents:
     """Agents that are ranked last after a refusal or a failed connection."""
 
--- a/test/test_router_reducer.py
+++ b/test/test_router_reducer.py
@@ -15,7 +15,7 @@
     Resume,
 )
 from heatherswitch.router.reducer import MAX_RESUMES, RouterReducer
-from heatherswitch.router.retries import RetryBudget
+from heatherswitch.router.retries import RetryBudget, ServiceRetryBudgets
 from heatherswitch.statecore.reducer import Log
 from test.router_fakes import agent, fleet_config, table
 
@@ -134,6 +134,15 @@
         count = sum(isinstance(effects[0], Dispatch) for effects in retried)
         self.assertEqual(count, 4)
 
+    def test_requests_for_one_service_allow_no_retries_at_another(self):
+        # A busy model would pay for retries at a plain service that fails as a whole.
+        budgets = ServiceRetryBudgets()
+        for _ in range(100):
+            budgets.count_request(0.0, "model")
+        retries = [budgets.try_acquire(0.0, "ledger", 0.1) for _ in range(10)]
+        self.assertEqual(sum(retries), 1)
+        self.assertTrue(budgets.try_acquire(0.0, "model", 0.1))
+
     def test_one_retry_a_second_is_always_allowed(self):
         # A share of few requests would never allow a retry.
         budget = RetryBudget()
