Start background tasks again that end by an unforeseen error

Operators saw added routes refused by all gateways at once. An entry of another writer whose number of slots is 1e999 raised an OverflowError in its decoder, which ended the task group that follows the store, at all gateways and without a log line: they went on by the old configuration, then refused every key.

A Supervisor logs such an end with its traceback, counts it and starts the task again; each task of the group has its own.

--- a/heatherswitch/gateway/shell.py
+++ b/heatherswitch/gateway/shell.py
@@ -5,8 +5,8 @@
 import logging
 import random
 import socket
-from collections.abc import Callable, Mapping
-from typing import Any, Protocol
+from collections.abc import Callable, Coroutine, Mapping
+from typing import Protocol
 
 from heatherswitch.gateway import events as ev
 from heatherswitch.gateway.crash_publisher import CrashOutbox
@@ -27,12 +27,18 @@
 from heatherswitch.util.listeners import bind_listener
 from heatherswitch.util.metrics import Metrics
 from heatherswitch.util.record import Record
+from heatherswitch.util.supervision import Supervisor
 
 log = logging.getLogger("heatherswitch.gateway")
 
 # Returns the latest rollout of each service, keyed by service name.
 CurrentRollouts = Callable[[], dict[str, Rollout]]
 
+# Follows the store until it is cancelled; see :class:`Gateway`.
+FollowStore = Callable[
+    [StoreSync, Member, CurrentRollouts, CrashOutbox, Supervisor], Coroutine
+]
+
 # Seconds between checks whether a queued request can be forwarded or has expired.
 QUEUE_POLL_INTERVAL_S = 0.02
 # Seconds between runs of the periodic cleanup.
@@ -162,6 +168,7 @@
         "_relays",
         "_serials",
         "_stopping",
+        "_supervisor",
         "_tasks",
         "_telemetry",
     )
@@ -171,7 +178,7 @@
         config: GatewayConfig,
         clock: Clock,
         codec: GatewayCodec,
-        follow_store: Callable[[StoreSync, Member, CurrentRollouts, CrashOutbox], Any],
+        follow_store: FollowStore,
         listeners: Mapping[str, socket.socket] | None = None,
     ) -> None:
         self._config = config
@@ -190,6 +197,7 @@
         self._pool = ConnectionPool()
         self._metrics = Metrics()
         self._telemetry = Telemetry(self._metrics)
+        self._supervisor = Supervisor(self._metrics)
         self._decisions = DecisionLog(clock, self._reducer, self._telemetry)
         self._peers = PeerLink(self._apply, self._metrics)
         self._crash_outbox = CrashOutbox()
@@ -258,14 +266,19 @@
         self._tasks = [
             asyncio.create_task(
                 self._follow_store(
-                    sync, member, lambda: self._reducer.rollouts, self._crash_outbox
+                    sync,
+                    member,
+                    lambda: self._reducer.rollouts,
+                    self._crash_outbox,
+                    self._supervisor,
                 )
             ),
-            asyncio.create_task(self._run_housekeeping()),
-            asyncio.create_task(self._poll_waiting_requests()),
+            self._supervise("housekeeping", self._run_housekeeping),
+            self._supervise("queue", self._poll_waiting_requests),
         ]
         if self._config.peer_listen:
-            self._tasks.append(asyncio.create_task(self._flush_peer_counts()))
+            flush = self._supervise("peer counts", self._flush_peer_counts)
+            self._tasks.append(flush)
         try:
             async with asyncio.timeout(START_WAIT_S):
                 await self._configured.wait()
@@ -274,6 +287,9 @@
         await self._caller_server.serve_listener(caller_listener)
         log.info("gateway started", extra={"addresses": dict(self.addresses)})
 
+    def _supervise(self, name: str, start: Callable[[], Coroutine]) -> asyncio.Task:
+        return asyncio.create_task(self._supervisor.run(name, start))
+
     def _take_listener(self, address: str) -> socket.socket:
         return self._listeners.pop(address, None) or bind_listener(address)
 
--- a/heatherswitch/platform/gateway.py
+++ b/heatherswitch/platform/gateway.py
@@ -20,6 +20,7 @@
 from heatherswitch.util.clock import Clock
 from heatherswitch.util.logs import configure_logs
 from heatherswitch.util.signals import hold_signals, release_signals
+from heatherswitch.util.supervision import Supervisor
 
 log = logging.getLogger("heatherswitch.platform.gateway")
 
@@ -46,21 +47,24 @@
         member: Member,
         moves: CurrentRollouts,
         crash_outbox: CrashOutbox,
+        supervisor: Supervisor,
     ) -> None:
         timing = config.limits.timing
         store = PlatformStore.from_address(config.store, clock, timing)
         member_key = reader.member_prefix + member.id
         try:
+            owner = RolloutOwner(store, reader, member.id, clock, moves)
+            tasks = {
+                "follow the store": lambda: sync.run(store, reader),
+                "membership": lambda: maintain_membership(
+                    store, member_key, member.address, timing.member_ttl_s, clock
+                ),
+                "rollouts": owner.run,
+                "crash reports": CrashPublisher(store, crash_outbox, clock).run,
+            }
             async with asyncio.TaskGroup() as group:
-                group.create_task(sync.run(store, reader))
-                group.create_task(
-                    maintain_membership(
-                        store, member_key, member.address, timing.member_ttl_s, clock
-                    )
-                )
-                owner = RolloutOwner(store, reader, member.id, clock, moves)
-                group.create_task(owner.run())
-                group.create_task(CrashPublisher(store, crash_outbox, clock).run())
+                for name, start in tasks.items():
+                    group.create_task(supervisor.run(name, start))
         finally:
             store.close()
 
