Read all entries after a watch answer that passes over changes

Operators saw added routes refused in calm times. A gateway took the revision of a watch answer as the point up to which it holds all changes, also when the answer held none. A store that answers with its newest revision while its watches hear nothing hid the changes; the gateway confirmed its old configuration as current and answered 404 on added routes until the next full read, up to a minute later.

Each revision is a change of some key, and the watch covers all keys, so that an answer without an entry of its own revision lacks changes. The gateway now reads all entries then, and confirms nothing before.

--- a/heatherswitch/gateway/store_sync.py
+++ b/heatherswitch/gateway/store_sync.py
@@ -106,8 +106,11 @@
                     snapshot_at = self._clock.now()
                     failures = 0
                 async for batch in store.watch("", self._entries.revision + 1):
-                    self._on_batch(batch, decoder)
                     failures = 0
+                    if self._misses_changes(batch):
+                        snapshot_at = float("-inf")
+                        break
+                    self._on_batch(batch, decoder)
                     if self._clock.now() - snapshot_at >= SNAPSHOT_INTERVAL_S:
                         break
             except Compacted as error:
@@ -122,6 +125,23 @@
                 await asyncio.sleep(_retry_delay_s(failures))
                 failures += 1
 
+    def _misses_changes(self, batch: WatchBatch) -> bool:
+        """Tells whether a batch lacks changes up to the revision that it names.
+
+        Each revision is a change of some key and the watch covers all keys, so that the
+        batch must hold an entry of its own revision. A store whose watches miss changes
+        for a while may answer with its newest revision all the same.
+        """
+        newest = max((e.mod_revision for e in batch.entries), default=0)
+        known = max(newest, self._entries.revision)
+        if batch.revision <= known:
+            return False
+        log.warning(
+            "watch misses changes; reading all entries",
+            extra={"revision": batch.revision, "known": known},
+        )
+        return True
+
     def _on_batch(self, batch: WatchBatch, decoder: EntryDecoder) -> None:
         after_outage = self._detect_outage_end(batch.current_at)
         changed = self._entries.apply(batch.entries, batch.revision)
