Refuse unknown routes with 503 after a configuration that can't be decoded

A configuration that could not be decoded was ignored, and the old one was confirmed as current all the same: the gateway answered 404 and 401, which no caller retries, for routes and keys that may stand in the newest one.

The reader now reports it as an event. The old configuration stays in force, but no longer tells which routes and keys exist, until a valid one is read.

Before: 404 for a route of such a configuration.

--- a/heatherswitch/gateway/current_configuration.py
+++ b/heatherswitch/gateway/current_configuration.py
@@ -17,6 +17,7 @@
     __slots__ = (
         "_configuration",
         "_confirmed_at",
+        "_complete",
         "_key_max_age_s",
         "_refuse_age_s",
         "_routes",
@@ -27,6 +28,8 @@
         self._refuse_age_s = refuse_age_s
         self._configuration: Configuration | None = None
         self._routes = RouteTable()
+        # False if the store holds routes or keys that this gateway could not decode.
+        self._complete = True
         self._confirmed_at = float("-inf")
 
     @property
@@ -44,10 +47,18 @@
         """Version of the configuration; 0 before the first one was read."""
         return self._configuration.version if self._configuration else 0
 
-    def update(self, configuration: Configuration) -> bool:
-        """Replaces the configuration by a newer one; returns False for an older one."""
+    def update(self, configuration: Configuration | None) -> bool:
+        """Replaces the configuration by a newer one; returns False for an older one.
+
+        :param configuration: None if the newest one could not be decoded. The last one
+            stays in force then, but no longer tells which routes and keys exist.
+        """
+        if configuration is None:
+            self._complete = False
+            return False
         if configuration.version <= self.version:
             return False
+        self._complete = configuration.complete
         self._configuration = configuration
         self._routes = RouteTable.from_configuration(configuration)
         return True
@@ -66,4 +77,4 @@
 
     def is_authoritative(self, now: float) -> bool:
         """Tells whether an unknown route or key may be refused with a final status."""
-        return self.age_s(now) < self._refuse_age_s
+        return self._complete and self.age_s(now) < self._refuse_age_s
--- a/heatherswitch/gateway/events.py
+++ b/heatherswitch/gateway/events.py
@@ -226,11 +226,14 @@
 
 
 class ConfigurationRead(Record):
-    """A version of the operators' configuration was read from the store."""
+    """A version of the operators' configuration was read from the store.
+
+    :param configuration: None if the newest version could not be decoded.
+    """
 
     __slots__ = ("configuration",)
 
-    def __init__(self, configuration: Configuration) -> None:
+    def __init__(self, configuration: Configuration | None) -> None:
         self.configuration = configuration
 
 
--- a/heatherswitch/gateway/model.py
+++ b/heatherswitch/gateway/model.py
@@ -172,6 +172,7 @@
 
     :param api_keys: workspace of each API key.
     :param requires_api_key: routes that are not anonymous require an API key.
+    :param complete: False if parts of it could not be decoded and were left out.
     """
 
     __slots__ = (
@@ -181,6 +182,7 @@
         "caller_limits",
         "api_keys",
         "requires_api_key",
+        "complete",
     )
 
     def __init__(
@@ -191,6 +193,7 @@
         caller_limits: CallerLimits,
         api_keys: dict[str, Workspace],
         requires_api_key: bool,
+        complete: bool = True,
     ) -> None:
         self.version = version
         self.routes = routes
@@ -198,6 +201,7 @@
         self.caller_limits = caller_limits
         self.api_keys = api_keys
         self.requires_api_key = requires_api_key
+        self.complete = complete
 
 
 class Server(Record):
--- a/heatherswitch/gateway/shell.py
+++ b/heatherswitch/gateway/shell.py
@@ -355,7 +355,7 @@
             future = self._effect_futures.get(effect.serial)
             if future is not None and not future.done():
                 future.set_result(effect)
-        if isinstance(event, ev.ConfigurationRead):
+        if isinstance(event, ev.ConfigurationRead) and event.configuration:
             self._apply_configured_limits()
             self._configured.set()
 
--- a/heatherswitch/platform/reader.py
+++ b/heatherswitch/platform/reader.py
@@ -149,4 +149,4 @@
             return [ev.ConfigurationRead(decode_configuration(value))]
         except RecordError as error:
             log.error("ignoring invalid configuration", extra={"error": str(error)})
-            return []
+            return [ev.ConfigurationRead(None)]
--- a/test/test_configuration_changes.py
+++ b/test/test_configuration_changes.py
@@ -53,6 +53,15 @@
         store.deaf = False
         await self.assert_served("/added/1", "/lookup/1")
 
+    async def test_after_a_configuration_that_cannot_be_decoded(self):
+        """Its routes are unknown, so that they must not be refused for good."""
+        self.deployment.store.put("op/config", b'{"version": 2, "routes": 1}')
+        await asyncio.sleep(2.0)
+        status, _, _ = await self.deployment.call("/added/1")
+        self.assertEqual(status, 503)
+        self.put_version(3)
+        await self.assert_served("/added/1", "/lookup/1")
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/test/test_gateway_reducer.py
+++ b/test/test_gateway_reducer.py
@@ -47,6 +47,19 @@
         driver.now += Limits().timing.ready_age_s + 0.1
         self.assertFalse(driver.reducer.ready(driver.now))
 
+    def test_unknown_route_or_key_is_503_if_a_configuration_cannot_be_decoded(self):
+        """The newest configuration may have added the route or the key."""
+        driver = Driver(version=5)
+        driver.add_servers(server("l1"))
+        driver.apply(ev.ConfigurationRead(None))
+        self.assertEqual(driver.decide("/nowhere/").status, 503)
+        self.assertEqual(driver.decide("/safe/1", key="new").status, 503)
+        self.assertIsInstance(driver.decide("/safe/1"), ev.Forward)
+        driver.apply(ev.ConfigurationRead(configuration(6, complete=False)))
+        self.assertEqual(driver.decide("/nowhere/").status, 503)
+        driver.apply(ev.ConfigurationRead(configuration(7)))
+        self.assertEqual(driver.decide("/nowhere/").status, 404)
+
     def test_older_configuration_is_ignored(self):
         driver = Driver(version=5)
         driver.apply(ev.ConfigurationRead(configuration(4, routes=())))
