--- a/test/test_platform_formats.py
+++ b/test/test_platform_formats.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 
 from emulator.platform.deployment import build_configuration
+from heatherswitch.gateway import events as ev
 from heatherswitch.gateway.model import Load, PromptPart, RequestKind
 from heatherswitch.gateway.notices import MAX_BUSY_S
 from heatherswitch.gateway.upstream import UpstreamContext
