Bound the cache of the owners of keys

KeyOwners kept the ranked addresses of each key, and with them each prompt part ever asked for, until the list of gateways changed. A long-running fleet grows by about 220 bytes a part.

functools.lru_cache bounds it to 10,000 keys, 2.2 MB.

--- a/heatherswitch/fleet/counters.py
+++ b/heatherswitch/fleet/counters.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable, Iterable, Mapping
+from functools import lru_cache
 
 from heatherswitch.statecore.hashing import rendezvous_order
 from heatherswitch.util.record import Record
@@ -21,6 +22,8 @@
 SUSPECT_AFTER_TIMEOUTS = 2
 # Number of routers that may act as the owner of a key, in order of rank.
 MAX_OWNERS = 2
+# Keys whose owners are remembered; an entry takes about 220 bytes.
+MAX_CACHED_KEYS = 10_000
 
 
 class Count(Record):
@@ -115,7 +118,7 @@
         "_addresses",
         "_known_addresses",
         "_own",
-        "_owners_by_key",
+        "_ranked_addresses",
         "_suspect_until",
         "_timeouts",
     )
@@ -124,8 +127,8 @@
         self._own = own
         self._addresses: dict[str, str] = {}
         self._known_addresses: frozenset[str] = frozenset()
-        # Cache: key to the addresses of its possible owners, in order of rank.
-        self._owners_by_key: dict[str, tuple[str, ...]] = {}
+        # Keys are ids of servers and of prompt parts, and new parts come all the time.
+        self._ranked_addresses = lru_cache(MAX_CACHED_KEYS)(self._rank_addresses)
         # Address to the number of consecutive queries without a response.
         self._timeouts: dict[str, int] = {}
         self._suspect_until: dict[str, float] = {}
@@ -141,7 +144,7 @@
         :param addresses: id to address.
         """
         self._addresses = dict(addresses)
-        self._owners_by_key.clear()
+        self._ranked_addresses.cache_clear()
         self._known_addresses = frozenset(self._addresses.values())
         for table in (self._timeouts, self._suspect_until):
             for address in [a for a in table if a not in self._known_addresses]:
@@ -159,11 +162,7 @@
         """
         if self._own not in self._addresses:
             return None
-        ranked = self._owners_by_key.get(key)
-        if ranked is None:
-            ids = rendezvous_order(key, self._addresses)[:MAX_OWNERS]
-            ranked = self._owners_by_key[key] = tuple(self._addresses[i] for i in ids)
-        for address in ranked:
+        for address in self._ranked_addresses(key):
             if now >= self._suspect_until.get(address, 0.0):
                 return address
         return None
@@ -173,6 +172,11 @@
         self._timeouts.pop(address, None)
         self._suspect_until.pop(address, None)
 
+    def _rank_addresses(self, key: str) -> tuple[str, ...]:
+        """Returns the addresses of a key's possible owners, in order of rank."""
+        ids = rendezvous_order(key, self._addresses)[:MAX_OWNERS]
+        return tuple(self._addresses[i] for i in ids)
+
     def record_timeout(self, now: float, address: str) -> None:
         """Records a query that timed out."""
         self._timeouts[address] = self._timeouts.get(address, 0) + 1
--- a/test/test_counters.py
+++ b/test/test_counters.py
@@ -1,5 +1,6 @@
 """Tests of the counters shared between routers and of the peer message encoding."""
 
+import tracemalloc
 import unittest
 
 import msgpack
@@ -71,6 +72,17 @@
             key = f"server/s{number}"
             self.assertEqual(self.owners.owner(0.0, key), other.owner(0.0, key))
 
+    def test_memory_is_bounded_however_many_keys_are_asked_for(self):
+        """Guards against a cache of prompt parts that grows until the fleet changes."""
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        sizes = []
+        for start in (0, 20_000):
+            for number in range(start, start + 20_000):
+                self.owners.owner(0.0, f"part/{number:032x}")
+            sizes.append(tracemalloc.get_traced_memory()[0])
+        self.assertLess(sizes[1], 1.1 * sizes[0])
+
     def test_unresponsive_owner_is_replaced_and_retried_later(self):
         first = self.owners.owner(0.0, KEY)
         self.owners.record_timeout(0.0, first)
