Complete an order for the version in force at once

An operator whose write lost its answer orders a roll-out again. All servers have the target version by then, while a running roll-out sends most requests to servers of another version: all requests of the service were refused with 503 until the order was withdrawn, and the gateways recorded it as rolled back.

An order whose target alone has served the requests before it, or, at a gateway without recent requests, is that of the last completed roll-out, names the version in force. It keeps all requests, and the owner records it as completed. Recent attempts at another version rule that out, so that a bad version gets no more than before.

--- a/heatherswitch/gateway/rollout_table.py
+++ b/heatherswitch/gateway/rollout_table.py
@@ -6,9 +6,11 @@
 from heatherswitch.gateway import events as ev
 from heatherswitch.gateway.response_speed import AttemptTimes
 from heatherswitch.gateway.rollouts import (
+    MAX_LEARNED_AGE_S,
     ExposureLimit,
     RecentTimes,
     Rollout,
+    RolloutOrder,
     RolloutState,
     rollout_id,
 )
@@ -29,6 +31,7 @@
     """
 
     __slots__ = (
+        "_completed_targets",
         "_exposure",
         "_gateway_id",
         "_incarnation",
@@ -43,6 +46,8 @@
         self._incarnation = incarnation
         self._exposure = exposure
         self._rollouts: dict[str, Rollout] = {}
+        # Version that the last completed rollout of each service left in force.
+        self._completed_targets: dict[str, str] = {}
         # Latest responses by service and route while no rollout is running.
         self._recent_times: dict[str, RecentTimes] = {}
 
@@ -60,15 +65,39 @@
             rollout = Rollout(
                 now, event.order, self._gateway_id, self._incarnation, self._exposure
             )
-            rollout.learn_speed(now, self._recent_times.pop(event.service, {}))
+            recent = self._recent_times.pop(event.service, {})
+            rollout.learn_speed(now, recent)
+            rollout.in_force = self._is_in_force(now, event.order, recent)
             self._rollouts[event.service] = rollout
 
     def on_status(self, event: ev.RolloutStatusRead) -> None:
         """Applies a decision recorded in the store."""
+        if event.state is RolloutState.COMPLETED:
+            self._completed_targets[event.service] = event.target
         rollout = self._rollouts.get(event.service)
         if rollout is not None:
             rollout.apply_status(event.target, event.state, event.revision)
 
+    def _is_in_force(
+        self, now: float, order: RolloutOrder, recent: RecentTimes
+    ) -> bool:
+        """Tells whether an order's target is the version in force already.
+
+        No rollout was running when the recent attempts were sent, so that each of them
+        could get any version. A gateway without recent attempts goes by the last
+        completed rollout.
+
+        :param recent: attempts of the service before the order, by route.
+        """
+        versions = {
+            version
+            for attempts in recent.values()
+            for version, times in attempts
+            if now - times.sent_at < MAX_LEARNED_AGE_S
+        }
+        completed = self._completed_targets.get(order.service)
+        return (versions or {completed}) == {order.target}
+
     def on_progress(self, now: float, event: ev.RolloutProgressRead) -> None:
         """Applies progress that the owner recorded."""
         rollout = self._rollouts.get(event.service)
--- a/heatherswitch/gateway/rollouts.py
+++ b/heatherswitch/gateway/rollouts.py
@@ -115,6 +115,8 @@
 
     :param gateway_id: id of this gateway.
     :param incarnation: tells the evidence of two runs of this gateway apart.
+    :ivar in_force: the version was in force before the order, so that there is no other
+        one to compare it with or to go back to.
     """
 
     __slots__ = (
@@ -124,6 +126,7 @@
         "_speed_limits",
         "_started_at",
         "_target_request_count",
+        "in_force",
         "order",
         "stage",
         "state",
@@ -140,6 +143,7 @@
         self.order = order
         self.state = RolloutState.RUNNING
         self.stage = 0
+        self.in_force = False
         self._started_at = now
         self._exposure = exposure
         self._request_count = 0
@@ -214,6 +218,8 @@
         """
         if self.state is RolloutState.COMPLETED:
             return 1.0
+        if self.state is RolloutState.RUNNING and self.in_force:
+            return 1.0
         if self.state is RolloutState.ROLLED_BACK or self.verdict is Verdict.BAD:
             return 0.0
         if self.stage > 0 and self._is_suspended():
@@ -296,6 +302,8 @@
         """Returns the owner's next step."""
         if self.state is not RolloutState.RUNNING:
             return Step.WAIT
+        if self.in_force:
+            return Step.COMPLETE
         if self.verdict is Verdict.BAD:
             return Step.ROLL_BACK
         elapsed_fraction = self._elapsed_fraction(now)
--- a/test/test_rollouts.py
+++ b/test/test_rollouts.py
@@ -527,6 +527,79 @@
             self.assertIs(rollouts.by_service["ledger"].state, state)
 
 
+class VersionInForceTest(unittest.TestCase):
+    def is_in_force(self, *served: str, completed: str = "") -> bool:
+        """Orders v2 after attempts at servers of the given versions."""
+        rollouts = RolloutTable("g", 1, ExposureLimit())
+        if completed:
+            status = RolloutState.COMPLETED
+            rollouts.on_status(ev.RolloutStatusRead("ledger", completed, status, 1))
+        for version in served:
+            times = AttemptTimes(0.0)
+            rollouts.count_response(0.1, "ledger", "r", version, False, times, False)
+        rollouts.on_order(1.0, ev.RolloutOrdered("ledger", ORDER))
+        return rollouts.by_service["ledger"].in_force
+
+    def test_only_a_version_that_has_served_alone_is_in_force(self):
+        """Else a bad version could get all requests at once (rule EXPOSURE)."""
+        self.assertTrue(self.is_in_force("v2", "v2"))
+        self.assertTrue(self.is_in_force(completed="v2"))
+        self.assertFalse(self.is_in_force())
+        self.assertFalse(self.is_in_force("v1", "v2"))
+        self.assertFalse(self.is_in_force("v1", completed="v2"))
+        self.assertFalse(self.is_in_force(completed="v3"))
+
+
+class RepeatedOrderTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against refusals of all requests while an order names the version in force.
+
+    The gateways looked for servers of another version and found none.
+    """
+
+    async def asyncSetUp(self):
+        self.deployment = Deployment()
+        self.addAsyncCleanup(self.deployment.stop)
+        await self.deployment.start()
+
+    async def assert_served(self) -> None:
+        for _ in range(10):
+            status, _, _ = await self.deployment.call("/lookup/1")
+            self.assertEqual(status, 200)
+
+    async def order(self, target: str, number: int) -> None:
+        order = {"service": "ledger", "target": target, "duration_s": 5, "n": number}
+        self.deployment.store.put("op/rollout/ledger", order)
+        await self.deployment.wait_until(
+            lambda: "ledger" in self.deployment.gateway._reducer.rollouts
+        )
+
+    async def wait_for_status(self, text: str) -> None:
+        store = self.deployment.store
+        await self.deployment.wait_until(
+            lambda: text in (store.read("status/rollout/ledger") or b"").decode()
+        )
+
+    async def test_version_that_has_served_all_requests(self):
+        await self.deployment.add_server("l1", "ledger", version="v1")
+        await self.assert_served()
+        await self.order("v1", 1)
+        await self.assert_served()
+        await self.wait_for_status("completed")
+        await self.assert_served()
+
+    async def test_version_of_the_last_completed_rollout(self):
+        status = {"state": "completed", "target": "v2"}
+        self.deployment.store.put("status/rollout/ledger", status)
+        await self.deployment.add_server("l1", "ledger", version="v2")
+        await self.order("v2", 2)
+        await self.assert_served()
+        before = self.deployment.store.data.revision
+        await asyncio.sleep(2.0)
+        await self.assert_served()
+        self.assertGreater(self.deployment.store.data.revision, before)
+        await self.wait_for_status("completed")
+
+
 class RolloutServiceTest(unittest.IsolatedAsyncioTestCase):
     async def play(
         self,
