Ignore store entries that cannot be decoded

Gateways stopped following the store, or read all of it again and again, when another writer left one odd entry: nested 5,000 deep (RecursionError), or with a number of 1e999 or 400 digits (OverflowError). The decoders caught some errors of each kind. Two other values did harm later: a port that does not exist, which made each connect raise OverflowError, and a server id that no header can hold. A malformed megabyte was repeated in the log line.

heatherswitch/util/untrusted.py reads documents and fields of other programs and raises one error with a short message. Server entries, rollout orders and states, rollout records and crash reports are read by it. Booleans, text and numbers out of range no longer pass as numbers.

--- a/heatherswitch/gateway/crash_records.py
+++ b/heatherswitch/gateway/crash_records.py
@@ -4,6 +4,15 @@
 import math
 
 from heatherswitch.gateway.prompt_quarantine import MAX_REPORTED_PARTS, CrashReport
+from heatherswitch.util.untrusted import (
+    MalformedInput,
+    describe_error,
+    parse_object,
+    require_integer,
+    require_list,
+    require_number,
+    require_string,
+)
 
 CRASH_PREFIX = "heatherswitch/crashes/"
 CLEARED_PREFIX = "heatherswitch/cleared-parts/"
@@ -32,21 +41,22 @@
     :raises CrashRecordError: if it is malformed.
     """
     try:
-        tree = json.loads(value)
-        sent_at, at = float(tree["sent_at"]), float(tree["at"])
-        parts = tree["parts"]
-        if not isinstance(parts, list) or not math.isfinite(sent_at + at):
-            raise CrashRecordError("malformed crash report: parts or time")
+        tree = parse_object(value)
+        sent_at, at = require_number(tree["sent_at"]), require_number(tree["at"])
+        if not math.isfinite(sent_at + at):
+            raise MalformedInput("the times are out of range")
+        parts = require_list(tree["parts"])
         return CrashReport(
             report_id,
-            str(tree["server"]),
-            int(tree["incarnation"]),
+            require_string(tree["server"]),
+            require_integer(tree["incarnation"]),
             sent_at,
             at,
-            tuple(str(part) for part in parts[-MAX_REPORTED_PARTS:]),
+            tuple(require_string(part) for part in parts[-MAX_REPORTED_PARTS:]),
         )
-    except (KeyError, TypeError, ValueError, OverflowError) as error:
-        raise CrashRecordError(f"malformed crash report: {error!r}") from error
+    except (KeyError, MalformedInput) as error:
+        message = f"malformed crash report: {describe_error(error)}"
+        raise CrashRecordError(message) from error
 
 
 def cleared_record(part: str) -> tuple[str, bytes]:
--- a/heatherswitch/gateway/rollout_records.py
+++ b/heatherswitch/gateway/rollout_records.py
@@ -1,10 +1,21 @@
 """Store records by which gateways share the evidence and progress of a rollout."""
 
 import json
+from typing import Any
 
 from heatherswitch.fleet.evidence import EvidenceRecord
 from heatherswitch.fleet.rollout import Counts
 from heatherswitch.util.record import Record
+from heatherswitch.util.untrusted import (
+    MalformedInput,
+    describe_error,
+    parse_json,
+    parse_object,
+    require_integer,
+    require_list,
+    require_number,
+    require_string,
+)
 
 EVIDENCE_PREFIX = "heatherswitch/evidence/"
 PROGRESS_PREFIX = "heatherswitch/progress/"
@@ -50,12 +61,15 @@
     :raises RolloutRecordError: if it is malformed.
     """
     try:
-        tree = json.loads(value)
+        tree = parse_object(value)
         return Progress(
-            str(tree["move"]), max(0, int(tree["stage"])), float(tree["elapsed_s"])
+            require_string(tree["move"]),
+            require_integer(tree["stage"]),
+            require_number(tree["elapsed_s"]),
         )
-    except (KeyError, TypeError, ValueError) as error:
-        raise RolloutRecordError(f"malformed progress record: {error!r}") from error
+    except (KeyError, MalformedInput) as error:
+        message = f"malformed progress record: {describe_error(error)}"
+        raise RolloutRecordError(message) from error
 
 
 def encode_evidence(records: list[EvidenceRecord]) -> bytes:
@@ -86,20 +100,28 @@
     :raises RolloutRecordError: if it is malformed.
     """
     try:
-        return [
-            EvidenceRecord(
-                str(move),
-                str(router),
-                int(incarnation),
-                int(sequence),
-                str(route),
-                float(share),
-                Counts(*map(int, active)),
-                Counts(*map(int, starting)),
-            )
-            for move, router, incarnation, sequence, route, share, active, starting in (
-                json.loads(value)
-            )
-        ]
-    except (TypeError, ValueError) as error:
-        raise RolloutRecordError(f"malformed evidence record: {error!r}") from error
+        return [_decode_evidence_row(row) for row in require_list(parse_json(value))]
+    except ValueError as error:
+        message = f"malformed evidence record: {describe_error(error)}"
+        raise RolloutRecordError(message) from error
+
+
+def _decode_evidence_row(row: Any) -> EvidenceRecord:
+    move, router, incarnation, sequence, route, share, active, starting = require_list(
+        row
+    )
+    return EvidenceRecord(
+        require_string(move),
+        require_string(router),
+        require_integer(incarnation),
+        require_integer(sequence),
+        require_string(route),
+        require_number(share),
+        _decode_counts(active),
+        _decode_counts(starting),
+    )
+
+
+def _decode_counts(row: Any) -> Counts:
+    requests, failures, timed, slow = map(require_integer, require_list(row))
+    return Counts(requests, failures, timed, slow)
--- a/heatherswitch/platform/reader.py
+++ b/heatherswitch/platform/reader.py
@@ -26,6 +26,11 @@
     decode_server,
 )
 from heatherswitch.statecore.replica import Entry
+from heatherswitch.util.untrusted import (
+    describe_error,
+    parse_object,
+    require_name,
+)
 
 log = logging.getLogger("heatherswitch.platform.reader")
 
@@ -100,7 +105,10 @@
         try:
             order = decode_rollout_order(service, entry.mod_revision, entry.value)
         except RecordError as error:
-            log.error("ignoring invalid rollout order", extra={"error": str(error)})
+            log.error(
+                "ignoring invalid rollout order",
+                extra={"service": service, "error": str(error)},
+            )
             return []
         log.info("rollout ordered", extra={"service": service, "target": order.target})
         return [ev.RolloutOrdered(service, order)]
@@ -109,11 +117,14 @@
         """Decodes the status of a rollout; returns None if it is malformed."""
         service = entry.key.removeprefix(names.ROLLOUT_STATUS_PREFIX)
         try:
-            document = json.loads(entry.value)
-            state = RolloutState(document["state"])
-            target = str(document["target"])
-        except (KeyError, TypeError, ValueError) as error:
-            log.warning("ignoring invalid rollout status", extra={"error": repr(error)})
+            document = parse_object(entry.value)
+            state = RolloutState(require_name(document["state"]))
+            target = require_name(document["target"])
+        except (KeyError, ValueError) as error:
+            log.warning(
+                "ignoring invalid rollout status",
+                extra={"service": service, "error": describe_error(error)},
+            )
             return None
         return ev.RolloutStatusRead(service, target, state, entry.mod_revision)
 
@@ -123,7 +134,10 @@
         try:
             return [ev.CrashReported(decode_report(report_id, value))]
         except CrashRecordError as error:
-            log.warning("ignoring invalid crash report", extra={"error": str(error)})
+            log.warning(
+                "ignoring invalid crash report",
+                extra={"report": report_id, "error": str(error)},
+            )
             return []
 
     def _read_gateway_record(self, key: str, value: bytes) -> list[ev.Event]:
@@ -138,7 +152,10 @@
                 service = key.removeprefix(EVIDENCE_PREFIX).rpartition("/")[0]
                 return [ev.RolloutEvidenceRead(service, tuple(decode_evidence(value)))]
         except RolloutRecordError as error:
-            log.warning("ignoring invalid rollout record", extra={"error": str(error)})
+            log.warning(
+                "ignoring invalid rollout record",
+                extra={"key": key, "error": str(error)},
+            )
         return []
 
     def _read_configuration(self, value: bytes | None) -> list[ev.Event]:
--- a/heatherswitch/platform/records.py
+++ b/heatherswitch/platform/records.py
@@ -1,6 +1,5 @@
 """Decodes the JSON records that operators and backend servers write to the store."""
 
-import json
 import logging
 from typing import Any
 
@@ -14,6 +13,17 @@
     Workspace,
 )
 from heatherswitch.gateway.rollouts import RolloutOrder
+from heatherswitch.util.untrusted import (
+    MalformedInput,
+    describe_error,
+    parse_json,
+    parse_object,
+    require_integer,
+    require_name,
+    require_number,
+    require_port,
+    require_token,
+)
 
 log = logging.getLogger("heatherswitch.platform.records")
 
@@ -35,7 +45,7 @@
     :raises RecordError: if it is malformed.
     """
     try:
-        document = json.loads(value)
+        document = parse_json(value)
         workspaces = document.get("tenants") or []
         return Configuration(
             version=int(document["version"]),
@@ -50,8 +60,8 @@
             api_keys=_decode_api_keys(workspaces),
             requires_api_key="tenants" in document,
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
-        raise RecordError(f"configuration: {error!r}") from error
+    except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
+        raise RecordError(f"configuration: {describe_error(error)}") from error
 
 
 def _list_items(document: dict, name: str) -> list[dict]:
@@ -131,48 +141,52 @@
     :raises RecordError: if it is malformed.
     """
     try:
-        document = json.loads(value)
-        duration_s = float(document["duration_s"])
+        document = parse_object(value)
+        duration_s = require_number(document["duration_s"])
         return RolloutOrder(
-            service, _require_str(document["target"]), duration_s, revision
+            service, require_name(document["target"]), duration_s, revision
         )
-    except (KeyError, TypeError, ValueError) as error:
-        raise RecordError(f"rollout order: {error!r}") from error
+    except (KeyError, MalformedInput) as error:
+        raise RecordError(f"rollout order: {describe_error(error)}") from error
 
 
 def decode_server(server_id: str, value: bytes) -> Server | None:
     """Decodes the entry of a backend server.
 
-    :returns: None if the entry is malformed or its state is neither ready nor draining.
-        Entries are written by other programs, so this is no error.
+    :returns: None if the entry is malformed, its state is neither ready nor draining, or
+        its address cannot be connected to. Entries are written by other programs, so
+        this is no error.
     """
     try:
-        item = json.loads(value)
-        host, _, port = item["address"].rpartition(":")
-        if item["state"] not in _SERVER_STATES or not host:
-            raise ValueError("unknown state, or address without a host")
+        item = parse_object(value)
+        host, _, port = require_token(item["address"]).rpartition(":")
+        if require_name(item["state"]) not in _SERVER_STATES:
+            raise MalformedInput(f"the state {item['state'][:100]} is unknown")
         return Server(
-            id=server_id,
+            # The id is sent in a header of each request.
+            id=require_token(server_id),
             # ``born`` is the Unix time at which the server started, in milliseconds.
-            incarnation=int(item.get("born") or 0),
-            service=_require_str(item["service"]),
-            host=host,
-            port=int(port),
-            zone=_require_str(item["zone"]),
-            version=_require_str(item.get("version", "")),
-            slots=max(0, int(item.get("slots") or 0)),
+            incarnation=require_integer(_number_field(item, "born")),
+            service=require_name(item["service"]),
+            host=require_token(host),
+            port=require_port(port),
+            zone=require_name(item["zone"]),
+            version=require_name(item.get("version", "")),
+            slots=require_integer(_number_field(item, "slots")),
             draining=item["state"] == "draining",
-            cold_for_s=max(0.0, float(item.get("cold_remaining_ms") or 0) / 1000),
+            cold_for_s=max(
+                0.0, require_number(_number_field(item, "cold_remaining_ms")) / 1000
+            ),
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except (KeyError, MalformedInput) as error:
         log.warning(
             "invalid entry of a backend server",
-            extra={"server": server_id, "error": repr(error)},
+            extra={"server": server_id, "error": describe_error(error)},
         )
         return None
 
 
-def _require_str(value: Any) -> str:
-    if not isinstance(value, str):
-        raise ValueError(f"{value!r} is not a string")
-    return value
+def _number_field(item: dict[str, Any], name: str) -> Any:
+    """Returns a field that counts as 0 if it is missing or null."""
+    value = item.get(name)
+    return 0 if value is None else value
--- /dev/null
+++ b/test/test_malformed_input.py
@@ -0,0 +1,133 @@
+"""Tests of decoders with malformed values of other writers, peers and servers."""
+
+import json
+import unittest
+
+from heatherswitch.gateway import events as ev
+from heatherswitch.gateway.crash_records import CRASH_PREFIX
+from heatherswitch.gateway.rollout_records import EVIDENCE_PREFIX, PROGRESS_PREFIX
+from heatherswitch.platform import names
+from heatherswitch.platform.reader import PlatformReader
+from heatherswitch.statecore.replica import Entry
+from heatherswitch.util.untrusted import (
+    MAX_ERROR_CHARACTERS,
+    MalformedInput,
+    describe_error,
+    parse_json,
+)
+from test.test_platform_formats import ENTRY
+
+DEEP = b"[" * 5000
+# JSON texts that no number, string or list field accepts.
+BAD_VALUES = {
+    "deep": "[" * 900 + "]" * 900,
+    "infinite": "1e999",
+    "400 digits": "9" * 400,
+    "not a number": "NaN",
+    "boolean": "true",
+    "false": "false",
+    "empty object": "{}",
+    "lone surrogate": r'"\ud800"',
+    "NUL": r'"a\u0000b"',
+}
+BAD_DOCUMENTS = (b"", b"\x00", b"\xff" * 1_000_000, DEEP, b"9" * 5000, b"7", b"null")
+# Bounds the length of the log line that a malformed value of any size causes.
+MAX_LOG_CHARACTERS = 2 * MAX_ERROR_CHARACTERS
+REPORT = {"server": "s1", "incarnation": 1, "sent_at": 1, "at": 2, "parts": ["p"]}
+PROGRESS = {"move": "m", "stage": 0, "elapsed_s": 1.0}
+EVIDENCE_ROW = ["m", "r", 1, 1, "route", 0.1, [1, 0, 1, 0], [1, 0, 1, 0]]
+ORDER = {"service": "ledger", "target": "v2", "duration_s": 30}
+
+
+def with_field(document: dict, name: str, text: str) -> bytes:
+    """Returns a document with the JSON text of one field replaced."""
+    fields = [
+        f"{json.dumps(k)}: {text if k == name else json.dumps(v)}"
+        for k, v in document.items()
+    ]
+    return ("{" + ", ".join(fields) + "}").encode()
+
+
+class DocumentsTest(unittest.TestCase):
+    """Guards against documents that raise other errors or fill the log."""
+
+    def test_unreadable_documents_raise_one_short_error(self):
+        for data in (b"", b"\xff" * 1_000_000, DEEP, b"9" * 5000, b"{", b'{"a":}'):
+            with self.subTest(data[:9]), self.assertRaises(MalformedInput) as caught:
+                parse_json(data)
+            text = describe_error(caught.exception)
+            self.assertLessEqual(len(text), MAX_LOG_CHARACTERS)
+
+
+class StoreEntriesTest(unittest.TestCase):
+    """Guards CONFIG: an entry that can't be decoded must not end the watch."""
+
+    def read(self, key: str, value: bytes) -> list[ev.Event]:
+        """Returns the events of a malformed entry; checks that one short line is logged."""
+        with self.assertLogs("heatherswitch.platform") as logs:
+            events = PlatformReader().read(Entry(key, 5, value), False)
+        self.assertEqual(len(logs.records), 1, value[:80])
+        self.assertLessEqual(len(logs.records[0].error), MAX_LOG_CHARACTERS)
+        return events
+
+    def test_server_entry_with_a_malformed_field_names_no_server(self):
+        for name in set(ENTRY) - {"seq"}:
+            for case, text in BAD_VALUES.items():
+                with self.subTest(f"{name}: {case}"):
+                    events = self.read("servers/i", with_field(ENTRY, name, text))
+                    self.assertEqual(events, [ev.ServerRemoved("i", False)])
+
+    def test_unreadable_server_entry_names_no_server(self):
+        for data in BAD_DOCUMENTS:
+            with self.subTest(data[:9]):
+                events = self.read("servers/i", data)
+                self.assertEqual(events, [ev.ServerRemoved("i", False)])
+
+    def test_server_entry_with_an_address_that_does_not_exist_names_no_server(self):
+        for address in (
+            *("127.0.0.1:0", "127.0.0.1:-1", "127.0.0.1:65536", "127.0.0.1:70000"),
+            *(":80", "127.0.0.1", "127.0.0.1: 80", "127.0.0.1:8_0", "127.0.0.1:８０"),
+            *("127.0.0.1:" + "9" * 5000, "a b:80", "a\r\nb:80", "é:80"),
+        ):
+            with self.subTest(address[:30]):
+                value = json.dumps(ENTRY | {"address": address}).encode()
+                events = self.read("servers/i", value)
+                self.assertEqual(events, [ev.ServerRemoved("i", False)])
+
+    def test_server_id_that_no_header_can_hold_names_no_server(self):
+        for server_id in ("", "i 1", "i\n1", "i\x00", "\ud800", "日"):
+            with self.subTest(server_id):
+                events = self.read(f"servers/{server_id}", json.dumps(ENTRY).encode())
+                self.assertEqual(events, [ev.ServerRemoved(server_id, False)])
+
+    def test_malformed_orders_and_records_are_ignored(self):
+        for prefix, document in (
+            (names.ROLLOUT_PREFIX, ORDER),
+            (names.ROLLOUT_STATUS_PREFIX, {"state": "running", "target": "v2"}),
+            (CRASH_PREFIX, REPORT),
+            (PROGRESS_PREFIX, PROGRESS),
+        ):
+            values = list(BAD_DOCUMENTS)
+            for name in set(document) - {"service"}:
+                # The fields of crash reports and progress may hold control characters.
+                cases = [text for case, text in BAD_VALUES.items() if case != "NUL"]
+                values += [with_field(document, name, text) for text in cases]
+            for value in values:
+                with self.subTest(prefix + str(value[:120])):
+                    self.assertEqual(self.read(prefix + "x", value), [])
+
+    def test_malformed_evidence_is_ignored(self):
+        for position in range(len(EVIDENCE_ROW)):
+            for case in set(BAD_VALUES) - {"NUL"}:
+                row = [json.dumps(value) for value in EVIDENCE_ROW]
+                row[position] = BAD_VALUES[case]
+                value = ("[[" + ",".join(row) + "]]").encode()
+                with self.subTest(f"{position}: {case}"):
+                    self.assertEqual(self.read(EVIDENCE_PREFIX + "s/g", value), [])
+        for value in BAD_DOCUMENTS:
+            with self.subTest(value[:9]):
+                self.assertEqual(self.read(EVIDENCE_PREFIX + "s/g", value), [])
+
+
+if __name__ == "__main__":
+    unittest.main()
