Reject addresses of gateways that datagrams cannot be sent to

A membership entry with a port over 65535 closed the UDP socket of each gateway that read it: asyncio ends the transport on the OverflowError of sendto(), and each later message failed with an AttributeError. A host name instead of an IP address was looked up while the event loop waited. Nesting and digits raised RecursionError and ValueError.

Such a gateway now counts as one without an address, as with other malformed entries.

Before: after one send to 127.0.0.1:70000 the socket was closed and received nothing (script on a scratch copy); MembersTest fails. After: it passes.

--- a/heatherswitch/gateway/store_sync.py
+++ b/heatherswitch/gateway/store_sync.py
@@ -1,7 +1,7 @@
 """Replicates the store to the gateway and turns changed entries into events."""
 
 import asyncio
-import json
+import ipaddress
 import logging
 import random
 from collections.abc import AsyncIterator, Callable, Iterable
@@ -18,6 +18,12 @@
 )
 from heatherswitch.util.clock import Clock
 from heatherswitch.util.record import Record
+from heatherswitch.util.untrusted import (
+    describe_error,
+    parse_object,
+    require_port,
+    require_token,
+)
 
 log = logging.getLogger("heatherswitch.gateway.store_sync")
 
@@ -192,18 +198,22 @@
 def _member(entry: Entry, prefix: str) -> Member:
     """Decodes an entry written by :func:`maintain_membership`.
 
-    The lease stores the address in the ``owner`` field.
+    The lease stores the address in the ``owner`` field. A socket would look up a host
+    name while the event loop waits, and a port that does not exist would close it.
     """
     member_id = entry.key.removeprefix(prefix)
     try:
-        address = json.loads(entry.value)["owner"]
-        host, _, port = address.rpartition(":")
-        valid = host and port.isascii() and port.isdigit()
-        return Member(member_id, address if valid else "")
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        address = parse_object(entry.value)["owner"]
+        if not address:
+            return Member(member_id)
+        host, _, port = require_token(address).rpartition(":")
+        ipaddress.ip_address(host)
+        require_port(port)
+        return Member(member_id, address)
+    except (ValueError, KeyError) as error:
         log.warning(
             "membership entry is malformed",
-            extra={"router": member_id, "error": repr(error)},
+            extra={"router": member_id, "error": describe_error(error)},
         )
         return Member(member_id)
 
--- a/test/test_malformed_input.py
+++ b/test/test_malformed_input.py
@@ -6,9 +6,11 @@
 from heatherswitch.gateway import events as ev
 from heatherswitch.gateway.crash_records import CRASH_PREFIX
 from heatherswitch.gateway.rollout_records import EVIDENCE_PREFIX, PROGRESS_PREFIX
+from heatherswitch.gateway.store_sync import StoreSync
 from heatherswitch.platform import names
 from heatherswitch.platform.reader import PlatformReader
 from heatherswitch.statecore.replica import Entry
+from heatherswitch.statecore.store import WatchBatch
 from heatherswitch.util.untrusted import (
     MAX_ERROR_CHARACTERS,
     MalformedInput,
@@ -16,6 +18,7 @@
     parse_json,
 )
 from test.test_platform_formats import ENTRY
+from test.test_store_sync import ManualClock
 
 DEEP = b"[" * 5000
 # JSON texts that no number, string or list field accepts.
@@ -129,5 +132,24 @@
                 self.assertEqual(self.read(EVIDENCE_PREFIX + "s/g", value), [])
 
 
+class MembersTest(unittest.TestCase):
+    """Guards the socket for peers, which an address that does not exist closes."""
+
+    def test_member_with_a_malformed_address_gets_no_messages(self):
+        prefix = PlatformReader.member_prefix
+        owners = [json.dumps(f"127.0.0.1:{port}") for port in (0, 70000, "9" * 5000)]
+        owners += ['"edge.example:80"', r'"a\u0000:80"', *BAD_VALUES.values()]
+        values = [b'{"owner": ' + owner.encode() + b"}" for owner in owners]
+        values += BAD_DOCUMENTS
+        good = Entry(prefix + "good", 2, b'{"owner": "127.0.0.1:7"}')
+        for value in values:
+            with self.subTest(value[:60]):
+                events = []
+                sync = StoreSync(ManualClock(), events.append, 1.0)
+                batch = WatchBatch(2, (Entry(prefix + "odd", 1, value), good), 100.0)
+                sync._on_batch(batch, PlatformReader())
+                self.assertEqual(events[-1].addresses, (("good", "127.0.0.1:7"),))
+
+
 if __name__ == "__main__":
     unittest.main()
