Read the other items of an answer that holds a malformed one

One item whose value is no Base64 made a gateway drop each answer of the store that holds it, so that it followed nothing while the item stood. Other answers ended the watch by an error that it did not expect: RecursionError by nesting, OverflowError by a revision of 1e999, TypeError by items that are no list, UnicodeEncodeError by a page that ends with a lone surrogate. A page that is repeated was read without end.

A value that can't be read becomes an empty one, with a log line; the decoders reject it. An answer whose keys or revisions can't be read, or whose page is repeated, fails as StoreUnavailable, with a message of bounded length.

--- a/heatherswitch/platform/store.py
+++ b/heatherswitch/platform/store.py
@@ -22,6 +22,15 @@
 from heatherswitch.util.clock import Clock
 from heatherswitch.util.http import ConnectFailed, ConnectionLost
 from heatherswitch.util.http_client import HttpClient
+from heatherswitch.util.untrusted import (
+    MalformedInput,
+    describe,
+    describe_error,
+    parse_json,
+    require_integer,
+    require_list,
+    require_object,
+)
 
 log = logging.getLogger("heatherswitch.platform.store")
 
@@ -88,13 +97,16 @@
             after = ""
             while True:
                 query = {"prefix": prefix} | ({"after": after} if after else {})
-                path = f"/kv-range?{urlencode(query)}"
+                # Keys of other writers may hold lone surrogates.
+                path = f"/kv-range?{urlencode(query, errors='surrogatepass')}"
                 page = _require_status(200, *await self._call("GET", path))
                 revision = revision or _int_field(page, "as_of")
-                items = [_decode_entry(item) for item in page.get("items") or ()]
+                items = _decode_entries(page, "items")
                 entries += items
                 if not page.get("truncated") or not items:
                     break
+                if items[-1].key <= after:
+                    raise StoreUnavailable("malformed response: a page is repeated")
                 after = items[-1].key
         return Snapshot(revision, tuple(entries), sent_at)
 
@@ -117,7 +129,7 @@
             if status == 410:
                 raise Compacted(f"history after revision {after} was compacted")
             body = _require_status(200, status, payload)
-            entries = tuple(_decode_entry(item) for item in body.get("events") or ())
+            entries = tuple(_decode_entries(body, "events"))
             after = max(after, _int_field(body, "as_of"))
             waited_s = 0.0 if entries else wait_ms / 1000
             current_at = confirmation_time(sent_at, waited_s, self._clock.now())
@@ -185,7 +197,7 @@
         """
         status, payload = await self._write("DELETE", f"/kv-lease-end/{lease_id}")
         if status != 200 and status != 204:
-            raise StoreError(f"lease {lease_id}: status {status}: {payload}")
+            raise StoreError(f"lease {lease_id}: status {status}: {describe(payload)}")
 
     async def _write(self, method: str, path: str, body: Any = None):
         return await self._call(method, path, CALL_TIMEOUT_S, body, AmbiguousWrite)
@@ -217,7 +229,7 @@
                 )
             async with asyncio.timeout(RESPONSE_BODY_TIMEOUT_S):
                 data = await response.read(MAX_RESPONSE_BYTES)
-            payload = json.loads(data) if data else {}
+            payload = parse_json(data) if data else {}
         except ConnectFailed as error:
             raise StoreUnavailable(f"{path}: {error}") from error
         except (ConnectionLost, TimeoutError, ValueError) as error:
@@ -244,26 +256,53 @@
 
 def _require_status(expected: int, status: int, payload: Any) -> dict:
     if status != expected or not isinstance(payload, dict):
-        raise StoreError(f"status {status}: {payload}")
+        raise StoreError(f"status {status}: {describe(payload)}")
     return payload
 
 
 def _int_field(payload: dict, name: str) -> int:
-    value = payload.get(name)
-    if not isinstance(value, int):
-        raise StoreUnavailable(f"malformed response: {name} is {value!r}")
-    return value
+    try:
+        return require_integer(payload.get(name))
+    except MalformedInput as error:
+        raise StoreUnavailable(f"malformed response: {name}: {error}") from error
+
+
+def _decode_entries(payload: dict, name: str) -> list[Entry]:
+    """Decodes the items of a page, or the events of a watch.
+
+    :raises StoreUnavailable: if they are no list, or one lacks its key or revision.
+    """
+    items = payload.get(name)
+    if items is None:
+        return []
+    try:
+        return [_decode_entry(item) for item in require_list(items)]
+    except MalformedInput as error:
+        raise StoreUnavailable(f"malformed response: {name}: {error}") from error
 
 
 def _decode_entry(item: Any) -> Entry:
     """Decodes an item, or the tombstone of a deleted key.
 
-    :raises StoreUnavailable: if it is malformed.
+    A value that cannot be read becomes an empty one, which the decoders of entries
+    reject, so that it does not hide the other items of its page.
+
+    :raises StoreUnavailable: if the key or the revision is malformed.
     """
     try:
-        if item.get("tombstone"):
-            return Entry(item["key"], int(item["revision"]), None)
-        value = base64.b64decode(item["value"], validate=True)
-        return Entry(item["key"], int(item["revision"]), value)
-    except (AttributeError, KeyError, TypeError, ValueError) as error:
-        raise StoreUnavailable(f"malformed item: {error!r}") from error
+        key = require_object(item)["key"]
+        revision = require_integer(item["revision"])
+        if not isinstance(key, str):
+            raise MalformedInput(f"the key {describe(key)} is not a string")
+    except (KeyError, MalformedInput) as error:
+        raise StoreUnavailable(f"malformed item: {describe_error(error)}") from error
+    if item.get("tombstone"):
+        return Entry(key, revision, None)
+    try:
+        return Entry(key, revision, base64.b64decode(item["value"], validate=True))
+    except (KeyError, TypeError, ValueError) as error:
+        log.warning(
+            "value of a store entry cannot be read",
+            extra={"key": key, "error": describe_error(error)},
+        )
+        return Entry(key, revision, b"")
--- /dev/null
+++ b/test/test_malformed_store_answers.py
@@ -0,0 +1,108 @@
+"""Tests of the platform store's client with malformed answers."""
+
+import asyncio
+import unittest
+
+from heatherswitch.gateway.timing import Timing
+from heatherswitch.platform.store import PlatformStore
+from heatherswitch.statecore.replica import Entry
+from heatherswitch.statecore.store import StoreError, StoreUnavailable
+from heatherswitch.util.clock import Clock
+
+DEEP = b"[" * 5000
+GOOD_ITEM = b'{"key": "b", "revision": 2, "value": "Yg=="}'
+GOOD = Entry("b", 2, b"b")
+BAD_NUMBERS = (b"1e999", b"9" * 400, b"NaN", b"true", b"-1", b'"1"', b"[]", b"null")
+# Bounds the length of the log line that a malformed answer of any size causes.
+MAX_ERROR_CHARACTERS = 400
+
+
+class MalformedAnswersTest(unittest.IsolatedAsyncioTestCase):
+    """Guards the watch of the store, which an unforeseen error would end."""
+
+    async def asyncSetUp(self):
+        self.answers: list[bytes] = []
+        server = await asyncio.start_server(self.respond, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        port = server.sockets[0].getsockname()[1]
+        self.store = PlatformStore.from_address(
+            f"127.0.0.1:{port}", Clock(), Timing.from_bounds()
+        )
+        self.addCleanup(self.store.close)
+
+    async def respond(self, reader, writer):
+        """Sends the next answer to one request; the last one is sent again and again."""
+        head = await reader.readuntil(b"\r\n\r\n")
+        length = head.lower().partition(b"content-length: ")[2].partition(b"\r\n")[0]
+        await reader.readexactly(int(length or 0))
+        body = self.answers.pop(0) if len(self.answers) > 1 else self.answers[0]
+        head = f"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: {len(body)}"
+        writer.write(head.encode() + b"\r\n\r\n" + body)
+        writer.close()
+
+    async def watch(self, body: bytes):
+        self.answers = [body]
+        return await anext(self.store.watch("", 1))
+
+    async def snapshot(self, *bodies: bytes):
+        self.answers = list(bodies)
+        async with asyncio.timeout(2.0):
+            return await self.store.snapshot([""])
+
+    async def test_malformed_answers_fail_as_unavailable(self):
+        as_of = [b'{"items": [], "events": [], "as_of": ' + n for n in BAD_NUMBERS]
+        items = [b"7", b'"x"', b"{}", b"[7]", b"[null]", b"[[]]", b'[{"key": 1}]']
+        items += [b'[{"key": "a", "revision": ' + n + b"}]" for n in BAD_NUMBERS]
+        bodies = [b"\xff" * 1_000_000, DEEP, b"9" * 5000, *(a + b"}" for a in as_of)]
+        bodies += [b'{"as_of": 1, "items": %b, "events": %b}' % (i, i) for i in items]
+        for body in bodies:
+            for call in (self.watch, self.snapshot):
+                with self.subTest(body[:90], call=call.__name__):
+                    with self.assertRaises(StoreUnavailable) as caught:
+                        await call(body)
+                    text = str(caught.exception)
+                    self.assertLessEqual(len(text), MAX_ERROR_CHARACTERS)
+
+    async def test_nested_answers_to_other_calls_are_store_errors(self):
+        """An error message that repeats a nested answer would raise RecursionError."""
+        for body in (b"[" * 900 + b"]" * 900, DEEP, b'"' + b"x" * 1_000_000 + b'"'):
+            self.answers = [body]
+            for call in (
+                self.store.get("a"),
+                self.store.grant(5.0),
+                self.store.keep_alive(1),
+                self.store.commit({"a": 0}, {"a": b"1"}),
+            ):
+                with self.subTest(body[:9]):
+                    with self.assertRaises(StoreError) as caught:
+                        await call
+                    text = str(caught.exception)
+                    self.assertLessEqual(len(text), MAX_ERROR_CHARACTERS)
+
+    async def test_value_that_cannot_be_read_hides_no_other_item(self):
+        values = (b'"%%%"', b'"\xc3\xa9"', b"7", b"null", b"[]", b"1e999")
+        for value in values:
+            item = b'{"key": "a", "revision": 1, "value": ' + value + b"}"
+            body = b"[" + item + b", " + GOOD_ITEM + b"]"
+            expected = (Entry("a", 1, b""), GOOD)
+            with self.subTest(value), self.assertLogs(level="WARNING"):
+                batch = await self.watch(b'{"as_of": 2, "events": ' + body + b"}")
+                self.assertEqual(batch.entries, expected)
+                snapshot = await self.snapshot(b'{"as_of": 2, "items": ' + body + b"}")
+                self.assertEqual(snapshot.entries, expected)
+
+    async def test_page_after_a_key_with_a_lone_surrogate_is_read(self):
+        item = rb'{"key": "a\ud800", "revision": 1, "value": "Yg=="}'
+        first = b'{"as_of": 2, "truncated": true, "items": [' + item + b"]}"
+        last = b'{"as_of": 2, "items": [' + GOOD_ITEM + b"]}"
+        snapshot = await self.snapshot(first, last)
+        self.assertEqual(snapshot.entries, (Entry("a\ud800", 1, b"b"), GOOD))
+
+    async def test_page_that_is_repeated_ends_the_read(self):
+        page = b'{"as_of": 2, "truncated": true, "items": [' + GOOD_ITEM + b"]}"
+        with self.assertRaises(StoreUnavailable):
+            await self.snapshot(page)
+
+
+if __name__ == "__main__":
+    unittest.main()
