Treat a write with a malformed answer as ambiguous

A write that the store answered with 200, but without a valid revision, raised StoreUnavailable, which says that nothing was written. A lease was then given up without being revoked, and its key stayed until it expired. AmbiguousWrite makes the callers look for the written revision.

Before: the test fails for all 8 malformed revisions. After: it passes.

--- a/heatherswitch/platform/store.py
+++ b/heatherswitch/platform/store.py
@@ -167,7 +167,11 @@
         status, payload = await self._write("POST", "/kv-txn", body)
         if status == 412:
             raise CompareFailed(f"revision mismatch in {', '.join(compares)}")
-        return _int_field(_require_status(200, status, payload), "revision")
+        # The store has executed the transaction, also if the response is malformed.
+        try:
+            return _int_field(_require_status(200, status, payload), "revision")
+        except StoreUnavailable as error:
+            raise AmbiguousWrite(str(error)) from error
 
     async def grant(self, ttl_s: float) -> int:
         """Creates a lease and returns its id.
--- a/test/test_malformed_store_answers.py
+++ b/test/test_malformed_store_answers.py
@@ -6,7 +6,7 @@
 from heatherswitch.gateway.timing import Timing
 from heatherswitch.platform.store import PlatformStore
 from heatherswitch.statecore.replica import Entry
-from heatherswitch.statecore.store import StoreError, StoreUnavailable
+from heatherswitch.statecore.store import AmbiguousWrite, StoreError, StoreUnavailable
 from heatherswitch.util.clock import Clock
 
 DEEP = b"[" * 5000
@@ -103,6 +103,13 @@
         with self.assertRaises(StoreUnavailable):
             await self.snapshot(page)
 
+    async def test_write_with_a_malformed_revision_is_ambiguous(self):
+        """The store has executed it, so that it must not count as not applied."""
+        for number in BAD_NUMBERS:
+            self.answers = [b'{"revision": ' + number + b"}"]
+            with self.subTest(number), self.assertRaises(AmbiguousWrite):
+                await self.store.commit({"a": 0}, {"a": b"1"})
+
 
 if __name__ == "__main__":
     unittest.main()
