Ignore header numbers that are out of range

A length of over 4,300 digits in X-Prompt-Prefix raised ValueError in the decoder, which nothing above expects. A server could report a cold time without end (inf), and a load that is negative or of 400 digits, which the selection then compared. The log line of a malformed cold time held the whole header.

Whole numbers in headers now have 1 to 18 ASCII digits, and a cold time must be finite.

--- a/heatherswitch/platform/headers.py
+++ b/heatherswitch/platform/headers.py
@@ -1,6 +1,8 @@
 """Decodes request and response headers; encodes those of forwarded requests."""
 
 import logging
+import math
+import re
 
 from heatherswitch.gateway.model import CallerRequest, Load, PromptPart
 from heatherswitch.gateway.notices import MAX_BUSY_S
@@ -23,6 +25,11 @@
     }
 )
 
+# A number of tokens, requests or bytes. Python refuses to convert over 4,300 digits.
+_WHOLE_NUMBER = re.compile(r"[0-9]{1,18}")
+# Largest number of characters of a malformed header that a log line shows.
+MAX_LOGGED_CHARACTERS = 100
+
 _UNFORWARDED_HEADERS = names.HOP_BY_HOP_HEADERS | names.GATEWAY_ONLY_HEADERS
 
 
@@ -84,8 +91,11 @@
     parts = []
     for item in filter(None, text.split(",")):
         part_id, _, tokens = item.strip().partition(":")
-        if not tokens.isascii() or not tokens.isdigit():
-            log.info("ignoring malformed prompt parts", extra={"parts": text[:200]})
+        if not _WHOLE_NUMBER.fullmatch(tokens):
+            log.info(
+                "ignoring malformed prompt parts",
+                extra={"parts": text[:MAX_LOGGED_CHARACTERS]},
+            )
             return ()
         parts.append(PromptPart(part_id, int(tokens)))
     return tuple(parts)
@@ -190,15 +200,23 @@
 
 
 def _parse_cold_s(text: str | None) -> float:
+    if not text:
+        return 0.0
     try:
-        return max(0.0, float(text or 0) / 1000)
+        cold_s = float(text) / 1000
     except ValueError:
-        log.info("ignoring malformed cold-start time", extra={"value": text})
+        cold_s = math.nan
+    if not math.isfinite(cold_s):
+        log.info(
+            "ignoring malformed cold-start time",
+            extra={"value": text[:MAX_LOGGED_CHARACTERS]},
+        )
         return 0.0
+    return max(0.0, cold_s)
 
 
 def _parse_content_length(text: str | None) -> int | None:
-    valid = text is not None and text.isascii() and text.isdigit()
+    valid = text is not None and _WHOLE_NUMBER.fullmatch(text)
     return int(text) if valid else None
 
 
@@ -206,9 +224,11 @@
     """Parses ``RUNNING,WAITING,SLOTS``; returns None if it is absent or malformed."""
     if not text:
         return None
-    try:
-        running, waiting, slots = (int(part) for part in text.split(","))
-    except ValueError:
-        log.info("ignoring malformed load report", extra={"load": text[:100]})
+    numbers = [part.strip() for part in text.split(",")]
+    if len(numbers) != 3 or not all(map(_WHOLE_NUMBER.fullmatch, numbers)):
+        log.info(
+            "ignoring malformed load report",
+            extra={"load": text[:MAX_LOGGED_CHARACTERS]},
+        )
         return None
-    return Load(running, waiting, slots)
+    return Load(*map(int, numbers))
--- a/test/test_malformed_input.py
+++ b/test/test_malformed_input.py
@@ -8,6 +8,7 @@
 from heatherswitch.gateway.rollout_records import EVIDENCE_PREFIX, PROGRESS_PREFIX
 from heatherswitch.gateway.store_sync import StoreSync
 from heatherswitch.platform import names
+from heatherswitch.platform.headers import decode_request, decode_response
 from heatherswitch.platform.reader import PlatformReader
 from heatherswitch.statecore.replica import Entry
 from heatherswitch.statecore.store import WatchBatch
@@ -17,7 +18,7 @@
     describe_error,
     parse_json,
 )
-from test.test_platform_formats import ENTRY
+from test.test_platform_formats import ENTRY, make_request
 from test.test_store_sync import ManualClock
 
 DEEP = b"[" * 5000
@@ -132,6 +133,39 @@
                 self.assertEqual(self.read(EVIDENCE_PREFIX + "s/g", value), [])
 
 
+class HeadersTest(unittest.TestCase):
+    """Guards against headers that make a request fail, or a figure that never ends."""
+
+    NUMBERS = ("9" * 5000, "9" * 400, "-1", "+1", "1_0", "²", "nan", "1e3", "")
+
+    def test_malformed_prompt_parts_only_disable_cache_affinity(self):
+        for number in self.NUMBERS:
+            with self.subTest(number[:9]), self.assertLogs(level="INFO") as logs:
+                request = make_request(("x-prompt-prefix", f"a:1,b:{number}"))
+                self.assertEqual(decode_request(request).prompt_parts, ())
+            self.assertLessEqual(len(logs.records[0].parts), MAX_LOG_CHARACTERS)
+
+    def test_malformed_load_is_ignored(self):
+        for number in self.NUMBERS:
+            for text in (f"{number},1,8", f"1,{number},8", f"1,1,{number}"):
+                with self.subTest(text[:9]), self.assertLogs(level="INFO"):
+                    head = decode_response(200, [("x-server-load", text)])
+                    self.assertIsNone(head.load)
+
+    def test_malformed_cold_time_is_ignored(self):
+        for text in ("inf", "nan", "1e999", "9" * 5000, "soon", "1" * 400):
+            with self.subTest(text[:9]), self.assertLogs(level="INFO") as logs:
+                head = decode_response(200, [(names.COLD_MS, text)])
+                self.assertEqual(head.cold_s, 0.0)
+            self.assertLessEqual(len(logs.records[0].value), MAX_LOG_CHARACTERS)
+
+    def test_malformed_length_is_ignored(self):
+        for text in ("9" * 5000, "9" * 400, "-1", "²"):
+            with self.subTest(text[:9]):
+                head = decode_response(200, [("content-length", text)])
+                self.assertIsNone(head.length)
+
+
 class MembersTest(unittest.TestCase):
     """Guards the socket for peers, which an address that does not exist closes."""
 
