Bound the numbers and error messages of peer messages

A datagram with arrays nested 1,000 to 1,023 deep raised RecursionError in the handler of messages between gateways, as the error message repeated the value; other malformed ones wrote up to 240,000 characters to the log. A count near 2^64 was accepted, and a reply with a sum above that raised OverflowError in encode().

Before: 19 subtests of PeerMessagesTest fail, 6 of them with RecursionError. After: they pass.

--- a/heatherswitch/fleet/peer_messages.py
+++ b/heatherswitch/fleet/peer_messages.py
@@ -11,12 +11,15 @@
 
 from heatherswitch.fleet.counters import Count
 from heatherswitch.util.record import Record
+from heatherswitch.util.untrusted import MAX_INTEGER, describe, describe_error
 
 VERSION = 1
 # Largest number of counts and holders in a message, so that a datagram fits into one
 # packet.
 MAX_COUNTS = 40
 MAX_KEY_BYTES = 200
+# Largest count, so that the sum over 60,000 routers fits the 64 bits of a message.
+MAX_COUNT = 2**48
 # Limits on the number of records in a message and on the bytes of each.
 MAX_RECORDS = 4
 MAX_RECORD_BYTES = 1000
@@ -127,16 +130,18 @@
         # Releases without records send none.
         records = later[0] if later else ()
         if version != VERSION or len(counts) + len(holders) > MAX_COUNTS:
-            raise ValueError(f"unsupported version {version} or {len(counts)} counts")
+            raise ValueError(
+                f"unsupported version {describe(version)} or {len(counts)} counts"
+            )
         if len(records) > MAX_RECORDS:
             raise ValueError(f"{len(records)} records")
         return PeerMessage(
-            MessageKind(kind),
+            MessageKind(_decode_integer(kind)),
             _decode_integer(run),
             _decode_integer(number),
             _decode_integer(question),
             tuple(
-                Count(_decode_string(key), _decode_integer(value))
+                Count(_decode_string(key), _decode_integer(value, MAX_COUNT))
                 for key, value, *_ in counts
             ),
             tuple(
@@ -149,12 +154,13 @@
             ),
         )
     except (ValueError, TypeError, msgpack.UnpackException) as error:
-        raise PeerMessageError(f"invalid peer message: {error!r}") from error
+        message = f"invalid peer message: {describe_error(error)}"
+        raise PeerMessageError(message) from error
 
 
-def _decode_integer(value: Any) -> int:
-    if type(value) is not int or value < 0:
-        raise ValueError(f"{value!r} is not a non-negative integer")
+def _decode_integer(value: Any, maximum: int = MAX_INTEGER) -> int:
+    if type(value) is not int or not 0 <= value <= maximum:
+        raise ValueError(f"{describe(value)} is not an integer from 0 to {maximum}")
     return value
 
 
--- a/test/test_malformed_input.py
+++ b/test/test_malformed_input.py
@@ -3,6 +3,18 @@
 import json
 import unittest
 
+import msgpack
+
+from heatherswitch.fleet.counters import Count
+from heatherswitch.fleet.peer_messages import (
+    MAX_COUNT,
+    VERSION,
+    MessageKind,
+    PeerMessage,
+    PeerMessageError,
+    decode,
+    encode,
+)
 from heatherswitch.gateway import events as ev
 from heatherswitch.gateway.crash_records import CRASH_PREFIX
 from heatherswitch.gateway.rollout_records import EVIDENCE_PREFIX, PROGRESS_PREFIX
@@ -15,6 +27,7 @@
 from heatherswitch.util.untrusted import (
     MAX_ERROR_CHARACTERS,
     MalformedInput,
+    describe,
     describe_error,
     parse_json,
 )
@@ -166,6 +179,45 @@
                 self.assertIsNone(head.length)
 
 
+class PeerMessagesTest(unittest.TestCase):
+    """Guards the handler of datagrams, and the replies that add up counts."""
+
+    NUMBERS = (2**63, 2**64 - 1, -1, 1.0, float("inf"), True, None, "1", b"1", [], {})
+
+    def message(self, position: int, value) -> list:
+        fields = [VERSION, 2, 1, 1, 0, [["server/s", 1]], [["p", "s"]], [["k", b"v"]]]
+        return fields[:position] + [value] + fields[position + 1 :]
+
+    def assert_rejected(self, data: bytes) -> None:
+        with self.assertRaises(PeerMessageError) as caught:
+            decode(data)
+        self.assertLessEqual(len(str(caught.exception)), MAX_LOG_CHARACTERS)
+
+    def test_malformed_fields_are_rejected(self):
+        nested = []
+        for _ in range(1010):
+            nested = [nested]
+        values = [(n, v) for n in range(1, 5) for v in (*self.NUMBERS, nested)]
+        values += [(0, v) for v in (2**64 - 1, -1, None, "1", [], nested)]
+        values += [(5, [["k", v]]) for v in (*self.NUMBERS, nested, 2**48 + 1)]
+        values += [(n, v) for n in (5, 6, 7) for v in (1, "x", [1], [[nested]])]
+        values += [(6, [["p", "s" * 60_000]]), (7, [["k", "text"]])]
+        for position, value in values:
+            with self.subTest(position=position, value=describe(value)):
+                self.assert_rejected(msgpack.packb(self.message(position, value)))
+
+    def test_unreadable_datagrams_are_rejected(self):
+        for data in (b"", b"\xc1", b"\x91" * 5000, b"\xd9\x02\xff\xff", b"x" * 60_000):
+            with self.subTest(data[:9]):
+                self.assert_rejected(data)
+        text = b"\xda\xea\x60" + b"\xff" * 60_000
+        self.assert_rejected(b"\x98\x01" + text + b"\x01" * 6)
+
+    def test_sum_of_the_largest_counts_can_be_sent(self):
+        count = Count("server/s", 60_000 * MAX_COUNT)
+        encode(PeerMessage(MessageKind.TOLD, 1, 1, 1, (count,)))
+
+
 class MembersTest(unittest.TestCase):
     """Guards the socket for peers, which an address that does not exist closes."""
 
