Apply the other entries of a batch if one fails unforeseen

A batch of changes is merged in the replica before it is passed on. An entry that failed by an error that the code did not foresee kept the entries after it, and the list of members, from being passed on; the supervisor starts the task again, but the replica then holds them, so that they are not read again until they change. A leaving server would keep its requests, a withdrawn key its access.

Each entry now fails for itself, with a log line that holds its key and the traceback.

Before: both tests of UnforeseenErrorTest end with the RuntimeError. After: they pass.

--- a/heatherswitch/gateway/store_sync.py
+++ b/heatherswitch/gateway/store_sync.py
@@ -181,8 +181,7 @@
         self, changed: list[Entry], decoder, current_at: float, after_outage: bool
     ) -> None:
         for entry in changed:
-            for event in decoder.read(entry, after_outage):
-                self._emit(event)
+            self._emit_change(entry, decoder, after_outage)
         self._emit(ev.StoreConfirmed(current_at))
         if any(e.key.startswith(decoder.member_prefix) for e in changed):
             entries = self._entries.with_prefix(decoder.member_prefix)
@@ -194,6 +193,18 @@
                 )
             )
 
+    def _emit_change(self, entry: Entry, decoder, after_outage: bool) -> None:
+        """Passes on what follows from an entry.
+
+        The replica already holds the whole batch, so that the entries after one that
+        fails would not be passed on later either.
+        """
+        try:
+            for event in decoder.read(entry, after_outage):
+                self._emit(event)
+        except Exception:
+            log.exception("store entry not applied", extra={"key": entry.key})
+
 
 def _member(entry: Entry, prefix: str) -> Member:
     """Decodes an entry written by :func:`maintain_membership`.
--- a/test/test_malformed_input.py
+++ b/test/test_malformed_input.py
@@ -237,5 +237,49 @@
                 self.assertEqual(events[-1].addresses, (("good", "127.0.0.1:7"),))
 
 
+class FailingReader(PlatformReader):
+    """Raises an error that nothing foresees for one key."""
+
+    def read(self, entry, after_outage):
+        if entry.key == "servers/odd":
+            raise RuntimeError("unforeseen")
+        return super().read(entry, after_outage)
+
+
+class UnforeseenErrorTest(unittest.TestCase):
+    """Guards CONFIG and DRAIN: the replica holds a batch, so it is read only once."""
+
+    def sync_batch(self, emit) -> None:
+        """Passes on a batch with an entry that fails between two others."""
+        keys = ("servers/a", "servers/odd", "servers/b")
+        value = json.dumps(ENTRY).encode()
+        entries = tuple(Entry(key, n, value) for n, key in enumerate(keys, 1))
+        sync = StoreSync(ManualClock(), emit, 1.0)
+        sync._on_batch(WatchBatch(3, entries, 99.0), FailingReader())
+
+    def test_entry_that_fails_hides_no_other_entry_of_its_batch(self):
+        events = []
+        with self.assertLogs("heatherswitch.gateway.store_sync", "ERROR") as logs:
+            self.sync_batch(events.append)
+        listed = [e.server.id for e in events if isinstance(e, ev.ServerListed)]
+        self.assertEqual(listed, ["a", "b"])
+        self.assertEqual(events[-1], ev.StoreConfirmed(99.0))
+        self.assertEqual([r.key for r in logs.records], ["servers/odd"])
+
+    def test_event_that_fails_hides_no_other_entry_of_its_batch(self):
+        listed = []
+
+        def apply(event):
+            if isinstance(event, ev.ServerListed):
+                listed.append(event.server.id)
+                if event.server.id == "a":
+                    raise RuntimeError("unforeseen")
+
+        with self.assertLogs("heatherswitch.gateway.store_sync", "ERROR") as logs:
+            self.sync_batch(apply)
+        self.assertEqual(listed, ["a", "b"])
+        self.assertEqual([r.key for r in logs.records], ["servers/a", "servers/odd"])
+
+
 if __name__ == "__main__":
     unittest.main()
