Leave out only the malformed parts of a configuration

One malformed route, service or workspace kept the whole configuration from taking effect, so that withdrawn keys stayed valid and removed routes were served. Other values took an effect that nobody wrote: text and numbers granted allow_anonymous and stream_resume, "east" as allowed_regions allowed the regions e, a, s and t, and {} or 0 all of them.

Each item is now decoded for itself; a malformed one is logged and left out. The place of a malformed route stays taken, without a service, so that its requests are refused as not run and no route with a shorter prefix takes them. A malformed limit has its default. Values of workspaces aren't logged, as they may be keys. A document that is malformed as a whole is ignored as before.

--- a/heatherswitch/platform/records.py
+++ b/heatherswitch/platform/records.py
@@ -1,6 +1,7 @@
 """Decodes the JSON records that operators and backend servers write to the store."""
 
 import logging
+from collections.abc import Callable
 from typing import Any
 
 from heatherswitch.gateway.model import (
@@ -14,14 +15,20 @@
 )
 from heatherswitch.gateway.rollouts import RolloutOrder
 from heatherswitch.util.untrusted import (
+    MAX_INTEGER,
     MalformedInput,
+    describe,
     describe_error,
-    parse_json,
     parse_object,
+    read_field,
+    require_boolean,
     require_integer,
+    require_list,
     require_name,
     require_number,
+    require_object,
     require_port,
+    require_string,
     require_token,
 )
 
@@ -42,95 +49,197 @@
 def decode_configuration(value: bytes) -> Configuration:
     """Decodes the operators' configuration.
 
-    :raises RecordError: if it is malformed.
+    A route, service, workspace, key or limit that is malformed is logged and left out,
+    so that the rest, such as withdrawn keys, takes effect.
+
+    :raises RecordError: if it is malformed as a whole.
     """
     try:
-        document = parse_json(value)
-        workspaces = document.get("tenants") or []
+        document = parse_object(value)
+        version = read_field(document, "version", require_integer)
         return Configuration(
-            version=int(document["version"]),
-            routes=tuple(
-                _decode_route(item) for item in _list_items(document, "routes")
-            ),
+            version=version,
+            routes=tuple(_decode_items(document, "routes", _decode_route)),
             services={
-                s.name: s
-                for s in map(_decode_service, _list_items(document, "services"))
+                s.name: s for s in _decode_items(document, "services", _decode_service)
             },
-            caller_limits=_decode_caller_limits(document.get("limits") or {}),
-            api_keys=_decode_api_keys(workspaces),
+            caller_limits=_decode_caller_limits(
+                read_field(document, "limits", require_object, {})
+            ),
+            api_keys=dict(
+                pair
+                for pairs in _decode_items(document, "tenants", _decode_api_keys)
+                for pair in pairs
+            ),
             requires_api_key="tenants" in document,
         )
-    except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
+    except MalformedInput as error:
         raise RecordError(f"configuration: {describe_error(error)}") from error
 
 
-def _list_items(document: dict, name: str) -> list[dict]:
-    """Returns the items of a list, or of a mapping from names to items."""
-    value = document.get(name) or []
-    if isinstance(value, dict):
-        return [{"name": key, **item} for key, item in value.items()]
-    return value
+def _decode_items(
+    document: dict, list_name: str, decode: Callable[[dict[str, Any]], Any]
+) -> list[Any]:
+    """Decodes the items of a list, or of a mapping from names to items.
+
+    :raises MalformedInput: if it is neither.
+    """
+    items = document.get(list_name)
+    if isinstance(items, dict):
+        pairs = list(items.items())
+    else:
+        pairs = [(None, i) for i in read_field(document, list_name, require_list, [])]
+    decoded = []
+    for name, item in pairs:
+        try:
+            fields = require_object(item)
+            decoded.append(decode(fields if name is None else {"name": name, **fields}))
+        except MalformedInput as error:
+            _log_left_out(list_name, item, error)
+            if list_name == "routes":
+                decoded += _closed_route(item)
+    return decoded
+
+
+def _log_left_out(list_name: str, item: Any, error: MalformedInput) -> None:
+    name = item.get("name") or item.get("prefix") if isinstance(item, dict) else None
+    log.error(
+        "part of the configuration is malformed and left out",
+        # Values of workspaces are not logged, since they may be API keys.
+        extra={
+            "list": list_name,
+            "item": describe(name),
+            "field": error.field,
+            "error": "" if list_name == "tenants" else describe_error(error),
+        },
+    )
+
+
+def _closed_route(item: Any) -> list[Route]:
+    """Returns a route without a service in place of a malformed one.
+
+    Else a route with a shorter prefix would take its requests. They are refused as not
+    run; none if the host or the prefix cannot be read.
+    """
+    try:
+        fields = require_object(item)
+        return [
+            Route(
+                name=read_field(fields, "prefix", require_name),
+                host=read_field(fields, "host", require_name).lower(),
+                prefix=read_field(fields, "prefix", require_name),
+                kind=RequestKind.NON_IDEMPOTENT,
+                service_weights=(("", 1.0),),
+                timeout_s=0.0,
+                latency_objective_s=0.0,
+                priority=0,
+                max_servers=1,
+                anonymous=True,
+            )
+        ]
+    except MalformedInput:
+        return []
 
 
 def _decode_route(item: dict[str, Any]) -> Route:
-    if item.get("traffic_split"):
-        split = tuple(
-            (part["service"], float(part["weight"])) for part in item["traffic_split"]
-        )
-    else:
-        split = ((item["service"], 1.0),)
+    prefix = read_field(item, "prefix", require_name)
+    timeout_ms = read_field(item, "timeout_ms", require_number)
+    kind = read_field(item, "kind", require_name, "")
     return Route(
-        name=item.get("name", item["prefix"]),
-        host=item["host"].lower(),
-        prefix=item["prefix"],
-        kind=_REQUEST_KINDS.get(item.get("kind"), RequestKind.NON_IDEMPOTENT),
-        service_weights=split,
-        timeout_s=item["timeout_ms"] / 1000,
-        latency_objective_s=item.get("target_latency_ms", item["timeout_ms"]) / 1000,
-        priority=int(item.get("priority", 0)),
-        max_servers=max(1, int(item.get("retry_attempts", 1))),
-        anonymous=bool(item.get("allow_anonymous", False)),
-        resumable=bool(item.get("stream_resume", False)),
-        regions=frozenset(item.get("allowed_regions") or ()),
+        name=read_field(item, "name", require_name, prefix),
+        host=read_field(item, "host", require_name).lower(),
+        prefix=prefix,
+        kind=_REQUEST_KINDS.get(kind, RequestKind.NON_IDEMPOTENT),
+        service_weights=_decode_service_weights(item),
+        timeout_s=timeout_ms / 1000,
+        latency_objective_s=read_field(
+            item, "target_latency_ms", require_number, timeout_ms
+        )
+        / 1000,
+        priority=read_field(item, "priority", _require_signed, 0),
+        max_servers=max(1, read_field(item, "retry_attempts", _require_signed, 1)),
+        anonymous=read_field(item, "allow_anonymous", require_boolean, False),
+        resumable=read_field(item, "stream_resume", require_boolean, False),
+        regions=_decode_regions(item),
+    )
+
+
+def _decode_service_weights(route: dict[str, Any]) -> tuple[tuple[str, float], ...]:
+    parts = read_field(route, "traffic_split", require_list, [])
+    if not parts:
+        return ((read_field(route, "service", require_name), 1.0),)
+    return tuple(
+        (
+            read_field(require_object(part), "service", require_name),
+            read_field(part, "weight", require_number),
+        )
+        for part in parts
     )
 
 
+def _decode_regions(item: dict[str, Any]) -> frozenset[str]:
+    regions = read_field(item, "allowed_regions", require_list, [])
+    try:
+        return frozenset(map(require_name, regions))
+    except MalformedInput as error:
+        raise MalformedInput(str(error), "allowed_regions") from None
+
+
+def _require_signed(value: Any) -> int:
+    return require_integer(value, -MAX_INTEGER)
+
+
 def _decode_service(item: dict[str, Any]) -> Service:
-    engine = item.get("engine")
+    engine = read_field(item, "engine", require_object, None)
     return Service(
-        name=item["name"],
-        max_connections=int(item.get("max_connections") or 64),
-        cold_rate=float(item.get("cold_per_s") or 0.0),
-        warmup_s=float(item.get("cold_start_s") or 0.0),
+        name=read_field(item, "name", require_name),
+        max_connections=read_field(item, "max_connections", require_integer, 0) or 64,
+        cold_rate=read_field(item, "cold_per_s", require_number, 0.0),
+        warmup_s=read_field(item, "cold_start_s", require_number, 0.0),
         is_model=engine is not None,
-        slots=int((engine or {}).get("slots") or 0),
+        slots=read_field(engine or {}, "slots", require_integer, 0),
     )
 
 
 def _decode_caller_limits(item: dict[str, Any]) -> CallerLimits:
+    """Decodes the limits; the default replaces one that is missing or malformed."""
     defaults = CallerLimits()
+
+    def read(name: str, require: Callable[[Any], Any], default: float) -> Any:
+        try:
+            return read_field(item, name, require, default)
+        except MalformedInput as error:
+            _log_left_out("limits", {"name": name}, error)
+            return default
+
     return CallerLimits(
-        head_bytes=int(item.get("max_header_bytes", defaults.head_bytes)),
-        body_bytes=int(item.get("max_body_bytes", defaults.body_bytes)),
-        head_timeout_s=item.get("header_timeout_ms", defaults.head_timeout_s * 1000)
+        head_bytes=read("max_header_bytes", require_integer, defaults.head_bytes),
+        body_bytes=read("max_body_bytes", require_integer, defaults.body_bytes),
+        head_timeout_s=read(
+            "header_timeout_ms", require_number, defaults.head_timeout_s * 1000
+        )
         / 1000,
-        idle_timeout_s=item.get("idle_timeout_ms", defaults.idle_timeout_s * 1000)
+        idle_timeout_s=read(
+            "idle_timeout_ms", require_number, defaults.idle_timeout_s * 1000
+        )
         / 1000,
     )
 
 
-def _decode_api_keys(workspaces: list[dict]) -> dict[str, Workspace]:
-    """Returns the workspace of each API key."""
-    keys = {}
-    for item in workspaces:
-        priority = item.get("priority")
-        workspace = Workspace(
-            item["name"],
-            int(priority) if priority is not None else None,
-            frozenset(item.get("allowed_regions") or ()),
-        )
-        for key in item.get("api_keys") or ():
-            keys[key] = workspace
+def _decode_api_keys(item: dict[str, Any]) -> list[tuple[str, Workspace]]:
+    """Returns the keys of a workspace, each with the workspace."""
+    workspace = Workspace(
+        read_field(item, "name", require_name),
+        read_field(item, "priority", _require_signed, None),
+        _decode_regions(item),
+    )
+    keys = []
+    for key in read_field(item, "api_keys", require_list, []):
+        try:
+            keys.append((require_string(key), workspace))
+        except MalformedInput:
+            error = MalformedInput("a key is no text", "api_keys")
+            _log_left_out("tenants", item, error)
     return keys
 
 
@@ -142,11 +251,10 @@
     """
     try:
         document = parse_object(value)
-        duration_s = require_number(document["duration_s"])
-        return RolloutOrder(
-            service, require_name(document["target"]), duration_s, revision
-        )
-    except (KeyError, MalformedInput) as error:
+        duration_s = read_field(document, "duration_s", require_number)
+        target = read_field(document, "target", require_name)
+        return RolloutOrder(service, target, duration_s, revision)
+    except MalformedInput as error:
         raise RecordError(f"rollout order: {describe_error(error)}") from error
 
 
@@ -159,34 +267,29 @@
     """
     try:
         item = parse_object(value)
-        host, _, port = require_token(item["address"]).rpartition(":")
-        if require_name(item["state"]) not in _SERVER_STATES:
-            raise MalformedInput(f"the state {item['state'][:100]} is unknown")
+        host, _, port = read_field(item, "address", require_token).rpartition(":")
+        state = read_field(item, "state", require_name)
+        if state not in _SERVER_STATES:
+            raise MalformedInput(f"{describe(state)} is unknown", "state")
         return Server(
             # The id is sent in a header of each request.
             id=require_token(server_id),
             # ``born`` is the Unix time at which the server started, in milliseconds.
-            incarnation=require_integer(_number_field(item, "born")),
-            service=require_name(item["service"]),
+            incarnation=read_field(item, "born", require_integer, 0),
+            service=read_field(item, "service", require_name),
             host=require_token(host),
             port=require_port(port),
-            zone=require_name(item["zone"]),
-            version=require_name(item.get("version", "")),
-            slots=require_integer(_number_field(item, "slots")),
-            draining=item["state"] == "draining",
+            zone=read_field(item, "zone", require_name),
+            version=read_field(item, "version", require_name, ""),
+            slots=read_field(item, "slots", require_integer, 0),
+            draining=state == "draining",
             cold_for_s=max(
-                0.0, require_number(_number_field(item, "cold_remaining_ms")) / 1000
+                0.0, read_field(item, "cold_remaining_ms", require_number, 0.0) / 1000
             ),
         )
-    except (KeyError, MalformedInput) as error:
+    except MalformedInput as error:
         log.warning(
             "invalid entry of a backend server",
             extra={"server": server_id, "error": describe_error(error)},
         )
         return None
-
-
-def _number_field(item: dict[str, Any], name: str) -> Any:
-    """Returns a field that counts as 0 if it is missing or null."""
-    value = item.get(name)
-    return 0 if value is None else value
--- a/heatherswitch/util/untrusted.py
+++ b/heatherswitch/util/untrusted.py
@@ -7,6 +7,7 @@
 import math
 import re
 import reprlib
+from collections.abc import Callable
 from typing import Any
 
 # Largest integer that is accepted: the largest that fits a signed 64-bit field.
@@ -16,8 +17,19 @@
 MAX_ERROR_CHARACTERS = 200
 
 
+_REQUIRED = object()
+
+
 class MalformedInput(ValueError):
-    """A document or field of another program is malformed."""
+    """A document or field of another program is malformed.
+
+    :param field: name of the field; empty if unknown. Unlike the message, it shows
+        nothing of the value.
+    """
+
+    def __init__(self, message: str, field: str = "") -> None:
+        super().__init__(f"{field}: {message}" if field else message)
+        self.field = field
 
 
 def parse_json(data: bytes | str) -> Any:
@@ -45,14 +57,14 @@
 def require_object(value: Any) -> dict[str, Any]:
     """Returns a value that must be a mapping."""
     if not isinstance(value, dict):
-        raise MalformedInput(f"{describe(value)} is not an object")
+        raise MalformedInput(f"a value of type {type(value).__name__} is no object")
     return value
 
 
 def require_list(value: Any) -> list[Any]:
     """Returns a value that must be a list."""
     if not isinstance(value, list):
-        raise MalformedInput(f"{describe(value)} is not a list")
+        raise MalformedInput(f"a value of type {type(value).__name__} is no list")
     return value
 
 
@@ -99,6 +111,13 @@
     return value
 
 
+def require_boolean(value: Any) -> bool:
+    """Returns a value that must be true or false."""
+    if not isinstance(value, bool):
+        raise MalformedInput(f"{describe(value)} is not true or false")
+    return value
+
+
 def require_number(value: Any) -> float:
     """Returns a value that must be a finite number, as a float."""
     if isinstance(value, bool) or not isinstance(value, int | float):
@@ -112,6 +131,26 @@
     return number
 
 
+def read_field(
+    item: dict[str, Any],
+    name: str,
+    require: Callable[[Any], Any],
+    default: Any = _REQUIRED,
+) -> Any:
+    """Returns a field of an object, checked by one of the functions above.
+
+    :param default: result if the field is missing or null; without it that is an error.
+    :raises MalformedInput: if the field is malformed; names it.
+    """
+    value = item.get(name)
+    if value is None and default is not _REQUIRED:
+        return default
+    try:
+        return require(value)
+    except MalformedInput as error:
+        raise MalformedInput(str(error), name) from None
+
+
 def describe(value: Any) -> str:
     """Returns the start of a value's representation, whatever its size and nesting."""
     return reprlib.repr(value)
