Avoid servers whose address cannot exist

A host label of over 63 characters, a NUL or a port out of range made create_connection raise UnicodeError, ValueError or OverflowError. None of them counted as a failed connection: the request ended with 500, no failure was recorded, and the server stayed the least loaded one of its service. Both pools of connections, of the gateway and of HttpClient, now report ConnectFailed, so that the request goes to another server and the failed one is avoided.

--- a/heatherswitch/gateway/upstream.py
+++ b/heatherswitch/gateway/upstream.py
@@ -398,7 +398,8 @@
 
         :param run_once: the request must not run twice, so only connections that were
             idle for a short time are reused.
-        :raises ConnectFailed: if no connection can be opened.
+        :raises ConnectFailed: if no connection can be opened, also because the host name
+            or the port cannot exist.
         """
         idle = self._idle.get((server.id, server.incarnation))
         while idle:
@@ -417,9 +418,11 @@
                 _, connection = await loop.create_connection(
                     ServerConnection, server.host, server.port
                 )
-        except (OSError, TimeoutError) as error:
+        except (OSError, TimeoutError, OverflowError, ValueError) as error:
+            # A port out of range raises OverflowError, a host name that the codec of
+            # domain names or the C library rejects UnicodeError or ValueError.
             raise ConnectFailed(
-                f"cannot connect to {server.host}:{server.port}: {error!r}"
+                f"cannot connect to {server.host[:100]}:{server.port}: {error!r}"
             ) from error
         self.opened_total += 1
         return connection
--- a/heatherswitch/util/http_client.py
+++ b/heatherswitch/util/http_client.py
@@ -194,7 +194,8 @@
                 return await asyncio.open_connection(
                     self._host, self._port, ssl=self._tls, limit=MAX_READ_BYTES
                 )
-        except (OSError, TimeoutError) as error:
+        except (OSError, TimeoutError, OverflowError, ValueError) as error:
+            # See ConnectionPool: the port or the host name may be one that cannot exist.
             raise ConnectFailed(
                 f"cannot connect to {self._host}:{self._port}: {error or 'timeout'}"
             ) from error
