Name the field of each malformed setting

Some settings ended the start with a traceback instead of the message that names the field: numbers of 1e999 or 400 digits, nesting, tagged YAML scalars and dates that the library cannot convert, a port over 65535. true, NaN and text were taken as numbers or names; a limit that is not a number compares as if it had passed.

--- a/heatherswitch/platform/launch.py
+++ b/heatherswitch/platform/launch.py
@@ -17,6 +17,7 @@
 )
 from heatherswitch.util.listeners import bind_listener
 from heatherswitch.util.signals import hold_signals
+from heatherswitch.util.untrusted import describe_error
 
 EXIT_USAGE = 2
 
@@ -48,8 +49,8 @@
     try:
         addresses = [settings["listen"][name] for name in ("front", "ready")]
         return {address: bind_listener(address) for address in addresses}
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
-        raise SettingsError(f"settings: listen: {error!r}") from error
+    except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
+        raise SettingsError(f"settings: listen: {describe_error(error)}") from error
     except OSError as error:
         raise SettingsError(f"settings: listen: {error}") from error
 
--- a/heatherswitch/platform/settings.py
+++ b/heatherswitch/platform/settings.py
@@ -9,6 +9,16 @@
 from heatherswitch.gateway.timing import Timing
 from heatherswitch.platform.settings_file import SettingsError
 from heatherswitch.util.http import HttpLimits
+from heatherswitch.util.untrusted import (
+    MAX_PORT,
+    describe_error,
+    read_field,
+    require_integer,
+    require_list,
+    require_name,
+    require_number,
+    require_object,
+)
 
 # File descriptors that the platform reserves for files; connections use the others.
 RESERVED_FILE_DESCRIPTORS = 200
@@ -36,16 +46,21 @@
     The first port of the internal range is used for metrics. Returns an empty string
     if the range has no second port.
     """
-    ports = settings.get("internal_port_range") or ()
-    if len(ports) < 2 or int(ports[1]) <= int(ports[0]):
+    ports = read_field(settings, "internal_port_range", _require_ports, [])
+    if len(ports) < 2 or ports[1] <= ports[0]:
         return ""
-    return f"{settings['ip']}:{int(ports[0]) + PEER_PORT_OFFSET}"
+    return f"{settings['ip']}:{ports[0] + PEER_PORT_OFFSET}"
+
+
+def _require_ports(value: Any) -> list[int]:
+    return [require_integer(port, maximum=MAX_PORT) for port in require_list(value)]
 
 
 def _shortest_change_s(bounds: dict[str, Any]) -> float:
     """Returns the shortest time limit for applying a store change, in seconds."""
     shortest = min(
-        float(bounds.get(n, ms)) for n, ms in DEFAULT_CHANGE_BOUNDS_MS.items()
+        read_field(bounds, name, require_number, ms)
+        for name, ms in DEFAULT_CHANGE_BOUNDS_MS.items()
     )
     if shortest <= 0:
         raise ValueError("time limits for changes must be above zero")
@@ -58,28 +73,35 @@
     :raises SettingsError: if a field is missing or malformed; names the field.
     """
     try:
-        bounds = settings.get("bounds") or {}
-        listen = settings["listen"]
-        key_max_age_s = bounds.get("revoke_ms", 5000) / 1000 * KEY_AGE_FRACTION
-        writes_per_s = float(settings["platform"].get("writes_per_s") or 0)
-        max_descriptors = int((settings.get("limits") or {}).get("max_fds", 1024))
+        bounds = read_field(settings, "bounds", require_object, {})
+        listen = read_field(settings, "listen", require_object)
+        platform = read_field(settings, "platform", require_object)
+        limits = read_field(settings, "limits", require_object, {})
+        revoke_ms = read_field(bounds, "revoke_ms", require_number, 5000)
+        key_max_age_s = revoke_ms / 1000 * KEY_AGE_FRACTION
+        writes_per_s = read_field(platform, "writes_per_s", require_number, 0.0)
+        max_descriptors = read_field(limits, "max_fds", require_integer, 1024)
         return GatewayConfig(
-            id=settings["node_name"],
-            zone=settings["zone"],
-            regions=dict(settings.get("zones") or {}),
-            listen=listen["front"],
-            ready_listen=listen["ready"],
-            metrics_host=settings["ip"],
-            store=settings["platform"]["address"],
+            id=read_field(settings, "node_name", require_name),
+            zone=read_field(settings, "zone", require_name),
+            regions=dict(read_field(settings, "zones", require_object, {})),
+            listen=read_field(listen, "front", require_name),
+            ready_listen=read_field(listen, "ready", require_name),
+            metrics_host=read_field(settings, "ip", require_name),
+            store=read_field(platform, "address", require_name),
             peer_listen=_peer_listen_address(settings),
-            grace_s=float(bounds.get("grace_s", 8)) * GRACE_FRACTION,
+            grace_s=read_field(bounds, "grace_s", require_number, 8) * GRACE_FRACTION,
             limits=Limits(
                 key_max_age_s=key_max_age_s,
-                budget_ratio=float(bounds.get("retry_budget_ratio", 0.2)),
-                budget_slack=float(bounds.get("retry_budget_slack", 50)),
+                budget_ratio=read_field(
+                    bounds, "retry_budget_ratio", require_number, 0.2
+                ),
+                budget_slack=read_field(
+                    bounds, "retry_budget_slack", require_number, 50.0
+                ),
                 exposure=ExposureLimit(
-                    float(bounds.get("canary_share", 0.1)),
-                    float(bounds.get("canary_slack", 50)),
+                    read_field(bounds, "canary_share", require_number, 0.1),
+                    read_field(bounds, "canary_slack", require_number, 50.0),
                 ),
                 timing=Timing.from_bounds(_shortest_change_s(bounds), key_max_age_s),
                 expected_fleet=max(
@@ -90,5 +112,5 @@
                 connections=max(16, (max_descriptors - RESERVED_FILE_DESCRIPTORS) // 2)
             ),
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
-        raise SettingsError(f"settings: {error!r}") from error
+    except ValueError as error:
+        raise SettingsError(f"settings: {describe_error(error)}") from error
--- a/heatherswitch/platform/settings_file.py
+++ b/heatherswitch/platform/settings_file.py
@@ -9,6 +9,17 @@
 from typing import Any
 
 from heatherswitch.platform import names
+from heatherswitch.util.untrusted import describe_error
+
+# Errors that the YAML library raises for tagged scalars, dates and numbers that it cannot
+# convert, beside its own.
+_INVALID_SCALAR_ERRORS = (
+    ArithmeticError,
+    AttributeError,
+    LookupError,
+    TypeError,
+    ValueError,
+)
 
 
 class SettingsError(Exception):
@@ -34,11 +45,12 @@
     try:
         with open(path, encoding="utf-8") as file:
             text = file.read()
-    except (OSError, UnicodeDecodeError) as error:
+    except (OSError, ValueError) as error:
+        # A path with a NUL raises ValueError.
         raise SettingsError(f"{path}: {error}") from error
     try:
         settings = json.loads(text)
-    except ValueError:
+    except (ValueError, RecursionError):
         settings = _parse_yaml(path, text)
     if not isinstance(settings, dict):
         raise SettingsError(f"{path}: the settings are not a mapping")
@@ -51,5 +63,5 @@
 
     try:
         return yaml.load(text, Loader=getattr(yaml, "CSafeLoader", yaml.SafeLoader))
-    except yaml.YAMLError as error:
-        raise SettingsError(f"{path}: {error}") from error
+    except (*_INVALID_SCALAR_ERRORS, RecursionError, yaml.YAMLError) as error:
+        raise SettingsError(f"{path}: {describe_error(error)}") from error
