--- a/heatherswitch/util/untrusted.py
+++ b/heatherswitch/util/untrusted.py
@@ -18,6 +18,9 @@
 
 
 _REQUIRED = object()
+# Shows two levels of nesting, since the length grows with a power of their number.
+_SHORT_REPR = reprlib.Repr()
+_SHORT_REPR.maxlevel = 2
 
 
 class MalformedInput(ValueError):
@@ -153,7 +156,7 @@
 
 def describe(value: Any) -> str:
     """Returns the start of a value's representation, whatever its size and nesting."""
-    return reprlib.repr(value)
+    return _SHORT_REPR.repr(value)[:MAX_ERROR_CHARACTERS]
 
 
 def describe_error(error: BaseException) -> str:
