Read the other entries of an answer in routers with agents too

The store's client of routers and agents raised RecursionError on a nested answer and OverflowError on a revision, lease or time to live of 1e999 or 400 digits. An entry whose value is no Base64, or whose key is no UTF-8, made each answer that holds it fail, so that the watch was opened again and again and no change was followed.

As in the platform's client, such an answer is an error of the store, and such an entry has an empty value, which its decoder rejects, or a key that no decoder knows.

--- a/heatherswitch/statecore/store.py
+++ b/heatherswitch/statecore/store.py
@@ -15,6 +15,14 @@
 from heatherswitch.statecore.replica import Entry
 from heatherswitch.util.http import ConnectFailed, ConnectionLost
 from heatherswitch.util.http_client import HttpClient, HttpResponse
+from heatherswitch.util.untrusted import (
+    MAX_INTEGER,
+    MalformedInput,
+    describe,
+    describe_error,
+    parse_object,
+    require_integer,
+)
 
 log = logging.getLogger("heatherswitch.store")
 
@@ -145,7 +153,7 @@
         result = await self._read(_prefix_range(prefix))
         with _converting_parse_errors(StoreUnavailable):
             entries = tuple(_parse_entry(kv) for kv in result.get("kvs", []))
-            return Snapshot(int(result["header"]["revision"]), entries)
+            return Snapshot(_parse_int(result["header"]["revision"]), entries)
 
     async def commit(
         self,
@@ -196,7 +204,7 @@
         body = {"TTL": str(max(1, int(ttl_s)))}
         result = await self._call("/v3/lease/grant", body, write=True)
         with _converting_parse_errors(AmbiguousWrite):
-            return int(result["ID"])
+            return _parse_int(result["ID"])
 
     async def keep_alive(self, lease_id: int) -> float:
         """Renews a lease and returns its remaining seconds, 0 if it has expired.
@@ -207,7 +215,8 @@
         body = {"ID": str(lease_id)}
         result = await self._call("/v3/lease/keepalive", body, write=False)
         with _converting_parse_errors(StoreUnavailable):
-            return float(result["result"].get("TTL", 0))
+            # The time to live of an expired lease may be negative.
+            return float(_parse_int(result["result"].get("TTL", 0), -MAX_INTEGER))
 
     async def revoke(self, lease_id: int) -> None:
         """Revokes a lease and deletes its keys.
@@ -285,7 +294,7 @@
         return result
 
     def _record_revision(self, result: dict) -> int:
-        revision = int(result["header"]["revision"])
+        revision = _parse_int(result["header"]["revision"])
         self._revision = max(self._revision, revision)
         return revision
 
@@ -311,7 +320,7 @@
             raise lost_error(f"{path}: {error}") from error
         if response.status == 200:
             return result
-        message = f"{path}: status {response.status}: {result}"
+        message = f"{path}: status {response.status}: {describe(result)}"
         raise lost_error(message) if response.status >= 500 else StoreError(message)
 
     async def _send(
@@ -336,7 +345,7 @@
     try:
         yield
     except (AttributeError, KeyError, TypeError, ValueError) as error:
-        raise error_type(f"malformed answer: {error!r}") from error
+        raise error_type(f"malformed answer: {describe_error(error)}") from error
 
 
 def _encode_base64(value: str | bytes) -> str:
@@ -346,12 +355,19 @@
 
 def _parse_json_object(data: bytes) -> dict:
     try:
-        value = json.loads(data)
-    except ValueError as error:
-        raise ConnectionLost(f"the answer is not JSON: {error}") from error
-    if not isinstance(value, dict):
-        raise ConnectionLost("the answer is not a JSON object")
-    return value
+        return parse_object(data)
+    except MalformedInput as error:
+        raise ConnectionLost(f"the answer is not a JSON object: {error}") from error
+
+
+def _parse_int(value: Any, minimum: int = 0) -> int:
+    """Returns a 64-bit number, which the store writes as text.
+
+    :raises ValueError: if it is malformed.
+    """
+    if isinstance(value, str):
+        value = int(value)
+    return require_integer(value, minimum)
 
 
 def _prefix_range(prefix: str) -> dict[str, str]:
@@ -371,9 +387,20 @@
 
 
 def _parse_entry(kv: dict, deleted: bool = False) -> Entry:
-    key = base64.b64decode(kv["key"]).decode()
-    value = None if deleted else base64.b64decode(kv.get("value", ""))
-    return Entry(key, int(kv["mod_revision"]), value)
+    # Keys of other writers may be no UTF-8; they must not hide the other entries.
+    key = base64.b64decode(kv["key"]).decode(errors="backslashreplace")
+    revision = _parse_int(kv["mod_revision"])
+    if deleted:
+        return Entry(key, revision, None)
+    try:
+        return Entry(key, revision, base64.b64decode(kv.get("value", "")))
+    except (TypeError, ValueError) as error:
+        # No valid value is empty, so that the decoder of the entry rejects it.
+        log.warning(
+            "value of a store entry cannot be read",
+            extra={"key": key, "error": describe_error(error)},
+        )
+        return Entry(key, revision, b"")
 
 
 def _parse_watch_result(result: dict) -> WatchBatch | None:
@@ -391,4 +418,4 @@
     entries = tuple(_parse_entry(e["kv"], e.get("type") == "DELETE") for e in events)
     if entries:
         return WatchBatch(max(e.mod_revision for e in entries), entries)
-    return WatchBatch(int(result["header"]["revision"]), ())
+    return WatchBatch(_parse_int(result["header"]["revision"]), ())
--- a/test/test_malformed_store_answers.py
+++ b/test/test_malformed_store_answers.py
@@ -6,7 +6,12 @@
 from heatherswitch.gateway.timing import Timing
 from heatherswitch.platform.store import PlatformStore
 from heatherswitch.statecore.replica import Entry
-from heatherswitch.statecore.store import AmbiguousWrite, StoreError, StoreUnavailable
+from heatherswitch.statecore.store import (
+    AmbiguousWrite,
+    StoreClient,
+    StoreError,
+    StoreUnavailable,
+)
 from heatherswitch.util.clock import Clock
 
 DEEP = b"[" * 5000
@@ -17,17 +22,15 @@
 MAX_ERROR_CHARACTERS = 400
 
 
-class MalformedAnswersTest(unittest.IsolatedAsyncioTestCase):
-    """Guards the watch of the store, which an unforeseen error would end."""
+class AnswersCase(unittest.IsolatedAsyncioTestCase):
+    """A server that answers requests with given bodies."""
 
     async def asyncSetUp(self):
         self.answers: list[bytes] = []
         server = await asyncio.start_server(self.respond, "127.0.0.1", 0)
         self.addCleanup(server.close)
         port = server.sockets[0].getsockname()[1]
-        self.store = PlatformStore.from_address(
-            f"127.0.0.1:{port}", Clock(), Timing.from_bounds()
-        )
+        self.store = self.client(f"127.0.0.1:{port}")
         self.addCleanup(self.store.close)
 
     async def respond(self, reader, writer):
@@ -40,6 +43,14 @@
         writer.write(head.encode() + b"\r\n\r\n" + body)
         writer.close()
 
+
+class MalformedAnswersTest(AnswersCase):
+    """Guards the watch of the store, which an unforeseen error would end."""
+
+    def client(self, address: str) -> PlatformStore:
+        """Returns a client of the platform's store."""
+        return PlatformStore.from_address(address, Clock(), Timing.from_bounds())
+
     async def watch(self, body: bytes):
         self.answers = [body]
         return await anext(self.store.watch("", 1))
@@ -111,5 +122,54 @@
                 await self.store.commit({"a": 0}, {"a": b"1"})
 
 
+class MalformedEtcdAnswersTest(AnswersCase):
+    """Guards the store watcher and the leases of routers and agents."""
+
+    NUMBERS = (b"1e999", b"9" * 400, b"NaN", b"true", b"[]", b'"x"', DEEP)
+
+    def client(self, address: str) -> StoreClient:
+        """Returns a client of the store of routers and agents."""
+        return StoreClient.from_addresses([address], timeout_s=2.0)
+
+    async def test_malformed_numbers_are_store_errors(self):
+        for number in self.NUMBERS:
+            header = b'{"header": {"revision": ' + number + b"}"
+            kv = b'{"key": "YQ==", "value": "", "mod_revision": ' + number + b"}"
+            for body, call in (
+                (header + b"}", lambda: self.store.get("a")),
+                (header + b"}", lambda: self.store.commit({}, {"a": b"1"})),
+                (header + b', "kvs": []}', lambda: self.store.range("a")),
+                (
+                    b'{"header": {"revision": "1"}, "kvs": [' + kv + b"]}",
+                    lambda: self.store.range("a"),
+                ),
+                (b'{"ID": ' + number + b"}", lambda: self.store.grant(5)),
+                (
+                    b'{"result": {"TTL": ' + number + b"}}",
+                    lambda: self.store.keep_alive(5),
+                ),
+            ):
+                self.answers = [body]
+                with self.subTest(body[:60]):
+                    with self.assertRaises(StoreError) as caught:
+                        await call()
+                    text = str(caught.exception)
+                    self.assertLessEqual(len(text), MAX_ERROR_CHARACTERS)
+
+    async def test_entry_that_cannot_be_read_hides_no_other_one(self):
+        good = b'{"key": "Yg==", "value": "Yg==", "mod_revision": "2"}'
+        for key, value, expected in (
+            (b"YQ==", b'"%%%\xc3\xa9"', Entry("a", 1, b"")),
+            (b"YQ==", b"7", Entry("a", 1, b"")),
+            (b"/w==", b'"Yg=="', Entry(r"\xff", 1, b"b")),
+        ):
+            kv = b'{"key": "%b", "value": %b, "mod_revision": "1"}' % (key, value)
+            header = b'{"header": {"revision": "2"}, "kvs": ['
+            self.answers = [header + kv + b", " + good + b"]}"]
+            with self.subTest(kv):
+                snapshot = await self.store.range("a")
+                self.assertEqual(snapshot.entries, (expected, GOOD))
+
+
 if __name__ == "__main__":
     unittest.main()
