Bound what agents read from servers and journals

A malformed figure counts as not given, a segment raises RecordError, and a nested request goes to its server unchanged.

--- a/heatherswitch/agent/backend.py
+++ b/heatherswitch/agent/backend.py
@@ -2,13 +2,23 @@
 
 import asyncio
 import json
+import math
 import re
 from dataclasses import dataclass, field
+from typing import Any
 
 import h11
 
 from heatherswitch.util.http import ConnectFailed, ConnectionLost, Headers
 from heatherswitch.util.http_client import HttpClient, HttpResponse
+from heatherswitch.util.untrusted import (
+    MalformedInput,
+    parse_object,
+    read_field,
+    require_integer,
+    require_number,
+    require_object,
+)
 
 # Headers that apply to a single connection and are not forwarded.
 HOP_BY_HOP_HEADERS = frozenset(
@@ -48,6 +58,8 @@
 SSE_END_MARKER = b"data: [DONE]"
 BODILESS_STATUSES = (204, 304)
 
+# Largest number of tokens that a message between agents and routers can hold.
+MAX_TOKENS = 2**32 - 1
 _LOAD_METRIC = re.compile(
     r"^(?:\w+:)?(num_requests_running|num_requests_waiting|process_start_time_seconds)"
     r"(?:\{[^}]*\})?\s+([-+0-9.eE]+)",
@@ -210,18 +222,22 @@
 
     def _read_usage(self, data: bytes) -> None:
         try:
-            usage = json.loads(data).get("usage") or {}
-            details = usage.get("prompt_tokens_details") or {}
+            usage = read_field(parse_object(data), "usage", require_object, {})
+            details = read_field(usage, "prompt_tokens_details", require_object, {})
             self._usage = Usage(
-                int(usage.get("prompt_tokens") or 0),
-                int(details.get("cached_tokens") or 0),
-                int(usage.get("completion_tokens") or 0),
+                read_field(usage, "prompt_tokens", _require_tokens, 0),
+                read_field(details, "cached_tokens", _require_tokens, 0),
+                read_field(usage, "completion_tokens", _require_tokens, 0),
             )
-        except (ValueError, AttributeError, TypeError, RecursionError):
+        except MalformedInput:
             # Usage is only a hint, and the response is forwarded unchanged without it.
             return
 
 
+def _require_tokens(value: Any) -> int:
+    return require_integer(value, maximum=MAX_TOKENS)
+
+
 class BackendClient:
     """Sends requests and probes to one backend server."""
 
@@ -309,16 +325,16 @@
         if body is None:
             return Health(False)
         try:
-            value = json.loads(body)
-        except (ValueError, RecursionError):
-            return Health(True)
-        if not isinstance(value, dict):
+            value = parse_object(body)
+        except MalformedInput:
             return Health(True)
         incarnation = value.get("incarnation")
-        incarnation_id = None if incarnation is None else str(incarnation)
-        started_at = value.get("started_at")
-        is_number = isinstance(started_at, int | float)
-        return Health(True, incarnation_id, float(started_at) if is_number else None)
+        is_id = isinstance(incarnation, str | int | float)
+        try:
+            started_at = read_field(value, "started_at", require_number, None)
+        except MalformedInput:
+            started_at = None
+        return Health(True, str(incarnation) if is_id else None, started_at)
 
     async def load(self) -> ServerLoad | None:
         """Reads ``/metrics``; returns None when the server reports no load."""
@@ -348,6 +364,7 @@
             sums[name] = sums.get(name, 0.0) + float(value)
         except ValueError:
             continue
+    sums = {name: value for name, value in sums.items() if math.isfinite(value)}
     if "num_requests_running" not in sums:
         return None
     return ServerLoad(
@@ -390,9 +407,9 @@
         return body[:-1] + b',"priority":%d}' % call.priority
     try:
         value = json.loads(body)
+        return json.dumps({**value, "priority": call.priority}).encode()
     except (ValueError, RecursionError):
         return call.body
-    return json.dumps({**value, "priority": call.priority}).encode()
 
 
 def response_headers(headers: Headers) -> Headers:
--- a/heatherswitch/fleet/claim_records.py
+++ b/heatherswitch/fleet/claim_records.py
@@ -11,6 +11,12 @@
 from dataclasses import dataclass
 
 from heatherswitch.fleet.records import RecordError
+from heatherswitch.util.untrusted import (
+    describe,
+    describe_error,
+    parse_json,
+    require_list,
+)
 
 # Size of the BLAKE2b digests of keys and requests, in bytes.
 DIGEST_BYTES = 16
@@ -187,9 +193,10 @@
     """
     for line in value.splitlines():
         try:
-            yield _decode_record(json.loads(line))
+            yield _decode_record(require_list(parse_json(line)))
         except (ValueError, TypeError, IndexError) as error:
-            raise RecordError(f"invalid journal record: {error!r}") from error
+            message = f"invalid journal record: {describe_error(error)}"
+            raise RecordError(message) from error
 
 
 def _decode_record(values: list) -> Record:
@@ -203,4 +210,4 @@
         pairs = tuple((name, value) for name, value in headers)
         body = None if text is None else base64.b64decode(text)
         return DoneRecord(*common, status, pairs, body)
-    raise ValueError(f"unknown record kind {kind!r}")
+    raise ValueError(f"unknown record kind {describe(kind)}")
--- a/heatherswitch/util/http_client.py
+++ b/heatherswitch/util/http_client.py
@@ -14,6 +14,7 @@
     ConnectionLost,
     Headers,
 )
+from heatherswitch.util.untrusted import MalformedInput, parse_json
 
 # Maximum number of interim (1xx) responses before the final one.
 MAX_INTERIM_RESPONSES = 8
@@ -176,8 +177,8 @@
         response = await self.request(method, target, headers, body, timeout)
         data = await response.read()
         try:
-            return response.status, json.loads(data) if data else None
-        except ValueError as error:
+            return response.status, parse_json(data) if data else None
+        except MalformedInput as error:
             raise ConnectionLost(f"the answer is not JSON: {error}") from error
 
     def close(self) -> None:
