Refuse unknown keys with 503 while parts of a configuration are malformed

A malformed workspace or route is left out of the configuration, so that its keys and paths were refused with 401 and 404 for good, though they stand in the newest one. Such a configuration now counts as incomplete: what it does not know gets 503.

Before: 401 for a key of a malformed workspace.

--- a/heatherswitch/platform/records.py
+++ b/heatherswitch/platform/records.py
@@ -54,34 +54,43 @@
 
     :raises RecordError: if it is malformed as a whole.
     """
+    left_out: list[str] = []
     try:
         document = parse_object(value)
         version = read_field(document, "version", require_integer)
         return Configuration(
             version=version,
-            routes=tuple(_decode_items(document, "routes", _decode_route)),
+            routes=tuple(_decode_items(document, "routes", _decode_route, left_out)),
             services={
-                s.name: s for s in _decode_items(document, "services", _decode_service)
+                s.name: s
+                for s in _decode_items(document, "services", _decode_service, left_out)
             },
             caller_limits=_decode_caller_limits(
                 read_field(document, "limits", require_object, {})
             ),
             api_keys=dict(
                 pair
-                for pairs in _decode_items(document, "tenants", _decode_api_keys)
+                for pairs in _decode_items(
+                    document, "tenants", _decode_api_keys, left_out
+                )
                 for pair in pairs
             ),
             requires_api_key="tenants" in document,
+            complete=not left_out,
         )
     except MalformedInput as error:
         raise RecordError(f"configuration: {describe_error(error)}") from error
 
 
 def _decode_items(
-    document: dict, list_name: str, decode: Callable[[dict[str, Any]], Any]
+    document: dict,
+    list_name: str,
+    decode: Callable[[dict[str, Any]], Any],
+    left_out: list[str],
 ) -> list[Any]:
     """Decodes the items of a list, or of a mapping from names to items.
 
+    :param left_out: gets the name of the list for each item that is malformed.
     :raises MalformedInput: if it is neither.
     """
     items = document.get(list_name)
@@ -96,6 +105,7 @@
             decoded.append(decode(fields if name is None else {"name": name, **fields}))
         except MalformedInput as error:
             _log_left_out(list_name, item, error)
+            left_out.append(list_name)
             if list_name == "routes":
                 decoded += _closed_route(item)
     return decoded
--- a/test/test_malformed_configuration.py
+++ b/test/test_malformed_configuration.py
@@ -110,6 +110,17 @@
             self.assertIsInstance(decision, outcome)
         self.assertEqual(decision.status, 503)
 
+    def test_keys_and_routes_that_may_be_malformed_are_not_refused_for_good(self):
+        """Callers do not retry after 401 and 404."""
+        for name in ("tenants", "routes"):
+            current = CurrentConfiguration(10.0, 10.0)
+            current.update(self.decode(encode(name, b'{"name": 7}')))
+            current.confirm(100.0)
+            for path, key in (("/lookup/1", "secret-1"), ("/elsewhere/1", API_KEY)):
+                request = CallerRequest("r1", ROUTE["host"], path, None, key)
+                decision = admit(100.0, current, request)
+                self.assertEqual(decision.status, 503, f"{name} {path}")
+
     def test_document_that_is_malformed_as_a_whole_is_rejected(self):
         values = [
             with_field(build_configuration(7), name, text)
