Bound the exponent of delays that double with each failure

The 1,025th failure of a server in a row raised an OverflowError in the reducer, since the doubled delay doesn't fit a float: requests ended with status 500 until the server had a success. A service whose servers all fail gets there within minutes, as a server in backoff is still used when no other is left.

One function now bounds the exponent for both; there are no other places.

Before: OverflowError in both tests. After: the delays stay at their maximum.

--- a/heatherswitch/gateway/servers.py
+++ b/heatherswitch/gateway/servers.py
@@ -10,6 +10,7 @@
     NoticeMemory,
     ServerNotices,
 )
+from heatherswitch.util.backoff import doubled_delay_s
 
 # A reported load is valid for this multiple of the server's own latency, within the
 # limits below in seconds. After that the requests that it counted have ended, and only
@@ -169,7 +170,9 @@
             return
         self.failure_rate += EWMA_WEIGHT * (1 - self.failure_rate)
         if base_backoff_s > 0:
-            backoff_s = min(MAX_BACKOFF_S, base_backoff_s * 2**self._failures_in_row)
+            backoff_s = doubled_delay_s(
+                base_backoff_s, self._failures_in_row, MAX_BACKOFF_S
+            )
             self._failures_in_row += 1
             self._backoff_until = now + backoff_s
 
--- a/heatherswitch/gateway/store_sync.py
+++ b/heatherswitch/gateway/store_sync.py
@@ -16,6 +16,7 @@
     StoreError,
     WatchBatch,
 )
+from heatherswitch.util.backoff import doubled_delay_s
 from heatherswitch.util.clock import Clock
 from heatherswitch.util.record import Record
 from heatherswitch.util.untrusted import (
@@ -236,8 +237,8 @@
     """
     if failures == 0:
         return FIRST_RETRY_DELAY_S
-    backoff_s = min(MAX_RETRY_DELAY_S, BASE_RETRY_DELAY_S * 2 ** (failures - 1))
-    return backoff_s * random.uniform(0.75, 1.25)
+    delay_s = doubled_delay_s(BASE_RETRY_DELAY_S, failures - 1, MAX_RETRY_DELAY_S)
+    return delay_s * random.uniform(0.75, 1.25)
 
 
 async def _release_in_time(lease: Lease) -> None:
--- a/test/test_gateway_reducer.py
+++ b/test/test_gateway_reducer.py
@@ -9,7 +9,11 @@
 from heatherswitch.gateway.model import Load, PromptPart, Service
 from heatherswitch.gateway.retry_budget import BUDGET_SHARE
 from heatherswitch.gateway.rollouts import RolloutOrder
-from heatherswitch.gateway.servers import MAX_LOAD_TTL_S, REAPPEAR_GRACE_S
+from heatherswitch.gateway.servers import (
+    MAX_BACKOFF_S,
+    MAX_LOAD_TTL_S,
+    REAPPEAR_GRACE_S,
+)
 from test.gateway_fakes import Driver, chat_prompt, configuration, server
 
 
@@ -437,6 +441,17 @@
         driver.end_attempt(sent.serial, ev.Completed(200, 3.0))
         self.assertFalse(state.in_backoff(driver.now))
 
+    def test_server_that_fails_thousands_of_times_in_a_row_is_still_avoided(self):
+        """The delay, doubled each time, overflowed at the 1,025th failure."""
+        driver = self.driver(servers=1)
+        state = driver.reducer._servers.get("e0")
+        for _ in range(3000):
+            sent = self.open_stream(driver)
+            driver.end_attempt(sent.serial, ev.NotSent("no route"))
+        self.assertTrue(state.in_backoff(driver.now))
+        driver.advance(MAX_BACKOFF_S + 0.1)
+        self.assertFalse(state.in_backoff(driver.now))
+
     def test_stalled_request_times_out_at_its_deadline(self):
         driver = self.driver(servers=1)
         for started, effect in ((True, ev.Cut), (False, ev.Refuse)):
--- a/test/test_store_sync.py
+++ b/test/test_store_sync.py
@@ -4,7 +4,11 @@
 import unittest
 
 from heatherswitch.gateway import events as ev
-from heatherswitch.gateway.store_sync import StoreSync
+from heatherswitch.gateway.store_sync import (
+    MAX_RETRY_DELAY_S,
+    StoreSync,
+    _retry_delay_s,
+)
 from heatherswitch.gateway.timing import Timing
 from heatherswitch.platform.reader import PlatformReader
 from heatherswitch.statecore.replica import Entry
@@ -57,5 +61,12 @@
         self.assertEqual(found, [ev.ServerRemoved("l1", after_outage=False)])
 
 
+class RetryDelayTest(unittest.TestCase):
+    def test_delay_stays_at_its_maximum_however_long_the_store_is_away(self):
+        """It overflowed at the 1,025th failure, which ended the watch."""
+        delays = [_retry_delay_s(failures) for failures in (1, 10, 1_025, 1_000_000)]
+        self.assertLess(max(delays), 1.3 * MAX_RETRY_DELAY_S)
+
+
 if __name__ == "__main__":
     unittest.main()
