Read all entries whenever a watch of the store can't go on

An answer must now hold each revision above the known one. The three cases share one path, with the delays of failed calls.

Before: no further read in two tests, no pause in the third. After: one read, and the delays.

--- a/heatherswitch/gateway/store_sync.py
+++ b/heatherswitch/gateway/store_sync.py
@@ -14,6 +14,7 @@
     Compacted,
     Snapshot,
     StoreError,
+    UnusableResponse,
     WatchBatch,
 )
 from heatherswitch.util.backoff import doubled_delay_s
@@ -40,6 +41,10 @@
 RELEASE_TIMEOUT_S = 0.2
 
 
+class IncompleteWatch(StoreError):
+    """The store answered a watch without some of the changes."""
+
+
 class Member(Record):
     """A gateway that is registered in the store as live.
 
@@ -105,7 +110,8 @@
     async def run(self, store: WatchableStore, decoder: EntryDecoder) -> None:
         """Watches the store until cancelled; failed calls are retried."""
         snapshot_at = float("-inf")
-        failures = 0
+        # Failed calls in a row, and reads of all entries since the last usable batch.
+        failures = rereads = 0
         while True:
             try:
                 if self._clock.now() - snapshot_at >= SNAPSHOT_INTERVAL_S:
@@ -114,15 +120,20 @@
                     failures = 0
                 async for batch in store.watch("", self._entries.revision + 1):
                     failures = 0
-                    if self._misses_changes(batch):
-                        snapshot_at = float("-inf")
-                        break
+                    self._check_complete(batch)
                     self._on_batch(batch, decoder)
+                    rereads = 0
                     if self._clock.now() - snapshot_at >= SNAPSHOT_INTERVAL_S:
                         break
-            except Compacted as error:
-                log.info("store compacted its history", extra={"error": str(error)})
+            except (Compacted, IncompleteWatch, UnusableResponse) as error:
+                # Repeating the watch would fail again.
+                log.warning(
+                    "watch can't go on; reading all entries",
+                    extra={"error": str(error), "reason": type(error).__name__},
+                )
                 snapshot_at = float("-inf")
+                await asyncio.sleep(_retry_delay_s(rereads))
+                rereads += 1
             except StoreError as error:
                 silent_s = round(self._clock.now() - self._last_response_at, 3)
                 log.warning(
@@ -132,22 +143,22 @@
                 await asyncio.sleep(_retry_delay_s(failures))
                 failures += 1
 
-    def _misses_changes(self, batch: WatchBatch) -> bool:
-        """Tells whether a batch lacks changes up to the revision that it names.
+    def _check_complete(self, batch: WatchBatch) -> None:
+        """Checks that a batch holds all changes up to the revision that it names.
 
-        Each revision is a change of some key and the watch covers all keys, so that the
-        batch must hold an entry of its own revision. A store whose watches miss changes
-        for a while may answer with its newest revision all the same.
+        Each revision is a change of some key and the watch covers all keys. A store whose
+        watches miss changes for a while may answer with its newest revision all the same.
+
+        :raises IncompleteWatch: if revisions are missing.
         """
-        newest = max((e.mod_revision for e in batch.entries), default=0)
-        known = max(newest, self._entries.revision)
-        if batch.revision <= known:
-            return False
-        log.warning(
-            "watch misses changes; reading all entries",
-            extra={"revision": batch.revision, "known": known},
-        )
-        return True
+        known = self._entries.revision
+        held = {e.mod_revision for e in batch.entries if e.mod_revision > known}
+        missing = batch.revision - known - len(held)
+        if missing > 0:
+            raise IncompleteWatch(
+                f"{missing} of the revisions from {known + 1} to {batch.revision} "
+                "are missing"
+            )
 
     def _on_batch(self, batch: WatchBatch, decoder: EntryDecoder) -> None:
         after_outage = self._detect_outage_end(batch.current_at)
--- a/heatherswitch/platform/store.py
+++ b/heatherswitch/platform/store.py
@@ -17,11 +17,12 @@
     Snapshot,
     StoreError,
     StoreUnavailable,
+    UnusableResponse,
     WatchBatch,
 )
 from heatherswitch.util.clock import Clock
-from heatherswitch.util.http import ConnectFailed, ConnectionLost
-from heatherswitch.util.http_client import HttpClient
+from heatherswitch.util.http import ConnectFailed, ConnectionLost, ResponseTooLarge
+from heatherswitch.util.http_client import HttpClient, HttpResponse
 from heatherswitch.util.untrusted import (
     MalformedInput,
     describe,
@@ -106,7 +107,7 @@
                 if not page.get("truncated") or not items:
                     break
                 if items[-1].key <= after:
-                    raise StoreUnavailable("malformed response: a page is repeated")
+                    raise UnusableResponse("malformed response: a page is repeated")
                 after = items[-1].key
         return Snapshot(revision, tuple(entries), sent_at)
 
@@ -221,6 +222,7 @@
         :param ambiguous_error: raised if the store may have executed the request.
         :raises StoreUnavailable: if no connection was made or the store refused the
             request with status 429 or 503; it was not executed.
+        :raises UnusableResponse: if the response to a read cannot be used.
         """
         try:
             async with asyncio.timeout(timeout_s):
@@ -231,12 +233,15 @@
                     b"" if body is None else json.dumps(body).encode(),
                     timeout_s,
                 )
-            async with asyncio.timeout(RESPONSE_BODY_TIMEOUT_S):
-                data = await response.read(MAX_RESPONSE_BYTES)
-            payload = parse_json(data) if data else {}
+            payload = await _read_json(response)
         except ConnectFailed as error:
             raise StoreUnavailable(f"{path}: {error}") from error
-        except (ConnectionLost, TimeoutError, ValueError) as error:
+        except UnusableResponse as error:
+            self._client.close()
+            if ambiguous_error is StoreUnavailable:
+                raise
+            raise ambiguous_error(f"{path}: {error}") from error
+        except (ConnectionLost, TimeoutError) as error:
             # Other idle connections to an unresponsive store are broken as well.
             self._client.close()
             raise ambiguous_error(f"{path}: {error or 'timeout'}") from error
@@ -247,6 +252,20 @@
         return response.status, payload
 
 
+async def _read_json(response: HttpResponse) -> Any:
+    """Reads a response's body and parses it; an empty one is an empty object.
+
+    :raises UnusableResponse: if it is too large, too slow or no JSON.
+    :raises ConnectionLost: if it is truncated.
+    """
+    try:
+        async with asyncio.timeout(RESPONSE_BODY_TIMEOUT_S):
+            data = await response.read(MAX_RESPONSE_BYTES)
+        return parse_json(data) if data else {}
+    except (ResponseTooLarge, TimeoutError, MalformedInput) as error:
+        raise UnusableResponse(f"response: {error or 'timeout'}") from error
+
+
 def confirmation_time(sent_at: float, waited_s: float, now: float) -> float:
     """Returns the latest time at which a watch response is known to be up to date.
 
@@ -268,13 +287,13 @@
     try:
         return require_integer(payload.get(name))
     except MalformedInput as error:
-        raise StoreUnavailable(f"malformed response: {name}: {error}") from error
+        raise UnusableResponse(f"malformed response: {name}: {error}") from error
 
 
 def _decode_entries(payload: dict, name: str) -> list[Entry]:
     """Decodes the items of a page, or the events of a watch.
 
-    :raises StoreUnavailable: if they are no list, or one lacks its key or revision.
+    :raises UnusableResponse: if they are no list, or one lacks its key or revision.
     """
     items = payload.get(name)
     if items is None:
@@ -282,7 +301,7 @@
     try:
         return [_decode_entry(item) for item in require_list(items)]
     except MalformedInput as error:
-        raise StoreUnavailable(f"malformed response: {name}: {error}") from error
+        raise UnusableResponse(f"malformed response: {name}: {error}") from error
 
 
 def _decode_entry(item: Any) -> Entry:
@@ -291,7 +310,7 @@
     A value that cannot be read becomes an empty one, which the decoders of entries
     reject, so that it does not hide the other items of its page.
 
-    :raises StoreUnavailable: if the key or the revision is malformed.
+    :raises UnusableResponse: if the key or the revision is malformed.
     """
     try:
         key = require_object(item)["key"]
@@ -299,7 +318,7 @@
         if not isinstance(key, str):
             raise MalformedInput(f"the key {describe(key)} is not a string")
     except (KeyError, MalformedInput) as error:
-        raise StoreUnavailable(f"malformed item: {describe_error(error)}") from error
+        raise UnusableResponse(f"malformed item: {describe_error(error)}") from error
     if item.get("tombstone"):
         return Entry(key, revision, None)
     try:
--- a/heatherswitch/statecore/store.py
+++ b/heatherswitch/statecore/store.py
@@ -43,6 +43,13 @@
     """The store is unreachable or sent no valid response; no write was applied."""
 
 
+class UnusableResponse(StoreUnavailable):
+    """The store responded, but the response is malformed, too large or too slow.
+
+    Repeating the same call may fail again in the same way.
+    """
+
+
 class StaleRead(StoreUnavailable):
     """The store returned a revision below one that it had returned before."""
 
--- a/heatherswitch/util/http.py
+++ b/heatherswitch/util/http.py
@@ -37,6 +37,10 @@
     """The connection failed or timed out after the request may have been sent."""
 
 
+class ResponseTooLarge(ConnectionLost):
+    """The response is over the limit that its reader set."""
+
+
 class BadRequest(HttpError):
     """A request is invalid or incomplete; the message is sent to the caller.
 
--- a/heatherswitch/util/http_client.py
+++ b/heatherswitch/util/http_client.py
@@ -13,6 +13,7 @@
     ConnectFailed,
     ConnectionLost,
     Headers,
+    ResponseTooLarge,
 )
 from heatherswitch.util.untrusted import MalformedInput, parse_json
 
@@ -70,14 +71,15 @@
     async def read(self, limit: int = 64 * 1024 * 1024) -> bytes:
         """Reads the whole body.
 
-        :raises ConnectionLost: if the body is truncated or larger than ``limit`` bytes.
+        :raises ConnectionLost: if the body is truncated.
+        :raises ResponseTooLarge: if it is larger than ``limit`` bytes.
         """
         body = bytearray()
         async for chunk in self.chunks():
             body += chunk
             if len(body) > limit:
                 self.close()
-                raise ConnectionLost(f"the answer is over {limit} bytes")
+                raise ResponseTooLarge(f"the answer is over {limit} bytes")
         return bytes(body)
 
     def close(self) -> None:
--- a/test/test_store_sync.py
+++ b/test/test_store_sync.py
@@ -1,6 +1,7 @@
 """Tests of watching the store over a slow link, where responses take seconds."""
 
 import asyncio
+import time
 import unittest
 
 from heatherswitch.gateway import events as ev
@@ -12,7 +13,7 @@
 from heatherswitch.gateway.timing import Timing
 from heatherswitch.platform.reader import PlatformReader
 from heatherswitch.statecore.replica import Entry
-from heatherswitch.statecore.store import Snapshot, WatchBatch
+from heatherswitch.statecore.store import Snapshot, UnusableResponse, WatchBatch
 
 
 class ManualClock:
@@ -61,6 +62,79 @@
         self.assertEqual(found, [ev.ServerRemoved("l1", after_outage=False)])
 
 
+class ScriptedStore:
+    """Answers each watch with the next step: a batch, or an error to raise.
+
+    Cancels the sync after the last step. All entries are those of revision 12.
+
+    :ivar snapshots: number of reads of all entries.
+    """
+
+    def __init__(self, *steps):
+        self.steps = list(steps)
+        self.snapshots = 0
+        self.entries = (Entry("op/evacuate/b", 11, b"{}"), Entry("other", 12, b""))
+
+    async def snapshot(self, prefixes):
+        self.snapshots += 1
+        if self.snapshots == 1:
+            return Snapshot(10, (), 100.0)
+        return Snapshot(12, self.entries, 100.0)
+
+    async def watch(self, prefix, from_revision):
+        while True:
+            if not self.steps:
+                raise asyncio.CancelledError
+            step = self.steps.pop(0)
+            if isinstance(step, Exception):
+                raise step
+            yield step
+
+
+class UnusableWatchTest(unittest.IsolatedAsyncioTestCase):
+    """Guards CONFIG: a watch that can't go on is replaced by a read of all entries."""
+
+    async def run_sync(self, *steps):
+        store, events = ScriptedStore(*steps), []
+        sync = StoreSync(ManualClock(), events.append, Timing.from_bounds().outage_s)
+        with self.assertRaises(asyncio.CancelledError):
+            await sync.run(store, PlatformReader())
+        return store, events
+
+    async def assert_reads_all(self, step) -> None:
+        store, events = await self.run_sync(step)
+        self.assertEqual(store.snapshots, 2)
+        self.assertIn(ev.ZonesOut(frozenset("b")), events)
+
+    async def test_batch_with_its_own_revision_but_without_an_earlier_one(self):
+        """A heartbeat that comes after changes that the watch did not hear of."""
+        await self.assert_reads_all(WatchBatch(12, (Entry("other", 12, b""),), 100.0))
+
+    async def test_batch_without_entries(self):
+        await self.assert_reads_all(WatchBatch(12, (), 100.0))
+
+    async def test_response_that_cannot_be_used(self):
+        await self.assert_reads_all(UnusableResponse("malformed"))
+
+    async def test_complete_batch_is_applied(self):
+        batch = WatchBatch(12, (Entry("op/evacuate/b", 11, b"{}"), *self.others()), 1.0)
+        store, events = await self.run_sync(batch, WatchBatch(12, (), 101.0))
+        self.assertEqual(store.snapshots, 1)
+        self.assertIn(ev.ZonesOut(frozenset("b")), events)
+
+    def others(self):
+        """Two entries that one transaction wrote."""
+        return (Entry("other", 12, b""), Entry("another", 12, b""))
+
+    async def test_store_is_not_read_without_pause_if_each_batch_is_incomplete(self):
+        batches = [WatchBatch(revision, (), 100.0) for revision in range(13, 17)]
+        started_at = time.monotonic()
+        store, _ = await self.run_sync(*batches)
+        self.assertEqual(store.snapshots, 5)
+        # The delays of the first failures, with their jitter.
+        self.assertGreater(time.monotonic() - started_at, 0.75 * (0.2 + 0.4 + 0.8))
+
+
 class RetryDelayTest(unittest.TestCase):
     def test_delay_stays_at_its_maximum_however_long_the_store_is_away(self):
         """It overflowed at the 1,025th failure, which ended the watch."""
