Read all entries after an outage of the store

Found by the soak lane. While a gateway was cut off the store, eight versions of a configuration of 0.7 MB were written. The watch returned each of them, 7.5 MB, which takes longer over a link of 5 Mbit/s than the time limit of 10 s; the gateway sent the same call again and refused every key for 64 s, until its next full read. Over a fast link, 20 versions exceeded the limit of 16 MB in the same way.

After an outage, one read of all entries replaces the watch from the old revision: it holds one version and is one call as well.

--- a/heatherswitch/gateway/store_sync.py
+++ b/heatherswitch/gateway/store_sync.py
@@ -135,11 +135,15 @@
                 await asyncio.sleep(_retry_delay_s(rereads))
                 rereads += 1
             except StoreError as error:
-                silent_s = round(self._clock.now() - self._last_response_at, 3)
+                silent_s = self._clock.now() - self._last_response_at
                 log.warning(
                     "call to the store failed",
-                    extra={"error": str(error), "silent_s": silent_s},
+                    extra={"error": str(error), "silent_s": round(silent_s, 3)},
                 )
+                if silent_s > self._outage_s:
+                    # A watch would return each version of the configuration since then,
+                    # which may take longer than its time limit over a slow link.
+                    snapshot_at = float("-inf")
                 await asyncio.sleep(_retry_delay_s(failures))
                 failures += 1
 
--- a/test/test_store_sync.py
+++ b/test/test_store_sync.py
@@ -13,7 +13,15 @@
 from heatherswitch.gateway.timing import Timing
 from heatherswitch.platform.reader import PlatformReader
 from heatherswitch.statecore.replica import Entry
-from heatherswitch.statecore.store import Snapshot, UnusableResponse, WatchBatch
+from heatherswitch.statecore.store import (
+    Snapshot,
+    StoreUnavailable,
+    UnusableResponse,
+    WatchBatch,
+)
+
+# Seconds that a failed call takes.
+FAILED_CALL_S = 0.6
 
 
 class ManualClock:
@@ -70,7 +78,8 @@
     :ivar snapshots: number of reads of all entries.
     """
 
-    def __init__(self, *steps):
+    def __init__(self, clock, *steps):
+        self.clock = clock
         self.steps = list(steps)
         self.snapshots = 0
         self.entries = (Entry("op/evacuate/b", 11, b"{}"), Entry("other", 12, b""))
@@ -87,6 +96,7 @@
                 raise asyncio.CancelledError
             step = self.steps.pop(0)
             if isinstance(step, Exception):
+                self.clock.time += FAILED_CALL_S
                 raise step
             yield step
 
@@ -95,8 +105,9 @@
     """Guards CONFIG: a watch that can't go on is replaced by a read of all entries."""
 
     async def run_sync(self, *steps):
-        store, events = ScriptedStore(*steps), []
-        sync = StoreSync(ManualClock(), events.append, Timing.from_bounds().outage_s)
+        clock, events = ManualClock(), []
+        store = ScriptedStore(clock, *steps)
+        sync = StoreSync(clock, events.append, Timing.from_bounds().outage_s)
         with self.assertRaises(asyncio.CancelledError):
             await sync.run(store, PlatformReader())
         return store, events
@@ -116,6 +127,17 @@
     async def test_response_that_cannot_be_used(self):
         await self.assert_reads_all(UnusableResponse("malformed"))
 
+    async def test_store_that_was_away_for_long(self):
+        """The watch returned each version since then, for a minute on a slow link."""
+        store, events = await self.run_sync(*[StoreUnavailable("cut")] * 4)
+        self.assertGreater(4 * FAILED_CALL_S, Timing.from_bounds().outage_s)
+        self.assertEqual(store.snapshots, 2)
+        self.assertIn(ev.ZonesOut(frozenset("b")), events)
+
+    async def test_store_that_was_away_briefly_is_watched_on(self):
+        store, _ = await self.run_sync(StoreUnavailable("cut"))
+        self.assertEqual(store.snapshots, 1)
+
     async def test_complete_batch_is_applied(self):
         batch = WatchBatch(12, (Entry("op/evacuate/b", 11, b"{}"), *self.others()), 1.0)
         store, events = await self.run_sync(batch, WatchBatch(12, (), 101.0))
