Take a version for that in force only while no other one is listed

Found in review.

A target now counts as in force if it is that of the last completed roll-out, or has served requests without one, was not rolled back last, and no server of another version is listed, which each tick looks at again. The tests of the rule are replaced by ones that cover these cases; the simulated fleets pass the versions of their servers to tick().

Before: in_force for a rolled-back version, and not for a completed one. After: the reverse.

--- a/heatherswitch/gateway/reducer.py
+++ b/heatherswitch/gateway/reducer.py
@@ -217,7 +217,8 @@
                 self._peers.update(event.addresses)
                 self._retry_budget.update_share(now)
             case ev.RolloutOrdered():
-                self._rollouts.on_order(now, event)
+                versions = self._servers.versions(event.service)
+                self._rollouts.on_order(now, event, versions)
             case ev.RolloutStatusRead():
                 self._rollouts.on_status(event)
             case ev.RolloutProgressRead():
@@ -241,7 +242,7 @@
                 self._retry_budget.update_share(now)
                 for pending in self._pending.values():
                     self._judge_speed(now, pending)
-                self._rollouts.tick(now)
+                self._rollouts.tick(now, self._servers.versions)
                 return [
                     *self._returned_servers(),
                     *self._quarantine_changed(now, self._quarantine.expire(now)),
--- a/heatherswitch/gateway/rollout_table.py
+++ b/heatherswitch/gateway/rollout_table.py
@@ -1,7 +1,7 @@
 """All rollouts at one gateway and which version of a service may take a request."""
 
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from heatherswitch.gateway import events as ev
 from heatherswitch.gateway.response_speed import AttemptTimes
@@ -31,12 +31,13 @@
     """
 
     __slots__ = (
-        "_completed_targets",
+        "_decisions",
         "_exposure",
         "_gateway_id",
         "_incarnation",
         "_recent_times",
         "_rollouts",
+        "_served_alone",
     )
 
     def __init__(
@@ -46,8 +47,10 @@
         self._incarnation = incarnation
         self._exposure = exposure
         self._rollouts: dict[str, Rollout] = {}
-        # Version that the last completed rollout of each service left in force.
-        self._completed_targets: dict[str, str] = {}
+        # Last decision on a version of each service, and the state that it left.
+        self._decisions: dict[str, tuple[str, RolloutState]] = {}
+        # When a version last served requests that no rollout had sent to it.
+        self._served_alone: dict[str, dict[str, float]] = {}
         # Latest responses by service and route while no rollout is running.
         self._recent_times: dict[str, RecentTimes] = {}
 
@@ -56,8 +59,13 @@
         """Latest rollout of each service, keyed by service name."""
         return self._rollouts
 
-    def on_order(self, now: float, event: ev.RolloutOrdered) -> None:
-        """Starts a rollout for a new order, or drops it if the order is withdrawn."""
+    def on_order(
+        self, now: float, event: ev.RolloutOrdered, listed_versions: Collection[str]
+    ) -> None:
+        """Starts a rollout for a new order, or drops it if the order is withdrawn.
+
+        :param listed_versions: versions of the service's servers in the store.
+        """
         current = self._rollouts.get(event.service)
         if event.order is None:
             self._rollouts.pop(event.service, None)
@@ -65,38 +73,37 @@
             rollout = Rollout(
                 now, event.order, self._gateway_id, self._incarnation, self._exposure
             )
-            recent = self._recent_times.pop(event.service, {})
-            rollout.learn_speed(now, recent)
-            rollout.in_force = self._is_in_force(now, event.order, recent)
+            rollout.learn_speed(now, self._recent_times.pop(event.service, {}))
+            rollout.was_in_force = self._was_in_force(now, event.order, current)
+            rollout.update_versions(listed_versions)
             self._rollouts[event.service] = rollout
 
     def on_status(self, event: ev.RolloutStatusRead) -> None:
         """Applies a decision recorded in the store."""
-        if event.state is RolloutState.COMPLETED:
-            self._completed_targets[event.service] = event.target
+        if event.state is not RolloutState.RUNNING:
+            self._decisions[event.service] = event.target, event.state
         rollout = self._rollouts.get(event.service)
         if rollout is not None:
             rollout.apply_status(event.target, event.state, event.revision)
 
-    def _is_in_force(
-        self, now: float, order: RolloutOrder, recent: RecentTimes
+    def _was_in_force(
+        self, now: float, order: RolloutOrder, current: Rollout | None
     ) -> bool:
-        """Tells whether an order's target is the version in force already.
+        """Tells whether an order's target was in force when the order came.
 
-        No rollout was running when the recent attempts were sent, so that each of them
-        could get any version. A gateway without recent attempts goes by the last
-        completed rollout.
+        That is the version of the last completed rollout, or one that has served requests
+        without a rollout.
 
-        :param recent: attempts of the service before the order, by route.
+        :param current: the rollout of the order before, or None.
         """
-        versions = {
-            version
-            for attempts in recent.values()
-            for version, times in attempts
-            if now - times.sent_at < MAX_LEARNED_AGE_S
-        }
-        completed = self._completed_targets.get(order.service)
-        return (versions or {completed}) == {order.target}
+        target = order.target
+        decided, state = self._decisions.get(order.service, ("", RolloutState.RUNNING))
+        if decided == target:
+            return state is RolloutState.COMPLETED
+        if current is not None and current.order.target == target:
+            return current.was_in_force
+        served = self._served_alone.get(order.service, {})
+        return now - served.get(target, float("-inf")) < MAX_LEARNED_AGE_S
 
     def on_progress(self, now: float, event: ev.RolloutProgressRead) -> None:
         """Applies progress that the owner recorded."""
@@ -112,9 +119,15 @@
         for record in event.records if rollout else ():
             rollout.add_evidence(now, record)
 
-    def tick(self, now: float) -> None:
-        """Closes the evidence windows that have reached their length."""
-        for rollout in self._rollouts.values():
+    def tick(
+        self, now: float, listed_versions: Callable[[str], Collection[str]]
+    ) -> None:
+        """Closes the evidence windows that have reached their length.
+
+        :param listed_versions: returns the versions of a service's servers in the store.
+        """
+        for service, rollout in self._rollouts.items():
+            rollout.update_versions(listed_versions(service))
             rollout.advance_evidence(now)
 
     def version_filters(
@@ -174,6 +187,9 @@
         :param randomized: what :meth:`count_request` returned for the request.
         """
         rollout = self._rollouts.get(service)
+        rolled_back = rollout is not None and rollout.state is RolloutState.ROLLED_BACK
+        if rollout is None or (rolled_back and version != rollout.order.target):
+            self._served_alone.setdefault(service, {})[version] = times.sent_at
         if rollout is None or rollout.state is not RolloutState.RUNNING:
             routes = self._recent_times.setdefault(service, {})
             recent = routes.setdefault(route, deque(maxlen=MAX_RECENT_TIMES))
--- a/heatherswitch/gateway/rollouts.py
+++ b/heatherswitch/gateway/rollouts.py
@@ -115,21 +115,21 @@
 
     :param gateway_id: id of this gateway.
     :param incarnation: tells the evidence of two runs of this gateway apart.
-    :ivar in_force: the version was in force before the order, so that there is no other
-        one to compare it with or to go back to.
+    :ivar was_in_force: the version was in force when the order came.
     """
 
     __slots__ = (
         "_evidence",
         "_exposure",
+        "_other_versions_listed",
         "_request_count",
         "_speed_limits",
         "_started_at",
         "_target_request_count",
-        "in_force",
         "order",
         "stage",
         "state",
+        "was_in_force",
     )
 
     def __init__(
@@ -143,7 +143,8 @@
         self.order = order
         self.state = RolloutState.RUNNING
         self.stage = 0
-        self.in_force = False
+        self.was_in_force = False
+        self._other_versions_listed = True
         self._started_at = now
         self._exposure = exposure
         self._request_count = 0
@@ -169,6 +170,17 @@
         """Route and signal that led to a ``BAD`` verdict, or an empty string."""
         return self._evidence.judgement.reason
 
+    @property
+    def in_force(self) -> bool:
+        """True if there is no other version to compare with or to go back to."""
+        return self.was_in_force and not self._other_versions_listed
+
+    def update_versions(self, listed_versions: Iterable[str]) -> None:
+        """Takes the versions of the service's servers in the store."""
+        self._other_versions_listed = any(
+            version != self.order.target for version in listed_versions
+        )
+
     def learn_speed(self, now: float, recent: RecentTimes) -> None:
         """Learns the speed of the old version from responses before the order.
 
--- a/heatherswitch/gateway/servers.py
+++ b/heatherswitch/gateway/servers.py
@@ -234,6 +234,10 @@
         """Returns the servers of a service."""
         return self._by_service.get(service, {}).values()
 
+    def versions(self, service: str) -> set[str]:
+        """Returns the versions of a service's servers."""
+        return {state.record.version for state in self.for_service(service)}
+
     def upsert(self, now: float, record: Server) -> bool:
         """Adds or updates a server from its store entry.
 
--- a/test/test_rollouts.py
+++ b/test/test_rollouts.py
@@ -149,7 +149,7 @@
 
     def _order(self) -> None:
         for table in self.tables:
-            table.on_order(0.0, ev.RolloutOrdered("ledger", ORDER))
+            table.on_order(0.0, ev.RolloutOrdered("ledger", ORDER), {"v1"})
 
     def _request(self, now: float, respond) -> None:
         table = self.random.choice(self.tables)
@@ -214,7 +214,7 @@
         for table, identity, times in self.open_attempts:
             table.count_speed(now, *identity, times)
         for table in self.tables:
-            table.tick(now)
+            table.tick(now, lambda service: {"v1", "v2"})
         records = [
             r
             for n, rollout in enumerate(self.rollouts)
@@ -515,7 +515,7 @@
     def test_status_of_an_earlier_order_is_ignored(self):
         """Guards a rollout that is ordered again after it was rolled back."""
         rollouts = RolloutTable("g", 1, ExposureLimit())
-        rollouts.on_order(0.0, ev.RolloutOrdered("ledger", ORDER))
+        rollouts.on_order(0.0, ev.RolloutOrdered("ledger", ORDER), {"v1"})
         earlier, later = ORDER.revision - 1, ORDER.revision + 1
         for revision, state in (
             (earlier, RolloutState.RUNNING),
@@ -528,26 +528,63 @@
 
 
 class VersionInForceTest(unittest.TestCase):
-    def is_in_force(self, *served: str, completed: str = "") -> bool:
-        """Orders v2 after attempts at servers of the given versions."""
-        rollouts = RolloutTable("g", 1, ExposureLimit())
-        if completed:
-            status = RolloutState.COMPLETED
-            rollouts.on_status(ev.RolloutStatusRead("ledger", completed, status, 1))
-        for version in served:
-            times = AttemptTimes(0.0)
-            rollouts.count_response(0.1, "ledger", "r", version, False, times, False)
-        rollouts.on_order(1.0, ev.RolloutOrdered("ledger", ORDER))
-        return rollouts.by_service["ledger"].in_force
-
-    def test_only_a_version_that_has_served_alone_is_in_force(self):
-        """Else a bad version could get all requests at once (rule EXPOSURE)."""
-        self.assertTrue(self.is_in_force("v2", "v2"))
-        self.assertTrue(self.is_in_force(completed="v2"))
-        self.assertFalse(self.is_in_force())
-        self.assertFalse(self.is_in_force("v1", "v2"))
-        self.assertFalse(self.is_in_force("v1", completed="v2"))
-        self.assertFalse(self.is_in_force(completed="v3"))
+    """Only a version in force may get all requests at once (rule EXPOSURE)."""
+
+    def setUp(self):
+        self.rollouts = RolloutTable("g", 1, ExposureLimit())
+
+    def decide(self, target: str, state: RolloutState, revision: int = 1) -> None:
+        self.rollouts.on_status(ev.RolloutStatusRead("ledger", target, state, revision))
+
+    def serve(self, version: str, sent_at: float = 0.0, randomized=False) -> None:
+        times = AttemptTimes(sent_at)
+        self.rollouts.count_response(
+            sent_at + 0.1, "ledger", "r", version, False, times, randomized
+        )
+
+    def order(self, target: str, listed: set[str], revision: int = 7) -> bool:
+        """Orders a version and tells whether it counts as in force."""
+        order = RolloutOrder("ledger", target, 12.0, revision)
+        self.rollouts.on_order(1.0, ev.RolloutOrdered("ledger", order), listed)
+        return self.rollouts.by_service["ledger"].in_force
+
+    def test_version_that_has_served_without_a_rollout(self):
+        self.serve("v2")
+        self.assertTrue(self.order("v2", {"v2"}))
+        # An order that is repeated before the decision.
+        self.assertTrue(self.order("v2", {"v2"}, revision=8))
+
+    def test_version_of_the_last_completed_rollout(self):
+        """A request of the old version may end after the completion."""
+        self.decide("v2", RolloutState.COMPLETED)
+        self.serve("v1")
+        self.assertTrue(self.order("v2", {"v2"}))
+
+    def test_old_servers_whose_entries_expire_after_the_order(self):
+        """They end without a word when a rollout is completed."""
+        self.decide("v2", RolloutState.COMPLETED)
+        self.assertFalse(self.order("v2", {"v1", "v2"}))
+        self.rollouts.tick(2.0, lambda service: {"v2"})
+        self.assertTrue(self.rollouts.by_service["ledger"].in_force)
+
+    def test_version_that_was_never_seen_or_only_beside_another(self):
+        self.assertFalse(self.order("v2", {"v2"}))
+        self.serve("v2")
+        self.assertFalse(self.order("v3", {"v2", "v3"}))
+        self.assertFalse(self.order("v2", {"v1", "v2"}))
+
+    def test_version_that_was_rolled_back_before(self):
+        """Its last answers come after the decision."""
+        self.assertFalse(self.order("v2", {"v1"}))
+        self.decide("v2", RolloutState.ROLLED_BACK, revision=8)
+        self.serve("v2", randomized=True)
+        self.assertFalse(self.order("v2", {"v2"}, revision=9))
+
+    def test_version_that_stayed_after_another_was_rolled_back(self):
+        self.order("v2", {"v1", "v2"})
+        self.decide("v2", RolloutState.ROLLED_BACK, revision=8)
+        self.serve("v1")
+        self.assertTrue(self.order("v1", {"v1"}, revision=9))
 
 
 class RepeatedOrderTest(unittest.IsolatedAsyncioTestCase):
