Don't confirm a configuration whose decoder fails unforeseen

Found in review. An unforeseen error of the decoder is logged and the other entries are applied, but the old configuration was then confirmed as current, so that routes of the newest one got 404 for good. The decoder now says what follows from an entry that failed; for the configuration that is the same as for a malformed one. No such input is known: 60,000 random mutations gave none.

A version that is written again after one that could not be decoded counts as complete again.

--- a/heatherswitch/gateway/current_configuration.py
+++ b/heatherswitch/gateway/current_configuration.py
@@ -56,6 +56,9 @@
         if configuration is None:
             self._complete = False
             return False
+        if configuration.version == self.version:
+            # Written again after a version that could not be decoded.
+            self._complete = configuration.complete
         if configuration.version <= self.version:
             return False
         self._complete = configuration.complete
--- a/heatherswitch/gateway/store_sync.py
+++ b/heatherswitch/gateway/store_sync.py
@@ -87,6 +87,9 @@
             gone because its lease expired although its owner is alive.
         """
 
+    def read_failed(self, entry: Entry) -> list[ev.Event]:
+        """Returns the events for an entry that an unforeseen error kept from effect."""
+
 
 class StoreSync:
     """Watches the store and passes events to the gateway.
@@ -220,6 +223,8 @@
                 self._emit(event)
         except Exception:
             log.exception("store entry not applied", extra={"key": entry.key})
+            for event in decoder.read_failed(entry):
+                self._emit(event)
 
 
 def _member(entry: Entry, prefix: str) -> Member:
--- a/heatherswitch/platform/reader.py
+++ b/heatherswitch/platform/reader.py
@@ -91,6 +91,12 @@
             return self._read_gateway_record(key, value)
         return []
 
+    def read_failed(self, entry: Entry) -> list[ev.Event]:
+        """Returns the events for an entry that an unforeseen error kept from effect."""
+        if entry.key == names.CONFIG_KEY:
+            return [ev.ConfigurationRead(None)]
+        return []
+
     def status(
         self, service: str, state: RolloutState, target: str
     ) -> tuple[str, bytes]:
--- a/test/test_gateway_reducer.py
+++ b/test/test_gateway_reducer.py
@@ -63,6 +63,9 @@
         self.assertEqual(driver.decide("/nowhere/").status, 503)
         driver.apply(ev.ConfigurationRead(configuration(7)))
         self.assertEqual(driver.decide("/nowhere/").status, 404)
+        driver.apply(ev.ConfigurationRead(None))
+        driver.apply(ev.ConfigurationRead(configuration(7)))
+        self.assertEqual(driver.decide("/nowhere/").status, 404)
 
     def test_older_configuration_is_ignored(self):
         driver = Driver(version=5)
--- a/test/test_store_sync.py
+++ b/test/test_store_sync.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 import unittest
+from unittest import mock
 
 from heatherswitch.gateway import events as ev
 from heatherswitch.gateway.store_sync import (
@@ -109,9 +110,12 @@
         store = ScriptedStore(clock, *steps)
         sync = StoreSync(clock, events.append, Timing.from_bounds().outage_s)
         with self.assertRaises(asyncio.CancelledError):
-            await sync.run(store, PlatformReader())
+            await sync.run(store, self.reader)
         return store, events
 
+    def setUp(self):
+        self.reader = PlatformReader()
+
     async def assert_reads_all(self, step) -> None:
         store, events = await self.run_sync(step)
         self.assertEqual(store.snapshots, 2)
@@ -138,6 +142,16 @@
         store, _ = await self.run_sync(StoreUnavailable("cut"))
         self.assertEqual(store.snapshots, 1)
 
+    async def test_configuration_whose_decoder_fails_is_not_confirmed_as_current(self):
+        entry = Entry("op/config", 11, b"{}")
+        failing = mock.patch.object(
+            PlatformReader, "_read_configuration", side_effect=KeyError
+        )
+        with failing:
+            batch = WatchBatch(12, (entry, *self.others()), 100.0)
+            _, events = await self.run_sync(batch)
+        self.assertIn(ev.ConfigurationRead(None), events)
+
     async def test_complete_batch_is_applied(self):
         batch = WatchBatch(12, (Entry("op/evacuate/b", 11, b"{}"), *self.others()), 1.0)
         store, events = await self.run_sync(batch, WatchBatch(12, (), 101.0))
