Give a service that is added later its whole retry budget

Found in review. The bucket of a service whose first request came long after the start began with the small share of a gateway that has just started, and filled by 0.14 a request only, so that repeats were refused though nothing was drawn. That share is now used in the first 20 s only, in which repeats of a former process may still count.

Before: 1.1 repeats of 35 for such a service.

--- a/heatherswitch/gateway/decision_log.py
+++ b/heatherswitch/gateway/decision_log.py
@@ -36,7 +36,7 @@
         repeat = {}
         if forward.repeats:
             service = forward.server.service
-            budget = self._reducer.retry_budget_left(service)
+            budget = self._reducer.retry_budget_left(self._clock.now(), service)
             repeat = {
                 "service": service,
                 "repeats": forward.repeats,
--- a/heatherswitch/gateway/reducer.py
+++ b/heatherswitch/gateway/reducer.py
@@ -148,9 +148,9 @@
         """Number of requests whose final response was not sent yet."""
         return len(self._pending)
 
-    def retry_budget_left(self, service: str) -> float:
+    def retry_budget_left(self, now: float, service: str) -> float:
         """Returns the number of repeats that may be sent to a service now."""
-        return self._retry_budget.left(service)
+        return self._retry_budget.left(now, service)
 
     def ready(self, now: float) -> bool:
         """Tells whether the configuration is recent enough to serve new callers."""
--- a/heatherswitch/gateway/retry_budget.py
+++ b/heatherswitch/gateway/retry_budget.py
@@ -9,6 +9,9 @@
 # Share of the fleet's budget that is used, so that gateways whose lists of the fleet
 # briefly differ do not exceed it together.
 BUDGET_SHARE = 0.7
+# Seconds after the start in which the former process may have drawn repeats that still
+# count: the window of the budget, and the time in which the list of gateways settles.
+START_S = 20.0
 
 
 class RetryBudget:
@@ -22,7 +25,14 @@
     :param slack: repeats allowed per window in addition, across the whole fleet.
     """
 
-    __slots__ = ("_buckets", "_fleet", "_initial_tokens", "_ratio", "_slack")
+    __slots__ = (
+        "_buckets",
+        "_fleet",
+        "_full_from",
+        "_initial_tokens",
+        "_ratio",
+        "_slack",
+    )
 
     def __init__(
         self, now: float, ratio: float, slack: float, fleet: FleetSize
@@ -31,18 +41,18 @@
         self._slack = slack
         self._fleet = fleet
         self._buckets: dict[str, TokenBucket] = {}
-        # A gateway that restarts does not know what it has drawn before, so that a new
-        # bucket is not filled to the share of a gateway that has run for long.
+        # A gateway that restarts does not know what it has drawn before, so that its
+        # buckets are not filled to the share of a gateway that has run for long.
         self._initial_tokens = self._burst(now)
+        self._full_from = now + START_S
 
     def count_request(self, now: float, service: str) -> None:
         """Counts a new request, which adds to the budget of its service."""
         self._bucket(now, service).deposit(BUDGET_SHARE * self._ratio)
 
-    def left(self, service: str) -> float:
+    def left(self, now: float, service: str) -> float:
         """Returns the number of repeats that may be sent to a service now."""
-        bucket = self._buckets.get(service)
-        return bucket.tokens if bucket else self._initial_tokens
+        return self._bucket(now, service).tokens
 
     def is_available(self, now: float, service: str) -> bool:
         """Tells whether a repeat may be sent to a service."""
@@ -69,7 +79,9 @@
     def _bucket(self, now: float, service: str) -> TokenBucket:
         bucket = self._buckets.get(service)
         if bucket is None:
-            bucket = TokenBucket(now, 0.0, self._initial_tokens)
-            bucket.set_rate(now, 0.0, self._burst(now))
+            burst = self._burst(now)
+            tokens = burst if now >= self._full_from else self._initial_tokens
+            bucket = TokenBucket(now, 0.0, tokens)
+            bucket.set_rate(now, 0.0, burst)
             self._buckets[service] = bucket
         return bucket
--- a/test/test_gateway_reducer.py
+++ b/test/test_gateway_reducer.py
@@ -586,7 +586,7 @@
         driver.add_servers(*(server(f"l{n}") for n in range(4)))
         sent = driver.decide("/safe/1")
         sent = driver.end_attempt(sent.serial, ev.Rejected(503, False))
-        self.assertEqual(driver.reducer.retry_budget_left("ledger"), 0.0)
+        self.assertEqual(driver.reducer.retry_budget_left(driver.now, "ledger"), 0.0)
         sent = driver.end_attempt(sent.serial, ev.NotSent("no route", False))
         self.assertIsInstance(sent, ev.Forward)
         sent = driver.end_attempt(sent.serial, ev.Rejected(503, False))
@@ -716,6 +716,15 @@
                 driver.advance(0.1)
         self.assertLessEqual(repeats, 0.2 * requests + 20)
 
+    def test_service_that_is_added_later_has_the_whole_share(self):
+        """It was as small as after a restart, for as long as requests were rare."""
+        driver = Driver(Limits(budget_slack=50.0))
+        small = driver.reducer.retry_budget_left(driver.now, "ledger")
+        driver.advance(100.0)
+        added = driver.reducer.retry_budget_left(driver.now, "added")
+        self.assertLess(small, 2.0)
+        self.assertEqual(added, BUDGET_SHARE * 50.0)
+
     def test_gateway_without_a_list_of_routers_uses_a_small_share(self):
         driver = Driver(Limits(budget_slack=50.0), routers=())
         driver.add_servers(*(server(f"l{n}") for n in range(6)))
