Believe no refusal without an id after an answer to another request

Callers could get 503 for a request that a server was running, or it ran at a second server: on a new connection the relay skipped an answer to another request and then took a refusal without an id, or with an empty one, for one of the current request. Only connections that came from the pool counted as used.

Before the fix, of the new test module:

FAIL: test_refusal_without_id_after_an_answer_to_another_request AssertionError: 2 not less than or equal to 1 : ran twice (the same for an empty id)

A refused request's connection is always closed, and no server gets a request twice, so no copy with the id of the current request can be on a kept connection.

--- a/emulator/platform/server.py
+++ b/emulator/platform/server.py
@@ -77,6 +77,11 @@
     :param stray: sends a response with another request's id first.
     :param late_refusal: sends a refusal without a request id first, on a connection that
         has served a request before.
+    :param extra: returns bytes to send before the response and after it; its arguments
+        are the id of the server's request before this one, empty on a new connection,
+        and the id of this one.
+    :param extra_delay_s: seconds from the response to the bytes after it; 0 to send
+        them with its end.
     :param unframed: the response has neither a Content-Length nor chunks and ends with
         its connection.
     :param end_cut: a stream that is cut by ``cut_after`` gets the regular end of its
@@ -109,6 +114,8 @@
     reset_unread: bool = False
     stray: bool = False
     late_refusal: bool = False
+    extra: Callable[[str, str], tuple[bytes, bytes]] | None = None
+    extra_delay_s: float = 0.0
     unframed: bool = False
     end_cut: bool = False
     reset: bool = False
@@ -274,10 +281,31 @@
             writer.write(
                 b"HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
             )
+        if behaviour.extra is not None:
+            return await self._send_with_extra(
+                request, behaviour, writer, requests_before
+            )
         if behaviour.events and behaviour.status == 200:
             return await self._send_stream(request, behaviour, writer)
         return await self._send_plain(request, behaviour, writer)
 
+    async def _send_with_extra(
+        self, request, behaviour: Behaviour, writer, requests_before: int
+    ) -> bool:
+        """Sends a plain response between bytes that belong to no request."""
+        earlier_id = self.received[-2].id if requests_before else ""
+        before, after = behaviour.extra(earlier_id, request.id)
+        body = request.id.encode() if behaviour.echo else behaviour.body
+        head = _head(behaviour.status, request.id, self.id, len(body), behaviour)
+        if behaviour.extra_delay_s:
+            writer.write(before + head + body)
+            await asyncio.sleep(behaviour.extra_delay_s)
+            writer.write(after)
+        else:
+            writer.write(before + head + body + after)
+        await writer.drain()
+        return True
+
     async def _send_raw(
         self, request: ReceivedRequest, behaviour: Behaviour, writer
     ) -> bool:
--- a/heatherswitch/gateway/relay.py
+++ b/heatherswitch/gateway/relay.py
@@ -292,12 +292,12 @@
         """Returns the head of the response to this request, decoded and raw.
 
         Responses that carry the id of another request are skipped. A refusal may carry
-        no id. On a reused connection it may be a late copy of the refusal of an earlier
-        request, so it does not prove that this request was not run.
+        no id. After an answer to another request, on this or an earlier use of the
+        connection, it may be a copy of that request's refusal and proves nothing.
 
         :raises ConnectionLost: if no response can be matched to this request.
         """
-        for _ in range(MAX_UNRELATED_RESPONSES + 1):
+        for skipped in range(MAX_UNRELATED_RESPONSES + 1):
             response = await connection.head(forward.stall_timeout_s)
             raw_headers = [
                 (name.decode("latin-1"), value.decode("latin-1"))
@@ -309,7 +309,7 @@
             if head.request_id == self._request_id:
                 return head, raw_headers
             if not head.request_id and head.not_run:
-                if reused:
+                if reused or skipped:
                     raise ConnectionLost("a refusal on a used connection has no id")
                 return head, raw_headers
             log.info(
--- /dev/null
+++ b/test/test_unrelated_responses.py
@@ -0,0 +1,135 @@
+"""Tests of responses that belong to no open request, on connections to servers.
+
+Guards against a refusal of an earlier request that is taken for the one of the current
+request: callers were told that a request had not run which had, or it ran twice.
+"""
+
+import asyncio
+import itertools
+import unittest
+
+from emulator.platform.deployment import Deployment
+from emulator.platform.server import Behaviour
+from heatherswitch.gateway.relay import NOT_RUN_STATUSES
+from heatherswitch.util.http import ConnectionLost
+
+# Seconds from the end of a response to a late one, while the connection is idle.
+LATE_S = 0.02
+
+
+def refusal(status: int, *ids: str) -> bytes:
+    """Returns a refusal with so many id headers; none for no argument."""
+    lines = [f"HTTP/1.1 {status} Refused", "X-Not-Executed: 1", "Content-Length: 0"]
+    lines += [f"X-Attempt-Id: {request_id}" for request_id in ids]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode()
+
+
+def refusals_beside_answer(status: int, ids, arrange, copies: int):
+    """Returns the ``extra`` of a server that refuses its earlier request once more."""
+
+    def extra(earlier: str, current: str) -> tuple[bytes, bytes]:
+        before, after, _ = arrange(refusal(status, *ids(earlier)) * copies)
+        return (before if earlier else b""), after
+
+    return extra
+
+
+class UnrelatedResponseCase(unittest.IsolatedAsyncioTestCase):
+    """Two servers that send further responses beside the right ones."""
+
+    async def asyncSetUp(self):
+        self.deployment = Deployment()
+        self.addAsyncCleanup(self.deployment.stop)
+        await self.deployment.start()
+        self.servers = [
+            await self.deployment.add_server(server_id, "ledger")
+            for server_id in ("l1", "l2")
+        ]
+
+    def set_behaviour(self, behaviour: Behaviour) -> None:
+        for server in self.servers:
+            server.behaviour = behaviour
+
+    def runs(self, request_id: str) -> int:
+        return sum(r.id == request_id for s in self.servers for r in s.runs)
+
+    async def settle(self, request_id: str) -> int:
+        """Sends a request that must not run twice; returns its status, 0 for none."""
+        try:
+            status, body, _ = await self.deployment.call(
+                "/settle/1", method="POST", X_Attempt_Id=request_id
+            )
+        except ConnectionLost:
+            return 0
+        if status == 200:
+            self.assertEqual(body, request_id.encode())
+        return status
+
+    async def assert_outcome_is_true(self, request_id: str) -> int:
+        """Checks that a request ran once at most, and did not run if so stated."""
+        status = await self.settle(request_id)
+        runs = self.runs(request_id)
+        self.assertLessEqual(runs, 1, "ran twice")
+        if status in NOT_RUN_STATUSES:
+            self.assertEqual(runs, 0, f"status {status} for a request that has run")
+        return status
+
+
+class RefusalOfAnEarlierRequestTest(UnrelatedResponseCase):
+    IDS = {
+        "its id": lambda earlier: [earlier],
+        "no id": lambda earlier: [],
+        "an empty id": lambda earlier: [""],
+        "its id twice": lambda earlier: [earlier, earlier],
+        "its id and an empty one": lambda earlier: [earlier, ""],
+    }
+    # Bytes before and after the right response, and the seconds to the latter.
+    PLACES = {
+        "before the answer": lambda copies: (copies, b"", 0.0),
+        "in one read with the end of the answer": lambda copies: (b"", copies, 0.0),
+        "while the connection is idle": lambda copies: (b"", copies, LATE_S),
+    }
+
+    async def test_refusal_of_an_earlier_request_is_not_taken_for_the_current_one(self):
+        numbers = itertools.count()
+        cases = itertools.product(
+            (400, 421, 429, 503), self.IDS.items(), self.PLACES.items(), (1, 3)
+        )
+        for status, (name, ids), (place, arrange), copies in cases:
+            with self.subTest(f"{copies} x {status} with {name} {place}"):
+                extra = refusals_beside_answer(status, ids, arrange, copies)
+
+                self.set_behaviour(Behaviour(echo=True))
+                for _ in range(2):
+                    await self.settle(f"calm-{next(numbers)}")
+                delay_s = arrange(b"")[2]
+                self.set_behaviour(
+                    Behaviour(echo=True, extra=extra, extra_delay_s=delay_s)
+                )
+                for _ in range(3):
+                    await self.assert_outcome_is_true(f"r{next(numbers)}")
+                    await asyncio.sleep(2 * delay_s)
+
+    async def assert_ambiguous_refusal_proves_nothing(self, *refused_ids) -> None:
+        """Checks refusals that the servers send before the answer on a new connection.
+
+        :param refused_ids: for each refusal its ids; "current" stands for the
+            request's own.
+        """
+
+        def extra(earlier, current):
+            copies = [
+                refusal(503, *[current if i == "current" else i for i in ids])
+                for ids in refused_ids
+            ]
+            return b"".join(copies), b""
+
+        self.set_behaviour(Behaviour(echo=True, extra=extra))
+        await self.assert_outcome_is_true("r1")
+        self.assertEqual(self.runs("r1"), 1)
+
+    async def test_refusal_without_id_after_an_answer_to_another_request(self):
+        await self.assert_ambiguous_refusal_proves_nothing(["other"], [])
+
+    async def test_refusal_with_an_empty_id_after_an_answer_to_another_request(self):
+        await self.assert_ambiguous_refusal_proves_nothing(["other"], [""])
