Take a response with several request ids for none of them

A refusal whose X-Attempt-Id header was repeated with different values counted as one of the request with the last value; with an empty last value on a new connection it counted as one without an id. The request was sent to a second server while the first one ran it. The values are now joined, so that such a response belongs to another request and is skipped. A repeated equal id stays one id.

Before the fix:

FAIL: test_refusal_with_the_ids_of_two_requests FAIL: test_refusal_with_the_id_of_another_request_and_an_empty_one AssertionError: 2 not less than or equal to 1 : ran twice

--- a/heatherswitch/platform/headers.py
+++ b/heatherswitch/platform/headers.py
@@ -150,7 +150,7 @@
     return ResponseHead(
         status=status,
         headers=[(n, v) for n, v in headers if n not in _UNFORWARDED_HEADERS],
-        request_id=fields.get(names.ATTEMPT_ID, ""),
+        request_id=_join_request_ids(headers),
         sealed=names.RESPONSE_SEAL in fields,
         not_run=names.NOT_EXECUTED in fields or other_instance,
         other_instance=other_instance,
@@ -163,6 +163,11 @@
     )
 
 
+def _join_request_ids(headers: Headers) -> str:
+    """Returns the id of the request; different ones joined, which match no request."""
+    return ", ".join(dict.fromkeys(v for n, v in headers if n == names.ATTEMPT_ID))
+
+
 def _parse_busy_s(headers: Headers) -> float:
     """Returns the seconds for which the server wants no requests; 0 for none.
 
--- a/test/test_unrelated_responses.py
+++ b/test/test_unrelated_responses.py
@@ -133,3 +133,20 @@
 
     async def test_refusal_with_an_empty_id_after_an_answer_to_another_request(self):
         await self.assert_ambiguous_refusal_proves_nothing(["other"], [""])
+
+    async def test_refusal_with_the_id_of_another_request_and_an_empty_one(self):
+        await self.assert_ambiguous_refusal_proves_nothing(["other", ""])
+
+    async def test_refusal_with_the_ids_of_two_requests(self):
+        await self.assert_ambiguous_refusal_proves_nothing(["other", "current"])
+
+    async def test_refusal_that_repeats_its_id_is_one_of_the_current_request(self):
+        """The id is not ambiguous: the request did not run and may be sent elsewhere."""
+
+        def extra(earlier, current):
+            return refusal(503, current, current), b""
+
+        self.set_behaviour(Behaviour(status=503, extra=extra))
+        status = await self.assert_outcome_is_true("r1")
+        self.assertEqual(status, 503)
+        self.assertTrue(all(server.received for server in self.servers))
