Read idle connections to servers after a long answer

Reading from a server pauses while over 128 KiB of an answer are unprocessed, and resumed only when the parser needed more data. If the answer ended first, its connection went back to the pool with reading paused: bytes that belong to no request, or the end of the connection, were noticed only after the next request had been sent, which then got 502 although it ran.

Before the fix: test_idle_connection_is_read_after_a_long_answer, AssertionError: 502 != 200 : request 1

--- a/heatherswitch/gateway/upstream.py
+++ b/heatherswitch/gateway/upstream.py
@@ -361,6 +361,10 @@
         if not self.usable or states != (h11.DONE, h11.DONE) or unsent or rest:
             return False
         self._http.start_next_cycle()
+        # Reading may be paused after a long response, but an idle connection must
+        # notice stray bytes and its end.
+        self._unread = 0
+        self._transport.resume_reading()
         self.idle_since = now
         return True
 
--- a/test/test_unrelated_responses.py
+++ b/test/test_unrelated_responses.py
@@ -7,9 +7,11 @@
 import asyncio
 import itertools
 import unittest
+from unittest import mock
 
 from emulator.platform.deployment import Deployment
 from emulator.platform.server import Behaviour
+from heatherswitch.gateway import upstream
 from heatherswitch.gateway.relay import NOT_RUN_STATUSES
 from heatherswitch.util.http import ConnectionLost
 
@@ -150,3 +152,18 @@
         status = await self.assert_outcome_is_true("r1")
         self.assertEqual(status, 503)
         self.assertTrue(all(server.received for server in self.servers))
+
+
+class IdleConnectionTest(UnrelatedResponseCase):
+    async def test_idle_connection_is_read_after_a_long_answer(self):
+        """Reading stayed paused, so that late bytes met the next request."""
+        self.servers[1].behaviour = self.servers[0].behaviour = Behaviour(
+            body=b"x" * 4000,
+            extra=lambda earlier, current: (b"", refusal(503)),
+            extra_delay_s=LATE_S,
+        )
+        with mock.patch.object(upstream, "READ_AHEAD_BYTES", 1000):
+            for number in range(4):
+                status, _, _ = await self.deployment.call("/settle/1", method="POST")
+                self.assertEqual(status, 200, f"request {number}")
+                await asyncio.sleep(2 * LATE_S)
