Close idle client connections on which the peer has sent bytes

A router's agent took bytes that a backend server had sent on an idle connection for the response to the next request: an earlier response written once more, such as a 503, went to a caller whose request the server ran. HTTP/1.1 has no response without a request, so the client now closes such a connection instead of using it, and does not keep one on which bytes follow a response. Requests that must not run twice always used a new connection and were not affected.

Before the fix:

FAIL: test_stray_response_on_an_idle_connection AssertionError: Tuples differ: (503, b'') != (200, b'done')

The test of bytes in one read with the end of a response passes before and after.

--- a/heatherswitch/util/http_client.py
+++ b/heatherswitch/util/http_client.py
@@ -132,13 +132,7 @@
         :raises ConnectFailed: if nothing was sent.
         :raises ConnectionLost: if the server may have received the request.
         """
-        streams = None
-        if not new_connection:
-            while self._idle_streams and streams is None:
-                streams = self._idle_streams.pop()
-                if streams[0].at_eof() or streams[1].is_closing():
-                    streams[1].close()
-                    streams = None
+        streams = None if new_connection else await self._take_idle_streams()
         streams = streams or await self._connect(timeout)
         connection = h11.Connection(h11.CLIENT)
         try:
@@ -156,6 +150,26 @@
             streams[1].close()
             raise
 
+    async def _take_idle_streams(self) -> tuple | None:
+        """Returns an idle connection, or None if there is none.
+
+        One on which the server has sent bytes is closed, since they belong to no
+        request and would be taken for the response to the next one.
+        """
+        while self._idle_streams:
+            streams = self._idle_streams.pop()
+            usable = False
+            try:
+                usable = not (
+                    streams[1].is_closing() or await _has_received(streams[0])
+                )
+            finally:
+                if not usable:
+                    streams[1].close()
+            if usable:
+                return streams
+        return None
+
     async def _receive_head(self, streams, connection, timeout: float) -> h11.Response:
         for _ in range(MAX_INTERIM_RESPONSES + 1):
             event = await self._next_event(streams, connection, timeout)
@@ -242,9 +256,25 @@
 
     def _release(self, streams, connection) -> None:
         reusable = (
-            connection.our_state is h11.DONE and connection.their_state is h11.DONE
+            connection.our_state is h11.DONE
+            and connection.their_state is h11.DONE
+            and not connection.trailing_data[0]
         )
         if reusable and len(self._idle_streams) < self._max_idle:
             self._idle_streams.append(streams)
         else:
             streams[1].close()
+
+
+async def _has_received(reader: asyncio.StreamReader) -> bool:
+    """Tells whether the peer has sent bytes that were not read, or has closed."""
+    # Lets the event loop read what is in the socket.
+    await asyncio.sleep(0)
+    try:
+        async with asyncio.timeout(0):
+            await reader.read(1)
+    except TimeoutError:
+        return False
+    except OSError:
+        return True
+    return True
--- a/test/test_backend.py
+++ b/test/test_backend.py
@@ -1,4 +1,6 @@
+import asyncio
 import json
+import re
 import unittest
 
 from heatherswitch.agent.backend import (
@@ -133,3 +135,54 @@
         self.assertEqual((health.incarnation, health.started_at), ("i1", 10.0))
         self.assertEqual((await self.client.load()).running, 3)
         self.assertIsNone(parse_load("num_requests_running NaNx"))
+
+
+class StrayResponseTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against an earlier response that is taken for the next request's."""
+
+    STRAY = b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"
+    # Seconds from a response to the stray bytes.
+    LATE_S = 0.02
+
+    async def serve(self, reader, writer):
+        """Responds to each request, and sends stray bytes after each response."""
+        while True:
+            try:
+                head = await reader.readuntil(b"\r\n\r\n")
+            except asyncio.IncompleteReadError:
+                break
+            self.received += 1
+            length = int(re.search(rb"(?i)content-length: (\d+)", head)[1])
+            await reader.readexactly(length)
+            response = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"
+            if self.delay_s:
+                writer.write(response)
+                await asyncio.sleep(self.delay_s)
+                writer.write(self.STRAY)
+            else:
+                writer.write(response + self.STRAY)
+        writer.close()
+
+    async def assert_not_taken_for_a_response(self, delay_s):
+        self.received, self.delay_s = 0, delay_s
+        server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        client = BackendClient.from_address(f"127.0.0.1:{port}")
+        try:
+            for number in range(3):
+                sink = RecordingSink()
+                await client.call(call(request_id=f"r{number}"), sink)
+                self.assertEqual((sink.status, sink.body), (200, b"done"))
+                await asyncio.sleep(2 * delay_s)
+        finally:
+            client.close()
+            server.close()
+            # Lets the server's side of the connections end.
+            await asyncio.sleep(self.LATE_S)
+        self.assertEqual(self.received, 3)
+
+    async def test_stray_response_on_an_idle_connection(self):
+        await self.assert_not_taken_for_a_response(self.LATE_S)
+
+    async def test_stray_response_in_one_read_with_the_end_of_a_response(self):
+        await self.assert_not_taken_for_a_response(0.0)
