Send no second answer after one that was begun

The retry rules did not look at what the caller had. Only a stream can go on at another server; a plain answer that was begun is now cut, or waits for its own server if that stalls. The rule is in Pending.reason_not_to_retry; a stall notes the delivery before it asks for a replacement.

--- a/heatherswitch/gateway/pending.py
+++ b/heatherswitch/gateway/pending.py
@@ -134,6 +134,16 @@
         if part_id == self.request.affinity_key:
             self.holders_known = True
 
+    def note_broken(self, outcome: ev.Broken) -> None:
+        """Notes an attempt after which it is unknown whether the request has run."""
+        self.buffered_error = None
+        self.ambiguous_failure = outcome
+        self.note_delivery(outcome)
+
+    def note_delivery(self, outcome: ev.Broken) -> None:
+        """Notes whether part of a response was sent to the caller."""
+        self.partly_delivered = self.partly_delivered or outcome.started
+
     def reason_not_to_retry(self, now: float) -> str:
         """Returns why the request may not be sent again, or an empty string.
 
@@ -143,6 +153,9 @@
         possible_runs = self.possible_runs + (self.current_server is not None)
         if possible_runs and not route.retryable:
             return "the request may have run"
+        if self.partly_delivered and route.kind is not RequestKind.STREAMING:
+            # The caller would get two responses in one body.
+            return "part of the response was delivered"
         if possible_runs >= route.max_servers:
             return "the route allows no further server"
         if len(self.tried_ids) >= MAX_ATTEMPTS:
--- a/heatherswitch/gateway/reducer.py
+++ b/heatherswitch/gateway/reducer.py
@@ -484,6 +484,7 @@
         pending = self._pending.get(event.serial)
         if pending is None or pending.current_server is None:
             return []
+        pending.note_delivery(event.outcome)
         choice = self._choose_for_retry(now, pending)
         reason = choice if isinstance(choice, str) else ""
         if isinstance(choice, NoChoice):
@@ -545,9 +546,7 @@
                     now, UNRESPONSIVE_BACKOFF_S if outcome.silent else BACKOFF_S
                 )
                 self._count_version_result(now, pending, state, failed=True)
-                pending.buffered_error = None
-                pending.ambiguous_failure = outcome
-                pending.partly_delivered = pending.partly_delivered or outcome.started
+                pending.note_broken(outcome)
                 reported = self._report_crash(now, pending, state, outcome)
                 effects = self._retry(
                     now, serial, pending, ran=True, replacement=replacement
@@ -555,9 +554,9 @@
                 return effects + reported
             case ev.Interrupted():
                 # Says nothing about the server or its version.
-                pending.buffered_error = None
-                pending.ambiguous_failure = ev.Broken(STOP_REASON, silent=True)
-                pending.partly_delivered = pending.partly_delivered or outcome.started
+                pending.note_broken(
+                    ev.Broken(STOP_REASON, outcome.started, silent=True)
+                )
                 return self._end_unserved(serial, pending, STOP_REASON)
         raise TypeError(f"unknown outcome {outcome!r}")
 
--- a/test/test_gateway_reducer.py
+++ b/test/test_gateway_reducer.py
@@ -320,6 +320,17 @@
         cut = self.driver.end_attempt(sent.serial, ev.Broken("reset", started=True))
         self.assertIsInstance(cut, ev.Cut)
 
+    def test_plain_response_that_was_begun_is_cut(self):
+        """The next server's response followed in the same body."""
+        for outcome in (
+            ev.Broken("reset", started=True),
+            ev.Broken("silent", started=True, silent=True),
+        ):
+            sent = self.driver.decide("/safe/1")
+            cut = self.driver.end_attempt(sent.serial, outcome)
+            self.assertIsInstance(cut, ev.Cut)
+            self.assertEqual(cut.reason, "part of the response was delivered")
+
     def test_request_whose_connection_was_refused_is_sent_elsewhere(self):
         sent = self.driver.decide("/once/1")
         retry = self.driver.end_attempt(sent.serial, ev.NotSent("refused"))
@@ -466,6 +477,16 @@
             self.assertIsInstance(ended, effect)
             self.assertEqual(getattr(ended, "status", 504), 504)
 
+    def test_stalled_plain_response_that_was_begun_is_not_sent_elsewhere(self):
+        """Its server is the only one that can still complete it."""
+        driver = self.driver()
+        driver.add_servers(server("l1"), server("l2"))
+        sent = driver.decide("/safe/1")
+        waits = self.stall(driver, sent.serial)
+        self.assert_waits(waits, "part of the response was delivered")
+        ended = driver.end_attempt(sent.serial, ev.Broken("reset", started=True))
+        self.assertIsInstance(ended, ev.Cut)
+
     def test_stall_of_a_request_whose_caller_left_is_ignored(self):
         driver = self.driver()
         sent = self.open_stream(driver)
--- /dev/null
+++ b/test/test_unfinished_responses.py
@@ -0,0 +1,225 @@
+"""Tests of responses that were begun and that their server does not finish.
+
+Guards against bytes of a second response behind those of the first one, such as an error
+of the next server in the middle of a stream, and against a body that looks complete.
+"""
+
+import asyncio
+import unittest
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import h11
+
+from emulator.platform.deployment import API_KEY, HOST, Deployment
+from emulator.platform.server import Behaviour
+from heatherswitch.gateway.relay import MAX_BUFFERED_BYTES
+from heatherswitch.util.http import MAX_READ_BYTES
+
+WHOLE_BODY = b"whole body " * (MAX_BUFFERED_BYTES // 8)
+# What a server sends of it; long enough that the gateway begins to deliver it.
+PART = WHOLE_BODY[: MAX_BUFFERED_BYTES + 20_000]
+# Cases that run at the same time.
+PARALLEL_CASES = 6
+DEADLINE_MS = 1600
+
+
+def event_bytes(events: int) -> bytes:
+    """Returns the stream of so many events as the stand-in server sends it."""
+    return b"".join(
+        b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, events + 1)
+    )
+
+
+def chunk(data: bytes) -> bytes:
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+def with_length(head: bytes) -> bytes:
+    """Returns the head with a Content-Length in place of the chunks."""
+    length = b"Content-Length: %d" % len(WHOLE_BODY)
+    return head.replace(b"Transfer-Encoding: chunked", length)
+
+
+@dataclass(slots=True)
+class Received:
+    """What a caller got until its connection ended.
+
+    :ivar complete: the caller can't tell the body from a whole one.
+    """
+
+    status: int = 0
+    body: bytes = b""
+    complete: bool = False
+
+
+async def receive(address: str, path: str, version: str) -> Received:
+    """Sends a request of an HTTP version and reads its response."""
+    host, _, port = address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(
+        f"POST {path} HTTP/{version}\r\nHost: {HOST}\r\nX-Attempt-Id: r1\r\n"
+        f"X-Deadline-Ms: {DEADLINE_MS}\r\nAuthorization: Bearer {API_KEY}\r\n"
+        "Content-Length: 0\r\n\r\n".encode()
+    )
+    client = h11.Connection(h11.CLIENT)
+    client.send(h11.Request(method="POST", target=path, headers=[("Host", HOST)]))
+    client.send(h11.EndOfMessage())
+    received = Received()
+    try:
+        while True:
+            event = client.next_event()
+            if event is h11.NEED_DATA:
+                client.receive_data(await reader.read(MAX_READ_BYTES))
+            elif isinstance(event, h11.Response):
+                received.status = event.status_code
+            elif isinstance(event, h11.Data):
+                received.body += bytes(event.data)
+            else:
+                received.complete = isinstance(event, h11.EndOfMessage)
+                return received
+    except (OSError, h11.RemoteProtocolError):
+        return received
+    finally:
+        writer.close()
+
+
+# How a server breaks off a plain answer that was begun.
+BROKEN_PLAIN = {
+    "closes in chunks": Behaviour(raw=lambda head: [head + chunk(PART)]),
+    "closes before the length": Behaviour(raw=lambda head: [with_length(head) + PART]),
+    "resets without a length": Behaviour(body=PART, unframed=True, reset=True),
+    "stalls": Behaviour(raw=lambda head: [head + chunk(PART)], raw_gap_s=9.0),
+    "sends a byte now and then": Behaviour(
+        raw=lambda head: [head + chunk(PART), *[b"1"] * 90], raw_gap_s=0.1
+    ),
+    "sends another head": Behaviour(
+        raw=lambda head: [head + chunk(PART) + b"HTTP/1.1 503 Busy\r\n\r\n"]
+    ),
+}
+# How a server breaks off a stream after some events.
+BROKEN_STREAM = {
+    "closes": Behaviour(events=6, cut_after=3),
+    "ends inside an event": Behaviour(events=6, cut_after=3, end_cut=True),
+    "resets": Behaviour(events=3, unframed=True, reset=True),
+    "stalls": Behaviour(events=6, pause_after=3, pause_s=9.0),
+}
+# Responses of the other server. None of them may follow what was begun.
+ERRORS = {
+    "refuses": Behaviour(status=503),
+    "is busy": Behaviour(status=429, headers=[("X-Not-Executed", "1")], seal=False),
+    "is another instance": Behaviour(status=421, seal=False),
+    "fails": Behaviour(status=500, body=b"error text\n\n"),
+    "finds nothing": Behaviour(status=404, body=b"error text\n\n"),
+    "redirects": Behaviour(status=302, headers=[("Location", "/x")]),
+    "closes": Behaviour(cut_after=0),
+    "is not signed": Behaviour(seal=False, events=6),
+    "has an interim answer": Behaviour(
+        raw=lambda head: [b"HTTP/1.1 103 Early Hints\r\n\r\nerror text\n\n"]
+    ),
+}
+
+
+@dataclass(slots=True)
+class Case:
+    """A server that breaks off its response, and one that could take over.
+
+    :ivar whole: body of a complete response.
+    :ivar finished: whether the caller gets all of it; None if either is right.
+    """
+
+    name: str
+    path: str
+    first: Behaviour
+    second: Behaviour
+    whole: bytes
+    finished: bool | None = False
+    version: str = "1.1"
+    faults: list[str] = field(default_factory=list)
+
+    async def run(self, act: Callable | None = None) -> None:
+        """Plays the case and notes what the caller must not get.
+
+        :param act: called with the deployment while the response is being sent.
+        """
+        deployment = Deployment()
+        try:
+            await deployment.start()
+            service = "appraiser" if self.whole == event_bytes(6) else "ledger"
+            first = await deployment.add_server("s1", service, self.first)
+            await deployment.add_server("s2", service, self.second, zone="b")
+            call = asyncio.ensure_future(
+                receive(
+                    deployment.gateway.addresses["callers"], self.path, self.version
+                )
+            )
+            if act is not None:
+                await act(deployment)
+            received = await call
+            if not first.received:
+                self.faults.append("the first server got no request")
+            self.check(received)
+        finally:
+            await deployment.stop()
+
+    def check(self, received: Received) -> None:
+        if not received.body:
+            self.faults.append(f"nothing was begun, status {received.status}")
+        if not self.whole.startswith(received.body):
+            self.faults.append(f"the body goes on with {self.excess(received)!r}")
+        if received.complete and received.body != self.whole:
+            self.faults.append(f"{len(received.body)} bytes look complete")
+        if self.finished is not None and received.complete != self.finished:
+            self.faults.append(f"complete: {received.complete}")
+
+    def excess(self, received: Received) -> bytes:
+        """Returns what follows the first bytes that are right."""
+        at = 0
+        for right, got in zip(self.whole, received.body, strict=False):
+            if right != got:
+                break
+            at += 1
+        return received.body[at : at + 60]
+
+
+class UnfinishedResponseCase(unittest.IsolatedAsyncioTestCase):
+    async def play(self, cases: list[Case], act: Callable | None = None) -> None:
+        """Plays cases side by side; each has a gateway and servers of its own."""
+        turns = asyncio.Semaphore(PARALLEL_CASES)
+
+        async def play_one(case: Case) -> None:
+            async with turns:
+                await case.run(act)
+
+        await asyncio.gather(*[play_one(case) for case in cases])
+        for case in cases:
+            with self.subTest(case.name, path=case.path, version=case.version):
+                self.assertFalse(case.faults)
+
+
+class PlainResponseTest(UnfinishedResponseCase):
+    """A plain answer that was begun is cut; it is not sent to another server."""
+
+    async def test_no_other_answer_follows_a_broken_plain_answer(self):
+        """The whole answer of the next server followed, in one complete body."""
+        whole = Behaviour(body=WHOLE_BODY)
+        await self.play(
+            [
+                Case(name, path, first, whole, WHOLE_BODY, version=version)
+                for name, first in BROKEN_PLAIN.items()
+                for path, version in (
+                    ("/lookup/1", "1.1"),
+                    ("/lookup/1", "1.0"),
+                    ("/settle/1", "1.1"),
+                )
+            ]
+        )
+
+    async def test_no_error_follows_a_broken_plain_answer(self):
+        first = BROKEN_PLAIN["closes in chunks"]
+        await self.play(
+            [
+                Case(name, "/lookup/1", first, second, WHOLE_BODY)
+                for name, second in ERRORS.items()
+            ]
+        )
