Find the ids of events whatever their line ends are

Lines of a stream may end with CR, LF or CR LF. The ids of a stream whose lines end with CR were not found, so that after a break the next server began anew and the caller got the first events twice, in a stream that ended as complete. Mixed line ends and a byte order mark before the first id had the same effect, and a resumed stream could have such a mark in its middle, where clients take it for part of a field name. An event without an id that follows one which the caller has is now dropped with it.

A CR at the end of a read may be the first half of CR LF. The event is returned without waiting, and the LF that may follow is passed on as a part of that line end.

--- a/heatherswitch/gateway/event_stream.py
+++ b/heatherswitch/gateway/event_stream.py
@@ -8,11 +8,15 @@
 # Limit on the bytes of one event, as a faulty server may send one that never ends.
 MAX_EVENT_BYTES = 256 * 1024
 
-_EVENT_ID = re.compile(rb"^id:[ ]?(\d+)\r?$", re.MULTILINE)
-# An empty line ends an event, with any line ending that the standard allows.
-_EVENT_END = re.compile(rb"\n\r?\n|\r\r")
+# A line ends with CR LF, LF or CR, in any mixture.
+_LINE_END = rb"(?:\r\n|\n|\r(?!\n))"
+_EVENT_ID = re.compile(rb"(?<![^\r\n])id:[ ]?(\d+)(?=[\r\n])")
+# An empty line ends an event.
+_EVENT_END = re.compile(_LINE_END + _LINE_END)
 # Length of the longest match of _EVENT_END.
-_MAX_EVENT_END_BYTES = 3
+_MAX_EVENT_END_BYTES = 4
+# Clients ignore it at the start of a stream, but not in the middle.
+_BYTE_ORDER_MARK = b"\xef\xbb\xbf"
 
 
 class EventReader:
@@ -23,7 +27,16 @@
         has are dropped, and a gap in the ids is an error.
     """
 
-    __slots__ = ("_buffer", "_event_count", "_last_id", "_resumed", "_scanned_bytes")
+    __slots__ = (
+        "_at_start",
+        "_buffer",
+        "_cr_returned",
+        "_dropping",
+        "_event_count",
+        "_last_id",
+        "_resumed",
+        "_scanned_bytes",
+    )
 
     def __init__(self, after: int | None = None, resumed: bool = False) -> None:
         self._last_id = after
@@ -32,6 +45,12 @@
         self._scanned_bytes = 0
         self._event_count = 0
         self._resumed = resumed
+        # No event was taken from the buffer yet.
+        self._at_start = True
+        # The last event ended with a CR, which may be the first half of CR LF.
+        self._cr_returned = False
+        # The last event was dropped.
+        self._dropping = False
 
     @property
     def last_id(self) -> int | None:
@@ -40,7 +59,10 @@
 
     @property
     def event_count(self) -> int:
-        """Number of complete events so far, including those that were dropped."""
+        """Number of complete events so far, including those that were dropped.
+
+        Empty lines alone are no event, and a comment counts as one.
+        """
         return self._event_count
 
     def feed(self, data: bytes) -> bytes:
@@ -50,45 +72,61 @@
             :data:`MAX_EVENT_BYTES`.
         """
         self._buffer += data
+        complete = bytearray()
         end = 0
-        for match in _EVENT_END.finditer(self._buffer, self._scanned_bytes):
+        if self._cr_returned and self._buffer:
+            self._cr_returned = False
+            if self._buffer[0:1] == b"\n":
+                end = 1
+                if not self._dropping:
+                    complete += b"\n"
+        for match in _EVENT_END.finditer(self._buffer, max(end, self._scanned_bytes)):
+            complete += self._take_event(bytes(self._buffer[end : match.end()]))
             end = match.end()
-            self._event_count += 1
+            self._cr_returned = self._buffer[end - 1 : end] == b"\r"
         if len(self._buffer) - end > MAX_EVENT_BYTES:
             raise ValueError(f"an event is over {MAX_EVENT_BYTES} bytes")
-        complete = bytes(self._buffer[:end])
         del self._buffer[:end]
         self._scanned_bytes = max(0, len(self._buffer) - _MAX_EVENT_END_BYTES + 1)
-        if self._resumed:
-            complete = self._drop_delivered(complete)
-        ids = _EVENT_ID.findall(complete)
-        if ids:
-            self._last_id = int(ids[-1])
-        return complete
+        return bytes(complete)
 
     def remainder(self) -> bytes:
         """Returns the incomplete event, or the line ends, at the end of the data."""
-        return bytes(self._buffer)
+        return self._without_mark(bytes(self._buffer))
 
     @property
     def inside_event(self) -> bool:
         """True if the data ends inside an event; line ends alone begin none."""
-        return bool(self._buffer.strip(b"\r\n"))
-
-    def _drop_delivered(self, complete: bytes) -> bytes:
-        """Drops events that the caller already has; raises ValueError on a gap."""
-        kept = []
-        begin = 0
-        for end in _EVENT_END.finditer(complete):
-            event = complete[begin : end.end()]
-            begin = end.end()
-            match = _EVENT_ID.search(event)
-            if match is not None and self._last_id is not None:
-                number = int(match[1])
-                if number <= self._last_id:
-                    continue
+        data = bytes(self._buffer)
+        if self._at_start:
+            data = data.removeprefix(_BYTE_ORDER_MARK)
+        return bool(data.strip(b"\r\n"))
+
+    def _take_event(self, event: bytes) -> bytes:
+        """Notes a complete event and returns what the caller gets of it.
+
+        :raises ValueError: if an event is missing after a resumption.
+        """
+        content = event.removeprefix(_BYTE_ORDER_MARK) if self._at_start else event
+        event = self._without_mark(event)
+        self._at_start = False
+        if not content.strip(b"\r\n"):
+            return b"" if self._dropping else event
+        self._event_count += 1
+        ids = _EVENT_ID.findall(content)
+        if ids:
+            number = int(ids[-1])
+            if self._resumed and self._last_id is not None:
+                self._dropping = number <= self._last_id
+                if self._dropping:
+                    return b""
                 if number != self._last_id + 1:
                     raise ValueError(f"event {self._last_id + 1} is missing")
-                self._last_id = number
-            kept.append(event)
-        return b"".join(kept)
+            self._last_id = number
+        return b"" if self._dropping else event
+
+    def _without_mark(self, data: bytes) -> bytes:
+        """Removes the byte order mark from the start of a resumed stream."""
+        if self._resumed and self._at_start:
+            return data.removeprefix(_BYTE_ORDER_MARK)
+        return data
--- a/test/test_unfinished_responses.py
+++ b/test/test_unfinished_responses.py
@@ -12,7 +12,7 @@
 import h11
 
 from emulator.platform.deployment import API_KEY, HOST, Deployment
-from emulator.platform.server import Behaviour
+from emulator.platform.server import LAST_CHUNK, Behaviour
 from heatherswitch.gateway.relay import MAX_BUFFERED_BYTES
 from heatherswitch.util.http import MAX_READ_BYTES
 
@@ -134,6 +134,7 @@
     second: Behaviour
     whole: bytes
     finished: bool | None = False
+    service: str = "ledger"
     version: str = "1.1"
     faults: list[str] = field(default_factory=list)
 
@@ -145,9 +146,9 @@
         deployment = Deployment()
         try:
             await deployment.start()
-            service = "appraiser" if self.whole == event_bytes(6) else "ledger"
-            first = await deployment.add_server("s1", service, self.first)
-            await deployment.add_server("s2", service, self.second, zone="b")
+            # With these ids, both kinds of service prefer the first server.
+            first = await deployment.add_server("e0", self.service, self.first)
+            await deployment.add_server("e1", self.service, self.second, zone="b")
             call = asyncio.ensure_future(
                 receive(
                     deployment.gateway.addresses["callers"], self.path, self.version
@@ -223,3 +224,33 @@
                 for name, second in ERRORS.items()
             ]
         )
+
+
+class LineEndTest(UnfinishedResponseCase):
+    async def test_stream_is_resumed_whatever_its_line_ends(self):
+        """The caller got the first events twice, as their ids were not found."""
+        cases = []
+        for name, end in (("CR", b"\r"), ("CR LF", b"\r\n"), ("mark", b"\n")):
+            mark = b"\xef\xbb\xbf" if name == "mark" else b""
+            begun = mark + event_bytes(3).replace(b"\n", end)
+            whole = mark + event_bytes(6).replace(b"\n", end)
+            for size in (1, 7, len(begun)):
+                reads = [
+                    chunk(begun[at : at + size]) for at in range(0, len(begun), size)
+                ]
+                first = Behaviour(raw=lambda head, reads=reads: [head, *reads])
+                second = Behaviour(
+                    raw=lambda head, whole=whole: [head + chunk(whole) + LAST_CHUNK]
+                )
+                cases.append(
+                    Case(
+                        f"{name}, reads of {size}",
+                        "/answer/1",
+                        first,
+                        second,
+                        whole,
+                        finished=True,
+                        service="appraiser",
+                    )
+                )
+        await self.play(cases)
