Continue a stream only with its own next events

A resumable stream went on at another server in three cases in which callers could not use the result:

- An event without an id came last, or the stream had no ids: the next server began anew or sent that event again.
An attempt's outcome now says whether what was sent can be continued, and the retry rules cut the stream otherwise.
- The next server answered 204, or without a length and without an event: the stream ended as if it were complete.
- The next server answered 200 with the text of an error or a whole response head in its body: it was passed on in the middle of the stream, which ended as complete.
After a resumption each line must be a field of an event.

The relay also refuses an attempt that could follow a part which can't be continued, whatever the reducer decides.

--- a/heatherswitch/gateway/decision_log.py
+++ b/heatherswitch/gateway/decision_log.py
@@ -5,7 +5,7 @@
 from heatherswitch.gateway import events as ev
 from heatherswitch.gateway.model import CallerRequest
 from heatherswitch.gateway.reducer import GatewayReducer
-from heatherswitch.gateway.relay import ResponseTiming
+from heatherswitch.gateway.response_timing import ResponseTiming
 from heatherswitch.gateway.telemetry import Telemetry
 from heatherswitch.util.clock import Clock
 
--- a/heatherswitch/gateway/event_stream.py
+++ b/heatherswitch/gateway/event_stream.py
@@ -11,6 +11,10 @@
 # A line ends with CR LF, LF or CR, in any mixture.
 _LINE_END = rb"(?:\r\n|\n|\r(?!\n))"
 _EVENT_ID = re.compile(rb"(?<![^\r\n])id:[ ]?(\d+)(?=[\r\n])")
+_DATA = re.compile(rb"(?<![^\r\n])data(?=[:\r\n])")
+# Lines of a name, a colon and a value. The name is empty in comments, and the colon may
+# be absent.
+_FIELDS = re.compile(rb"(?:[A-Za-z0-9_-]*(?::[^\r\n]*)?[\r\n])*")
 # An empty line ends an event.
 _EVENT_END = re.compile(_LINE_END + _LINE_END)
 # Length of the longest match of _EVENT_END.
@@ -34,6 +38,7 @@
         "_dropping",
         "_event_count",
         "_last_id",
+        "_resumable",
         "_resumed",
         "_scanned_bytes",
     )
@@ -45,6 +50,7 @@
         self._scanned_bytes = 0
         self._event_count = 0
         self._resumed = resumed
+        self._resumable = True
         # No event was taken from the buffer yet.
         self._at_start = True
         # The last event ended with a CR, which may be the first half of CR LF.
@@ -57,6 +63,15 @@
         """Id of the last complete event that had one, or None."""
         return self._last_id
 
+    @property
+    def resumable(self) -> bool:
+        """True unless an event without an id came last.
+
+        A server that resumes after the last id would send that event again. A comment
+        is no event in this sense.
+        """
+        return self._resumable
+
     @property
     def event_count(self) -> int:
         """Number of complete events so far, including those that were dropped.
@@ -105,7 +120,8 @@
     def _take_event(self, event: bytes) -> bytes:
         """Notes a complete event and returns what the caller gets of it.
 
-        :raises ValueError: if an event is missing after a resumption.
+        :raises ValueError: if an event is missing after a resumption, or something else
+            than an event comes, such as the text of an error.
         """
         content = event.removeprefix(_BYTE_ORDER_MARK) if self._at_start else event
         event = self._without_mark(event)
@@ -113,6 +129,8 @@
         if not content.strip(b"\r\n"):
             return b"" if self._dropping else event
         self._event_count += 1
+        if self._resumed and not _FIELDS.fullmatch(content):
+            raise ValueError("a line after a resumption is no field of an event")
         ids = _EVENT_ID.findall(content)
         if ids:
             number = int(ids[-1])
@@ -123,6 +141,9 @@
                 if number != self._last_id + 1:
                     raise ValueError(f"event {self._last_id + 1} is missing")
             self._last_id = number
+            self._resumable = True
+        elif not self._dropping and _DATA.search(content):
+            self._resumable = False
         return b"" if self._dropping else event
 
     def _without_mark(self, data: bytes) -> bytes:
--- a/heatherswitch/gateway/events.py
+++ b/heatherswitch/gateway/events.py
@@ -1,7 +1,5 @@
 """Input events of the gateway's reducer and the effects that it returns."""
 
-from dataclasses import dataclass
-
 from heatherswitch.fleet.counters import Count
 from heatherswitch.fleet.evidence import EvidenceRecord
 from heatherswitch.fleet.peer_messages import PrefixHolder
@@ -12,78 +10,19 @@
     Route,
     Server,
 )
+from heatherswitch.gateway.outcomes import (
+    Broken,
+    Completed,
+    FailedAnswer,
+    Interrupted,
+    NotSent,
+    Rejected,
+)
 from heatherswitch.gateway.prompt_quarantine import CrashReport, QuarantineChange
 from heatherswitch.gateway.rollout_records import Progress
 from heatherswitch.gateway.rollouts import RolloutOrder, RolloutState
 from heatherswitch.util.record import Record
 
-
-@dataclass(frozen=True, slots=True)
-class NotSent:
-    """No connection to the backend server could be opened, so nothing was sent.
-
-    :param refused: the VM is reachable, but nothing listens on the server's port.
-    """
-
-    reason: str
-    refused: bool = False
-
-
-@dataclass(frozen=True, slots=True)
-class Rejected:
-    """The backend server stated that it did not run the request.
-
-    :param other_instance: the address now belongs to another backend server.
-    """
-
-    status: int
-    other_instance: bool
-
-
-@dataclass(frozen=True, slots=True)
-class FailedAnswer:
-    """The backend server ran the request and responded with an error status.
-
-    The response is buffered and can still be delivered to the caller.
-    """
-
-    status: int
-
-
-@dataclass(frozen=True, slots=True)
-class Broken:
-    """The response is missing or incomplete, so the request may have run.
-
-    :param started: part of the response was sent to the caller.
-    :param silent: the stall timeout or the deadline expired on an open connection.
-    """
-
-    reason: str
-    started: bool = False
-    silent: bool = False
-
-
-@dataclass(frozen=True, slots=True)
-class Completed:
-    """The whole response was delivered to the caller.
-
-    :param total_s: seconds from sending the request to the end of the response.
-    """
-
-    status: int
-    total_s: float
-
-
-@dataclass(frozen=True, slots=True)
-class Interrupted:
-    """The gateway abandoned the attempt because it stops; the request may have run.
-
-    :param started: part of the response was sent to the caller.
-    """
-
-    started: bool = False
-
-
 Outcome = NotSent | Rejected | FailedAnswer | Broken | Interrupted | Completed
 
 
--- a/heatherswitch/gateway/pending.py
+++ b/heatherswitch/gateway/pending.py
@@ -45,6 +45,7 @@
         "buffered_error",
         "ambiguous_failure",
         "partly_delivered",
+        "resumable",
         "queued",
         "load_queries",
         "queried_parts",
@@ -93,6 +94,8 @@
         self.ambiguous_failure = ambiguous_failure
         # Part of a response was sent to the caller.
         self.partly_delivered = partly_delivered
+        # Another server can continue that part, if the request is a stream.
+        self.resumable = True
         self.queued = queued
         # Number of queries for servers' load so far.
         self.load_queries = load_queries
@@ -141,8 +144,10 @@
         self.note_delivery(outcome)
 
     def note_delivery(self, outcome: ev.Broken) -> None:
-        """Notes whether part of a response was sent to the caller."""
-        self.partly_delivered = self.partly_delivered or outcome.started
+        """Notes whether part of a response was sent, and if that can be continued."""
+        if outcome.started:
+            self.partly_delivered = True
+            self.resumable = outcome.resumable
 
     def reason_not_to_retry(self, now: float) -> str:
         """Returns why the request may not be sent again, or an empty string.
@@ -153,7 +158,8 @@
         possible_runs = self.possible_runs + (self.current_server is not None)
         if possible_runs and not route.retryable:
             return "the request may have run"
-        if self.partly_delivered and route.kind is not RequestKind.STREAMING:
+        streaming = route.kind is RequestKind.STREAMING
+        if self.partly_delivered and not (streaming and self.resumable):
             # The caller would get two responses in one body.
             return "part of the response was delivered"
         if possible_runs >= route.max_servers:
--- a/heatherswitch/gateway/relay.py
+++ b/heatherswitch/gateway/relay.py
@@ -11,6 +11,7 @@
 from heatherswitch.gateway.event_stream import EventReader
 from heatherswitch.gateway.model import RequestKind
 from heatherswitch.gateway.response_speed import MEASURED_INTERVALS, MIN_INTERVALS
+from heatherswitch.gateway.response_timing import ResponseTiming
 from heatherswitch.gateway.upstream import (
     MAX_UNRELATED_RESPONSES,
     ConnectionPool,
@@ -29,6 +30,7 @@
 MAX_BUFFERED_BYTES = 256 * 1024
 # Statuses that tell the caller that the request was not run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+NO_CONTENT = 204
 # Headers that mark the end of a response; without them it ends with its connection.
 _FRAMING_HEADERS = frozenset({"content-length", "transfer-encoding"})
 
@@ -58,39 +60,6 @@
         self.body = body
 
 
-class ResponseTiming(Record):
-    """Times of the current attempt's response, in seconds since its send.
-
-    :param head_s: the head arrived; None before that.
-    :param first_event_s: the first complete event of a stream arrived, or None.
-    :param last_event_s: the latest complete event arrived, or None.
-    :param events: number of complete events.
-    :param event_interval_s: mean interval between the first events, once known.
-    """
-
-    __slots__ = (
-        "head_s",
-        "first_event_s",
-        "last_event_s",
-        "events",
-        "event_interval_s",
-    )
-
-    def __init__(
-        self,
-        head_s: float | None = None,
-        first_event_s: float | None = None,
-        last_event_s: float | None = None,
-        events: int = 0,
-        event_interval_s: float | None = None,
-    ) -> None:
-        self.head_s = head_s
-        self.first_event_s = first_event_s
-        self.last_event_s = last_event_s
-        self.events = events
-        self.event_interval_s = event_interval_s
-
-
 class RequestRelay:
     """Runs the attempts of one caller's request.
 
@@ -98,8 +67,8 @@
     :param on_response_started: called with the head of each response and the
         seconds from the send to it.
     :param on_stalled: called when a server made no progress for the stall timeout, with
-        the seconds without progress and whether part of the response was delivered. The
-        attempt goes on unless it raises an exception.
+        the seconds without progress and the outcome if the attempt ends. It goes on
+        unless an exception is raised.
     :param on_stream_progress: called at the first event of a stream and when the
         interval between its events is known.
     :param on_notice: called with the head of each response, also one to another request,
@@ -122,6 +91,7 @@
         "_request_id",
         "_responder",
         "_response_started",
+        "_resumable",
         "_timeout",
         "_sent_at",
         "_timing",
@@ -137,7 +107,7 @@
         request_id: str,
         responder: Responder,
         on_response_started: Callable[[ev.Forward, ResponseHead, float], None],
-        on_stalled: Callable[[ev.Forward, float, bool], None],
+        on_stalled: Callable[[ev.Forward, float, ev.Broken], None],
         on_stream_progress: Callable[[ResponseTiming], None],
         on_notice: Callable[[ev.Forward, ResponseHead], None],
     ) -> None:
@@ -153,6 +123,8 @@
         self._on_notice = on_notice
         self._buffered_response: BufferedResponse | None = None
         self._last_event_id: int | None = None
+        # Another server can continue what was sent to the caller.
+        self._resumable = True
         self._response_started = False
         self._discarded = False
         self._interrupted = False
@@ -187,8 +159,11 @@
         """Sends the request to one backend server and returns the outcome.
 
         :raises ConnectionAbortedError: if the caller does not read the response before
-            the deadline.
+            the deadline, or has part of one that can't be continued.
         """
+        if self._response_started and not self._resumable:
+            log.error("no second response", extra={"request": self._request_id})
+            raise ConnectionAbortedError("a response that was begun can't be resumed")
         run_once = not forward.route.retryable
         sent_at = self._sent_at = self._clock()
         self._timing = ResponseTiming()
@@ -221,9 +196,9 @@
             if self._interrupted:
                 return ev.Interrupted(self._response_started)
             reason = str(error) or "the deadline passed"
-            outcome = ev.Broken(reason, self._response_started, silent=True)
+            outcome = self._broken(reason, silent=True)
         except (ConnectionLost, ValueError) as error:
-            outcome = ev.Broken(str(error), self._response_started)
+            outcome = self._broken(str(error))
         finally:
             self._timeout = None
             if not released:
@@ -252,7 +227,9 @@
             if not head.sealed or head.encoded:
                 raise ConnectionLost("the answer does not carry the server's signature")
             if forward.route.kind is RequestKind.STREAMING:
-                framed = not _FRAMING_HEADERS.isdisjoint(
+                # An answer without content can't be the rest of a stream.
+                empty = self._response_started and head.status == NO_CONTENT
+                framed = not empty and not _FRAMING_HEADERS.isdisjoint(
                     name for name, _ in raw_headers
                 )
                 await self._relay_stream(connection, forward, head, framed)
@@ -284,10 +261,13 @@
             headers,
             request.body,
             lambda stalled_s: self._on_stalled(
-                forward, stalled_s, self._response_started
+                forward, stalled_s, self._broken("the server stalled", silent=True)
             ),
         )
 
+    def _broken(self, reason: str, silent: bool = False) -> ev.Broken:
+        return ev.Broken(reason, self._response_started, silent, self._resumable)
+
     async def _receive_head(self, connection, reused: bool, forward):
         """Returns the head of the response to this request, decoded and raw.
 
@@ -371,6 +351,7 @@
             buffered += data
             if len(buffered) > MAX_BUFFERED_BYTES:
                 streaming = True
+                self._resumable = False
                 await self._start_response(head, bytes(buffered))
         if self._discarded:
             return
@@ -404,10 +385,11 @@
                 self._record_events(reader.event_count)
                 await self._start_response(head, complete)
                 self._last_event_id = reader.last_id
+                self._resumable = reader.resumable
                 connection.record_progress()
         if reader.inside_event:
             raise ConnectionLost("the stream ended inside an event")
-        if not framed and not self._response_started:
+        if not framed and not reader.event_count:
             raise ConnectionLost("the stream ended before its first event")
         if reader.remainder() or not self._response_started:
             await self._start_response(head, reader.remainder())
--- a/heatherswitch/gateway/shell.py
+++ b/heatherswitch/gateway/shell.py
@@ -421,8 +421,8 @@
             lambda forward, head, ttfb_s: self._on_response_started(
                 serial, forward, head, ttfb_s
             ),
-            lambda forward, stalled_s, started: self._on_stalled(
-                serial, caller_request, forward, stalled_s, started
+            lambda forward, stalled_s, outcome: self._on_stalled(
+                serial, caller_request, forward, stalled_s, outcome
             ),
             lambda timing: self._apply(
                 ev.StreamProgressed(
@@ -475,7 +475,7 @@
         caller_request: CallerRequest,
         forward: ev.Forward,
         stalled_s: float,
-        started: bool,
+        outcome: ev.Broken,
     ) -> None:
         """Lets the reducer decide whether to go on with a stalled attempt.
 
@@ -483,7 +483,6 @@
         """
         future = asyncio.get_running_loop().create_future()
         self._effect_futures[serial] = future
-        outcome = ev.Broken("the server stalled", started, silent=True)
         self._apply(ev.AttemptStalled(serial, outcome))
         effect = future.result()
         self._decisions.log_stall(caller_request, forward, stalled_s, effect)
--- a/test/test_gateway_reducer.py
+++ b/test/test_gateway_reducer.py
@@ -320,6 +320,12 @@
         cut = self.driver.end_attempt(sent.serial, ev.Broken("reset", started=True))
         self.assertIsInstance(cut, ev.Cut)
 
+    def test_stream_that_can_not_be_continued_is_cut(self):
+        """Its last event had no id, so that the next server would begin anew."""
+        sent = self.driver.decide("/live/1", parts=chat_prompt("x"))
+        broken = ev.Broken("reset", started=True, resumable=False)
+        self.assertIsInstance(self.driver.end_attempt(sent.serial, broken), ev.Cut)
+
     def test_plain_response_that_was_begun_is_cut(self):
         """The next server's response followed in the same body."""
         for outcome in (
--- a/test/test_unfinished_responses.py
+++ b/test/test_unfinished_responses.py
@@ -13,8 +13,8 @@
 
 from emulator.platform.deployment import API_KEY, HOST, Deployment
 from emulator.platform.server import LAST_CHUNK, Behaviour
-from heatherswitch.gateway.relay import MAX_BUFFERED_BYTES
-from heatherswitch.util.http import MAX_READ_BYTES
+from heatherswitch.gateway.relay import MAX_BUFFERED_BYTES, RequestRelay
+from heatherswitch.util.http import MAX_READ_BYTES, Request
 
 WHOLE_BODY = b"whole body " * (MAX_BUFFERED_BYTES // 8)
 # What a server sends of it; long enough that the gateway begins to deliver it.
@@ -226,6 +226,19 @@
         )
 
 
+class RelayTest(unittest.IsolatedAsyncioTestCase):
+    async def test_relay_sends_no_second_response_whatever_the_reducer_decides(self):
+        relay = RequestRelay(
+            None, None, None, Request("GET", "/"), "r1", None, None, None, None, None
+        )
+        relay._response_started, relay._resumable = True, False
+        with (
+            self.assertLogs("heatherswitch.gateway.relay", "ERROR"),
+            self.assertRaises(ConnectionAbortedError),
+        ):
+            await relay.attempt(None)
+
+
 class LineEndTest(UnfinishedResponseCase):
     async def test_stream_is_resumed_whatever_its_line_ends(self):
         """The caller got the first events twice, as their ids were not found."""
@@ -254,3 +267,105 @@
                     )
                 )
         await self.play(cases)
+
+
+def stream(path: str, first: Behaviour, second: Behaviour, **options) -> Case:
+    """Returns a case of a stream of six events."""
+    return Case(
+        options.pop("name"),
+        path,
+        first,
+        second,
+        options.pop("whole", event_bytes(6)),
+        service="appraiser",
+        **options,
+    )
+
+
+class StreamTest(UnfinishedResponseCase):
+    """Only a resumable stream goes on at another server, and only with its events."""
+
+    WHOLE = Behaviour(events=6)
+
+    async def test_nothing_follows_a_broken_stream_that_is_not_resumable(self):
+        await self.play(
+            [
+                stream("/draft/1", first, self.WHOLE, name=name, version=version)
+                for name, first in BROKEN_STREAM.items()
+                for version in ("1.1", "1.0")
+            ]
+        )
+
+    async def test_resumable_stream_goes_on_at_another_server(self):
+        await self.play(
+            [
+                stream(
+                    "/answer/1",
+                    first,
+                    self.WHOLE,
+                    name=name,
+                    version=version,
+                    finished=True,
+                )
+                for name, first in BROKEN_STREAM.items()
+                for version in ("1.1", "1.0")
+            ]
+        )
+
+    async def test_no_error_follows_a_broken_stream(self):
+        """The error's text, or its head, was found in the middle of streams."""
+        await self.play(
+            [
+                stream("/answer/1", first, second, name=f"{broken}; {name}")
+                for broken, first in BROKEN_STREAM.items()
+                for name, second in ERRORS.items()
+            ]
+        )
+
+    async def test_response_that_is_no_continuation_does_not_end_a_stream(self):
+        first = BROKEN_STREAM["closes"]
+        seconds = {
+            "no content": Behaviour(status=204, body=b""),
+            "nothing, without a length": Behaviour(body=b"", unframed=True),
+            "text": Behaviour(body=b"error text\n\n"),
+            "JSON": Behaviour(body=b'{"error": "overloaded"}\n\n'),
+            "a head": Behaviour(body=b"HTTP/1.1 503 Busy\r\nRetry-After: 1\r\n\r\n"),
+            "a gap": Behaviour(body=b"id: 5\ndata: piece 5\n\n"),
+        }
+        await self.play(
+            [
+                stream("/answer/1", first, second, name=name)
+                for name, second in seconds.items()
+            ]
+        )
+
+    async def test_end_marker_without_id_may_follow_a_resumption(self):
+        """Some servers end streams with an event that has no id."""
+        marker = b"data: [DONE]\n\n"
+        first = Behaviour(raw=lambda head: [head + chunk(event_bytes(3))])
+        second = Behaviour(body=event_bytes(6) + marker)
+        whole = event_bytes(6) + marker
+        await self.play(
+            [stream("/answer/1", first, second, name="", whole=whole, finished=True)]
+        )
+
+    async def test_stream_is_not_resumed_behind_an_event_without_id(self):
+        """The next server began anew, or sent that event again."""
+        plain = b"data: one\n\ndata: two\n\n"
+        streams = {
+            "no ids": (plain, plain + b"data: three\n\n"),
+            "last one": (event_bytes(2) + plain, event_bytes(2) + plain + plain),
+            "other ids": (
+                b"id: a\ndata: x\n\n",
+                b"id: a\ndata: x\n\nid: b\ndata: y\n\n",
+            ),
+        }
+        cases = []
+        for name, (begun, whole) in streams.items():
+            for gap_s in (0.0, 9.0):
+                first = Behaviour(
+                    raw=lambda head, begun=begun: [head + chunk(begun)], raw_gap_s=gap_s
+                )
+                second = Behaviour(body=whole)
+                cases.append(stream("/answer/1", first, second, name=name, whole=whole))
+        await self.play(cases)
