Reset connections whose responses are broken off for slow callers

A caller that does not read, or not in time, is disconnected and the rest of its response discarded. The connection was closed, which to an HTTP/1.0 caller, whose responses have no chunks, is the end of a complete response. It is reset now, in Responder.abort and when a caller doesn't take the end of a response.

Before the fix:

FAIL: test_aborted_response_to_an_http_1_0_caller_ends_with_a_reset FAIL: test_response_that_an_http_1_0_caller_does_not_read_is_reset AssertionError: ConnectionResetError not raised

--- a/heatherswitch/util/http_server.py
+++ b/heatherswitch/util/http_server.py
@@ -112,8 +112,8 @@
         await self.send(status, body, all_headers)
 
     def abort(self) -> None:
-        """Closes the connection at once; data not sent yet is discarded."""
-        self._writer.transport.abort()
+        """Resets the connection, so that what was sent can't look complete."""
+        _reset(self._writer)
 
     async def _send(self, event: Any) -> None:
         data = self._unsent_head + (self._connection.send(event) or b"")
@@ -278,6 +278,14 @@
             writer.close()
 
 
+def _reset(writer: asyncio.StreamWriter) -> None:
+    """Closes a connection by a reset; data that was not sent yet is discarded."""
+    sock = writer.get_extra_info("socket")
+    if sock.fileno() >= 0:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
+    writer.transport.abort()
+
+
 async def _run_loop_iterations() -> None:
     """Lets the event loop accept the connections that are waiting."""
     for _ in range(ACCEPT_LOOP_ITERATIONS):
@@ -299,7 +307,7 @@
         except TimeoutError:
             if transport.get_write_buffer_size() >= unsent_bytes:
                 log.debug("the caller does not read")
-                transport.abort()
+                _reset(writer)
                 return
 
 
@@ -335,9 +343,7 @@
         if self._writer.is_closing() or http.our_state is not h11.SEND_BODY:
             return
         if http.their_http_version < b"1.1":
-            sock = self._writer.get_extra_info("socket")
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
-            self._writer.transport.abort()
+            _reset(self._writer)
 
     def end_idle_wait(self) -> None:
         """Closes the connection if it waits for a request and none has arrived."""
--- a/test/test_http.py
+++ b/test/test_http.py
@@ -3,7 +3,9 @@
 import asyncio
 import socket
 import unittest
+from unittest import mock
 
+from heatherswitch.util import http_server
 from heatherswitch.util.http import ConnectFailed, ConnectionLost, HttpLimits
 from heatherswitch.util.http_client import HttpClient
 from heatherswitch.util.http_server import HttpServer
@@ -50,6 +52,18 @@
             await responder.start(200, [])
             await responder.write(b"half")
             raise OSError("cut")
+        elif request.path == "/abort":
+            await responder.start(200, [])
+            await responder.write(b"half")
+            await asyncio.sleep(0.05)
+            responder.abort()
+            raise ConnectionAbortedError("aborted")
+        elif request.path == "/fill":
+            # Ends the response once the socket takes no more of it.
+            await responder.start(200, [])
+            while not responder._writer.transport.get_write_buffer_size():
+                await responder.write(b"x" * 8192)
+            await responder.finish()
         else:
             raise RuntimeError("defect")
 
@@ -128,6 +142,31 @@
         with self.assertRaises(ConnectionResetError):
             await call
 
+    async def test_aborted_response_to_an_http_1_0_caller_ends_with_a_reset(self):
+        """It was closed, which looked like the end of the response."""
+        with self.assertRaises(ConnectionResetError):
+            await self.send_raw(b"GET /abort HTTP/1.0\r\nHost: h\r\n\r\n")
+
+    async def test_response_that_an_http_1_0_caller_does_not_read_is_reset(self):
+        """Its end was discarded, and what the caller had looked complete."""
+        caller = socket.socket()
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        caller.setblocking(False)
+        self.addCleanup(caller.close)
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(caller, ("127.0.0.1", self.server.port))
+        with mock.patch.object(http_server, "WRITE_STALL_TIMEOUT_S", 0.1):
+            request = b"GET /fill HTTP/1.0\r\nHost: h\r\n\r\n"
+            await loop.sock_sendall(caller, request)
+            async with asyncio.timeout(5):
+                while not self.server._connections:
+                    await asyncio.sleep(0.01)
+                while self.server._connections:
+                    await asyncio.sleep(0.01)
+        with self.assertRaises(ConnectionResetError):
+            while await loop.sock_recv(caller, 65536):
+                pass
+
     async def test_handler_is_cancelled_when_the_caller_disconnects(self):
         _, writer = await asyncio.open_connection("127.0.0.1", self.server.port)
         writer.write(b"GET /wait HTTP/1.1\r\nHost: h\r\n\r\n")
