Refuse to write a second response head to a caller

The HTTP server left it to h11 to refuse a second head after a response was begun. h11 then also lost the state by which the server resets the connection of an HTTP/1.0 caller, so that the first part looked complete to it. No path of the gateway is known to write a second head; this is the guard behind the retry rules.

Before the fix, for /two and /two-whole:

FAIL: test_second_response_is_not_written AssertionError: ConnectionResetError not raised

--- a/heatherswitch/util/http_server.py
+++ b/heatherswitch/util/http_server.py
@@ -65,7 +65,12 @@
 
         :param defer_send: sends the head together with the first part of the body, or
             with its end.
+        :raises ConnectionAbortedError: if a response was begun before.
         """
+        if self.started:
+            # h11 would drop the state of the first one, by which its end is judged.
+            log.error("a second response to one request", extra={"status": status})
+            raise ConnectionAbortedError("a response was begun before")
         self.started = True
         all_headers = list(headers)
         if not any(name.lower() == "content-length" for name, _ in all_headers):
--- a/test/test_http.py
+++ b/test/test_http.py
@@ -64,6 +64,15 @@
             while not responder._writer.transport.get_write_buffer_size():
                 await responder.write(b"x" * 8192)
             await responder.finish()
+        elif request.path == "/two":
+            await responder.start(200, [])
+            await responder.write(b"half")
+            await responder.start(503, [])
+            await responder.finish()
+        elif request.path == "/two-whole":
+            await responder.start(200, [])
+            await responder.write(b"half")
+            await responder.send(503, b"busy")
         else:
             raise RuntimeError("defect")
 
@@ -167,6 +176,17 @@
             while await loop.sock_recv(caller, 65536):
                 pass
 
+    async def test_second_response_is_not_written(self):
+        """Its head made h11 give up the first one, so that no reset followed."""
+        for path in ("/two", "/two-whole"):
+            with self.subTest(path):
+                response = await self.client.request("GET", path, new_connection=True)
+                with self.assertRaises(ConnectionLost):
+                    await response.read()
+                with self.assertRaises(ConnectionResetError):
+                    request = f"GET {path} HTTP/1.0\r\nHost: h\r\n\r\n"
+                    await self.send_raw(request.encode())
+
     async def test_handler_is_cancelled_when_the_caller_disconnects(self):
         _, writer = await asyncio.open_connection("127.0.0.1", self.server.port)
         writer.write(b"GET /wait HTTP/1.1\r\nHost: h\r\n\r\n")
