Apply a changed max_header_bytes to open connections

h11 takes its limit on an incomplete head when a connection is made, so that a raised limit did not reach connections that were open already: callers with long heads got 431 on them, unless the whole head came in one read. A lowered limit was checked only once a head was complete. The server now replaces the parser between two requests if the limit has changed, with the bytes that were not parsed yet.

Before the fix:

FAIL: test_changed_head_limit_applies_to_open_connections AssertionError: b'200' not found in b'HTTP/1.1 431 Request Header ...

test_changed_head_limit_keeps_requests_that_were_sent_ahead passes before and after.

--- a/heatherswitch/util/http_server.py
+++ b/heatherswitch/util/http_server.py
@@ -283,6 +283,10 @@
             writer.close()
 
 
+def _new_server_connection(header_bytes: int) -> h11.Connection:
+    return h11.Connection(h11.SERVER, max_incomplete_event_size=header_bytes)
+
+
 def _reset(writer: asyncio.StreamWriter) -> None:
     """Closes a connection by a reset; data that was not sent yet is discarded."""
     sock = writer.get_extra_info("socket")
@@ -322,6 +326,7 @@
     __slots__ = (
         "_h11_connection",
         "_handler",
+        "_header_bytes",
         "_idle_timeout",
         "_reader",
         "_server",
@@ -333,9 +338,8 @@
         self._handler = handler
         self._reader = reader
         self._writer = writer
-        self._h11_connection = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=server.limits.header_bytes
-        )
+        self._header_bytes = server.limits.header_bytes
+        self._h11_connection = _new_server_connection(self._header_bytes)
         # Set while the connection waits for a request.
         self._idle_timeout: asyncio.Timeout | None = None
 
@@ -361,39 +365,56 @@
         :param closed: set when the caller closes its side of the connection.
         """
         while True:
-            responder = Responder(
-                self._h11_connection, self._writer, lambda: self._server.closing
-            )
             try:
                 request = await self._read_request()
                 if request is None:
                     return
+                responder = self._new_responder()
                 if not self._server.accepts_requests:
                     await self._refuse(responder)
                     return
                 if not await self._run_handler(request, responder, closed):
                     return
             except h11.RemoteProtocolError as error:
-                await self._send_error(responder, error.error_status_hint, str(error))
+                await self._send_error(
+                    self._new_responder(), error.error_status_hint, str(error)
+                )
                 return
             except BadRequest as error:
-                await self._send_error(responder, error.status, str(error))
+                await self._send_error(self._new_responder(), error.status, str(error))
                 return
             states = (self._h11_connection.our_state, self._h11_connection.their_state)
             if states != (h11.DONE, h11.DONE):
                 return
             self._h11_connection.start_next_cycle()
 
+    def _new_responder(self) -> Responder:
+        return Responder(
+            self._h11_connection, self._writer, lambda: self._server.closing
+        )
+
+    def _apply_header_limit(self) -> None:
+        """Takes over a changed limit before a request; h11 can't change its own."""
+        if self._header_bytes == self._server.limits.header_bytes:
+            return
+        self._header_bytes = self._server.limits.header_bytes
+        unparsed, _ = self._h11_connection.trailing_data
+        self._h11_connection = _new_server_connection(self._header_bytes)
+        if unparsed:
+            self._h11_connection.receive_data(unparsed)
+
     async def _read_request(self) -> Request | None:
         """Reads a request with its body; returns None if no further one arrives.
 
         :raises BadRequest: if it is too large or not received in time.
         """
+        self._apply_header_limit()
         event = self._h11_connection.next_event()
         if event is h11.NEED_DATA:
             data = await self._wait_for_data()
             if not data:
                 return None
+            self._apply_header_limit()
             self._h11_connection.receive_data(data)
         try:
             # Limits the total time for a request, so that a caller cannot keep a
@@ -461,10 +482,8 @@
     def _convert_request(self, event: h11.Request) -> Request:
         # h11 limits only the size of heads that arrive in several reads.
         size = sum(len(name) + len(value) + 4 for name, value in event.headers)
-        if size + len(event.target) > self._server.limits.header_bytes:
-            raise BadRequest(
-                431, f"the head is over {self._server.limits.header_bytes} bytes"
-            )
+        if size + len(event.target) > self._header_bytes:
+            raise BadRequest(431, f"the head is over {self._header_bytes} bytes")
         return Request(
             event.method.decode("latin-1"),
             event.target.decode("latin-1"),
--- a/test/test_http.py
+++ b/test/test_http.py
@@ -220,6 +220,60 @@
             with self.subTest(data[:20]):
                 self.assertIn(b"HTTP/1.1 " + status, await self.send_raw(data))
 
+    async def get_with_head(self, reader, writer, head_bytes: int) -> bytes:
+        """Sends a request in two parts and returns the status line."""
+        lines = b"GET /echo HTTP/1.1\r\nHost: h\r\nX: "
+        value = b"a" * (head_bytes - len(lines) - 4)
+        writer.write(lines + value[:-1])
+        await writer.drain()
+        # Lets the server parse a head that is not complete.
+        await asyncio.sleep(0.05)
+        writer.write(value[-1:] + b"\r\n\r\n")
+        status = await asyncio.wait_for(reader.readline(), 5)
+        await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 5)
+        return status
+
+    async def test_changed_head_limit_applies_to_open_connections(self):
+        """h11 kept the limit with which the connection was opened."""
+        for used_before in (False, True):
+            with self.subTest(used_before=used_before):
+                self.server.limits = LIMITS
+                reader, writer = await asyncio.open_connection(
+                    "127.0.0.1", self.server.port
+                )
+                if used_before:
+                    status = await self.get_with_head(reader, writer, 1000)
+                    self.assertIn(b"200", status)
+                else:
+                    await asyncio.sleep(0.05)
+                self.server.limits = HttpLimits(header_bytes=8192)
+                for _ in range(2):
+                    status = await self.get_with_head(reader, writer, 6000)
+                    self.assertIn(b"200", status)
+                self.server.limits = HttpLimits(header_bytes=512)
+                writer.write(b"GET /echo HTTP/1.1\r\nHost: h\r\nX: " + b"a" * 1000)
+                status = await asyncio.wait_for(reader.readline(), 5)
+                self.assertIn(b"431", status)
+                writer.close()
+
+    async def test_changed_head_limit_keeps_requests_that_were_sent_ahead(self):
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.server.port)
+        wait = b"GET /wait HTTP/1.1\r\nHost: h\r\n\r\n"
+        ahead = b"POST /echo HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nahead"
+        writer.write(wait + ahead + ahead[:30])
+        await asyncio.sleep(0.05)
+        self.server.limits = HttpLimits(header_bytes=8192)
+        self.release.set()
+        await asyncio.sleep(0.05)
+        self.server.limits = HttpLimits(header_bytes=4096)
+        writer.write(ahead[30:])
+        for body in (b"late", b"ahead", b"ahead"):
+            head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 5)
+            self.assertIn(b"200", head)
+            received = await asyncio.wait_for(reader.readexactly(len(body)), 5)
+            self.assertEqual(received, body)
+        writer.close()
+
     async def test_incomplete_request_times_out(self):
         # Guards against connections that requests without an end keep open.
         response = await self.send_raw(b"POST /echo HTTP/1.1\r\nHost: h\r\nContent-Le")
