Count no empty lines as progress of a stream

Two empty lines counted as an event. A stalled server that sent them now and then kept a resumable stream until its deadline, as the stall timeout began anew each time. They are passed on, but only an event or a comment is progress now.

Before the fix:

ERROR: test_resumable_stream_gives_up_on_a_server_that_trickles_empty_lines ERROR: test_stream_moves_from_a_server_that_sends_empty_lines_after_an_event (the callers' connections were cut at the deadline)

Tests of paths that had none, which pass before and after: a safe request leaves a server that trickles its answer, and neither a safe answer in slow parts nor a stream with events every 0.9 s is sent to a second server.

--- a/heatherswitch/gateway/relay.py
+++ b/heatherswitch/gateway/relay.py
@@ -382,11 +382,14 @@
                 raise ConnectionLost("the answer was cut")
             complete = reader.feed(bytes(event.data))
             if complete:
-                self._record_events(reader.event_count)
+                progress = reader.event_count > self._timing.events
+                if progress:
+                    self._record_events(reader.event_count)
                 await self._start_response(head, complete)
                 self._last_event_id = reader.last_id
                 self._resumable = reader.resumable
-                connection.record_progress()
+                if progress:
+                    connection.record_progress()
         if reader.inside_event:
             raise ConnectionLost("the stream ended inside an event")
         if not framed and not reader.event_count:
--- a/test/test_endless_answers.py
+++ b/test/test_endless_answers.py
@@ -148,6 +148,26 @@
     async def test_resumable_stream_gives_up_on_a_server_that_trickles_bytes(self):
         """Bytes without a complete event are no progress; the deadline is far off."""
         raw = endless_after_head(b"", b"1\r\nx\r\n")
+        body = await self.assert_stream_moves(raw)
+        self.assertEqual(body.count(b"\n\n"), 2)
+
+    async def test_resumable_stream_gives_up_on_a_server_that_trickles_empty_lines(
+        self,
+    ):
+        """Empty lines counted as events, so that the stream stayed until its deadline."""
+        await self.assert_stream_moves(endless_after_head(b"", b"1\r\n\n\r\n"))
+
+    async def test_stream_moves_from_a_server_that_sends_empty_lines_after_an_event(
+        self,
+    ):
+        event = b"15\r\nid: 1\ndata: piece 1\n\n\r\n"
+        await self.assert_stream_moves(endless_after_head(event, b"1\r\n\n\r\n"))
+
+    async def assert_stream_moves(self, raw) -> bytes:
+        """Checks that another server takes over from one that trickles bytes.
+
+        :returns: the body that the caller got.
+        """
         bad = await self.deployment.add_server(
             "bad", "appraiser", Behaviour(raw=raw, raw_gap_s=BYTE_INTERVAL_S)
         )
@@ -156,9 +176,59 @@
         await self.deployment.wait_until(lambda: bad.runs)
         await self.deployment.add_server("good", "appraiser", Behaviour(events=2))
         status, body, _ = await call
-        self.assertEqual((status, body.count(b"\n\n")), (200, 2))
+        self.assertEqual((status, body.count(b"id:")), (200, 2))
+        self.assertTrue(body.endswith(b"data: piece 2\n\n"))
         self.assertLess(time.monotonic() - started_at, 2.0)
         await self.deployment.wait_until(lambda: bad.cancelled, timeout_s=MARGIN_S)
+        return body
+
+    async def test_safe_request_gives_up_on_a_server_that_trickles_its_answer(self):
+        """Bytes now and then are no progress; the deadline is far off."""
+
+        def raw(head):
+            length = b"Content-Length: 900"
+            yield head.replace(b"Transfer-Encoding: chunked", length)
+            yield from itertools.repeat(b"x", 900)
+
+        bad = await self.deployment.add_server(
+            "bad", "ledger", Behaviour(raw=raw, raw_gap_s=BYTE_INTERVAL_S)
+        )
+        started_at = time.monotonic()
+        call = asyncio.create_task(self.deployment.call("/lookup/1"))
+        await self.deployment.wait_until(lambda: bad.runs)
+        await self.deployment.add_server("good", "ledger")
+        status, body, _ = await call
+        self.assertEqual((status, body), (200, b"done"))
+        self.assertLess(time.monotonic() - started_at, 2.0)
+        await self.deployment.wait_until(lambda: bad.cancelled, timeout_s=MARGIN_S)
+
+    async def test_slow_answer_to_a_safe_request_is_not_sent_again(self):
+        """Its parts arrive steadily, though the whole takes longer than a stall."""
+
+        def raw(head):
+            yield head
+            yield from itertools.repeat(b"4\r\npart\r\n", 12)
+            yield b"0\r\n\r\n"
+
+        slow = Behaviour(raw=raw, raw_gap_s=0.1)
+        servers = [
+            await self.deployment.add_server(server_id, "ledger", slow)
+            for server_id in ("l1", "l2")
+        ]
+        status, body, _ = await self.deployment.call("/lookup/1")
+        self.assertEqual((status, body), (200, b"part" * 12))
+        self.assertEqual(sum(len(server.runs) for server in servers), 1)
+
+    async def test_slow_stream_with_long_events_stays_at_its_server(self):
+        """Events just inside the stall timeout; another server could take over."""
+        slow = Behaviour(events=3, event_gap_s=0.9)
+        servers = [
+            await self.deployment.add_server(server_id, "appraiser", slow)
+            for server_id in ("e0", "e1")
+        ]
+        status, body, _ = await self.deployment.call("/answer/1", method="POST")
+        self.assertEqual((status, body.count(b"id:")), (200, 3))
+        self.assertEqual(sum(len(server.runs) for server in servers), 1)
 
     async def test_resumable_stream_of_the_only_server_trickles_until_the_deadline(
         self,
