Test second copies of answers on connections that are in use again

A report says that a server sent a second copy of an answer late, on a connection that was in use again. One test covered a plain answer with another id. The new one plays nine kinds of copies (with and without an id, in chunks, without end or length, with Connection: close, of an error, of a stream, after an interim answer) at three places (before the next answer, in one read with the end of the previous one, on the idle connection) for each kind of route: 108 cases of 3 requests. It found no fault: callers get their own answer, or 502 or 504 where a copy without an end hides it.

--- a/test/test_unrelated_responses.py
+++ b/test/test_unrelated_responses.py
@@ -167,3 +167,104 @@
                 status, _, _ = await self.deployment.call("/settle/1", method="POST")
                 self.assertEqual(status, 200, f"request {number}")
                 await asyncio.sleep(2 * LATE_S)
+
+
+# Copies of an earlier answer, by the id of its request.
+COPIES = {
+    "with its id": lambda earlier: answer(earlier, b"Content-Length: 6", b"stolen"),
+    "without an id": lambda earlier: answer("", b"Content-Length: 6", b"stolen"),
+    "in chunks": lambda earlier: answer(
+        earlier, b"Transfer-Encoding: chunked", b"6\r\nstolen\r\n0\r\n\r\n"
+    ),
+    "without its end": lambda earlier: answer(earlier, b"Content-Length: 9", b"stolen"),
+    "without a length": lambda earlier: answer(earlier, b"Vary: *", b"stolen"),
+    "that closes": lambda earlier: answer(
+        earlier, b"Connection: close\r\nContent-Length: 6", b"stolen"
+    ),
+    "of an error": lambda earlier: answer(
+        earlier, b"Content-Length: 6", b"stolen", 500
+    ),
+    "of an event": lambda earlier: answer(
+        earlier, b"Content-Length: 25", b"id: 1\ndata: stolen\n\nid: 2"
+    ),
+    "after an interim one": lambda earlier: (
+        b"HTTP/1.1 103 Early Hints\r\n\r\n"
+        + answer(earlier, b"Content-Length: 6", b"stolen")
+    ),
+}
+
+
+# Copies behind which no answer can be found.
+HIDING_COPIES = ("without its end", "without a length", "that closes")
+
+
+def answer(request_id: str, framing: bytes, body: bytes, status: int = 200) -> bytes:
+    """Returns a signed response with an id, or none if it is empty."""
+    id_line = f"X-Attempt-Id: {request_id}\r\n".encode() if request_id else b""
+    head = b"HTTP/1.1 %d Status\r\n%sX-Response-Seal: s\r\n" % (status, id_line)
+    return head + framing + b"\r\n\r\n" + body
+
+
+class SecondCopyOfAnAnswerTest(UnrelatedResponseCase):
+    """Guards against an earlier answer that is taken for the current request's."""
+
+    PATHS = ("/settle/1", "/lookup/1", "/draft/1", "/answer/1")
+    PLACES = RefusalOfAnEarlierRequestTest.PLACES
+    BODY = b"id: 1\ndata: right\n\n"
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.servers += [
+            await self.deployment.add_server(server_id, "appraiser")
+            for server_id in ("e1", "e2")
+        ]
+
+    async def test_second_copy_of_an_answer_does_not_reach_another_caller(self):
+        numbers = itertools.count()
+        cases = itertools.product(COPIES.items(), self.PLACES.items(), self.PATHS)
+        for (name, copy), (place, arrange), path in cases:
+            # The copy of an error meets successes, that of an event meets errors.
+            status = 500 if name == "of an event" else 200
+            with self.subTest(f"{name}, {place}", path=path):
+                delay_s = arrange(b"")[2]
+
+                self.set_behaviour(Behaviour(body=self.BODY))
+                await self.call(path, f"calm-{next(numbers)}")
+                self.set_behaviour(
+                    Behaviour(
+                        status=status,
+                        body=self.BODY,
+                        extra=copies_beside_answer(copy, arrange),
+                        extra_delay_s=delay_s,
+                    )
+                )
+                for _ in range(3):
+                    request_id = f"r{next(numbers)}"
+                    received = await self.call(path, request_id)
+                    if place == "before the answer" and name in HIDING_COPIES:
+                        self.assertIn(received, [(502, b""), (504, b"")])
+                    else:
+                        self.assertEqual(received, (status, self.BODY))
+                    if path == "/settle/1":
+                        self.assertLessEqual(self.runs(request_id), 1)
+                    await asyncio.sleep(2 * delay_s)
+
+    async def call(self, path: str, request_id: str) -> tuple[int, bytes]:
+        """Sends a request; returns the status, 0 for none, and the body."""
+        try:
+            status, body, _ = await self.deployment.call(
+                path, method="POST", X_Attempt_Id=request_id, X_Deadline_Ms="500"
+            )
+        except ConnectionLost:
+            return 0, b""
+        return status, body
+
+
+def copies_beside_answer(copy, arrange):
+    """Returns the ``extra`` of a server that sends its earlier answer once more."""
+
+    def extra(earlier: str, current: str) -> tuple[bytes, bytes]:
+        before, after, _ = arrange(copy(earlier or "other"))
+        return before, after
+
+    return extra
