--- a/test/test_unfinished_responses.py
+++ b/test/test_unfinished_responses.py
@@ -226,6 +226,45 @@
         )
 
 
+class GracePeriodTest(UnfinishedResponseCase):
+    GRACE_S = 1.0
+
+    async def stop_during_the_response(self, deployment: Deployment) -> None:
+        """Stops the gateway with a grace period that ends before the response does."""
+        first = deployment.servers["e0"]
+        await deployment.wait_until(lambda: first.received)
+        await asyncio.sleep(0.2)
+        gateway = deployment.gateway
+        gateway._config = gateway._config.replace(grace_s=self.GRACE_S)
+        await gateway.stop()
+
+    async def test_response_that_outlasts_the_grace_period_does_not_look_complete(self):
+        cases = []
+        for version in ("1.1", "1.0"):
+            cases += [
+                stream(
+                    path,
+                    BROKEN_STREAM["stalls"],
+                    Behaviour(events=6),
+                    name="stream",
+                    version=version,
+                )
+                for path in ("/draft/1", "/answer/1")
+            ]
+            cases += [
+                Case(
+                    "plain",
+                    path,
+                    BROKEN_PLAIN["stalls"],
+                    Behaviour(body=WHOLE_BODY),
+                    WHOLE_BODY,
+                    version=version,
+                )
+                for path in ("/lookup/1", "/settle/1")
+            ]
+        await self.play(cases, self.stop_during_the_response)
+
+
 class RelayTest(unittest.IsolatedAsyncioTestCase):
     async def test_relay_sends_no_second_response_whatever_the_reducer_decides(self):
         relay = RequestRelay(
