--- a/heatherswitch/fleet/claim_records.py
+++ b/heatherswitch/fleet/claim_records.py
@@ -15,7 +15,10 @@
     describe,
     describe_error,
     parse_json,
+    require_integer,
     require_list,
+    require_number,
+    require_string,
 )
 
 # Size of the BLAKE2b digests of keys and requests, in bytes.
@@ -200,14 +203,15 @@
 
 
 def _decode_record(values: list) -> Record:
-    kind, *rest = values
+    kind, digest, claim_id, at, *rest = values
+    common = (require_string(digest), require_string(claim_id), require_number(at))
     if kind == "claim":
-        return ClaimRecord(*rest)
+        return ClaimRecord(*common, *map(require_string, rest))
     if kind == "abandon":
-        return AbandonRecord(*rest)
+        return AbandonRecord(*common, *rest)
     if kind == "done":
-        *common, status, headers, text = rest
-        pairs = tuple((name, value) for name, value in headers)
+        status, headers, text = rest
+        pairs = tuple((require_string(n), require_string(v)) for n, v in headers)
         body = None if text is None else base64.b64decode(text)
-        return DoneRecord(*common, status, pairs, body)
+        return DoneRecord(*common, require_integer(status), pairs, body)
     raise ValueError(f"unknown record kind {describe(kind)}")
--- a/heatherswitch/fleet/claim_table.py
+++ b/heatherswitch/fleet/claim_table.py
@@ -1,5 +1,6 @@
 """In-memory claims and journal segments of one partition, held by its owner."""
 
+import re
 from collections.abc import Iterable
 from dataclasses import dataclass
 from enum import Enum
@@ -288,7 +289,7 @@
 
 def _segment_number(key: str) -> int:
     number = key.rpartition("/")[2]
-    if not (number.isascii() and number.isdigit()):
+    if not re.fullmatch(r"[0-9]{1,18}", number):
         raise RecordError(f"{key}: not a journal segment key")
     return int(number)
 
--- a/heatherswitch/platform/store.py
+++ b/heatherswitch/platform/store.py
@@ -11,6 +11,7 @@
 from heatherswitch.gateway.timing import Timing
 from heatherswitch.statecore.replica import Entry
 from heatherswitch.statecore.store import (
+    UNREADABLE_VALUE,
     AmbiguousWrite,
     Compacted,
     CompareFailed,
@@ -307,8 +308,8 @@
 def _decode_entry(item: Any) -> Entry:
     """Decodes an item, or the tombstone of a deleted key.
 
-    A value that cannot be read becomes an empty one, which the decoders of entries
-    reject, so that it does not hide the other items of its page.
+    A value that cannot be read is replaced by one that the decoders of entries reject,
+    so that it does not hide the other items of its page.
 
     :raises UnusableResponse: if the key or the revision is malformed.
     """
@@ -328,4 +329,4 @@
             "value of a store entry cannot be read",
             extra={"key": key, "error": describe_error(error)},
         )
-        return Entry(key, revision, b"")
+        return Entry(key, revision, UNREADABLE_VALUE)
--- a/heatherswitch/statecore/store.py
+++ b/heatherswitch/statecore/store.py
@@ -32,6 +32,11 @@
 _JSON_HEADERS = [("Content-Type", "application/json")]
 
 
+# Replaces a value that cannot be read. No decoder accepts it; an empty value would pass
+# for a journal segment without claims.
+UNREADABLE_VALUE = b"\x00"
+
+
 class StoreError(Exception):
     """A call to the store failed.
 
@@ -402,12 +407,11 @@
     try:
         return Entry(key, revision, base64.b64decode(kv.get("value", "")))
     except (TypeError, ValueError) as error:
-        # No valid value is empty, so that the decoder of the entry rejects it.
         log.warning(
             "value of a store entry cannot be read",
             extra={"key": key, "error": describe_error(error)},
         )
-        return Entry(key, revision, b"")
+        return Entry(key, revision, UNREADABLE_VALUE)
 
 
 def _parse_watch_result(result: dict) -> WatchBatch | None:
--- a/test/test_malformed_backend.py
+++ b/test/test_malformed_backend.py
@@ -12,6 +12,7 @@
 )
 from heatherswitch.fleet.claim_records import decode_segment
 from heatherswitch.fleet.records import RecordError
+from heatherswitch.statecore.store import UNREADABLE_VALUE
 from test.test_backend import call
 
 BAD_NUMBERS = ("1e999", "9" * 400, "9" * 5000, "NaN", "true", '"x"', "[" * 5000, "-1")
@@ -69,6 +70,14 @@
 
     def test_malformed_lines_are_record_errors(self):
         lines = (
+            UNREADABLE_VALUE.decode(),
+            '["claim", "d", "c", "soon", "f", "r"]',
+            '["claim", [], "c", 1.0, "f", "r"]',
+            '["abandon", "d", {}, 1.0]',
+            '["done", "d", "c", 1.0, "x", [], null]',
+            '["done", "d", "c", 1.0, 200, [["a", 1]], null]',
+            '["done", "d", "c", 1e999, 200, [], null]',
+            '["done", "d", "c", 1.0, 200, [], 7]',
             *BAD_NUMBERS,
             "[]",
             "{}",
--- a/test/test_malformed_store_answers.py
+++ b/test/test_malformed_store_answers.py
@@ -7,6 +7,7 @@
 from heatherswitch.platform.store import PlatformStore
 from heatherswitch.statecore.replica import Entry
 from heatherswitch.statecore.store import (
+    UNREADABLE_VALUE,
     AmbiguousWrite,
     StoreClient,
     StoreError,
@@ -95,7 +96,7 @@
         for value in values:
             item = b'{"key": "a", "revision": 1, "value": ' + value + b"}"
             body = b"[" + item + b", " + GOOD_ITEM + b"]"
-            expected = (Entry("a", 1, b""), GOOD)
+            expected = (Entry("a", 1, UNREADABLE_VALUE), GOOD)
             with self.subTest(value), self.assertLogs(level="WARNING"):
                 batch = await self.watch(b'{"as_of": 2, "events": ' + body + b"}")
                 self.assertEqual(batch.entries, expected)
@@ -159,8 +160,8 @@
     async def test_entry_that_cannot_be_read_hides_no_other_one(self):
         good = b'{"key": "Yg==", "value": "Yg==", "mod_revision": "2"}'
         for key, value, expected in (
-            (b"YQ==", b'"%%%\xc3\xa9"', Entry("a", 1, b"")),
-            (b"YQ==", b"7", Entry("a", 1, b"")),
+            (b"YQ==", b'"%%%\xc3\xa9"', Entry("a", 1, UNREADABLE_VALUE)),
+            (b"YQ==", b"7", Entry("a", 1, UNREADABLE_VALUE)),
             (b"/w==", b'"Yg=="', Entry(r"\xff", 1, b"b")),
         ):
             kv = b'{"key": "%b", "value": %b, "mod_revision": "1"}' % (key, value)
