Keep the tick of an agent's claim partitions running

An unforeseen error while one partition handled its tick ended the task for all of them, which nothing starts again or looks at: partitions were no longer taken over, expired or released.

Before: partition 1 gets no tick after partition 0 has failed. After: the test passes.

--- a/heatherswitch/agent/journal.py
+++ b/heatherswitch/agent/journal.py
@@ -302,7 +302,7 @@
             case CommitWrite() | ReadState() | ReadJournal():
                 task = asyncio.create_task(self._call_store(partition, effect))
                 self._tasks.add(task)
-                task.add_done_callback(self._tasks.discard)
+                task.add_done_callback(self._on_task_done)
 
     async def _append_when_due(self, partition: int, at: float) -> None:
         """Lets a partition append once the minimum gap between appends has passed."""
@@ -373,7 +373,21 @@
             last_idle_tick = now if idle else last_idle_tick
             for partition, reducer in list(self._reducers.items()):
                 if idle or reducer.needs_tick:
-                    self._apply(partition, Ticked(now))
+                    self._tick_partition(partition, now)
+
+    def _tick_partition(self, partition: int, now: float) -> None:
+        """Applies a tick; an unforeseen error must not end that of other partitions."""
+        try:
+            self._apply(partition, Ticked(now))
+        except Exception:
+            log.exception(
+                "tick of a claim partition failed", extra={"partition": partition}
+            )
+
+    def _on_task_done(self, task: asyncio.Task) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            log.error("journal task failed", exc_info=task.exception())
 
     async def close(self) -> None:
         """Cancels all tasks without releasing partitions."""
--- a/test/test_journal.py
+++ b/test/test_journal.py
@@ -1,6 +1,7 @@
 import asyncio
 import time
 import unittest
+from unittest import mock
 
 from heatherswitch.agent.journal import TICK_S, ClaimJournal, JournalConfig
 from heatherswitch.fleet.claims import (
@@ -153,3 +154,22 @@
         async with asyncio.timeout(10):
             while await self.claim(self.first, request_id="r2") != Claimed(1):
                 await asyncio.sleep(0.05)
+
+    async def test_tick_goes_on_after_an_unforeseen_error(self):
+        # Guards against partitions that nothing releases or renews any more.
+        ticked = []
+
+        def apply(journal, partition, event):
+            ticked.append(partition)
+            if partition == 0:
+                raise RuntimeError("unforeseen")
+
+        with (
+            mock.patch.object(ClaimJournal, "_apply", apply),
+            mock.patch("heatherswitch.agent.journal.IDLE_TICK_S", 0.0),
+            self.assertLogs("heatherswitch", "ERROR") as logs,
+        ):
+            await asyncio.sleep(3.5 * TICK_S)
+        self.assertGreaterEqual(ticked.count(0), 2)
+        self.assertGreaterEqual(ticked.count(1), 2)
+        self.assertEqual(logs.records[0].partition, 0)
