Count malformed log lines instead of ending the command

heatherswitch follow ended with a traceback when a log file held a nested line (RecursionError) or a number of dropped lines that is none (OverflowError, TypeError).

Before: the test ends with RecursionError. After: it passes.

--- a/heatherswitch/gateway/request_log.py
+++ b/heatherswitch/gateway/request_log.py
@@ -1,10 +1,16 @@
 """Collects the log lines about one request from the gateways' log files."""
 
-import json
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 from typing import Any
 
+from heatherswitch.util.untrusted import (
+    MalformedInput,
+    parse_object,
+    read_field,
+    require_integer,
+)
+
 # Fields that identify a line's source and request; all others are shown as details.
 _ORIGIN_FIELDS = frozenset(
     {"level", "logger", "message", "program", "instance", "timestamp", "request"}
@@ -66,16 +72,18 @@
 
 
 def _entries(lines: Iterable[str]) -> Iterator[dict | None]:
-    """Yields the JSON object of each non-empty line, or None if it holds none."""
+    """Yields the JSON object of each non-empty line, or None if it is malformed."""
     for line in lines:
         start = line.find("{")
         if not line.strip():
             continue
         try:
-            entry = json.loads(line[start:]) if start >= 0 else None
-        except ValueError:
+            entry = parse_object(line[start:]) if start >= 0 else None
+            if entry is not None:
+                read_field(entry, "dropped_lines", require_integer, 0)
+        except MalformedInput:
             entry = None
-        yield entry if isinstance(entry, dict) else None
+        yield entry
 
 
 def _log_line(entry: dict) -> RequestLogLine:
--- a/test/test_logs.py
+++ b/test/test_logs.py
@@ -80,6 +80,17 @@
         self.assertEqual(trail.cause, "the queue is full")
         self.assertEqual((trail.malformed, trail.dropped), (2, 3))
 
+    def test_malformed_lines_are_counted(self):
+        """Guards against one odd line that ends the command."""
+        lines = ["{" * 5000, '{"a": ' * 5000, "{" + "9" * 5000, '{"a": ' + "9" * 5000]
+        lines += [
+            f'{{"request": "r1", "dropped_lines": {value}}}'
+            for value in ("1e999", "[1]", '"x"', "true", "-1", "NaN")
+        ]
+        good = '{"request": "r1", "message": "request ended", "dropped_lines": null}'
+        trail = collect("r1", [*lines, good])
+        self.assertEqual((trail.malformed, len(trail.lines)), (len(lines), 1))
+
     def run_command(self, line: str) -> tuple[int, str, str]:
         output, errors = BufferedOutput(), BufferedOutput()
         code = operator.run(StringInput(line), output, errors)
