--- a/test/test_fuzz_decoders.py
+++ b/test/test_fuzz_decoders.py
@@ -4,8 +4,10 @@
 """
 
 import asyncio
+import contextlib
 import json
 import logging
+import math
 import os
 import pathlib
 import tempfile
@@ -16,7 +18,15 @@
 from hypothesis import strategies as st
 
 from emulator.platform.deployment import API_KEY, build_configuration
+from heatherswitch.agent.backend import (
+    BackendError,
+    BodyValidator,
+    parse_load,
+    request_body,
+)
+from heatherswitch.fleet.claim_table import ClaimTable, SegmentLog
 from heatherswitch.fleet.peer_messages import VERSION
+from heatherswitch.fleet.records import PartitionHead, RecordError
 from heatherswitch.gateway import events as ev
 from heatherswitch.gateway.crash_records import CLEARED_PREFIX, CRASH_PREFIX
 from heatherswitch.gateway.model import CallerRequest
@@ -30,11 +40,15 @@
 from heatherswitch.platform.settings import parse_gateway_config
 from heatherswitch.platform.settings_file import SettingsError, read_settings
 from heatherswitch.platform.store import PlatformStore
+from heatherswitch.protocol import heatherswitch_pb2 as pb
+from heatherswitch.router.openai import InvalidRequest, parse_chat_request
 from heatherswitch.statecore.replica import Entry
-from heatherswitch.statecore.store import StoreError, WatchBatch
+from heatherswitch.statecore.store import StoreClient, StoreError, WatchBatch
 from heatherswitch.util.http import BadRequest, Request
 from heatherswitch.util.metrics import Metrics
 from test.gateway_fakes import Driver, server
+from test.test_backend import call
+from test.test_malformed_backend import FixedProbe
 from test.test_malformed_input import EVIDENCE_ROW, ORDER, PROGRESS, REPORT
 from test.test_platform_formats import ENTRY, SETTINGS
 from test.test_store_sync import ManualClock
@@ -226,10 +240,13 @@
         self.status = status
         self.body = body
 
-    async def read(self, limit: int) -> bytes:
+    async def read(self, limit: int = 0) -> bytes:
         """Returns the body."""
         return self.body
 
+    def close(self) -> None:
+        """Does nothing."""
+
 
 class FixedClient:
     """Answers a few requests with the same response, then stops the test."""
@@ -273,7 +290,7 @@
     async def call_all(self, response):
         client = FixedClient(response)
         store = PlatformStore(client, ManualClock(), Timing.from_bounds())
-        for call in (
+        for send in (
             lambda: store.get("a"),
             lambda: store.snapshot([""]),
             lambda: anext(store.watch("", 1)),
@@ -284,19 +301,111 @@
         ):
             client.calls = 0
             try:
-                await call()
+                await send()
+            except StoreError as error:
+                self.assertLessEqual(len(str(error)), MAX_ERROR_CHARACTERS)
+
+
+KV = {"key": "YQ==", "value": "Yg==", "mod_revision": "3"}
+ETCD_ANSWER = {
+    "header": {"revision": "7"},
+    "kvs": [KV, KV | {"key": "Yg=="}],
+    "succeeded": True,
+    "ID": "5",
+    "result": {"TTL": "5", "events": [{"kv": KV}, {"kv": KV, "type": "DELETE"}]},
+}
+
+
+class EtcdAnswersFuzz(DecoderCase):
+    """Guards the callers of the store of routers and agents."""
+
+    @FUZZ_SETTINGS
+    @given(documents(ETCD_ANSWER), st.sampled_from([200, 400, 404, 503]))
+    def test_answers(self, body, status):
+        asyncio.run(self.call_all(FixedResponse(status, body)))
+        self.assert_log_is_clean()
+
+    async def call_all(self, response):
+        for name, args in (
+            ("get", ("a",)),
+            ("range", ("a",)),
+            ("commit", ({"a": 0}, {"a": b"1"})),
+            ("grant", (5.0,)),
+            ("keep_alive", (5,)),
+            ("revoke", (5,)),
+        ):
+            store = StoreClient([FixedClient(response)], timeout_s=1.0)
+            try:
+                await getattr(store, name)(*args)
             except StoreError as error:
                 self.assertLessEqual(len(str(error)), MAX_ERROR_CHARACTERS)
 
 
+USAGE = {
+    "usage": {
+        "prompt_tokens": 1,
+        "prompt_tokens_details": {"cached_tokens": 1},
+        "completion_tokens": 1,
+    }
+}
+HEALTH = {"started_at": 10.0, "incarnation": "i1"}
+CHAT = {"model": "m", "messages": [{"role": "user", "content": "a"}], "stream": True}
+DONE = ["done", "d", "c", 1.0, 200, [["a", "b"]], "Yg=="]
+HEAD = {"service": "s", "partition": 1, "owner": "a", "incarnation": 1, "epoch": 1}
+
+
+class AgentDecodersFuzz(DecoderCase):
+    """Guards agents and routers against their servers, callers and records."""
+
+    @FUZZ_SETTINGS
+    @given(documents(USAGE), documents(HEALTH), st.text(max_size=40))
+    def test_server_answers(self, usage, health, load):
+        for content_type in ("application/json", "text/event-stream"):
+            validator = BodyValidator(content_type)
+            try:
+                validator.add(b"data:" * validator.is_stream + usage + b"\n\n")
+                found = validator.finish(True)
+            except BackendError:
+                continue
+            pb.Done(
+                prompt_tokens=found.prompt_tokens,
+                cached_tokens=found.cached_tokens,
+                completion_tokens=found.completion_tokens,
+            )
+        answer = asyncio.run(FixedProbe(health).health())
+        self.assertTrue(answer.started_at is None or math.isfinite(answer.started_at))
+        parse_load(f"num_requests_running {load}\n")
+
+    @FUZZ_SETTINGS
+    @given(documents(CHAT))
+    def test_chat_requests(self, body):
+        with contextlib.suppress(InvalidRequest):
+            parse_chat_request(body, "", "w")
+        request_body(call(engine=True, priority=3, body=body))
+
+    @FUZZ_SETTINGS
+    @given(documents(DONE), documents(["claim", "d", "c", 1.0, "f", "r"]))
+    def test_journal_segments(self, done, claim):
+        for value in (done, claim, claim + b"\n" + done):
+            table = ClaimTable()
+            with contextlib.suppress(RecordError):
+                table.load([Entry("s/1/0", 1, value)], SegmentLog(0))
+
+    @FUZZ_SETTINGS
+    @given(documents(HEAD))
+    def test_partition_heads(self, value):
+        with contextlib.suppress(RecordError):
+            PartitionHead.from_bytes(value, 3)
+
+
 header_texts = (
     st.text(st.characters(max_codepoint=255), max_size=30)
     | st.sampled_from(
         ["9" * 400, "9" * 5000, "nan", "inf", "-1", "1e999", "²", "x" * 16384]
     )
-    | st.lists(st.sampled_from(["a:1", "1", "-1", "9" * 5000, ":", "a:²", ""])).map(
-        ",".join
-    )
+    | st.lists(
+        st.sampled_from(["a:1", "1", "-1", "9" * 5000, "a:" + "9" * 5000, ":", "a:²"])
+    ).map(",".join)
 )
 header_names = st.sampled_from(
     [
--- a/test/test_malformed_backend.py
+++ b/test/test_malformed_backend.py
@@ -21,8 +21,8 @@
 class FixedProbe(BackendClient):
     """Answers each probe with a given body."""
 
-    def __init__(self, body: str) -> None:
-        self._body = body.encode()
+    def __init__(self, body: bytes) -> None:
+        self._body = body
 
     async def _probe(self, target: str) -> bytes:
         return self._body
@@ -44,11 +44,11 @@
         for number in BAD_NUMBERS:
             body = f'{{"started_at": {number}, "incarnation": "i1"}}'
             with self.subTest(number[:9]):
-                health = await FixedProbe(body).health()
+                health = await FixedProbe(body.encode()).health()
                 self.assertTrue(health.healthy)
                 self.assertIn(health.started_at, (None, -1.0))
         nested = "[" * 985 + "]" * 985
-        health = await FixedProbe(f'{{"incarnation": {nested}}}').health()
+        health = await FixedProbe(f'{{"incarnation": {nested}}}'.encode()).health()
         self.assertEqual((health.healthy, health.incarnation), (True, None))
 
     def test_malformed_load_is_ignored(self):
