Send workspace names that are not ASCII as UTF-8

A name outside Latin-1 raised UnicodeEncodeError when its request was forwarded, and one with spaces around it LocalProtocolError; a Latin-1 name was sent in that encoding, which the stand-in server does not read. Each such request failed, with 502 for the first two of the three kinds. The octets are now those that the name has in the manifest, without spaces around it.

--- a/heatherswitch/platform/headers.py
+++ b/heatherswitch/platform/headers.py
@@ -118,7 +118,7 @@
     forwarded.append(("X-Deadline-Ms", str(max(1, int(upstream.time_left_s * 1000)))))
     forwarded.append((names.EXPECT_INSTANCE, upstream.server_id))
     if upstream.workspace:
-        forwarded.append((names.WORKSPACE, upstream.workspace))
+        forwarded.append((names.WORKSPACE, _encode_text(upstream.workspace)))
     if upstream.priority is not None:
         forwarded.append((names.PRIORITY, str(upstream.priority)))
     if upstream.copy_from:
@@ -130,6 +130,14 @@
     return forwarded
 
 
+def _encode_text(text: str) -> str:
+    """Returns the UTF-8 octets of a text, in the form that headers have here.
+
+    Spaces around it are left out: the library for HTTP/1.1 rejects a header with them.
+    """
+    return text.strip(" ").encode().decode("latin-1")
+
+
 def _connection_options(headers: Headers) -> frozenset[str]:
     """Returns the headers that Connection declares as hop-by-hop."""
     options = set()
--- a/test/test_platform_formats.py
+++ b/test/test_platform_formats.py
@@ -3,6 +3,7 @@
 import json
 import unittest
 
+import h11
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -11,6 +12,7 @@
 from heatherswitch.gateway.model import Load, PromptPart, RequestKind
 from heatherswitch.gateway.notices import MAX_BUSY_S
 from heatherswitch.gateway.upstream import UpstreamContext
+from heatherswitch.platform import names
 from heatherswitch.platform.headers import (
     decode_request,
     decode_response,
@@ -24,7 +26,7 @@
 )
 from heatherswitch.platform.settings import SettingsError, parse_gateway_config
 from heatherswitch.statecore.replica import Entry
-from heatherswitch.util.http import BadRequest, Request
+from heatherswitch.util.http import BadRequest, Request, encode_headers
 
 ENTRY = {
     "service": "ledger",
@@ -126,6 +128,15 @@
             },
         )
 
+    def test_any_name_of_a_workspace_can_be_sent(self):
+        """Guards against requests that end with 502 by the name of their workspace."""
+        for name in ("huon", "é", "東京", " a ", "a b"):
+            upstream = UpstreamContext("i-1", 1.25, name, None)
+            sent = dict(encode_headers(encode_request(make_request(), upstream)))
+            with self.subTest(name):
+                self.assertEqual(sent[names.WORKSPACE.encode()].decode(), name.strip())
+                h11.Request(method="GET", target="/", headers=list(sent.items()))
+
     def test_response_head_is_decoded(self):
         head = decode_response(
             200,
