Divide the event loop between answers of backend servers

ServerConnection.next_event() gave up the event loop only when h11 needed data, and a write to a caller that reads fast never waits. One read of asyncio holds up to 256 KiB, 20,000 such chunks. The loops over answers (streams, plain bodies, errors, skipped answers) now let others run after TURN_SLICE_S (2 ms), in next_event(), through which all of them read. Paused tasks are resumed one in an iteration of the loop: with a slice for each of them, 64 streams of one server would take 128 ms an iteration. Received data is parsed in pieces of 8 KiB, since a body without chunks is one h11 event of all that has arrived.

--- a/heatherswitch/gateway/upstream.py
+++ b/heatherswitch/gateway/upstream.py
@@ -11,6 +11,7 @@
 import h11
 
 from heatherswitch.gateway.model import Load, Server
+from heatherswitch.util.fairness import Turn
 from heatherswitch.util.http import (
     ConnectFailed,
     ConnectionLost,
@@ -42,6 +43,9 @@
 RUN_ONCE_IDLE_LIMIT_FRACTION = 0.4
 # Unprocessed bytes above which reading from the server pauses, for slow callers.
 READ_AHEAD_BYTES = 128 * 1024
+# Most bytes that are parsed in one step. asyncio reads up to 256 KiB at once, and a body
+# of that size without chunks may hold 100,000 events.
+PARSE_BYTES = 8 * 1024
 # Limits on skipped responses to other requests: their number and the bytes of each.
 MAX_UNRELATED_RESPONSES = 2
 MAX_UNRELATED_BYTES = 256 * 1024
@@ -162,6 +166,9 @@
         self._closed = False
         self._busy = False
         self._unread = 0
+        # Received data that is not parsed yet, in pieces; empty bytes stand for its end.
+        self._unparsed: deque[bytes] = deque()
+        self._turn = Turn()
         # Event loop time of the last progress in the response.
         self._progress_at = 0.0
         # Event loop time of the last progress or reported stall.
@@ -196,7 +203,8 @@
             log.info("backend server sent data while no request was open")
             self.close()
             return
-        self._http.receive_data(data)
+        for begin in range(0, len(data), PARSE_BYTES):
+            self._unparsed.append(data[begin : begin + PARSE_BYTES])
         self._unread += len(data)
         if self._unread > READ_AHEAD_BYTES:
             self._transport.pause_reading()
@@ -205,8 +213,7 @@
     def eof_received(self) -> bool:
         """Marks the end of the data, which completes a response without a length."""
         self._closed = True
-        if self._busy:
-            self._http.receive_data(b"")
+        self._unparsed.append(b"")
         self._wake()
         return False
 
@@ -286,7 +293,7 @@
             if size > MAX_UNRELATED_BYTES:
                 raise ConnectionLost("an answer to another request does not end")
         rest, at_end = self._http.trailing_data
-        if self._http.their_state is h11.MUST_CLOSE or at_end:
+        if self._http.their_state is h11.MUST_CLOSE or at_end or b"" in self._unparsed:
             raise ConnectionLost("an answer to another request ended the connection")
         self._http = _new_client_connection()
         for event in self._sent_events:
@@ -324,7 +331,11 @@
             except h11.RemoteProtocolError as error:
                 raise ConnectionLost(f"the answer is malformed: {error}") from error
             if event is not h11.NEED_DATA:
+                await self._turn.pause_if_due()
                 return event
+            if self._unparsed:
+                self._http.receive_data(self._unparsed.popleft())
+                continue
             self._unread = 0
             if self._error is not None:
                 raise ConnectionLost(f"no answer: {self._error!r}")
@@ -349,6 +360,7 @@
             if timer is not None:
                 timer.cancel()
             self._waiter = None
+            self._turn.begin()
 
     def end_exchange(self, now: float) -> bool:
         """Ends the request; returns True if the connection can be reused."""
@@ -358,6 +370,7 @@
         # A server that responded early has not read the whole request yet.
         unsent = self._transport.get_write_buffer_size() > 0
         rest = self._http.trailing_data[0]
+        rest = rest or self._unparsed
         if not self.usable or states != (h11.DONE, h11.DONE) or unsent or rest:
             return False
         self._http.start_next_cycle()
--- /dev/null
+++ b/heatherswitch/util/fairness.py
@@ -0,0 +1,80 @@
+"""Divides the event loop's time between tasks that always have work to do.
+
+asyncio gives up the event loop only when a task waits. A task whose input is buffered
+already, or whose output is taken at once, never waits.
+"""
+
+import asyncio
+import time
+import weakref
+from collections import deque
+
+# Seconds for which one task may work before the others run. Serving a request takes
+# some 20 iterations of the event loop, so that one costs others a few of these at most.
+TURN_SLICE_S = 0.002
+
+
+class Turn:
+    """The time since a task last let the others run.
+
+    :param slice_s: seconds after which :meth:`pause_if_due` lets the others run.
+    """
+
+    __slots__ = ("_ends_at", "_slice_s")
+
+    def __init__(self, slice_s: float = TURN_SLICE_S) -> None:
+        self._slice_s = slice_s
+        self._ends_at = 0.0
+        self.begin()
+
+    def begin(self) -> None:
+        """Starts the slice anew; called after the task has waited for something else."""
+        self._ends_at = time.monotonic() + self._slice_s
+
+    async def pause_if_due(self) -> None:
+        """Lets the others run once the slice is used up."""
+        if time.monotonic() >= self._ends_at:
+            await _pause()
+            self.begin()
+
+
+class _PausedTasks:
+    """Resumes one paused task in each iteration of an event loop.
+
+    If all were resumed at once, an iteration would take a slice for each of them.
+    """
+
+    __slots__ = ("_waiters",)
+
+    def __init__(self) -> None:
+        self._waiters: deque[asyncio.Future] = deque()
+
+    async def wait(self, loop: asyncio.AbstractEventLoop) -> None:
+        """Waits until it is the calling task's turn."""
+        waiter = loop.create_future()
+        self._waiters.append(waiter)
+        if len(self._waiters) == 1:
+            loop.call_soon(self._resume_next, loop)
+        await waiter
+
+    def _resume_next(self, loop: asyncio.AbstractEventLoop) -> None:
+        while self._waiters:
+            waiter = self._waiters.popleft()
+            if not waiter.done():
+                waiter.set_result(None)
+                break
+        if self._waiters:
+            loop.call_soon(self._resume_next, loop)
+
+
+_paused_tasks: weakref.WeakKeyDictionary[asyncio.AbstractEventLoop, _PausedTasks] = (
+    weakref.WeakKeyDictionary()
+)
+
+
+async def _pause() -> None:
+    loop = asyncio.get_running_loop()
+    paused = _paused_tasks.get(loop)
+    if paused is None:
+        paused = _paused_tasks[loop] = _PausedTasks()
+    await paused.wait(loop)
--- /dev/null
+++ b/test/loop_turns.py
@@ -0,0 +1,91 @@
+"""Measures the event loop's turns, and peers that send without waiting."""
+
+import asyncio
+import contextlib
+import socket
+import threading
+import time
+from collections.abc import Callable, Iterable
+
+from emulator.standin import LOOPBACK
+
+# Bytes that the peers write at once.
+WRITE_BYTES = 64 * 1024
+
+
+class LoopTurns:
+    """Records the longest iteration of the running event loop.
+
+    Iterations are measured in processor time, so that other processes do not count.
+    """
+
+    def __init__(self) -> None:
+        self.longest_s = 0.0
+        self._last = 0.0
+        self._handle: asyncio.Handle | None = None
+
+    def __enter__(self) -> "LoopTurns":
+        self._last = time.thread_time()
+        self._handle = asyncio.get_running_loop().call_soon(self._tick)
+        return self
+
+    def __exit__(self, *exc_info) -> None:
+        self._handle.cancel()
+
+    def _tick(self) -> None:
+        now = time.thread_time()
+        self.longest_s = max(self.longest_s, now - self._last)
+        self._last = now
+        self._handle = asyncio.get_running_loop().call_soon(self._tick)
+
+
+def repeat(part: bytes) -> Iterable[bytes]:
+    """Yields a part without end, many copies at a time."""
+    data = part * max(1, WRITE_BYTES // len(part))
+    while True:
+        yield data
+
+
+class EagerServer:
+    """Answers each request with bytes as fast as they are taken, from own threads.
+
+    :param respond: returns the parts of an answer; its argument is the request's head.
+    """
+
+    def __init__(self, respond: Callable[[bytes], Iterable[bytes]]) -> None:
+        self._respond = respond
+        self._listener = socket.create_server((LOOPBACK, 0))
+        self._connections: list[socket.socket] = []
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    @property
+    def address(self) -> str:
+        """The ``host:port`` of the listener."""
+        return f"{LOOPBACK}:{self._listener.getsockname()[1]}"
+
+    def close(self) -> None:
+        """Closes the listener and all connections."""
+        for sock in (self._listener, *self._connections):
+            with contextlib.suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
+            sock.close()
+
+    def _accept(self) -> None:
+        with contextlib.suppress(OSError):
+            while True:
+                connection, _ = self._listener.accept()
+                self._connections.append(connection)
+                threading.Thread(
+                    target=self._serve, args=(connection,), daemon=True
+                ).start()
+
+    def _serve(self, connection: socket.socket) -> None:
+        with contextlib.suppress(OSError):
+            head = b""
+            while b"\r\n\r\n" not in head:
+                data = connection.recv(WRITE_BYTES)
+                if not data:
+                    return
+                head += data
+            for part in self._respond(head):
+                connection.sendall(part)
--- /dev/null
+++ b/test/test_fairness.py
@@ -0,0 +1,187 @@
+"""Tests that one peer with endless work does not keep the event loop from others.
+
+Each fails if a loop over buffered input gives up the event loop only when it needs data,
+or if one step of it handles as much input as has arrived.
+"""
+
+import asyncio
+import contextlib
+import gc
+import itertools
+import time
+import unittest
+from collections.abc import Callable, Iterable
+
+from emulator.platform.deployment import API_KEY, HOST, Deployment
+from heatherswitch.util.fairness import TURN_SLICE_S, Turn
+from test.loop_turns import EagerServer, LoopTurns, repeat
+
+# Longest iteration of the event loop in processor time: some slices, since the test's own
+# callers and servers run in the same loop.
+MAX_TURN_S = 10 * TURN_SLICE_S
+# Time within which each request of another caller must be answered.
+ANSWER_WITHIN_S = 0.5
+CALLS = 30
+STUCK_REQUESTS = 4
+DEADLINE_MS = 10_000
+
+
+def attempt_id(head: bytes) -> bytes:
+    """Returns the id in the head of a request."""
+    for line in head.split(b"\r\n"):
+        name, _, value = line.partition(b":")
+        if name.lower() == b"x-attempt-id":
+            return value.strip()
+    raise ValueError("the request has no id")
+
+
+def answer_head(request: bytes, *fields: bytes, status: bytes = b"200 OK") -> bytes:
+    """Returns the head of an answer to a request."""
+    lines = [
+        b"HTTP/1.1 " + status,
+        b"X-Attempt-Id: " + attempt_id(request),
+        b"X-Response-Seal: s",
+        *fields,
+    ]
+    return b"\r\n".join(lines) + b"\r\n\r\n"
+
+
+CHUNKED = b"Transfer-Encoding: chunked"
+SMALL_EVENT = b"7\r\ndata:\n\n\r\n"
+TINY_CHUNK = b"1\r\nx\r\n"
+
+
+def endless(part: bytes, *fields: bytes, status: bytes = b"200 OK") -> Callable:
+    """Returns a server's answer of a head and a part that is repeated without end."""
+    return lambda request: itertools.chain(
+        [answer_head(request, *fields, status=status)], repeat(part)
+    )
+
+
+class EndlessAnswerTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.deployment = Deployment()
+        self.addAsyncCleanup(self.deployment.stop)
+        await self.deployment.start()
+        await self.deployment.add_server("good", "ledger")
+        # A collection of the whole test process would count as a turn.
+        gc.collect()
+        gc.freeze()
+        self.addCleanup(gc.unfreeze)
+
+    async def read_stuck(self, path: str, number: int) -> None:
+        """Sends a request and reads all that comes, as a fast caller does."""
+        host, _, port = self.deployment.gateway.addresses["callers"].rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(
+            f"POST {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: 5{number:07x}\r\n"
+            f"X-Deadline-Ms: {DEADLINE_MS}\r\nAuthorization: Bearer {API_KEY}\r\n"
+            "Content-Length: 0\r\n\r\n".encode()
+        )
+        try:
+            with contextlib.suppress(OSError):
+                while await reader.read(65536):
+                    pass
+        finally:
+            writer.transport.abort()
+
+    async def assert_others_are_served(
+        self, respond: Callable[[bytes], Iterable[bytes]], requests: int = 1
+    ) -> None:
+        """Checks the answers to others while a server's answers have no end."""
+        server = EagerServer(respond)
+        self.addCleanup(server.close)
+        entry = {"service": "appraiser", "address": server.address, "zone": "a"}
+        entry |= {"version": "v1", "slots": 8, "state": "ready", "born": 1}
+        self.deployment.store.put("servers/bad", entry)
+        await self.deployment.wait_until(
+            lambda: self.deployment.gateway.routes_to("bad")
+        )
+        stuck = [
+            asyncio.create_task(self.read_stuck("/draft/1", number))
+            for number in range(requests)
+        ]
+        took = []
+        with LoopTurns() as turns:
+            await asyncio.sleep(0.2)
+            for _ in range(CALLS):
+                started_at = time.monotonic()
+                status, _, _ = await self.deployment.call("/settle/1", method="POST")
+                self.assertEqual(status, 200)
+                took.append(time.monotonic() - started_at)
+        for task in stuck:
+            task.cancel()
+        await asyncio.gather(*stuck, return_exceptions=True)
+        print(
+            f"{self.id()}: longest turn {turns.longest_s * 1000:.1f} ms, "
+            f"slowest call {max(took) * 1000:.1f} ms"
+        )
+        self.assertLess(turns.longest_s, MAX_TURN_S)
+        self.assertLess(max(took), ANSWER_WITHIN_S)
+
+    async def test_small_events_without_end(self):
+        await self.assert_others_are_served(endless(SMALL_EVENT, CHUNKED))
+
+    async def test_small_events_without_end_in_several_streams(self):
+        await self.assert_others_are_served(
+            endless(SMALL_EVENT, CHUNKED), requests=STUCK_REQUESTS
+        )
+
+    async def test_empty_events_without_chunks(self):
+        await self.assert_others_are_served(endless(b"\n\n"))
+
+    async def test_tiny_chunks_that_complete_no_event(self):
+        await self.assert_others_are_served(endless(TINY_CHUNK, CHUNKED))
+
+    async def test_tiny_chunks_of_an_error(self):
+        await self.assert_others_are_served(
+            endless(TINY_CHUNK, CHUNKED, status=b"500 Error")
+        )
+
+    async def test_tiny_chunks_of_an_answer_to_another_request(self):
+        head = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: f00\r\n" + CHUNKED + b"\r\n\r\n"
+        await self.assert_others_are_served(
+            lambda request: itertools.chain([head], repeat(TINY_CHUNK))
+        )
+
+
+class TurnTest(unittest.IsolatedAsyncioTestCase):
+    async def test_paused_tasks_are_resumed_one_in_an_iteration(self):
+        """Else each iteration would take a slice for every task with endless work."""
+        steps = []
+
+        async def work(name: str) -> None:
+            turn = Turn(slice_s=0.0)
+            while True:
+                await turn.pause_if_due()
+                steps.append(name)
+
+        tasks = [asyncio.create_task(work(name)) for name in "abc"]
+        await asyncio.sleep(0)
+        for _ in range(30):
+            before = len(steps)
+            await asyncio.sleep(0)
+            self.assertLessEqual(len(steps) - before, 1)
+        self.assertGreaterEqual(min(steps.count(name) for name in "abc"), 8)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def test_cancelled_task_does_not_hold_up_the_others(self):
+        turn = Turn(slice_s=0.0)
+        cancelled = asyncio.create_task(turn.pause_if_due())
+        other = asyncio.create_task(turn.pause_if_due())
+        await asyncio.sleep(0)
+        cancelled.cancel()
+        async with asyncio.timeout(1.0):
+            await other
+        self.assertTrue(cancelled.cancelled())
+
+    async def test_slice_is_not_used_up_by_waiting(self):
+        turn = Turn(slice_s=0.05)
+        await asyncio.sleep(0.06)
+        turn.begin()
+        iterations = []
+        asyncio.get_running_loop().call_soon(iterations.append, 1)
+        await turn.pause_if_due()
+        self.assertEqual(iterations, [])
