Decode a large configuration in slices

A configuration of 3,500 routes (920 KB; an entry may hold a megabyte) kept a gateway from its callers for 51 ms while it was decoded. Its items are now decoded in slices of TURN_SLICE_S: the decoder yields before each item, and StoreSync lets others run. The new configuration still takes effect at once.

--- a/heatherswitch/gateway/store_sync.py
+++ b/heatherswitch/gateway/store_sync.py
@@ -4,7 +4,7 @@
 import ipaddress
 import logging
 import random
-from collections.abc import AsyncIterator, Callable, Iterable
+from collections.abc import AsyncIterator, Callable, Generator, Iterable
 from typing import Protocol
 
 from heatherswitch.gateway import events as ev
@@ -19,7 +19,7 @@
 )
 from heatherswitch.util.backoff import doubled_delay_s
 from heatherswitch.util.clock import Clock
-from heatherswitch.util.fairness import Turn
+from heatherswitch.util.fairness import Turn, run_steps
 from heatherswitch.util.record import Record
 from heatherswitch.util.untrusted import (
     describe_error,
@@ -81,8 +81,10 @@
     prefixes: tuple[str, ...]
     member_prefix: str
 
-    def read(self, entry: Entry, after_outage: bool) -> list[ev.Event]:
-        """Returns the events for one changed entry.
+    def read_steps(
+        self, entry: Entry, after_outage: bool
+    ) -> Generator[None, None, list[ev.Event]]:
+        """Returns the events for one changed entry; yields between its steps.
 
         :param after_outage: the store was unreachable shortly before, so an entry may be
             gone because its lease expired although its owner is alive.
@@ -205,7 +207,7 @@
         turn = Turn()
         for entry in changed:
             await turn.pause_if_due()
-            self._emit_change(entry, decoder, after_outage)
+            await self._emit_change(entry, decoder, after_outage, turn)
         self._emit(ev.StoreConfirmed(current_at))
         if any(e.key.startswith(decoder.member_prefix) for e in changed):
             entries = self._entries.with_prefix(decoder.member_prefix)
@@ -217,14 +219,17 @@
                 )
             )
 
-    def _emit_change(self, entry: Entry, decoder, after_outage: bool) -> None:
+    async def _emit_change(
+        self, entry: Entry, decoder, after_outage: bool, turn: Turn
+    ) -> None:
         """Passes on what follows from an entry.
 
         The replica already holds the whole batch, so that the entries after one that
         fails would not be passed on later either.
         """
         try:
-            for event in decoder.read(entry, after_outage):
+            steps = decoder.read_steps(entry, after_outage)
+            for event in await run_steps(steps, turn):
                 self._emit(event)
         except Exception:
             log.exception("store entry not applied", extra={"key": entry.key})
--- a/heatherswitch/platform/reader.py
+++ b/heatherswitch/platform/reader.py
@@ -2,6 +2,7 @@
 
 import json
 import logging
+from collections.abc import Generator
 
 from heatherswitch.gateway import events as ev
 from heatherswitch.gateway.crash_records import (
@@ -21,11 +22,12 @@
 from heatherswitch.platform import names
 from heatherswitch.platform.records import (
     RecordError,
-    decode_configuration,
+    decode_configuration_steps,
     decode_rollout_order,
     decode_server,
 )
 from heatherswitch.statecore.replica import Entry
+from heatherswitch.util.fairness import finish_steps
 from heatherswitch.util.untrusted import (
     describe_error,
     parse_object,
@@ -60,7 +62,7 @@
         """
         key, value = entry.key, entry.value
         if key == names.CONFIG_KEY:
-            return self._read_configuration(value)
+            return finish_steps(self._read_configuration(value))
         if key.startswith(names.SERVERS_PREFIX):
             server_id = key.removeprefix(names.SERVERS_PREFIX)
             server = decode_server(server_id, value) if value is not None else None
@@ -91,6 +93,14 @@
             return self._read_gateway_record(key, value)
         return []
 
+    def read_steps(
+        self, entry: Entry, after_outage: bool
+    ) -> Generator[None, None, list[ev.Event]]:
+        """Like :meth:`read`; yields between the items of a configuration."""
+        if entry.key == names.CONFIG_KEY:
+            return (yield from self._read_configuration(entry.value))
+        return self.read(entry, after_outage)
+
     def read_failed(self, entry: Entry) -> list[ev.Event]:
         """Returns the events for an entry that an unforeseen error kept from effect."""
         if entry.key == names.CONFIG_KEY:
@@ -164,12 +174,15 @@
             )
         return []
 
-    def _read_configuration(self, value: bytes | None) -> list[ev.Event]:
+    def _read_configuration(
+        self, value: bytes | None
+    ) -> Generator[None, None, list[ev.Event]]:
         if value is None:
             log.warning("configuration was deleted; keeping the last one")
             return []
         try:
-            return [ev.ConfigurationRead(decode_configuration(value))]
+            configuration = yield from decode_configuration_steps(value)
+            return [ev.ConfigurationRead(configuration)]
         except RecordError as error:
             log.error("ignoring invalid configuration", extra={"error": str(error)})
             return [ev.ConfigurationRead(None)]
--- a/heatherswitch/platform/records.py
+++ b/heatherswitch/platform/records.py
@@ -1,7 +1,7 @@
 """Decodes the JSON records that operators and backend servers write to the store."""
 
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Generator
 from typing import Any
 
 from heatherswitch.gateway.model import (
@@ -14,6 +14,7 @@
     Workspace,
 )
 from heatherswitch.gateway.rollouts import RolloutOrder
+from heatherswitch.util.fairness import finish_steps
 from heatherswitch.util.untrusted import (
     MAX_INTEGER,
     MalformedInput,
@@ -47,7 +48,12 @@
 
 
 def decode_configuration(value: bytes) -> Configuration:
-    """Decodes the operators' configuration.
+    """Runs :func:`decode_configuration_steps` in one go."""
+    return finish_steps(decode_configuration_steps(value))
+
+
+def decode_configuration_steps(value: bytes) -> Generator[None, None, Configuration]:
+    """Decodes the operators' configuration; yields before each item.
 
     A route, service, workspace, key or limit that is malformed is logged and left out,
     so that the rest, such as withdrawn keys, takes effect.
@@ -60,18 +66,26 @@
         version = read_field(document, "version", require_integer)
         return Configuration(
             version=version,
-            routes=tuple(_decode_items(document, "routes", _decode_route, left_out)),
+            routes=tuple(
+                (yield from _decode_items(document, "routes", _decode_route, left_out))
+            ),
             services={
                 s.name: s
-                for s in _decode_items(document, "services", _decode_service, left_out)
+                for s in (
+                    yield from _decode_items(
+                        document, "services", _decode_service, left_out
+                    )
+                )
             },
             caller_limits=_decode_caller_limits(
                 read_field(document, "limits", require_object, {})
             ),
             api_keys=dict(
                 pair
-                for pairs in _decode_items(
-                    document, "tenants", _decode_api_keys, left_out
+                for pairs in (
+                    yield from _decode_items(
+                        document, "tenants", _decode_api_keys, left_out
+                    )
                 )
                 for pair in pairs
             ),
@@ -87,9 +101,11 @@
     list_name: str,
     decode: Callable[[dict[str, Any]], Any],
     left_out: list[str],
-) -> list[Any]:
+) -> Generator[None, None, list[Any]]:
     """Decodes the items of a list, or of a mapping from names to items.
 
+    Yields before each item and returns them all.
+
     :param left_out: gets the name of the list for each item that is malformed.
     :raises MalformedInput: if it is neither.
     """
@@ -100,6 +116,7 @@
         pairs = [(None, i) for i in read_field(document, list_name, require_list, [])]
     decoded = []
     for name, item in pairs:
+        yield
         try:
             fields = require_object(item)
             decoded.append(decode(fields if name is None else {"name": name, **fields}))
--- a/heatherswitch/util/fairness.py
+++ b/heatherswitch/util/fairness.py
@@ -8,12 +8,17 @@
 import time
 import weakref
 from collections import deque
+from collections.abc import Generator
+from typing import TypeVar
 
 # Seconds for which one task may work before the others run. Serving a request takes
 # some 20 iterations of the event loop, so that one costs others a few of these at most.
 TURN_SLICE_S = 0.002
 
 
+Result = TypeVar("Result")
+
+
 class Turn:
     """The time since a task last let the others run.
 
@@ -38,6 +43,25 @@
             self.begin()
 
 
+def finish_steps(steps: Generator[None, None, Result]) -> Result:
+    """Runs a generator that yields between its steps in one go."""
+    while True:
+        try:
+            next(steps)
+        except StopIteration as end:
+            return end.value
+
+
+async def run_steps(steps: Generator[None, None, Result], turn: Turn) -> Result:
+    """Runs a generator that yields between its steps, and lets others run meanwhile."""
+    while True:
+        try:
+            next(steps)
+        except StopIteration as end:
+            return end.value
+        await turn.pause_if_due()
+
+
 class _PausedTasks:
     """Resumes one paused task in each iteration of an event loop.
 
--- a/test/test_fairness.py
+++ b/test/test_fairness.py
@@ -14,7 +14,13 @@
 from collections.abc import Callable, Iterable
 from unittest import mock
 
-from emulator.platform.deployment import API_KEY, HOST, Deployment, build_configuration
+from emulator.platform.deployment import (
+    API_KEY,
+    HOST,
+    Deployment,
+    build_configuration,
+    build_route,
+)
 from emulator.platform.server import PlatformServer
 from heatherswitch.gateway import events as ev
 from heatherswitch.gateway.store_sync import StoreSync
@@ -37,6 +43,7 @@
 STUCK_REQUESTS = 4
 # Entries of a large answer of the store.
 ENTRIES = 4000
+ROUTES = 3500
 DEADLINE_MS = 10_000
 
 
@@ -257,6 +264,20 @@
             server_entries(ENTRIES), lambda: gateway.routes_to(f"x{ENTRIES - 1}")
         )
 
+    async def test_configuration_with_thousands_of_routes(self):
+        """Only the parsing of the JSON text cannot be divided."""
+        configuration = build_configuration(2)
+        configuration["routes"] += [
+            build_route(f"/r{n}/", "safe", "ledger") for n in range(ROUTES)
+        ]
+        gateway = self.deployment.gateway
+        with self.assertLogs("heatherswitch.gateway", "INFO") as logs:
+            await self.assert_others_are_served(
+                {"op/config": json.dumps(configuration).encode()},
+                lambda: any("applied" in line for line in logs.output),
+            )
+        self.assertTrue(gateway.ready)
+
 
 class HalfAppliedTest(unittest.IsolatedAsyncioTestCase):
     async def test_batch_is_confirmed_only_when_all_its_events_are_out(self):
