Divide received data by its lines, not by its bytes alone

The time of a step grows with the headers, chunks and events in it, so that ReceivedData passes on more than 8 KiB as long as it has at most 512 line ends.

--- a/heatherswitch/gateway/upstream.py
+++ b/heatherswitch/gateway/upstream.py
@@ -18,6 +18,7 @@
     Headers,
     encode_headers,
 )
+from heatherswitch.util.received_data import ReceivedData
 from heatherswitch.util.record import Record
 
 log = logging.getLogger("heatherswitch.gateway.upstream")
@@ -43,9 +44,6 @@
 RUN_ONCE_IDLE_LIMIT_FRACTION = 0.4
 # Unprocessed bytes above which reading from the server pauses, for slow callers.
 READ_AHEAD_BYTES = 128 * 1024
-# Most bytes that are parsed in one step. asyncio reads up to 256 KiB at once, and a body
-# of that size without chunks may hold 100,000 events.
-PARSE_BYTES = 8 * 1024
 # Limits on skipped responses to other requests: their number and the bytes of each.
 MAX_UNRELATED_RESPONSES = 2
 MAX_UNRELATED_BYTES = 256 * 1024
@@ -169,8 +167,7 @@
         self._closed = False
         self._busy = False
         self._unread = 0
-        # Received data that is not parsed yet, in pieces; empty bytes stand for its end.
-        self._unparsed: deque[bytes] = deque()
+        self._unparsed = ReceivedData()
         self._turn = Turn()
         # Event loop time of the last progress in the response.
         self._progress_at = 0.0
@@ -206,8 +203,7 @@
             log.info("backend server sent data while no request was open")
             self.close()
             return
-        for begin in range(0, len(data), PARSE_BYTES):
-            self._unparsed.append(data[begin : begin + PARSE_BYTES])
+        self._unparsed.append(data)
         self._unread += len(data)
         if self._unread > READ_AHEAD_BYTES:
             self._transport.pause_reading()
@@ -296,7 +292,7 @@
             if size > MAX_UNRELATED_BYTES:
                 raise ConnectionLost("an answer to another request does not end")
         rest, at_end = self._http.trailing_data
-        if self._http.their_state is h11.MUST_CLOSE or at_end or b"" in self._unparsed:
+        if self._http.their_state is h11.MUST_CLOSE or at_end or self._unparsed.ended:
             raise ConnectionLost("an answer to another request ended the connection")
         self._http = _new_client_connection()
         for event in self._sent_events:
@@ -328,6 +324,7 @@
             since a faulty server may keep sending them.
         :raises ConnectionLost: if the response is cut or malformed.
         """
+        parsed = b""
         # Lines of data that completes no event.
         lines = 0
         while True:
@@ -338,12 +335,13 @@
             if event is not h11.NEED_DATA:
                 await self._turn.pause_if_due()
                 return event
+            lines += parsed.count(b"\n")
+            parsed = b""
             if lines > MAX_HEAD_LINES:
                 raise ConnectionLost(f"the head is over {MAX_HEAD_LINES} lines")
             if self._unparsed:
-                data = self._unparsed.popleft()
-                lines += data.count(b"\n")
-                self._http.receive_data(data)
+                parsed = self._unparsed.take()
+                self._http.receive_data(parsed)
                 continue
             self._unread = 0
             if self._error is not None:
--- a/heatherswitch/util/http_server.py
+++ b/heatherswitch/util/http_server.py
@@ -23,12 +23,10 @@
     encode_headers,
 )
 from heatherswitch.util.listeners import LISTEN_BACKLOG
+from heatherswitch.util.received_data import ReceivedData
 
 log = logging.getLogger("heatherswitch.http_server")
 
-# Most bytes that are parsed in one step. h11 parses a head that has arrived whole, however
-# long it is.
-PARSE_BYTES = 8 * 1024
 # Seconds after which a caller that reads nothing of its response is disconnected.
 WRITE_STALL_TIMEOUT_S = 15.0
 # Iterations of the event loop from accepting a connection to running its task.
@@ -335,6 +333,7 @@
         "_reader",
         "_server",
         "_turn",
+        "_unparsed",
         "_writer",
     )
 
@@ -348,6 +347,7 @@
         # Set while the connection waits for a request.
         self._idle_timeout: asyncio.Timeout | None = None
         self._turn = Turn()
+        self._unparsed = ReceivedData()
 
     def reset_if_truncated(self) -> None:
         """Resets the connection if closing it would complete an unfinished response.
@@ -416,12 +416,12 @@
         """
         self._apply_header_limit()
         event = self._h11_connection.next_event()
-        if event is h11.NEED_DATA:
+        if event is h11.NEED_DATA and not self._unparsed:
             data = await self._wait_for_data()
             if not data:
                 return None
             self._apply_header_limit()
-            self._h11_connection.receive_data(data)
+            self._unparsed.append(data)
             self._turn.begin()
         try:
             # Limits the total time for a request, so that a caller cannot keep a
@@ -442,7 +442,7 @@
         if idle_s > 0:
             try:
                 async with asyncio.timeout(idle_s) as self._idle_timeout:
-                    return await self._reader.read(PARSE_BYTES)
+                    return await self._reader.read(MAX_READ_BYTES)
             except TimeoutError:
                 pass
             finally:
@@ -454,7 +454,7 @@
         transport.pause_reading()
         try:
             async with asyncio.timeout(0):
-                data = await self._reader.read(PARSE_BYTES)
+                data = await self._reader.read(MAX_READ_BYTES)
         except TimeoutError:
             return b""
         transport.resume_reading()
@@ -482,7 +482,9 @@
     async def _next_event(self) -> Any:
         event = self._h11_connection.next_event()
         while event is h11.NEED_DATA:
-            self._h11_connection.receive_data(await self._reader.read(PARSE_BYTES))
+            if not self._unparsed:
+                self._unparsed.append(await self._reader.read(MAX_READ_BYTES))
+            self._h11_connection.receive_data(self._unparsed.take())
             event = self._h11_connection.next_event()
         # A read doesn't wait if the caller's data is buffered already.
         await self._turn.pause_if_due()
