Log peers whose answer or request takes much of the event loop

Nothing showed which server keeps a gateway busy by an answer without end. A piece of work that has used up LOGGED_SLICES (250, half a second) is now logged once, with the address of its peer. test_small_events_without_end checks that the line names the server; before there was no such line.

--- a/heatherswitch/gateway/store_sync.py
+++ b/heatherswitch/gateway/store_sync.py
@@ -204,7 +204,7 @@
         self, changed: list[Entry], decoder, current_at: float, after_outage: bool
     ) -> None:
         """Emits the events of changed entries; confirms the store once all are out."""
-        turn = Turn()
+        turn = Turn("changes of the store")
         for entry in changed:
             await turn.pause_if_due()
             await self._emit_change(entry, decoder, after_outage, turn)
--- a/heatherswitch/gateway/upstream.py
+++ b/heatherswitch/gateway/upstream.py
@@ -168,7 +168,7 @@
         self._busy = False
         self._unread = 0
         self._unparsed = ReceivedData()
-        self._turn = Turn()
+        self._turn = Turn("answer")
         # Event loop time of the last progress in the response.
         self._progress_at = 0.0
         # Event loop time of the last progress or reported stall.
@@ -253,6 +253,7 @@
         self._sent_events.append(h11.EndOfMessage())
         data = b"".join(self._http.send(event) for event in self._sent_events)
         self._transport.write(data)
+        self._turn = Turn("answer", self._transport.get_extra_info("peername"))
         self.record_progress()
 
     def record_progress(self) -> None:
--- a/heatherswitch/platform/store.py
+++ b/heatherswitch/platform/store.py
@@ -300,7 +300,7 @@
     items = payload.get(name)
     if items is None:
         return []
-    turn = Turn()
+    turn = Turn("response of the store")
     entries = []
     try:
         for item in require_list(items):
--- a/heatherswitch/util/fairness.py
+++ b/heatherswitch/util/fairness.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import logging
 import time
 import weakref
 from collections import deque
@@ -14,6 +15,10 @@
 # Seconds for which one task may work before the others run. Serving a request takes
 # some 20 iterations of the event loop, so that one costs others a few of these at most.
 TURN_SLICE_S = 0.002
+# Slices that one piece of work uses up before it is logged: half a second.
+LOGGED_SLICES = 250
+
+log = logging.getLogger("heatherswitch.fairness")
 
 
 Result = TypeVar("Result")
@@ -22,13 +27,20 @@
 class Turn:
     """The time since a task last let the others run.
 
+    :param work: what the task works on, for the log.
+    :param peer: host and port of the peer that sent it; None if there is none.
     :param slice_s: seconds after which :meth:`pause_if_due` lets the others run.
     """
 
-    __slots__ = ("_ends_at", "_slice_s")
+    __slots__ = ("_ends_at", "_peer", "_slice_s", "_slices", "_work")
 
-    def __init__(self, slice_s: float = TURN_SLICE_S) -> None:
+    def __init__(
+        self, work: str, peer: tuple | None = None, slice_s: float = TURN_SLICE_S
+    ) -> None:
+        self._work = work
+        self._peer = peer
         self._slice_s = slice_s
+        self._slices = 0
         self._ends_at = 0.0
         self.begin()
 
@@ -39,9 +51,23 @@
     async def pause_if_due(self) -> None:
         """Lets the others run once the slice is used up."""
         if time.monotonic() >= self._ends_at:
+            self._slices += 1
+            if self._slices == LOGGED_SLICES:
+                self._log_use()
             await _pause()
             self.begin()
 
+    def _log_use(self) -> None:
+        host, port = self._peer[:2] if self._peer else ("", "")
+        log.warning(
+            "much processing for one peer; others are served in between",
+            extra={
+                "work": self._work,
+                "peer": f"{host}:{port}",
+                "slices": self._slices,
+            },
+        )
+
 
 def finish_steps(steps: Generator[None, None, Result]) -> Result:
     """Runs a generator that yields between its steps in one go."""
--- a/heatherswitch/util/http_client.py
+++ b/heatherswitch/util/http_client.py
@@ -56,7 +56,7 @@
         :raises ConnectionLost: if the body is truncated, or its next part does not
             arrive within the timeout of the request.
         """
-        turn = Turn()
+        turn = Turn("response", self._streams[1].get_extra_info("peername"))
         while True:
             event = await self._client._next_event(
                 self._streams, self._connection, self._timeout
--- a/heatherswitch/util/http_server.py
+++ b/heatherswitch/util/http_server.py
@@ -346,7 +346,7 @@
         self._h11_connection = _new_server_connection(self._header_bytes)
         # Set while the connection waits for a request.
         self._idle_timeout: asyncio.Timeout | None = None
-        self._turn = Turn()
+        self._turn = Turn("request")
         self._unparsed = ReceivedData()
 
     def reset_if_truncated(self) -> None:
@@ -422,7 +422,7 @@
                 return None
             self._apply_header_limit()
             self._unparsed.append(data)
-            self._turn.begin()
+        self._turn = Turn("request", self._writer.get_extra_info("peername"))
         try:
             # Limits the total time for a request, so that a caller cannot keep a
             # connection busy by sending single bytes at intervals.
--- a/test/test_fairness.py
+++ b/test/test_fairness.py
@@ -164,7 +164,13 @@
         self.assertLess(max(took), ANSWER_WITHIN_S)
 
     async def test_small_events_without_end(self):
-        await self.assert_others_are_served(endless(SMALL_EVENT, CHUNKED))
+        """The log names the server, so that an operator finds it."""
+        with self.assertLogs("heatherswitch.fairness", "WARNING") as logs:
+            await self.assert_others_are_served(endless(SMALL_EVENT, CHUNKED))
+        address = self.deployment.store.read("servers/bad")
+        record = logs.records[0]
+        self.assertEqual(record.work, "answer")
+        self.assertEqual(record.peer, json.loads(address)["address"])
 
     async def test_small_events_without_end_in_several_streams(self):
         await self.assert_others_are_served(
@@ -344,7 +350,7 @@
         steps = []
 
         async def work(name: str) -> None:
-            turn = Turn(slice_s=0.0)
+            turn = Turn("test", slice_s=0.0)
             while True:
                 await turn.pause_if_due()
                 steps.append(name)
@@ -361,7 +367,7 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
     async def test_cancelled_task_does_not_hold_up_the_others(self):
-        turn = Turn(slice_s=0.0)
+        turn = Turn("test", slice_s=0.0)
         cancelled = asyncio.create_task(turn.pause_if_due())
         other = asyncio.create_task(turn.pause_if_due())
         await asyncio.sleep(0)
@@ -371,7 +377,7 @@
         self.assertTrue(cancelled.cancelled())
 
     async def test_slice_is_not_used_up_by_waiting(self):
-        turn = Turn(slice_s=0.05)
+        turn = Turn("test", slice_s=0.05)
         await asyncio.sleep(0.06)
         turn.begin()
         iterations = []
