List the gateways in slices

4,000 malformed memberships of another writer, which are logged whenever any membership changes, kept a gateway from its callers for 114 ms at a stretch. The list is now made in slices of TURN_SLICE_S.

--- a/heatherswitch/gateway/store_sync.py
+++ b/heatherswitch/gateway/store_sync.py
@@ -211,7 +211,10 @@
         self._emit(ev.StoreConfirmed(current_at))
         if any(e.key.startswith(decoder.member_prefix) for e in changed):
             entries = self._entries.with_prefix(decoder.member_prefix)
-            members = [_member(e, decoder.member_prefix) for e in entries]
+            members = []
+            for entry in entries:
+                await turn.pause_if_due()
+                members.append(_member(entry, decoder.member_prefix))
             self._emit(
                 ev.RoutersListed(
                     tuple(m.id for m in members),
--- a/test/test_fairness.py
+++ b/test/test_fairness.py
@@ -270,6 +270,15 @@
             server_entries(ENTRIES), lambda: gateway.routes_to(f"x{ENTRIES - 1}")
         )
 
+    async def test_thousands_of_malformed_memberships(self):
+        """Each is logged whenever any of them changes."""
+        prefix = PlatformReader.member_prefix
+        puts = {f"{prefix}x{n}": b'{"owner": 1}' for n in range(ENTRIES)}
+        with self.assertLogs("heatherswitch.gateway.store_sync", "WARNING") as logs:
+            await self.assert_others_are_served(
+                puts, lambda: len(logs.records) >= ENTRIES
+            )
+
     async def test_configuration_with_thousands_of_routes(self):
         """Only the parsing of the JSON text cannot be divided."""
         configuration = build_configuration(2)
