Ask the retry budget itself for its share in the test of a joint start

The test called a method of the reducer that moved to RetryBudget, and failed with an AttributeError since; the relay lane saw it. It checks the same two bounds on the same figure.

--- a/test/test_timing.py
+++ b/test/test_timing.py
@@ -83,10 +83,11 @@
         """
         limits = Limits(budget_slack=176, expected_fleet=160)
         driver = Driver(limits, routers=("me",))
-        startup_burst = driver.reducer._retry_budget_burst(driver.now)
+        budget = driver.reducer._retry_budget
+        startup_burst = budget._burst(driver.now)
         self.assertLess(68 * startup_burst, 176)
         driver.now += limits.timing.member_ttl_s
-        self.assertGreater(driver.reducer._retry_budget_burst(driver.now), 100)
+        self.assertGreater(budget._burst(driver.now), 100)
 
     def test_default_bound_on_the_fleet_size(self):
         self.assertEqual(Limits().replace().expected_fleet, DEFAULT_FLEET_SIZE)
