Move the handling of crash reports out of the reducer

gateway/crash_handling.py reports broken-off requests and exchanges the reports; gateway/crash_events.py holds its events and effects, which gateway/events.py still names. No change of behaviour.

--- /dev/null
+++ b/heatherswitch/gateway/crash_events.py
@@ -0,0 +1,96 @@
+"""Events and effects about servers that crash on parts of prompts."""
+
+from heatherswitch.gateway.prompt_quarantine import CrashReport
+from heatherswitch.util.record import Record
+
+
+class CrashEvent(Record):
+    """Base of the events that tell of crashes and of completed prompt parts."""
+
+    __slots__ = ()
+
+
+class CrashReported(CrashEvent):
+    """A gateway reported that a server broke off a request before its first output."""
+
+    __slots__ = ("report",)
+
+    def __init__(self, report: CrashReport) -> None:
+        self.report = report
+
+
+class PeerCrashReceived(CrashEvent):
+    """Another gateway sent a crash report that it also writes to the store.
+
+    :param peer: address of the sender.
+    """
+
+    __slots__ = (
+        "peer",
+        "report",
+    )
+
+    def __init__(self, peer: str, report: CrashReport) -> None:
+        self.peer = peer
+        self.report = report
+
+
+class CrashReportRemoved(CrashEvent):
+    """A crash report has expired in the store."""
+
+    __slots__ = ("report_id",)
+
+    def __init__(self, report_id: str) -> None:
+        self.report_id = report_id
+
+
+class PartCleared(CrashEvent):
+    """A gateway completed a request with a prompt part that was in crash reports.
+
+    :param part: hash of the part.
+    """
+
+    __slots__ = ("part",)
+
+    def __init__(self, part: str) -> None:
+        self.part = part
+
+
+class SendCrash(Record):
+    """Send a crash report to other gateways.
+
+    :param peers: their addresses.
+    """
+
+    __slots__ = (
+        "peers",
+        "report",
+    )
+
+    def __init__(self, peers: tuple[str, ...], report: CrashReport) -> None:
+        self.peers = peers
+        self.report = report
+
+
+class PublishCrash(Record):
+    """Report a broken-off request to all gateways."""
+
+    __slots__ = ("report",)
+
+    def __init__(self, report: CrashReport) -> None:
+        self.report = report
+
+
+class PublishCleared(Record):
+    """Tell all gateways that requests with some prompt parts were completed.
+
+    :param parts: hashes of the parts.
+    """
+
+    __slots__ = ("parts",)
+
+    def __init__(self, parts: tuple[str, ...]) -> None:
+        self.parts = parts
+
+
+CrashEffect = PublishCrash | PublishCleared
--- a/heatherswitch/gateway/events.py
+++ b/heatherswitch/gateway/events.py
@@ -3,6 +3,7 @@
 from heatherswitch.fleet.counters import Count
 from heatherswitch.fleet.evidence import EvidenceRecord
 from heatherswitch.fleet.peer_messages import PrefixHolder
+from heatherswitch.gateway import crash_events
 from heatherswitch.gateway.model import (
     CallerRequest,
     Configuration,
@@ -18,7 +19,7 @@
     NotSent,
     Rejected,
 )
-from heatherswitch.gateway.prompt_quarantine import CrashReport, QuarantineChange
+from heatherswitch.gateway.prompt_quarantine import QuarantineChange
 from heatherswitch.gateway.rollout_records import Progress
 from heatherswitch.gateway.rollouts import RolloutOrder, RolloutState
 from heatherswitch.util.record import Record
@@ -411,50 +412,11 @@
         self.counts = counts
 
 
-class CrashReported(Record):
-    """A gateway reported that a server broke off a request before its first output."""
-
-    __slots__ = ("report",)
-
-    def __init__(self, report: CrashReport) -> None:
-        self.report = report
-
-
-class PeerCrashReceived(Record):
-    """Another gateway sent a crash report that it also writes to the store.
-
-    :param peer: address of the sender.
-    """
-
-    __slots__ = (
-        "peer",
-        "report",
-    )
-
-    def __init__(self, peer: str, report: CrashReport) -> None:
-        self.peer = peer
-        self.report = report
-
-
-class CrashReportRemoved(Record):
-    """A crash report has expired in the store."""
-
-    __slots__ = ("report_id",)
-
-    def __init__(self, report_id: str) -> None:
-        self.report_id = report_id
-
-
-class PartCleared(Record):
-    """A gateway completed a request with a prompt part that was in crash reports.
-
-    :param part: hash of the part.
-    """
-
-    __slots__ = ("part",)
-
-    def __init__(self, part: str) -> None:
-        self.part = part
+CrashEvent = crash_events.CrashEvent
+CrashReported = crash_events.CrashReported
+PeerCrashReceived = crash_events.PeerCrashReceived
+CrashReportRemoved = crash_events.CrashReportRemoved
+PartCleared = crash_events.PartCleared
 
 
 class PeerFlushDue(Record):
@@ -498,10 +460,7 @@
     | PeerQueryFailed
     | PeerCountsReceived
     | ServiceTotalsReceived
-    | CrashReported
-    | PeerCrashReceived
-    | CrashReportRemoved
-    | PartCleared
+    | CrashEvent
     | PeerFlushDue
     | Tick
     | GraceEnding
@@ -712,22 +671,6 @@
         self.holders = holders
 
 
-class SendCrash(Record):
-    """Send a crash report to other gateways.
-
-    :param peers: their addresses.
-    """
-
-    __slots__ = (
-        "peers",
-        "report",
-    )
-
-    def __init__(self, peers: tuple[str, ...], report: CrashReport) -> None:
-        self.peers = peers
-        self.report = report
-
-
 class RejectPeerMessage(Record):
     """Ignore a message whose sender is not on the list of live routers."""
 
@@ -737,27 +680,6 @@
         self.peer = peer
 
 
-class PublishCrash(Record):
-    """Report a broken-off request to all gateways."""
-
-    __slots__ = ("report",)
-
-    def __init__(self, report: CrashReport) -> None:
-        self.report = report
-
-
-class PublishCleared(Record):
-    """Tell all gateways that requests with some prompt parts were completed.
-
-    :param parts: hashes of the parts.
-    """
-
-    __slots__ = ("parts",)
-
-    def __init__(self, parts: tuple[str, ...]) -> None:
-        self.parts = parts
-
-
 class ServerTakenOut(Record):
     """A backend server gets no new requests, as it asked for in a response.
 
@@ -793,7 +715,10 @@
         self.reason = reason
 
 
-CrashEffect = PublishCrash | PublishCleared
+CrashEffect = crash_events.CrashEffect
+PublishCrash = crash_events.PublishCrash
+PublishCleared = crash_events.PublishCleared
+SendCrash = crash_events.SendCrash
 PeerEffect = SendCounts | ReplyToPeer | SendCrash | RejectPeerMessage
 ServerEffect = ServerTakenOut | ServerReturned
 Effect = (
--- a/heatherswitch/gateway/reducer.py
+++ b/heatherswitch/gateway/reducer.py
@@ -7,6 +7,7 @@
 from heatherswitch.fleet.shares import FleetSize
 from heatherswitch.gateway import events as ev
 from heatherswitch.gateway.admission import RETRY_BUSY_S, Denied, admit
+from heatherswitch.gateway.crash_handling import CrashHandling
 from heatherswitch.gateway.current_configuration import CurrentConfiguration
 from heatherswitch.gateway.limits import Limits
 from heatherswitch.gateway.model import Service
@@ -14,11 +15,7 @@
 from heatherswitch.gateway.pending import Pending
 from heatherswitch.gateway.placement import RequestPlacer
 from heatherswitch.gateway.prefix_index import PrefixIndex
-from heatherswitch.gateway.prompt_quarantine import (
-    REPORT_TTL_S,
-    PromptQuarantine,
-    QuarantineChange,
-)
+from heatherswitch.gateway.prompt_quarantine import REPORT_TTL_S
 from heatherswitch.gateway.request_queue import (
     MAX_WAIT_TIME_SHARE,
     MIN_QUEUE_LENGTH,
@@ -61,13 +58,13 @@
 
     __slots__ = (
         "_configuration",
+        "_crashes",
         "_fleet",
         "_limits",
         "_peers",
         "_pending",
         "_placer",
         "_prefixes",
-        "_quarantine",
         "_queues",
         "_retry_budget",
         "_rollouts",
@@ -88,9 +85,9 @@
             own_id, limits.expected_fleet, now + limits.timing.member_ttl_s
         )
         self._prefixes = PrefixIndex()
-        self._quarantine = PromptQuarantine(own_id)
         self._servers = ServerTable()
         self._peers = PeerView(own_id, self._servers, self._prefixes)
+        self._crashes = CrashHandling(own_id, self._peers)
         self._placer = RequestPlacer(
             self._servers,
             Selector(self._fleet, self._prefixes, zone),
@@ -141,7 +138,7 @@
     @property
     def quarantined_count(self) -> int:
         """Number of prompt parts that are kept from the servers."""
-        return len(self._quarantine.crash_counts)
+        return self._crashes.quarantined_count
 
     @property
     def pending_count(self) -> int:
@@ -187,8 +184,8 @@
             case ev.ServerListed():
                 if self._servers.upsert(now, event.server):
                     self._prefixes.remove_server(event.server.id)
-                change = self._quarantine.note_heartbeat(event.server)
-                return self._quarantine_changed(now, change)
+                changed = self._crashes.note_heartbeat(event.server)
+                return [*changed, *self._dispatch_waiting(now)]
             case ev.ServerRemoved():
                 self._servers.remove(now, event.server_id, event.after_outage)
             case ev.ConfigurationRead():
@@ -225,18 +222,9 @@
                 self._rollouts.on_progress(now, event)
             case ev.RolloutEvidenceRead():
                 self._rollouts.on_evidence(now, event)
-            case ev.CrashReported():
-                return self._quarantine_changed(now, self._quarantine.add(event.report))
-            case ev.PeerCrashReceived():
-                if not self._peers.is_peer(event.peer):
-                    return [ev.RejectPeerMessage(event.peer)]
-                return self._quarantine_changed(now, self._quarantine.add(event.report))
-            case ev.CrashReportRemoved():
-                change = self._quarantine.remove(event.report_id)
-                return self._quarantine_changed(now, change)
-            case ev.PartCleared():
-                change = self._quarantine.clear((event.part,))
-                return self._quarantine_changed(now, change)
+            case ev.CrashEvent():
+                changed = self._crashes.apply(now, event)
+                return [*changed, *self._dispatch_waiting(now)]
             case ev.Tick():
                 self._servers.expire(now)
                 self._retry_budget.update_share(now)
@@ -245,7 +233,8 @@
                 self._rollouts.tick(now, self._servers.versions)
                 return [
                     *self._returned_servers(),
-                    *self._quarantine_changed(now, self._quarantine.expire(now)),
+                    *self._crashes.tick(now),
+                    *self._dispatch_waiting(now),
                 ]
         return self._dispatch_waiting(now)
 
@@ -288,7 +277,7 @@
         self, now: float, serial: int, pending: Pending
     ) -> list[ev.Effect]:
         """Forwards a request, queries a peer for it, queues it or refuses it."""
-        if self._quarantine.blocks(pending.request.prompt_parts):
+        if self._crashes.blocks(pending):
             return self._end_quarantined(serial, pending)
         choice = self._placer.choose_or_query(now, serial, pending)
         if isinstance(choice, ev.QueryLoad | ev.QueryHolder):
@@ -416,7 +405,7 @@
                 effects += self._refuse_queued(queued, "no server had room in time")
             while (queued := queue.first()) is not None:
                 pending = self._pending[queued.serial]
-                if self._quarantine.blocks(pending.request.prompt_parts):
+                if self._crashes.blocks(pending):
                     queue.discard(queued.serial)
                     effects += self._end_quarantined(queued.serial, pending)
                     continue
@@ -527,7 +516,8 @@
                 state.record_success(total_s)
                 self._count_version_result(now, pending, state, failed=False)
                 del self._pending[serial]
-                return [ev.Finish(serial), *self._note_completed(now, pending, outcome)]
+                noted = self._crashes.note_completed(now, pending, outcome)
+                return [ev.Finish(serial), *noted]
             case ev.NotSent():
                 state.record_failure(now, UNRESPONSIVE_BACKOFF_S)
                 state.connection_refused = state.connection_refused or outcome.refused
@@ -547,7 +537,7 @@
                 )
                 self._count_version_result(now, pending, state, failed=True)
                 pending.note_broken(outcome)
-                reported = self._report_crash(now, pending, state, outcome)
+                reported = self._crashes.report(now, pending, state, outcome)
                 effects = self._retry(
                     now, serial, pending, ran=True, replacement=replacement
                 )
@@ -579,7 +569,7 @@
         pending.arrivals += arrived
         if pending.drew_budget and not arrived:
             self._retry_budget.refund(now, pending.service.name)
-        if self._quarantine.blocks(pending.request.prompt_parts):
+        if self._crashes.blocks(pending):
             return self._end_quarantined(serial, pending)
         choice = replacement or self._choose_for_retry(now, pending)
         if isinstance(choice, str):
@@ -616,7 +606,7 @@
         self, now: float, pending: Pending
     ) -> Choice | NoChoice | str:
         """Returns another server for a request, or why it may not be sent again."""
-        if self._quarantine.blocks(pending.request.prompt_parts):
+        if self._crashes.blocks(pending):
             return QUARANTINE_REASON
         reason = pending.reason_not_to_retry(now)
         if reason:
@@ -664,43 +654,6 @@
     def _end_quarantined(self, serial: int, pending: Pending) -> list[ev.Effect]:
         return self._end_unserved(serial, pending, QUARANTINE_REASON, REPORT_TTL_S)
 
-    def _report_crash(
-        self, now: float, pending: Pending, state: ServerState, outcome: ev.Broken
-    ) -> list[ev.Effect]:
-        """Reports a request whose server broke off before the first output.
-
-        A silent server has not crashed, as far as this gateway can tell, and one that
-        has sent output did not crash on the prompt.
-        """
-        if outcome.silent or pending.partly_delivered:
-            return []
-        prompt = pending.request.prompt_parts
-        report = self._quarantine.report(
-            now, state.record, pending.times.sent_at, prompt
-        )
-        if report is None:
-            return []
-        change = self._quarantine.add(report)
-        messages = self._peers.crash_messages(report)
-        return [ev.PublishCrash(report), *messages, *([change] if change else [])]
-
-    def _note_completed(
-        self, now: float, pending: Pending, outcome: ev.Completed
-    ) -> list[ev.Effect]:
-        """Clears the parts of a completed prompt of suspicion."""
-        if outcome.status >= 300:
-            return []
-        parts = self._quarantine.note_completed(now, pending.request.prompt_parts)
-        if not parts:
-            return []
-        change = self._quarantine.clear(parts)
-        return [ev.PublishCleared(parts), *([change] if change else [])]
-
-    def _quarantine_changed(
-        self, now: float, change: QuarantineChange | None
-    ) -> list[ev.Effect]:
-        return [*([change] if change else []), *self._dispatch_waiting(now)]
-
     def _on_caller_disconnected(
         self, now: float, event: ev.CallerDisconnected
     ) -> list[ev.Effect]:
