Quarantine parts that can't be told apart only together

The quarantine preferred the later of two parts in the same crashed prompts, forgot a completed request after 30 s and never looked at it when another gateway's report came in.

Parts that were in the same requests in all crashes now form a group, and only requests with the whole group are refused, so a sound part is served in all other prompts: there it is completed and cleared, or the crash without it leaves a smaller group. Completed parts are remembered for ten minutes, as long as a report counts, and are suspected after those that were not completed. A gateway that completed a part of which others suspect two crashes tells them by datagram and in the store, with the request's age instead of a time, so that clocks don't matter; gateways spread this over 3 s, and the first message makes the others unnecessary.

60,000 completed parts are kept instead of 20,000: ten minutes at 100 new parts a second; tracemalloc gives 10.2 MB for them.

test_removed_reports_leave_nothing_behind clears parts up to a time now, as the quarantine does, and replays them in the fresh one.

--- a/heatherswitch/gateway/crash_events.py
+++ b/heatherswitch/gateway/crash_events.py
@@ -1,6 +1,6 @@
 """Events and effects about servers that crash on parts of prompts."""
 
-from heatherswitch.gateway.prompt_quarantine import CrashReport
+from heatherswitch.gateway.crash_report import CrashReport
 from heatherswitch.util.record import Record
 
 
@@ -48,12 +48,16 @@
     """A gateway completed a request with a prompt part that was in crash reports.
 
     :param part: hash of the part.
+    :param age_s: seconds from the completion to the message about it.
+    :param peer: address of the gateway that sent the message; empty for the store.
     """
 
-    __slots__ = ("part",)
+    __slots__ = ("part", "age_s", "peer")
 
-    def __init__(self, part: str) -> None:
+    def __init__(self, part: str, age_s: float = 0.0, peer: str = "") -> None:
         self.part = part
+        self.age_s = age_s
+        self.peer = peer
 
 
 class SendCrash(Record):
@@ -85,12 +89,28 @@
     """Tell all gateways that requests with some prompt parts were completed.
 
     :param parts: hashes of the parts.
+    :param age_s: seconds since the completion.
     """
 
-    __slots__ = ("parts",)
+    __slots__ = ("parts", "age_s")
 
-    def __init__(self, parts: tuple[str, ...]) -> None:
+    def __init__(self, parts: tuple[str, ...], age_s: float = 0.0) -> None:
         self.parts = parts
+        self.age_s = age_s
+
+
+class SendCleared(Record):
+    """Tell other gateways that requests with some prompt parts were completed.
+
+    :param peers: their addresses.
+    :param cleared: what is also written to the store.
+    """
+
+    __slots__ = ("peers", "cleared")
+
+    def __init__(self, peers: tuple[str, ...], cleared: PublishCleared) -> None:
+        self.peers = peers
+        self.cleared = cleared
 
 
 CrashEffect = PublishCrash | PublishCleared
--- a/heatherswitch/gateway/crash_handling.py
+++ b/heatherswitch/gateway/crash_handling.py
@@ -4,7 +4,10 @@
 servers, and exchanges both with the other gateways.
 """
 
+from collections.abc import Mapping
+
 from heatherswitch.gateway import events as ev
+from heatherswitch.gateway.crash_report import CrashReport
 from heatherswitch.gateway.model import Server
 from heatherswitch.gateway.peers import PeerView
 from heatherswitch.gateway.pending import Pending
@@ -26,9 +29,9 @@
         self._peers = peers
 
     @property
-    def quarantined_count(self) -> int:
-        """Number of prompt parts that are kept from the servers."""
-        return len(self._quarantine.crash_counts)
+    def quarantined(self) -> Mapping[str, int]:
+        """Number of crashes by each group of parts that is kept from the servers."""
+        return self._quarantine.crash_counts
 
     def blocks(self, pending: Pending) -> bool:
         """Returns True if a request is kept from the servers."""
@@ -38,15 +41,17 @@
         """Processes what other gateways reported."""
         match event:
             case ev.CrashReported():
-                change = self._quarantine.add(event.report)
+                change = self._add(now, event.report)
             case ev.PeerCrashReceived():
                 if not self._peers.is_peer(event.peer):
                     return [ev.RejectPeerMessage(event.peer)]
-                change = self._quarantine.add(event.report)
+                change = self._add(now, event.report)
             case ev.CrashReportRemoved():
                 change = self._quarantine.remove(event.report_id)
             case ev.PartCleared():
-                change = self._quarantine.clear((event.part,))
+                if event.peer and not self._peers.is_peer(event.peer):
+                    return [ev.RejectPeerMessage(event.peer)]
+                change = self._quarantine.clear((event.part,), now - event.age_s)
         return _effects(change)
 
     def note_heartbeat(self, server: Server) -> list[ev.Effect]:
@@ -54,8 +59,11 @@
         return _effects(self._quarantine.note_heartbeat(server))
 
     def tick(self, now: float) -> list[ev.Effect]:
-        """Acts on the passage of time."""
-        return _effects(self._quarantine.expire(now))
+        """Removes old reports, and tells of completed requests that excuse parts."""
+        effects = _effects(self._quarantine.expire(now))
+        for age_s, parts in _by_age(now, self._quarantine.take_completions(now)):
+            effects += self._clear(now, parts, age_s)
+        return effects
 
     def report(
         self, now: float, pending: Pending, state: ServerState, outcome: ev.Broken
@@ -73,9 +81,10 @@
         )
         if report is None:
             return []
-        change = self._quarantine.add(report)
-        messages = self._peers.crash_messages(report)
-        return [ev.PublishCrash(report), *messages, *_effects(change)]
+        change = self._add(now, report)
+        published = ev.PublishCrash(report)
+        messages = self._peers.crash_messages(published)
+        return [published, *messages, *_effects(change)]
 
     def note_completed(
         self, now: float, pending: Pending, outcome: ev.Completed
@@ -84,10 +93,30 @@
         if outcome.status >= 300:
             return []
         parts = self._quarantine.note_completed(now, pending.request.prompt_parts)
-        if not parts:
-            return []
-        change = self._quarantine.clear(parts)
-        return [ev.PublishCleared(parts), *_effects(change)]
+        return self._clear(now, parts, 0.0) if parts else []
+
+    def _add(self, now: float, report: CrashReport) -> QuarantineChange | None:
+        self._quarantine.note_suspected(now, report)
+        return self._quarantine.add(report)
+
+    def _clear(
+        self, now: float, parts: tuple[str, ...], age_s: float
+    ) -> list[ev.Effect]:
+        """Clears parts of suspicion here and at the other gateways."""
+        change = self._quarantine.clear(parts, now - age_s)
+        published = ev.PublishCleared(parts, age_s)
+        messages = self._peers.crash_messages(published)
+        return [published, *messages, *_effects(change)]
+
+
+def _by_age(
+    now: float, completed_at: dict[str, float]
+) -> list[tuple[float, tuple[str, ...]]]:
+    """Returns the parts that were completed by one request, with its age in seconds."""
+    by_age: dict[float, list[str]] = {}
+    for part, at in completed_at.items():
+        by_age.setdefault(now - at, []).append(part)
+    return [(age_s, tuple(parts)) for age_s, parts in by_age.items()]
 
 
 def _effects(change: QuarantineChange | None) -> list[ev.Effect]:
--- a/heatherswitch/gateway/crash_publisher.py
+++ b/heatherswitch/gateway/crash_publisher.py
@@ -5,7 +5,7 @@
 from collections import OrderedDict
 
 from heatherswitch.gateway import events as ev
-from heatherswitch.gateway.crash_records import cleared_record, encode_report
+from heatherswitch.gateway.crash_records import encode_cleared, encode_report
 from heatherswitch.gateway.prompt_quarantine import REPORT_TTL_S
 from heatherswitch.statecore.lease import LeaseStore
 from heatherswitch.statecore.store import StoreError
@@ -40,7 +40,7 @@
         if isinstance(effect, ev.PublishCrash):
             records = [encode_report(effect.report)]
         else:
-            records = [cleared_record(part) for part in effect.parts]
+            records = encode_cleared(effect)
         for key, value in records:
             self._records[key] = value
         while len(self._records) > MAX_OUTBOX:
--- a/heatherswitch/gateway/crash_records.py
+++ b/heatherswitch/gateway/crash_records.py
@@ -3,7 +3,9 @@
 import json
 import math
 
-from heatherswitch.gateway.prompt_quarantine import MAX_REPORTED_PARTS, CrashReport
+from heatherswitch.gateway.crash_events import PartCleared, PublishCleared
+from heatherswitch.gateway.crash_report import CrashReport
+from heatherswitch.gateway.prompt_quarantine import MAX_REPORTED_PARTS
 from heatherswitch.util.untrusted import (
     MalformedInput,
     describe_error,
@@ -59,6 +61,25 @@
         raise CrashRecordError(message) from error
 
 
-def cleared_record(part: str) -> tuple[str, bytes]:
-    """Returns the store key and value that clear a part of all earlier reports."""
-    return CLEARED_PREFIX + part, b"{}"
+def encode_cleared(effect: PublishCleared) -> list[tuple[str, bytes]]:
+    """Returns the store keys and values that tell of completed parts."""
+    value = json.dumps({"age_s": round(effect.age_s, 1)}).encode()
+    return [(CLEARED_PREFIX + part, value) for part in effect.parts]
+
+
+def decode_cleared(part: str, value: bytes, peer: str = "") -> PartCleared:
+    """Decodes a value of :func:`encode_cleared`.
+
+    :param part: the key without :data:`CLEARED_PREFIX`.
+    :param peer: address of the gateway that sent it; empty for the store.
+    :raises CrashRecordError: if it is malformed.
+    """
+    try:
+        # Gateways of an earlier release write no age.
+        age_s = require_number(parse_object(value).get("age_s", 0.0))
+        if not 0.0 <= age_s < math.inf:
+            raise MalformedInput("the age is out of range")
+    except MalformedInput as error:
+        message = f"malformed cleared part: {describe_error(error)}"
+        raise CrashRecordError(message) from error
+    return PartCleared(part, age_s, peer)
--- /dev/null
+++ b/heatherswitch/gateway/crash_report.py
@@ -0,0 +1,49 @@
+"""A report of a request whose server may have crashed on its prompt."""
+
+from heatherswitch.util.record import Record
+
+# Time of each crash and of the last send before it, in seconds since the epoch, by
+# prompt part and crash.
+CrashTimes = dict[str, dict[tuple[str, int], tuple[float, float]]]
+
+
+class CrashReport(Record):
+    """A server broke off a request before its first output.
+
+    :param id: unique id; starts with that of the reporting gateway.
+    :param incarnation: start of the server, to tell two crashes apart.
+    :param sent_at: time at which the request was sent to the server, in seconds since
+        the epoch.
+    :param at: time of the crash, in seconds since the epoch.
+    :param parts: hashes of the shared prompt parts, in the order of the prompt.
+    """
+
+    __slots__ = (
+        "id",
+        "server_id",
+        "incarnation",
+        "sent_at",
+        "at",
+        "parts",
+    )
+
+    def __init__(
+        self,
+        id: str,
+        server_id: str,
+        incarnation: int,
+        sent_at: float,
+        at: float,
+        parts: tuple[str, ...],
+    ) -> None:
+        self.id = id
+        self.server_id = server_id
+        self.incarnation = incarnation
+        self.sent_at = sent_at
+        self.at = at
+        self.parts = parts
+
+    @property
+    def crash(self) -> tuple[str, int]:
+        """Identifies the crash; several requests may report the same one."""
+        return (self.server_id, self.incarnation)
--- a/heatherswitch/gateway/events.py
+++ b/heatherswitch/gateway/events.py
@@ -719,7 +719,8 @@
 PublishCrash = crash_events.PublishCrash
 PublishCleared = crash_events.PublishCleared
 SendCrash = crash_events.SendCrash
-PeerEffect = SendCounts | ReplyToPeer | SendCrash | RejectPeerMessage
+SendCleared = crash_events.SendCleared
+PeerEffect = SendCounts | ReplyToPeer | SendCrash | SendCleared | RejectPeerMessage
 ServerEffect = ServerTakenOut | ServerReturned
 Effect = (
     Forward
--- a/heatherswitch/gateway/peer_link.py
+++ b/heatherswitch/gateway/peer_link.py
@@ -8,6 +8,7 @@
 
 from heatherswitch.fleet.counters import Count
 from heatherswitch.fleet.peer_messages import (
+    MAX_RECORDS,
     MessageKind,
     PeerMessage,
     PeerMessageError,
@@ -17,9 +18,12 @@
 )
 from heatherswitch.gateway import events as ev
 from heatherswitch.gateway.crash_records import (
+    CLEARED_PREFIX,
     CRASH_PREFIX,
     CrashRecordError,
+    decode_cleared,
     decode_report,
+    encode_cleared,
     encode_report,
 )
 from heatherswitch.util.datagrams import DatagramSocket
@@ -120,15 +124,23 @@
                     effect.holders,
                 )
             case ev.SendCrash():
-                records = (encode_report(effect.report),)
-                for peer in effect.peers:
-                    self._send(peer, MessageKind.RECORDS, (), records=records)
+                self._send_records(effect.peers, [encode_report(effect.report)])
+            case ev.SendCleared():
+                self._send_records(effect.peers, encode_cleared(effect.cleared))
             case ev.RejectPeerMessage():
                 self._count_message("stranger")
                 log.info(
                     "message from unknown peer ignored", extra={"peer": effect.peer}
                 )
 
+    def _send_records(
+        self, peers: tuple[str, ...], records: list[tuple[str, bytes]]
+    ) -> None:
+        for at in range(0, len(records), MAX_RECORDS):
+            batch = tuple(records[at : at + MAX_RECORDS])
+            for peer in peers:
+                self._send(peer, MessageKind.RECORDS, (), records=batch)
+
     def _send(
         self,
         peer: str,
@@ -178,11 +190,8 @@
 
     def _on_records(self, message: PeerMessage, peer: str) -> None:
         for key, value in message.records:
-            if not key.startswith(CRASH_PREFIX):
-                # A later release may send other records.
-                continue
             try:
-                report = decode_report(key.removeprefix(CRASH_PREFIX), value)
+                event = _decode_record(key, value, peer)
             except CrashRecordError as error:
                 self._count_message("malformed")
                 log.info(
@@ -190,7 +199,8 @@
                     extra={"peer": peer, "error": str(error)},
                 )
                 continue
-            self._apply(ev.PeerCrashReceived(peer, report))
+            if event is not None:
+                self._apply(event)
 
     def _count_message(self, what: str) -> None:
         self._metrics.count(
@@ -198,3 +208,16 @@
             "Messages between gateways, by what became of them.",
             {"what": what},
         )
+
+
+def _decode_record(key: str, value: bytes, peer: str) -> ev.CrashEvent | None:
+    """Returns the event of a record, or None for those that a later release sends.
+
+    :raises CrashRecordError: if it is malformed.
+    """
+    if key.startswith(CLEARED_PREFIX):
+        return decode_cleared(key.removeprefix(CLEARED_PREFIX), value, peer)
+    if key.startswith(CRASH_PREFIX):
+        report = decode_report(key.removeprefix(CRASH_PREFIX), value)
+        return ev.PeerCrashReceived(peer, report)
+    return None
--- a/heatherswitch/gateway/peers.py
+++ b/heatherswitch/gateway/peers.py
@@ -19,7 +19,6 @@
 from heatherswitch.gateway.model import PromptPart
 from heatherswitch.gateway.pending import Pending
 from heatherswitch.gateway.prefix_index import PrefixIndex
-from heatherswitch.gateway.prompt_quarantine import CrashReport
 from heatherswitch.gateway.servers import ServerState, ServerTable
 
 # Maximum number of load queries for one request; each costs a round trip.
@@ -228,15 +227,21 @@
                 self._other_totals[service] = (count.value, now)
         return []
 
-    def crash_messages(self, report: CrashReport) -> list[ev.Effect]:
-        """Returns the message that tells all other gateways of a crash.
+    def crash_messages(
+        self, effect: ev.PublishCrash | ev.PublishCleared
+    ) -> list[ev.Effect]:
+        """Returns the message that tells all other gateways what the store will.
 
-        It arrives seconds before the report in the store, and in that time a prompt
+        It arrives seconds before the record in the store, and in that time a prompt
         that is sent often can crash several servers. A lost message is not repeated.
         """
         addresses = self._owners.addresses.values()
         others = tuple(a for a in addresses if a != self._own_address)
-        return [ev.SendCrash(others, report)] if others else []
+        if not others:
+            return []
+        if isinstance(effect, ev.PublishCleared):
+            return [ev.SendCleared(others, effect)]
+        return [ev.SendCrash(others, effect.report)]
 
     def is_peer(self, address: str) -> bool:
         """Returns True if a listed gateway has this address."""
--- a/heatherswitch/gateway/prompt_quarantine.py
+++ b/heatherswitch/gateway/prompt_quarantine.py
@@ -9,25 +9,21 @@
 from collections import OrderedDict
 from collections.abc import Collection, Iterable, Mapping
 
+from heatherswitch.gateway.crash_attribution import (
+    QUARANTINE_CRASHES,
+    attribute_crashes,
+    merge_times,
+)
+from heatherswitch.gateway.crash_report import CrashReport, CrashTimes
 from heatherswitch.gateway.model import PromptPart, Server
+from heatherswitch.gateway.part_completions import SHARED_CRASHES, PartCompletions
 from heatherswitch.statecore.hashing import hash64
 from heatherswitch.util.record import Record
 
-# Crashes after which a part is quarantined.
-QUARANTINE_CRASHES = 3
-# Crashes from which a completed request with the part is announced to other gateways.
-# Most parts in reports belong to bystanders of a single crash.
-CLEAR_CRASHES = 2
-# Crashes within this many seconds count as one, unless the request was sent after the
-# crash before. A zone that fails takes servers down together, whatever they run.
-COINCIDENCE_S = 0.3
-# Seconds after a completed request in which its parts are not suspected here.
-COMPLETION_TTL_S = 30.0
 # Seconds for which a report counts.
 REPORT_TTL_S = 600.0
-# Maximum number of reports and of completed parts that a gateway remembers.
+# Maximum number of reports that a gateway remembers.
 MAX_REPORTS = 1000
-MAX_COMPLETED_PARTS = 20_000
 # Parts of one prompt in a report: the last ones, since fewer prompts share them.
 MAX_REPORTED_PARTS = 8
 
@@ -35,58 +31,14 @@
 # than the store delivers late.
 ALIVE_HEARTBEATS = 4
 
-# Time of each crash and of the last send before it, in seconds since the epoch, by
-# prompt part and crash.
-CrashTimes = dict[str, dict[tuple[str, int], tuple[float, float]]]
-
-
-class CrashReport(Record):
-    """A server broke off a request before its first output.
-
-    :param id: unique id; starts with that of the reporting gateway.
-    :param incarnation: start of the server, to tell two crashes apart.
-    :param sent_at: time at which the request was sent to the server, in seconds since
-        the epoch.
-    :param at: time of the crash, in seconds since the epoch.
-    :param parts: hashes of the shared prompt parts, in the order of the prompt.
-    """
-
-    __slots__ = (
-        "id",
-        "server_id",
-        "incarnation",
-        "sent_at",
-        "at",
-        "parts",
-    )
-
-    def __init__(
-        self,
-        id: str,
-        server_id: str,
-        incarnation: int,
-        sent_at: float,
-        at: float,
-        parts: tuple[str, ...],
-    ) -> None:
-        self.id = id
-        self.server_id = server_id
-        self.incarnation = incarnation
-        self.sent_at = sent_at
-        self.at = at
-        self.parts = parts
-
-    @property
-    def crash(self) -> tuple[str, int]:
-        """Identifies the crash; several requests may report the same one."""
-        return (self.server_id, self.incarnation)
-
 
 class QuarantineChange(Record):
-    """Prompt parts that were added to the quarantine or released from it.
+    """Groups of prompt parts that were added to the quarantine or released from it.
 
-    :param added: hash of each added part and the number of crashes on it.
-    :param released: hashes of the released parts.
+    A group is named by the hashes of its parts, joined by ``+``.
+
+    :param added: each added group and the number of crashes on it.
+    :param released: the released groups.
     """
 
     __slots__ = (
@@ -108,7 +60,7 @@
     """
 
     __slots__ = (
-        "_completed_at",
+        "_completions",
         "_crash_reports",
         "_crash_times",
         "_gateway_id",
@@ -127,22 +79,22 @@
         # Heartbeats since the last report of a crash.
         self._heartbeats: dict[tuple[str, int], int] = {}
         self._report_count = 0
-        # Time of the last completed request with a part, least recent first.
-        self._completed_at: OrderedDict[str, float] = OrderedDict()
+        self._completions = PartCompletions(gateway_id)
         self._crash_times: CrashTimes = {}
-        # Number of crashes by quarantined part.
-        self._quarantined: dict[str, int] = {}
+        # Number of crashes by quarantined group of parts.
+        self._quarantined: dict[frozenset[str], int] = {}
 
     @property
     def crash_counts(self) -> Mapping[str, int]:
-        """Number of crashes by the hash of each quarantined part."""
-        return self._quarantined
+        """Number of crashes by the name of each quarantined group of parts."""
+        return {_name(group): n for group, n in self._quarantined.items()}
 
     def blocks(self, prompt: Iterable[PromptPart]) -> bool:
-        """Returns True if a prompt contains a quarantined part."""
-        return bool(self._quarantined) and any(
-            part_hash(part) in self._quarantined for part in prompt
-        )
+        """Returns True if a prompt contains all parts of a quarantined group."""
+        if not self._quarantined:
+            return False
+        parts = {part_hash(part) for part in prompt}
+        return any(group <= parts for group in self._quarantined)
 
     def report(
         self,
@@ -159,7 +111,7 @@
         """
         # The last part is this request's own, so no other request can repeat it.
         shared = [part_hash(part) for part in prompt[:-1]]
-        suspected = [part for part in shared if not self._is_completed(now, part)]
+        suspected = [p for p in shared if not self._completions.exonerates(p, now)]
         if not suspected:
             return None
         self._report_count += 1
@@ -181,15 +133,11 @@
             gateways.
         """
         shared = [part_hash(part) for part in prompt[:-1]]
-        for part in shared:
-            self._completed_at[part] = now
-            self._completed_at.move_to_end(part)
-        while len(self._completed_at) > MAX_COMPLETED_PARTS:
-            self._completed_at.popitem(last=False)
+        self._completions.note(now, shared)
         return tuple(
             part
             for part in shared
-            if len(self._crash_times.get(part, ())) >= CLEAR_CRASHES
+            if len(self._crash_times.get(part, ())) >= SHARED_CRASHES
         )
 
     def add(self, report: CrashReport) -> QuarantineChange | None:
@@ -199,6 +147,9 @@
         """
         if report.id in self._reports:
             return None
+        exonerates = self._completions.exonerates
+        left = tuple(part for part in report.parts if not exonerates(part, report.at))
+        report = report.replace(parts=left)
         self._insert(report)
         changed = [report]
         while len(self._reports) > MAX_REPORTS:
@@ -226,21 +177,32 @@
             return None
         return self._update([self._delete(i) for i in list(self._crash_reports[crash])])
 
-    def clear(self, parts: Collection[str]) -> QuarantineChange | None:
-        """Removes parts from all reports so far: a request with them was completed.
+    def note_suspected(self, now: float, report: CrashReport) -> None:
+        """Compares a report of another gateway with the requests completed here."""
+        for part in report.parts:
+            self._completions.note_suspected(now, part, report.crash, report.at)
+
+    def take_completions(self, now: float) -> dict[str, float]:
+        """Returns parts whose completion the other gateways need to know, and its time."""
+        return self._completions.take_due(now)
+
+    def clear(self, parts: Collection[str], at: float) -> QuarantineChange | None:
+        """Removes parts from the reports that a completed request with them excuses.
 
-        Returns as :meth:`add` does.
+        All gateways know of the request. Returns as :meth:`add` does.
+
+        :param at: time of the completion.
         """
-        changed = []
-        for report in list(self._reports.values()):
-            if not report.parts or set(report.parts).isdisjoint(parts):
-                continue
-            left = tuple(part for part in report.parts if part not in parts)
-            changed.append(report)
+        self._completions.note_shared(at, parts)
+        changed = [
+            r for r in self._reports.values() if not set(parts).isdisjoint(r.parts)
+        ]
+        exonerates = self._completions.exonerates
+        for report in changed:
+            left = tuple(p for p in report.parts if not exonerates(p, report.at))
             self._reports[report.id] = report.replace(parts=left)
             self._crash_reports[report.crash][report.id] = self._reports[report.id]
-        for part in parts:
-            self._crash_times.pop(part, None)
+            self._recount(report.crash, set(report.parts).difference(left))
         return self._update(changed)
 
     def expire(self, now: float) -> QuarantineChange | None:
@@ -251,9 +213,9 @@
         old = [r.id for r in self._reports.values() if abs(now - r.at) >= REPORT_TTL_S]
         return self._update([self._delete(i) for i in old]) if old else None
 
-    def _is_completed(self, now: float, part: str) -> bool:
-        completed_at = self._completed_at.get(part)
-        return completed_at is not None and now - completed_at < COMPLETION_TTL_S
+    def _is_recent(self, part: str) -> bool:
+        first_at = min(at for at, _ in self._crash_times[part].values())
+        return self._completions.is_recent(part, first_at)
 
     def _insert(self, report: CrashReport) -> None:
         self._reports[report.id] = report
@@ -261,29 +223,33 @@
         self._crash_reports.setdefault(report.crash, {})[report.id] = report
         for part in report.parts:
             crashes = self._crash_times.setdefault(part, {})
-            crashes[report.crash] = _merge(crashes.get(report.crash), report)
+            crashes[report.crash] = merge_times(crashes.get(report.crash), report)
 
     def _delete(self, report_id: str) -> CrashReport:
         report = self._reports.pop(report_id)
         others = self._crash_reports[report.crash]
         del others[report_id]
         # A prompt may repeat a part.
-        for part in set(report.parts):
+        self._recount(report.crash, set(report.parts))
+        if not others:
+            del self._crash_reports[report.crash]
+            self._heartbeats.pop(report.crash, None)
+        return report
+
+    def _recount(self, crash: tuple[str, int], parts: Iterable[str]) -> None:
+        """Takes the times of a crash from the reports that still hold each part."""
+        for part in parts:
             times = None
-            for other in others.values():
-                if part in other.parts:
-                    times = _merge(times, other)
+            for report in self._crash_reports[crash].values():
+                if part in report.parts:
+                    times = merge_times(times, report)
             crashes = self._crash_times[part]
             if times is not None:
-                crashes[report.crash] = times
+                crashes[crash] = times
                 continue
-            del crashes[report.crash]
+            del crashes[crash]
             if not crashes:
                 del self._crash_times[part]
-        if not others:
-            del self._crash_reports[report.crash]
-            self._heartbeats.pop(report.crash, None)
-        return report
 
     def _update(self, changed: Iterable[CrashReport]) -> QuarantineChange | None:
         """Attributes the crashes to parts and quarantines those with several.
@@ -293,32 +259,27 @@
         :param changed: reports that were added, or as they were before a change.
         """
         before = self._quarantined
+        quarantined = set().union(*before)
         # A server or zone that fails brings many reports at once, most of which cannot
         # change the quarantine.
         if not any(
-            part in before or len(self._crash_times.get(part, ())) >= QUARANTINE_CRASHES
+            part in quarantined
+            or len(self._crash_times.get(part, ())) >= QUARANTINE_CRASHES
             for report in changed
             for part in report.parts
         ):
             return None
-        self._quarantined = {}
-        reports: Collection[CrashReport] = list(self._reports.values())
-        times = _with_several_crashes(self._crash_times)
-        while (part := _most_suspected(reports, times)) is not None:
-            self._quarantined[part] = len(times[part])
-            explained = times[part].keys()
-            reports = [r for r in reports if r.crash not in explained]
-            times = _with_several_crashes(
-                {
-                    other: {c: t for c, t in crashes.items() if c not in explained}
-                    for other, crashes in times.items()
-                }
-            )
-        added = {p: n for p, n in self._quarantined.items() if p not in before}
-        released = tuple(before.keys() - self._quarantined.keys())
+        self._quarantined = attribute_crashes(
+            list(self._reports.values()), self._crash_times, self._is_recent
+        )
+        added = {g: n for g, n in self._quarantined.items() if g not in before}
+        released = before.keys() - self._quarantined.keys()
         if not added and not released:
             return None
-        return QuarantineChange(tuple(added.items()), released)
+        return QuarantineChange(
+            tuple((_name(group), n) for group, n in added.items()),
+            tuple(sorted(map(_name, released))),
+        )
 
 
 def part_hash(part: PromptPart) -> str:
@@ -326,57 +287,5 @@
     return f"{hash64(part.id):016x}"
 
 
-def _with_several_crashes(crash_times: CrashTimes) -> CrashTimes:
-    """Returns the times of the parts that have enough crashes for the quarantine."""
-    return {p: t for p, t in crash_times.items() if len(t) >= QUARANTINE_CRASHES}
-
-
-def _merge(
-    known: tuple[float, float] | None, report: CrashReport
-) -> tuple[float, float]:
-    """Adds a report to the times of its crash.
-
-    A server that was sent a request after it had broken off others did not crash then:
-    its connections were reset, for instance. Only the last time counts.
-    """
-    if known is None or report.sent_at > known[0] + COINCIDENCE_S:
-        return (report.at, report.sent_at)
-    at, sent_at = known
-    if sent_at > report.at + COINCIDENCE_S:
-        return known
-    return (min(at, report.at), max(sent_at, report.sent_at))
-
-
-def _most_suspected(
-    reports: Iterable[CrashReport], crash_times: CrashTimes
-) -> str | None:
-    """Returns the part to quarantine next, or None.
-
-    That is the part with the most crashes, unless a later part of the same prompts
-    accounts for at least half of them: the later one is in fewer prompts, so
-    quarantining it refuses fewer requests.
-    """
-    counts = {part: _count_separate(t.values()) for part, t in crash_times.items()}
-    suspected = {p: n for p, n in counts.items() if n >= QUARANTINE_CRASHES}
-    if not suspected:
-        return None
-    most = max(suspected, key=lambda part: (suspected[part], part))
-    later = [
-        part
-        for report in reports
-        if most in report.parts
-        for part in report.parts[report.parts.index(most) + 1 :]
-        if 2 * suspected.get(part, 0) >= suspected[most]
-    ]
-    return later[-1] if later else most
-
-
-def _count_separate(times: Iterable[tuple[float, float]]) -> int:
-    """Counts crashes; those that happened together count as one."""
-    count = 0
-    counted_at = float("-inf")
-    for at, sent_at in sorted(times):
-        if at - counted_at >= COINCIDENCE_S or sent_at >= counted_at:
-            count += 1
-            counted_at = at
-    return count
+def _name(group: frozenset[str]) -> str:
+    return "+".join(sorted(group))
--- a/heatherswitch/gateway/reducer.py
+++ b/heatherswitch/gateway/reducer.py
@@ -136,9 +136,9 @@
         return self._placer.zones_out
 
     @property
-    def quarantined_count(self) -> int:
-        """Number of prompt parts that are kept from the servers."""
-        return self._crashes.quarantined_count
+    def crashes(self) -> CrashHandling:
+        """Crash reports and the prompt parts that are kept from the servers."""
+        return self._crashes
 
     @property
     def pending_count(self) -> int:
--- a/heatherswitch/gateway/telemetry.py
+++ b/heatherswitch/gateway/telemetry.py
@@ -153,7 +153,7 @@
             ),
             "gateway_quarantined_prompt_parts": (
                 "Prompt parts on which servers crash, kept from the servers.",
-                reducer.quarantined_count,
+                len(reducer.crashes.quarantined),
             ),
             "gateway_fleet_size": (
                 "Gateways among which fleet-wide limits are divided.",
--- a/heatherswitch/platform/reader.py
+++ b/heatherswitch/platform/reader.py
@@ -9,6 +9,7 @@
     CLEARED_PREFIX,
     CRASH_PREFIX,
     CrashRecordError,
+    decode_cleared,
     decode_report,
 )
 from heatherswitch.gateway.rollout_records import (
@@ -158,9 +159,9 @@
 
     def _read_gateway_record(self, key: str, value: bytes) -> list[ev.Event]:
         """Decodes rollout progress, rollout evidence and cleared prompt parts."""
-        if key.startswith(CLEARED_PREFIX):
-            return [ev.PartCleared(key.removeprefix(CLEARED_PREFIX))]
         try:
+            if key.startswith(CLEARED_PREFIX):
+                return [decode_cleared(key.removeprefix(CLEARED_PREFIX), value)]
             if key.startswith(PROGRESS_PREFIX):
                 service = key.removeprefix(PROGRESS_PREFIX)
                 return [ev.RolloutProgressRead(service, decode_progress(value))]
@@ -172,6 +173,11 @@
                 "ignoring invalid rollout record",
                 extra={"key": key, "error": str(error)},
             )
+        except CrashRecordError as error:
+            log.warning(
+                "ignoring invalid cleared part",
+                extra={"key": key, "error": str(error)},
+            )
         return []
 
     def _read_configuration(
--- /dev/null
+++ b/test/test_crash_attribution.py
@@ -0,0 +1,97 @@
+"""Tests which part of a prompt is held responsible for crashes of servers."""
+
+import unittest
+
+from heatherswitch.gateway import events as ev
+from heatherswitch.gateway.prompt_quarantine import part_hash
+from test.test_prompt_quarantine import Fleet, prompt
+
+# Seconds without requests, after which chats come back.
+QUIET_S = 32.0
+# BUDGET allows three requests with the part later than contact_ms after the fifth crash.
+CONTACT_S = 3.0
+BUDGET_CRASHES = 5
+BUDGET_REQUESTS = 3
+
+
+class SharedPartTest(unittest.TestCase):
+    """A sound part that is in the same crashed prompts as the one that crashes."""
+
+    def play(self, fleet: Fleet, gateways_before: int) -> list[ev.Effect]:
+        """Returns the outcomes of sound requests after the crashes."""
+        for number in range(24):
+            fleet.advance(0.05)
+            sound = prompt(f"s{number % 8}", "shared", f"before{number}")
+            fleet.send(number % gateways_before, "/chat/1", sound)
+        fleet.advance(QUIET_S)
+        for number in range(6):
+            crashing = prompt("deadly", "shared", f"crash{number}")
+            fleet.send(number % len(fleet.drivers), "/chat/1", crashing)
+            fleet.advance(0.8)
+        fleet.advance(7.0)
+        fleet.outcomes["sound"].clear()
+        for number in range(24):
+            fleet.advance(0.05)
+            sound = prompt(f"s{number % 8}", "shared", f"after{number}")
+            fleet.send(number % len(fleet.drivers), "/chat/1", sound)
+        return fleet.outcomes["sound"]
+
+    def assert_only_the_deadly_part_is_quarantined(
+        self, fleet: Fleet, crashes: int = 4
+    ) -> None:
+        self.assertLessEqual(len(fleet.crashes), crashes)
+        deadly = part_hash(prompt("deadly")[0])
+        for gateway in range(len(fleet.drivers)):
+            self.assertEqual(fleet.quarantined(gateway), {deadly})
+
+    def assert_served(self, outcomes: list[ev.Effect]) -> None:
+        self.assertEqual([e for e in outcomes if not isinstance(e, ev.Finish)], [])
+
+    def test_sound_part_is_not_quarantined_after_a_quiet_time(self):
+        """Review case 4: a completed request was forgotten before the crashes."""
+        fleet = Fleet(2, 6, "deadly")
+        self.assert_served(self.play(fleet, gateways_before=2))
+        self.assert_only_the_deadly_part_is_quarantined(fleet)
+
+    def test_part_completed_at_another_gateway_only_is_not_quarantined(self):
+        """Gateways that had not completed a request with the part blamed it."""
+        for peers in (False, True):
+            with self.subTest(peers=peers):
+                fleet = Fleet(5, 12, "deadly", peers)
+                self.assert_served(self.play(fleet, gateways_before=1))
+                # Without messages, the fourth request comes before the store tells all.
+                self.assert_only_the_deadly_part_is_quarantined(
+                    fleet, 4 if peers else 5
+                )
+
+    def test_part_that_was_never_completed_before_the_crashes_is_served(self):
+        """Two parts that no completed request tells apart: the later one was blamed."""
+        fleet = Fleet(2, 6, "deadly", peers=True)
+        for number in range(6):
+            crashing = prompt("deadly", "shared", f"crash{number}")
+            fleet.send(number % 2, "/chat/1", crashing)
+            fleet.advance(0.8)
+        fleet.advance(7.0)
+        for number in range(24):
+            fleet.advance(0.05)
+            sound = prompt(f"s{number % 8}", "shared", f"after{number}")
+            fleet.send(number % 2, "/chat/1", sound)
+        self.assert_served(fleet.outcomes["sound"])
+        self.assert_only_the_deadly_part_is_quarantined(fleet)
+
+    def test_part_alone_narrows_the_group(self):
+        """Each other part of a group would have cost three more crashes."""
+        fleet = Fleet(2, 12, "deadly", peers=True)
+        for number in range(12):
+            others = ("a", "b") if number < 3 else ("b",) if number < 6 else ()
+            fleet.send(number % 2, "/chat/1", prompt("deadly", *others, f"{number}"))
+            fleet.advance(CONTACT_S + 1.0)
+        self.assertLessEqual(len(fleet.crashes), BUDGET_CRASHES + BUDGET_REQUESTS)
+        self.assertEqual(fleet.quarantined(0), {part_hash(prompt("deadly")[0])})
+
+    def test_few_gateways_write_that_a_part_was_completed(self):
+        """Store writes are billed, and all gateways may have completed the part."""
+        fleet = Fleet(60, 12, "deadly", peers=True)
+        self.assert_served(self.play(fleet, gateways_before=24))
+        self.assert_only_the_deadly_part_is_quarantined(fleet)
+        self.assertLessEqual(len(fleet.cleared), 6)
--- a/test/test_prompt_quarantine.py
+++ b/test/test_prompt_quarantine.py
@@ -11,6 +11,7 @@
 from emulator.platform.server import Behaviour
 from heatherswitch.fleet.peer_messages import MessageKind, PeerMessage, encode
 from heatherswitch.gateway import events as ev
+from heatherswitch.gateway.crash_attribution import COINCIDENCE_S
 from heatherswitch.gateway.crash_publisher import (
     MAX_OUTBOX,
     CrashOutbox,
@@ -21,17 +22,17 @@
     CRASH_PREFIX,
     CrashRecordError,
     decode_report,
+    encode_cleared,
     encode_report,
 )
+from heatherswitch.gateway.crash_report import CrashReport
 from heatherswitch.gateway.model import PromptPart
+from heatherswitch.gateway.part_completions import EXONERATION_S
 from heatherswitch.gateway.peer_link import PeerLink
 from heatherswitch.gateway.prompt_quarantine import (
     ALIVE_HEARTBEATS,
-    COINCIDENCE_S,
-    COMPLETION_TTL_S,
     MAX_REPORTS,
     REPORT_TTL_S,
-    CrashReport,
     PromptQuarantine,
     part_hash,
 )
@@ -55,6 +56,7 @@
 
     :ivar arrivals: time of each request with a deadly part that reached a server.
     :ivar crashes: time of each crash.
+    :ivar cleared: effects that tell the store of completed parts.
     """
 
     DELAY_S = 2.0
@@ -71,6 +73,7 @@
         self.deadly = deadly
         self.arrivals: list[float] = []
         self.crashes: list[float] = []
+        self.cleared: list[ev.PublishCleared] = []
         self.outcomes: dict[str, list[ev.Effect]] = {"deadly": [], "sound": []}
         self._records: deque[tuple[float, ev.Event]] = deque()
         self._restarts: deque[tuple[float, str]] = deque()
@@ -87,8 +90,10 @@
 
     def advance(self, seconds: float) -> None:
         """Advances all clocks, delivers due records and restarts servers."""
-        for driver in self.drivers:
+        for number, driver in enumerate(self.drivers):
+            driver.take_effects()
             driver.advance(seconds)
+            self._publish(number, driver.take_effects())
         now = self.drivers[0].now
         while self._records and self._records[0][0] <= now:
             _, event = self._records.popleft()
@@ -123,6 +128,10 @@
             effect = next(e for e in effects if getattr(e, "serial", 0) == serial)
         self.outcomes[kind].append(effect)
 
+    def quarantined(self, gateway: int) -> set[str]:
+        """Returns the names of the groups of parts that a gateway quarantines."""
+        return set(self.drivers[gateway].reducer.crashes.quarantined)
+
     def _crash(self, server_id: str) -> None:
         now = self.drivers[0].now
         self.arrivals.append(now)
@@ -133,18 +142,27 @@
         due_at = self.drivers[0].now + self.DELAY_S
         addresses = dict(self._addresses)
         for effect in effects:
-            if isinstance(effect, ev.SendCrash):
-                sender = addresses[f"g{gateway}"]
-                for driver, (_, address) in zip(
-                    self.drivers, self._addresses, strict=True
-                ):
-                    if address in effect.peers:
-                        driver.apply(ev.PeerCrashReceived(sender, effect.report))
+            if isinstance(effect, ev.SendCrash | ev.SendCleared):
+                self._deliver(addresses[f"g{gateway}"], effect)
             if isinstance(effect, ev.PublishCrash):
                 self._records.append((due_at, ev.CrashReported(effect.report)))
             elif isinstance(effect, ev.PublishCleared):
+                self.cleared.append(effect)
                 for part in effect.parts:
-                    self._records.append((due_at, ev.PartCleared(part)))
+                    cleared = ev.PartCleared(part, effect.age_s)
+                    self._records.append((due_at, cleared))
+
+    def _deliver(self, sender: str, effect: ev.SendCrash | ev.SendCleared) -> None:
+        events: list[ev.Event] = []
+        if isinstance(effect, ev.SendCrash):
+            events.append(ev.PeerCrashReceived(sender, effect.report))
+        else:
+            age_s = effect.cleared.age_s
+            for part in effect.cleared.parts:
+                events.append(ev.PartCleared(part, age_s, sender))
+        for driver, (_, address) in zip(self.drivers, self._addresses, strict=True):
+            for event in events if address in effect.peers else ():
+                driver.apply(event)
 
 
 class DeadlyPromptReplayTest(unittest.TestCase):
@@ -279,7 +297,7 @@
 
     def test_part_that_completed_long_ago_can_become_deadly(self):
         self.complete("root", "subject", "own")
-        self.driver.advance(COMPLETION_TTL_S)
+        self.driver.advance(EXONERATION_S)
         for number in range(3):
             self.crash("root", "subject", f"own{number}")
         self.assertIsInstance(self.decide("root", "subject", "own"), ev.Refuse)
@@ -463,6 +481,7 @@
         for seed in range(20):
             rng = random.Random(seed)
             quarantine = PromptQuarantine("g")
+            cleared: list[tuple[str, float]] = []
             for number in range(60):
                 at = rng.uniform(0.0, 40.0)
                 parts = tuple(f"p{rng.randrange(6)}" for _ in range(rng.randrange(5)))
@@ -479,8 +498,11 @@
                 if rng.random() < 0.5:
                     quarantine.remove(f"r{rng.randrange(60)}")
                 if rng.random() < 0.1:
-                    quarantine.clear((f"p{rng.randrange(6)}",))
+                    cleared.append((f"p{rng.randrange(6)}", rng.uniform(-30.0, 40.0)))
+                    quarantine.clear(cleared[-1][:1], cleared[-1][1])
                 fresh = PromptQuarantine("g")
+                for part, completed_at in cleared:
+                    fresh.clear((part,), completed_at)
                 for report in quarantine._reports.values():
                     fresh.add(report)
                 self.assertEqual(quarantine._crash_times, fresh._crash_times)
@@ -501,10 +523,29 @@
             event = await received.get()
         self.assertEqual(event, ev.PeerCrashReceived(sender.address, report))
 
+    async def test_completed_parts_reach_another_gateway(self):
+        received = asyncio.Queue()
+        sender = PeerLink(lambda event: None, Metrics())
+        receiver = PeerLink(received.put_nowait, Metrics())
+        for link in (sender, receiver):
+            await link.bind("127.0.0.1", 0)
+            self.addCleanup(link.close)
+        parts = tuple("abcdef")
+        cleared = ev.PublishCleared(parts, 31.0)
+        sender.send_effect(ev.SendCleared((receiver.address,), cleared))
+        async with asyncio.timeout(2):
+            events = [await received.get() for _ in parts]
+        peer = sender.address
+        self.assertEqual(events, [ev.PartCleared(p, 31.0, peer) for p in parts])
+
     async def test_malformed_record_of_a_peer_is_ignored(self):
         events = []
         link = PeerLink(events.append, Metrics())
-        for record in ((CRASH_PREFIX + "g/1", b"{}"), ("other/1", b"{}")):
+        for record in (
+            (CRASH_PREFIX + "g/1", b"{}"),
+            (CLEARED_PREFIX + "a", b"[]"),
+            ("other/1", b"{}"),
+        ):
             message = PeerMessage(MessageKind.RECORDS, 1, 1, 0, (), records=(record,))
             link._on_datagram(encode(message), "10.0.0.1:1")
         self.assertEqual(events, [])
@@ -513,8 +554,13 @@
         driver = Driver()
         driver.take_effects()
         report = CrashReport("g/1", "e1", 1, 1.0, 2.0, ("a",))
-        driver.apply(ev.PeerCrashReceived("10.0.0.9:1", report))
-        self.assertEqual(driver.take_effects(), [ev.RejectPeerMessage("10.0.0.9:1")])
+        for event in (
+            ev.PeerCrashReceived("10.0.0.9:1", report),
+            ev.PartCleared("a", 0.0, "10.0.0.9:1"),
+        ):
+            driver.apply(event)
+            rejected = [ev.RejectPeerMessage("10.0.0.9:1")]
+            self.assertEqual(driver.take_effects(), rejected)
 
 
 class RecordTest(unittest.TestCase):
@@ -531,6 +577,15 @@
         (event,) = self.read(CLEARED_PREFIX + "a", b"{}")
         self.assertEqual(event, ev.PartCleared("a"))
 
+    def test_completion_survives_the_store_with_its_age(self):
+        ((key, value),) = encode_cleared(ev.PublishCleared(("a",), 32.5))
+        self.assertEqual(self.read(key, value), [ev.PartCleared("a", 32.5)])
+
+    def test_malformed_cleared_part_is_ignored(self):
+        for value in (b"[]", b"\xff", b'{"age_s": -1}', b'{"age_s": 1e999}', b"null"):
+            with self.subTest(value), self.assertLogs(level="WARNING"):
+                self.assertEqual(self.read(CLEARED_PREFIX + "a", value), [])
+
     def test_malformed_report_is_ignored(self):
         good = json.loads(encode_report(CrashReport("r", "e1", 1, 1.0, 2.0, ("a",)))[1])
         for changes in (
