--- a/heatherswitch/gateway/crash_handling.py
+++ b/heatherswitch/gateway/crash_handling.py
@@ -76,15 +76,14 @@
         if outcome.silent or pending.partly_delivered:
             return []
         prompt = pending.request.prompt_parts
-        report = self._quarantine.report(
+        effects: list[ev.Effect] = []
+        for report in self._quarantine.report(
             now, state.record, pending.times.sent_at, prompt
-        )
-        if report is None:
-            return []
-        change = self._add(now, report)
-        published = ev.PublishCrash(report)
-        messages = self._peers.crash_messages(published)
-        return [published, *messages, *_effects(change)]
+        ):
+            published = ev.PublishCrash(report)
+            effects += [published, *self._peers.crash_messages(published)]
+            effects += _effects(self._add(now, report))
+        return effects
 
     def note_completed(
         self, now: float, pending: Pending, outcome: ev.Completed
--- a/heatherswitch/gateway/crash_records.py
+++ b/heatherswitch/gateway/crash_records.py
@@ -4,8 +4,7 @@
 import math
 
 from heatherswitch.gateway.crash_events import PartCleared, PublishCleared
-from heatherswitch.gateway.crash_report import CrashReport
-from heatherswitch.gateway.prompt_quarantine import MAX_REPORTED_PARTS
+from heatherswitch.gateway.crash_report import MAX_REPORTED_PARTS, CrashReport
 from heatherswitch.util.untrusted import (
     MalformedInput,
     describe_error,
@@ -33,7 +32,7 @@
         "at": round(report.at, 3),
         "parts": report.parts,
     }
-    return CRASH_PREFIX + report.id, json.dumps(value).encode()
+    return CRASH_PREFIX + report.id, json.dumps(value, separators=(",", ":")).encode()
 
 
 def decode_report(report_id: str, value: bytes) -> CrashReport:
--- a/heatherswitch/gateway/crash_report.py
+++ b/heatherswitch/gateway/crash_report.py
@@ -2,6 +2,10 @@
 
 from heatherswitch.util.record import Record
 
+# Maximum number of prompt parts in a report. Its record has about 19 bytes for each, and
+# a datagram takes records of 1000 bytes.
+MAX_REPORTED_PARTS = 40
+
 # Time of each crash and of the last send before it, in seconds since the epoch, by
 # prompt part and crash.
 CrashTimes = dict[str, dict[tuple[str, int], tuple[float, float]]]
@@ -15,7 +19,7 @@
     :param sent_at: time at which the request was sent to the server, in seconds since
         the epoch.
     :param at: time of the crash, in seconds since the epoch.
-    :param parts: hashes of the shared prompt parts, in the order of the prompt.
+    :param parts: hashes of shared prompt parts.
     """
 
     __slots__ = (
--- a/heatherswitch/gateway/prompt_quarantine.py
+++ b/heatherswitch/gateway/prompt_quarantine.py
@@ -14,7 +14,11 @@
     attribute_crashes,
     merge_times,
 )
-from heatherswitch.gateway.crash_report import CrashReport, CrashTimes
+from heatherswitch.gateway.crash_report import (
+    MAX_REPORTED_PARTS,
+    CrashReport,
+    CrashTimes,
+)
 from heatherswitch.gateway.model import PromptPart, Server
 from heatherswitch.gateway.part_completions import SHARED_CRASHES, PartCompletions
 from heatherswitch.statecore.hashing import hash64
@@ -24,8 +28,6 @@
 REPORT_TTL_S = 600.0
 # Maximum number of reports that a gateway remembers.
 MAX_REPORTS = 1000
-# Parts of one prompt in a report: the last ones, since fewer prompts share them.
-MAX_REPORTED_PARTS = 8
 
 # Heartbeats after which a server that broke off requests counts as not crashed: more
 # than the store delivers late.
@@ -102,27 +104,32 @@
         server: Server,
         sent_at: float,
         prompt: tuple[PromptPart, ...],
-    ) -> CrashReport | None:
-        """Returns a report of a broken-off request for all gateways.
+    ) -> list[CrashReport]:
+        """Returns reports of a broken-off request for all gateways.
+
+        A prompt with more suspected parts than fit into a report makes several.
 
         :param sent_at: time at which the request was sent to the server.
-        :returns: None if requests with each of its shared parts were completed
+        :returns: nothing if requests with each of its shared parts were completed
             recently.
         """
         # The last part is this request's own, so no other request can repeat it.
-        shared = [part_hash(part) for part in prompt[:-1]]
+        shared = dict.fromkeys(part_hash(part) for part in prompt[:-1])
         suspected = [p for p in shared if not self._completions.exonerates(p, now)]
-        if not suspected:
-            return None
-        self._report_count += 1
-        return CrashReport(
-            f"{self._gateway_id}/{self._report_count}",
-            server.id,
-            server.incarnation,
-            sent_at,
-            now,
-            tuple(suspected[-MAX_REPORTED_PARTS:]),
-        )
+        reports = []
+        for first in range(0, len(suspected), MAX_REPORTED_PARTS):
+            self._report_count += 1
+            reports.append(
+                CrashReport(
+                    f"{self._gateway_id}/{self._report_count}",
+                    server.id,
+                    server.incarnation,
+                    sent_at,
+                    now,
+                    tuple(suspected[first : first + MAX_REPORTED_PARTS]),
+                )
+            )
+        return reports
 
     def note_completed(
         self, now: float, prompt: tuple[PromptPart, ...]
--- a/test/test_crash_attribution.py
+++ b/test/test_crash_attribution.py
@@ -2,8 +2,11 @@
 
 import unittest
 
+from heatherswitch.fleet.peer_messages import MAX_RECORD_BYTES
 from heatherswitch.gateway import events as ev
-from heatherswitch.gateway.prompt_quarantine import part_hash
+from heatherswitch.gateway.crash_records import decode_report, encode_report
+from heatherswitch.gateway.prompt_quarantine import PromptQuarantine, part_hash
+from test.gateway_fakes import server
 from test.test_prompt_quarantine import Fleet, prompt
 
 # Seconds without requests, after which chats come back.
@@ -95,3 +98,36 @@
         self.assert_served(self.play(fleet, gateways_before=24))
         self.assert_only_the_deadly_part_is_quarantined(fleet)
         self.assertLessEqual(len(fleet.cleared), 6)
+
+
+class LongChatTest(unittest.TestCase):
+    def play(self, turns: int) -> Fleet:
+        """Plays chats whose second part crashes servers, among sound ones."""
+        fleet = Fleet(2, 4, "deadly", peers=True)
+        for number in range(40):
+            fleet.advance(0.25)
+            chat = [f"{number}-{turn}" for turn in range(turns)]
+            crashing = prompt("root", "deadly", *chat, f"own{number}")
+            fleet.send(number % 2, "/chat/1", crashing)
+            fleet.send(number % 2, "/chat/1", prompt("root", "sound", *chat, "own"))
+        return fleet
+
+    def test_part_with_many_turns_behind_it_is_quarantined(self):
+        """Review case 5: a report named only the last eight parts of a prompt."""
+        for turns in (9, 38, 150):
+            with self.subTest(turns=turns):
+                fleet = self.play(turns)
+                self.assertEqual(len(fleet.crashes), 3)
+                deadly = part_hash(prompt("deadly")[0])
+                self.assertEqual(fleet.quarantined(1), {deadly})
+
+    def test_reports_of_a_long_chat_fit_into_datagrams(self):
+        """Records over the limit are malformed to other gateways."""
+        quarantine = PromptQuarantine("gateway-" + "1" * 40)
+        chat = prompt(*(f"part{number}" for number in range(100)))
+        reports = quarantine.report(1e9, server("e" * 40), 1e9, chat)
+        for report in reports:
+            key, value = encode_report(report)
+            self.assertLessEqual(len(value), MAX_RECORD_BYTES)
+            self.assertEqual(decode_report(report.id, value), report)
+        self.assertEqual(sum(len(report.parts) for report in reports), len(chat) - 1)
