Check the prompt quarantine on random fleets

A model plays the crash handling of 1 to 200 gateways with prompts of 2 to 40 parts, 0.2 to 50 requests a second, lost datagrams and late store records, and counts the crashes on the part and the sound requests held back. python -m test.crash_model WORLDS SEED plays more worlds than the test's 24 and prints a table.

--- /dev/null
+++ b/test/test_crash_model.py
@@ -0,0 +1,22 @@
+"""Tests the quarantine of prompt parts on random fleets, prompts and delays."""
+
+import unittest
+
+from test.crash_model import Play, World
+
+WORLDS = 24
+
+
+class CrashModelTest(unittest.TestCase):
+    def play(self, **options) -> None:
+        """Plays seeded worlds, none of which may break BUDGET or LOST."""
+        for seed in range(WORLDS):
+            world = World(seed, **options)
+            with self.subTest(seed=seed):
+                result = Play(world).run()
+                self.assertFalse(result.breaks_budget, result.crashes)
+                self.assertEqual(result.held_back[0], 0)
+
+    def test_part_that_crashes_servers_is_held_back_and_no_other(self):
+        """Sound parts were held back, or the part that crashes servers was not."""
+        self.play()
