Report servers that crash after the first piece of an answer

Servers kept crashing if they wrote a piece before the crash: a request that had delivered output was not reported at all. The same held for the second server of a resumed stream.

A stream is reported now unless it had output for a second. One that had shows that its parts are sound, also when its server crashes on another prompt, so that a part shared by all isn't blamed while nothing completes.

--- a/heatherswitch/gateway/crash_handling.py
+++ b/heatherswitch/gateway/crash_handling.py
@@ -8,12 +8,16 @@
 
 from heatherswitch.gateway import events as ev
 from heatherswitch.gateway.crash_report import CrashReport
-from heatherswitch.gateway.model import Server
+from heatherswitch.gateway.model import PromptPart, RequestKind, Server
 from heatherswitch.gateway.peers import PeerView
 from heatherswitch.gateway.pending import Pending
 from heatherswitch.gateway.prompt_quarantine import PromptQuarantine, QuarantineChange
 from heatherswitch.gateway.servers import ServerState
 
+# Seconds of output after which a stream shows that its prompt does not crash the server.
+# A server may write a first piece before it crashes.
+BEGUN_S = 1.0
+
 
 class CrashHandling:
     """The crash reports of the fleet and the requests that they keep back.
@@ -68,14 +72,22 @@
     def report(
         self, now: float, pending: Pending, state: ServerState, outcome: ev.Broken
     ) -> list[ev.Effect]:
-        """Reports a request whose server broke off before the first output.
+        """Reports a request whose server broke off when it began to write.
 
-        A silent server has not crashed, as far as this gateway can tell, and one that
-        has sent output did not crash on the prompt.
+        A silent server has not crashed, as far as this gateway can tell. One that had
+        written for :data:`BEGUN_S` did not crash on this prompt, so that the parts are
+        cleared of suspicion instead.
         """
-        if outcome.silent or pending.partly_delivered:
+        if outcome.silent:
+            return []
+        streamed = pending.route.kind is RequestKind.STREAMING
+        if outcome.started and not streamed:
             return []
         prompt = pending.request.prompt_parts
+        times = pending.times
+        begun_s = times.first_event_s
+        if begun_s is not None and now - times.sent_at - begun_s >= BEGUN_S:
+            return self._note_sound(now, prompt)
         effects: list[ev.Effect] = []
         for report in self._quarantine.report(
             now, state.record, pending.times.sent_at, prompt
@@ -91,7 +103,12 @@
         """Clears the parts of a completed prompt of suspicion."""
         if outcome.status >= 300:
             return []
-        parts = self._quarantine.note_completed(now, pending.request.prompt_parts)
+        return self._note_sound(now, pending.request.prompt_parts)
+
+    def _note_sound(
+        self, now: float, prompt: tuple[PromptPart, ...]
+    ) -> list[ev.Effect]:
+        parts = self._quarantine.note_completed(now, prompt)
         return self._clear(now, parts, 0.0) if parts else []
 
     def _add(self, now: float, report: CrashReport) -> QuarantineChange | None:
--- a/test/test_crash_model.py
+++ b/test/test_crash_model.py
@@ -20,3 +20,7 @@
     def test_part_that_crashes_servers_is_held_back_and_no_other(self):
         """Sound parts were held back, or the part that crashes servers was not."""
         self.play()
+
+    def test_part_that_crashes_servers_after_their_first_piece_is_held_back(self):
+        """Crashes after the first piece were not reported."""
+        self.play(pieces_before_crash=1)
--- a/test/test_prompt_quarantine.py
+++ b/test/test_prompt_quarantine.py
@@ -11,7 +11,8 @@
 from emulator.platform.server import Behaviour
 from heatherswitch.fleet.peer_messages import MessageKind, PeerMessage, encode
 from heatherswitch.gateway import events as ev
-from heatherswitch.gateway.crash_attribution import COINCIDENCE_S
+from heatherswitch.gateway.crash_attribution import COINCIDENCE_S, QUARANTINE_CRASHES
+from heatherswitch.gateway.crash_handling import BEGUN_S
 from heatherswitch.gateway.crash_publisher import (
     MAX_OUTBOX,
     CrashOutbox,
@@ -315,13 +316,59 @@
         self.assertEqual(cleared.parts, (part_hash(PromptPart("root", 1)),))
         self.assertIsInstance(self.decide("root", "own"), ev.Forward)
 
-    def test_stream_that_sent_output_is_not_reported(self):
-        serial = self.driver.send_request("/chat/1", parts=prompt("root", "own"))
+    def break_off(self, *ids: str, begun_s: float, path="/chat/1") -> list[ev.Effect]:
+        """Breaks a stream off that began so many seconds ago; returns the effects."""
+        serial = self.driver.send_request(path, parts=prompt(*ids), deadline_s=20.0)
+        (forward,) = self.driver.take_effects()
+        self.driver.advance(0.2)
+        self.driver.apply(ev.StreamProgressed(serial, 0.2, None))
+        self.driver.advance(begun_s)
         self.driver.take_effects()
         self.driver.apply(ev.AttemptEnded(serial, ev.Broken("cut", started=True)))
-        self.assertFalse(
-            [e for e in self.driver.take_effects() if isinstance(e, ev.PublishCrash)]
-        )
+        self.driver.apply(ev.ServerRemoved(forward.server.id, False))
+        return self.driver.take_effects()
+
+    def test_stream_that_had_output_for_long_is_not_reported(self):
+        """Its server had written on these parts and lived."""
+        for _ in range(QUARANTINE_CRASHES):
+            effects = self.break_off("root", "own", begun_s=BEGUN_S)
+            self.assertFalse([e for e in effects if isinstance(e, ev.PublishCrash)])
+        self.assertIsInstance(self.decide("root", "own"), ev.Forward)
+
+    def test_server_that_crashes_after_its_first_piece_is_reported(self):
+        """No report was made once a piece was delivered, so servers kept crashing."""
+        for number in range(QUARANTINE_CRASHES):
+            self.break_off("root", "deadly", f"own{number}", begun_s=0.4)
+        self.assertIsInstance(self.decide("root", "deadly", "own"), ev.Refuse)
+
+    def test_second_server_of_a_resumed_stream_that_crashes_is_reported(self):
+        """A piece from the first server hid the crash of the second."""
+        serial = self.driver.send_request("/live/1", parts=prompt("root", "own"))
+        self.driver.apply(ev.StreamProgressed(serial, 0.0, None))
+        self.driver.advance(BEGUN_S - 0.1)
+        cut = ev.Broken("cut", started=True)
+        self.driver.apply(ev.AttemptEnded(serial, cut))
+        self.driver.take_effects()
+        self.driver.advance(0.5)
+        self.driver.apply(ev.AttemptEnded(serial, cut))
+        effects = self.driver.take_effects()
+        self.assertTrue([e for e in effects if isinstance(e, ev.PublishCrash)])
+
+    def test_running_stream_excuses_its_parts_when_its_server_crashes(self):
+        """A part that all prompts share was blamed while no request was completed."""
+        for number in range(QUARANTINE_CRASHES):
+            self.crash("root", f"a{number}")
+        self.assertIsInstance(self.decide("root", "own"), ev.Refuse)
+        self.driver = Driver()
+        self.driver.add_servers(*self.servers)
+        for number in range(QUARANTINE_CRASHES):
+            serial = self.driver.send_request(
+                "/chat/1", parts=prompt("root", "own"), deadline_s=20.0
+            )
+            self.driver.apply(ev.StreamProgressed(serial, 0.0, None))
+            self.crash("root", f"a{number}", after_s=BEGUN_S)
+            self.driver.end_attempt(serial, ev.Broken("cut", started=True))
+        self.assertIsInstance(self.decide("root", "own"), ev.Forward)
 
     def test_silent_server_is_not_reported(self):
         serial = self.driver.send_request("/chat/1", parts=prompt("root", "own"))
