Date crash reports of other gateways by this gateway's clock

Reports carry the sender's clock, and crashes within 0.3 s count as one. If clocks were further apart, one failure of a zone quarantined a part that its servers had in common, and three separate crashes could count as one.

The shortest time from the writing to the arrival of a gateway's messages is taken as the difference of the clocks and corrects its reports, those from the store too. A gateway whose messages never arrive stays uncorrected.

--- a/heatherswitch/gateway/crash_handling.py
+++ b/heatherswitch/gateway/crash_handling.py
@@ -7,6 +7,7 @@
 from collections.abc import Mapping
 
 from heatherswitch.gateway import events as ev
+from heatherswitch.gateway.clock_offsets import ClockOffsets
 from heatherswitch.gateway.crash_report import CrashReport
 from heatherswitch.gateway.model import PromptPart, RequestKind, Server
 from heatherswitch.gateway.peers import PeerView
@@ -26,11 +27,12 @@
     :param peers: the other gateways.
     """
 
-    __slots__ = ("_peers", "_quarantine")
+    __slots__ = ("_clocks", "_peers", "_quarantine")
 
     def __init__(self, own_id: str, peers: PeerView) -> None:
         self._quarantine = PromptQuarantine(own_id)
         self._peers = peers
+        self._clocks = ClockOffsets()
 
     @property
     def quarantined(self) -> Mapping[str, int]:
@@ -45,11 +47,13 @@
         """Processes what other gateways reported."""
         match event:
             case ev.CrashReported():
-                change = self._add(now, event.report)
+                change = self._add_from_other(now, event.report)
             case ev.PeerCrashReceived():
                 if not self._peers.is_peer(event.peer):
                     return [ev.RejectPeerMessage(event.peer)]
-                change = self._add(now, event.report)
+                report = event.report
+                self._clocks.note(now, report.gateway_id, report.at)
+                change = self._add_from_other(now, report)
             case ev.CrashReportRemoved():
                 change = self._quarantine.remove(event.report_id)
             case ev.PartCleared():
@@ -111,6 +115,14 @@
         parts = self._quarantine.note_completed(now, prompt)
         return self._clear(now, parts, 0.0) if parts else []
 
+    def _add_from_other(
+        self, now: float, report: CrashReport
+    ) -> QuarantineChange | None:
+        """Adds a report with its times by this gateway's clock."""
+        offset_s = self._clocks.offset_s(report.gateway_id)
+        sent_at, at = report.sent_at + offset_s, report.at + offset_s
+        return self._add(now, report.replace(sent_at=sent_at, at=at))
+
     def _add(self, now: float, report: CrashReport) -> QuarantineChange | None:
         self._quarantine.note_suspected(now, report)
         return self._quarantine.add(report)
--- a/heatherswitch/gateway/crash_report.py
+++ b/heatherswitch/gateway/crash_report.py
@@ -47,6 +47,11 @@
         self.at = at
         self.parts = parts
 
+    @property
+    def gateway_id(self) -> str:
+        """Id of the reporting gateway."""
+        return self.id.rpartition("/")[0]
+
     @property
     def crash(self) -> tuple[str, int]:
         """Identifies the crash; several requests may report the same one."""
--- a/test/test_crash_attribution.py
+++ b/test/test_crash_attribution.py
@@ -5,8 +5,9 @@
 from heatherswitch.fleet.peer_messages import MAX_RECORD_BYTES
 from heatherswitch.gateway import events as ev
 from heatherswitch.gateway.crash_records import decode_report, encode_report
+from heatherswitch.gateway.crash_report import CrashReport
 from heatherswitch.gateway.prompt_quarantine import PromptQuarantine, part_hash
-from test.gateway_fakes import server
+from test.gateway_fakes import Driver, server
 from test.test_prompt_quarantine import Fleet, prompt
 
 # Seconds without requests, after which chats come back.
@@ -131,3 +132,74 @@
             self.assertLessEqual(len(value), MAX_RECORD_BYTES)
             self.assertEqual(decode_report(report.id, value), report)
         self.assertEqual(sum(len(report.parts) for report in reports), len(chat) - 1)
+
+
+class ClockTest(unittest.TestCase):
+    """Gateways whose clocks differ report crashes to one whose clock is right."""
+
+    SKEWS_S = (2.0, 0.0, -2.0)
+
+    def setUp(self):
+        names = tuple(f"g{number}" for number in range(len(self.SKEWS_S)))
+        self.driver = Driver(routers=("me", *names))
+        addresses = tuple((name, f"{name}:1") for name in ("me", *names))
+        self.driver.apply(ev.RoutersListed(("me", *names), addresses))
+
+    def report(self, gateway: int, number: int, delay_s: float = 0.0) -> None:
+        """Reports the crash of a server by message, and then by the store."""
+        at = self.driver.now + self.SKEWS_S[gateway]
+        server_id = f"e{number}-{gateway}"
+        report = CrashReport(
+            f"g{gateway}/{number}", server_id, 1, at - 0.1, at, ("part",)
+        )
+        self.driver.now += delay_s
+        self.driver.apply(ev.PeerCrashReceived(f"g{gateway}:1", report))
+        self.driver.apply(ev.CrashReported(report))
+        self.driver.now -= delay_s
+
+    def test_servers_that_fail_together_quarantine_nothing(self):
+        """Clocks more than 0.3 s apart made one failure of a zone look like several."""
+        for gateway in range(len(self.SKEWS_S)):
+            self.report(gateway, 0, delay_s=0.01)
+        self.assertEqual(self.driver.reducer.crashes.quarantined, {})
+
+    def test_late_message_does_not_separate_crashes(self):
+        """The time from sending to reading a message is no difference of clocks."""
+        for gateway in range(len(self.SKEWS_S)):
+            report = CrashReport(
+                f"g{gateway}/1",
+                "other",
+                1,
+                0.0,
+                self.driver.now + self.SKEWS_S[gateway],
+                (),
+            )
+            self.driver.apply(ev.PeerCrashReceived(f"g{gateway}:1", report))
+        self.driver.advance(10.0)
+        for gateway in range(len(self.SKEWS_S)):
+            self.report(gateway, 2, delay_s=0.5 * gateway)
+        self.assertEqual(self.driver.reducer.crashes.quarantined, {})
+
+    def test_separate_crashes_count_as_separate(self):
+        """Clocks that are late by the time between crashes made them look like one."""
+        for gateway in range(len(self.SKEWS_S)):
+            self.report(gateway, 3)
+            self.driver.advance(2.0)
+        self.assertEqual(self.driver.reducer.crashes.quarantined, {"part": 3})
+
+    def test_report_in_the_store_has_the_clock_of_its_gateway(self):
+        """A lost message is made good by the store, whose records come late."""
+        for gateway in range(len(self.SKEWS_S)):
+            self.report(gateway, 4)
+        self.driver.advance(10.0)
+        reports = []
+        for gateway, skew_s in enumerate(self.SKEWS_S):
+            at = self.driver.now + skew_s
+            report = CrashReport(
+                f"g{gateway}/5", f"e5-{gateway}", 1, at - 0.1, at, ("other",)
+            )
+            reports.append(report)
+        for report in reports:
+            self.driver.advance(1.0)
+            self.driver.apply(ev.CrashReported(report))
+        self.assertEqual(self.driver.reducer.crashes.quarantined, {})
