--- a/heatherswitch/gateway/crash_events.py
+++ b/heatherswitch/gateway/crash_events.py
@@ -11,7 +11,7 @@
 
 
 class CrashReported(CrashEvent):
-    """A gateway reported that a server broke off a request before its first output."""
+    """A gateway reported that a server broke off a request when it began to write."""
 
     __slots__ = ("report",)
 
--- a/heatherswitch/gateway/crash_report.py
+++ b/heatherswitch/gateway/crash_report.py
@@ -12,7 +12,7 @@
 
 
 class CrashReport(Record):
-    """A server broke off a request before its first output.
+    """A server broke off a request when it began to write.
 
     :param id: unique id; starts with that of the reporting gateway.
     :param incarnation: start of the server, to tell two crashes apart.
--- a/heatherswitch/gateway/telemetry.py
+++ b/heatherswitch/gateway/telemetry.py
@@ -123,10 +123,10 @@
         )
 
     def count_crash_report(self) -> None:
-        """Counts a request whose server broke off before any output."""
+        """Counts a request whose server broke off when it began to write."""
         self._metrics.count(
             "gateway_crash_reports_total",
-            "Requests with suspected prompts whose server broke off before any output.",
+            "Requests with suspected prompts whose server broke off when it began to write.",
             {},
         )
 
--- a/test/test_fuzz_decoders.py
+++ b/test/test_fuzz_decoders.py
@@ -222,6 +222,11 @@
         self.apply(CRASH_PREFIX + report_id, value)
         self.apply(CLEARED_PREFIX + report_id, value)
 
+    @FUZZ_SETTINGS
+    @given(documents({"age_s": 31.5}), st.text(max_size=9))
+    def test_cleared_parts(self, value, part):
+        self.apply(CLEARED_PREFIX + part, value)
+
     @FUZZ_SETTINGS
     @given(documents({"owner": "127.0.0.1:8", "lease": 7}), st.text(max_size=9))
     def test_members(self, value, member_id):
