Bound the crash reports of one crash

A gateway that sends reports of one crash without end kept the event loop of the others for 21 to 27 ms at a stretch (limit 20): from the 1,001st report on, each new one removes the oldest, and each of its parts is looked for in all reports of the crash. 200 reports of a crash are more than the requests that a server runs; further ones are ignored.

--- a/heatherswitch/gateway/prompt_quarantine.py
+++ b/heatherswitch/gateway/prompt_quarantine.py
@@ -28,6 +28,9 @@
 REPORT_TTL_S = 600.0
 # Maximum number of reports that a gateway remembers.
 MAX_REPORTS = 1000
+# Maximum number of reports of one crash: more than the requests that a server runs. The
+# time to remove a report grows with the others of its crash.
+MAX_CRASH_REPORTS = 200
 
 # Heartbeats after which a server that broke off requests counts as not crashed: more
 # than the store delivers late.
@@ -163,12 +166,14 @@
         )
 
     def add(self, report: CrashReport) -> QuarantineChange | None:
-        """Adds a report; one with a known id is ignored.
+        """Adds a report; one with a known id, or of a crash with many, is ignored.
 
         :returns: the change of the quarantine, or None if there is none.
         """
         if report.id in self._reports:
             return None
+        if len(self._crash_reports.get(report.crash, ())) >= MAX_CRASH_REPORTS:
+            return None
         exonerates = self._completions.exonerates
         left = tuple(part for part in report.parts if not exonerates(part, report.at))
         report = report.replace(parts=left)
