--- /dev/null
+++ b/emulator/platform/soak_callers.py
@@ -0,0 +1,102 @@
+"""Callers of a soak of gateways, and what they record."""
+
+import asyncio
+import random
+import time
+
+from emulator.platform.deployment import HOST
+from emulator.platform.soak_checks import Call, History
+from emulator.platform.soak_deployment import API_KEYS, SoakDeployment
+from heatherswitch.util.http import ConnectionLost, HttpError
+from heatherswitch.util.http_client import HttpClient
+
+CALLERS = 12
+# Seconds that a caller waits for a response.
+CALL_TIMEOUT_S = 3.0
+PATHS = ("/lookup/1", "/settle/1", "/draft/1", "/answer/1")
+
+
+class Callers:
+    """Callers that send requests to all gateways until they are stopped.
+
+    :param history: gets each request with its response.
+    """
+
+    def __init__(self, deployment: SoakDeployment, history: History) -> None:
+        self._deployment = deployment
+        self._history = history
+        self._running = True
+        self._tasks: list[asyncio.Task] = []
+
+    def start(self) -> None:
+        """Starts the callers."""
+        self._tasks = [asyncio.create_task(self._run_caller(n)) for n in range(CALLERS)]
+
+    async def stop(self) -> list[BaseException]:
+        """Waits for the pending requests and returns the errors that ended callers."""
+        self._running = False
+        results = await asyncio.gather(*self._tasks, return_exceptions=True)
+        return [result for result in results if result is not None]
+
+    async def _run_caller(self, number: int) -> None:
+        """Sends requests to random gateways, over connections that it keeps open."""
+        rng = random.Random(number)
+        clients: dict[str, HttpClient] = {}
+        count = 0
+        while self._running:
+            # A gateway that stops is used until its process is gone.
+            prefer_stopping = self._deployment.stopping and rng.random() < 0.5
+            gateway = rng.choice(
+                self._deployment.stopping
+                if prefer_stopping
+                else self._deployment.gateways
+            )
+            client = clients.setdefault(
+                gateway.address, HttpClient.from_address(gateway.address)
+            )
+            count += 1
+            call = Call(
+                f"{number:02}-{count:05}",
+                rng.choice(PATHS),
+                rng.choice(list(API_KEYS)),
+                time.monotonic(),
+                gateway=gateway.name,
+            )
+            self._history.calls.append(call)
+            if rng.random() < 0.05:
+                await self._call_and_disconnect(client, call, rng)
+            else:
+                await self._call(client, call)
+            await asyncio.sleep(rng.uniform(0.0, 0.1))
+        for client in clients.values():
+            client.close()
+
+    async def _call(self, client: HttpClient, call: Call) -> None:
+        headers = [
+            ("Host", HOST),
+            ("X-Attempt-Id", call.id),
+            ("X-Deadline-Ms", str(int(CALL_TIMEOUT_S * 1000))),
+            ("Authorization", f"Bearer {call.key}"),
+        ]
+        method = "GET" if call.path.startswith("/lookup") else "POST"
+        try:
+            response = await client.request(
+                method, call.path, headers, timeout=CALL_TIMEOUT_S + 1.0
+            )
+            call.body = await response.read()
+            call.headers = dict(response.headers)
+            call.status = response.status
+        except HttpError as error:
+            call.status = 0
+            in_time = time.monotonic() - call.sent_at < CALL_TIMEOUT_S
+            call.lost = isinstance(error, ConnectionLost) and in_time
+        finally:
+            call.ended_at = time.monotonic()
+
+    async def _call_and_disconnect(self, client: HttpClient, call: Call, rng) -> None:
+        task = asyncio.create_task(self._call(client, call))
+        await asyncio.sleep(rng.uniform(0.0, 0.2))
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        if task.cancelled():
+            call.status = 0
--- /dev/null
+++ b/emulator/platform/soak_deployment.py
@@ -0,0 +1,121 @@
+"""The store, gateway processes and backend servers of a soak of gateways."""
+
+import asyncio
+import signal
+from pathlib import Path
+
+from emulator.platform.deployment import build_configuration, build_route
+from emulator.platform.process import GatewayProcess
+from emulator.platform.server import Behaviour, PlatformServer
+from emulator.platform.store import PlatformStoreServer
+from emulator.proxy import FaultProxy
+
+GATEWAYS = 3
+LEDGERS = 3
+ENGINES = 3
+# Seeds that differ modulo this use other loopback addresses, so they can run at once.
+MAX_ADDRESS_GROUPS = 200
+# Number of events in a stream, and seconds between two of them.
+STREAM_EVENTS = 12
+EVENT_GAP_S = 0.03
+# Workspace by API key.
+API_KEYS = {"key-huon": "huon", "key-derwent": "derwent", "key-tamar": "tamar"}
+# Behaviour by service, without faults.
+NORMAL_BEHAVIOUR = {
+    "ledger": Behaviour(echo=True, delay_s=0.01),
+    "appraiser": Behaviour(echo=True, events=STREAM_EVENTS, event_gap_s=EVENT_GAP_S),
+}
+
+
+class SoakDeployment:
+    """Several gateway processes with their store and backend servers.
+
+    Each server, and each gateway's way to the store, is behind a proxy for faults.
+
+    :param seed: selects the loopback addresses.
+    :param directory: where the gateways write their settings and logs.
+    :ivar servers: each server with its proxy and the name of its service.
+    :ivar stopping: gateways that got SIGTERM and still run.
+    :ivar valid_keys: workspace by API key that the newest configuration holds.
+    """
+
+    def __init__(self, seed: int, directory: Path) -> None:
+        self.store = PlatformStoreServer()
+        self.store_links: list[FaultProxy] = []
+        self.gateways: list[GatewayProcess] = []
+        self.stopping: list[GatewayProcess] = []
+        self.servers: list[tuple[PlatformServer, FaultProxy, str]] = []
+        self.valid_keys = dict(API_KEYS)
+        self._configuration_version = 1
+        self._address_group = 1 + seed % MAX_ADDRESS_GROUPS
+        self._directory = directory
+
+    async def start(self) -> None:
+        """Starts everything and waits until all gateways are ready.
+
+        :raises TimeoutError: if the gateways do not become ready.
+        """
+        await self.store.start()
+        self.write_configuration()
+        for service, count in (("ledger", LEDGERS), ("appraiser", ENGINES)):
+            for number in range(count):
+                await self._add_server(f"{service}-{number}", service)
+        for number in range(GATEWAYS):
+            link = FaultProxy(self.store.address)
+            await link.start()
+            self.store_links.append(link)
+            gateway = GatewayProcess(
+                2 + number, link.address, self._directory, self._address_group
+            )
+            self.gateways.append(gateway)
+        await asyncio.gather(*(gateway.start() for gateway in self.gateways))
+        async with asyncio.timeout(10):
+            while not all([await gateway.is_ready() for gateway in self.gateways]):
+                await asyncio.sleep(0.1)
+
+    async def stop(self) -> None:
+        """Kills the gateways and stops the servers, the proxies and the store."""
+        for gateway in self.gateways:
+            if gateway.running:
+                gateway.signal(signal.SIGCONT)
+                await gateway.kill()
+        for server, link, _ in self.servers:
+            await link.stop()
+            await server.stop()
+        for link in self.store_links:
+            await link.stop()
+        await self.store.stop()
+
+    def write_configuration(self) -> None:
+        """Writes a new version of the configuration with a route of its own."""
+        tenants = [
+            {"name": name, "api_keys": [key], "priority": 1}
+            for key, name in self.valid_keys.items()
+        ]
+        routes = build_configuration()["routes"]
+        routes.append(
+            build_route(f"/extra-{self._configuration_version}/", "safe", "ledger")
+        )
+        configuration = build_configuration(
+            self._configuration_version, tenants=tenants, routes=routes
+        )
+        self.store.put("op/config", configuration)
+        self._configuration_version += 1
+
+    async def _add_server(self, server_id: str, service: str) -> None:
+        server = PlatformServer(server_id, NORMAL_BEHAVIOUR[service])
+        await server.start()
+        link = FaultProxy(server.address)
+        await link.start()
+        self.servers.append((server, link, service))
+        self.publish_server(server, link, service)
+
+    def publish_server(
+        self, server: PlatformServer, link: FaultProxy, service: str, **changes
+    ) -> None:
+        """Writes a server's entry in the store.
+
+        :param changes: fields that replace the defaults.
+        """
+        entry = server.store_entry(service, address=link.address, **changes)
+        self.store.put(f"servers/{server.id}", entry)
