Check in the soak the retry budget of each service over the fleet

It now takes repeats by service and window over all gateways, with a slack of 10 that a failure of seconds can exceed, and whatever is impaired. A new fault lets all servers of one service fail while callers send much traffic to another one.

--- a/emulator/platform/retry_checks.py
+++ b/emulator/platform/retry_checks.py
@@ -1,9 +1,13 @@
 """Checks that the gateways' repeats stay within the fleet's retry budget."""
 
 from bisect import bisect_left, bisect_right
+from collections import defaultdict
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from emulator.platform.configuration_checks import versions_in_force
+from emulator.platform.soak_checks import History
+
 # Seconds of the sliding window in which repeats are counted.
 BUDGET_WINDOW_S = 10.0
 
@@ -68,3 +72,43 @@
         if worst is None or use.share > worst.share:
             worst = use
     return worst
+
+
+def worst_uses(history: History, ratio: float, slack: float) -> list[BudgetUse]:
+    """Returns the worst window of each service whose requests were repeated.
+
+    A request counts for each service to which a version that may be in force sends it,
+    and for those that it reached.
+    """
+    arrivals = defaultdict(list)
+    reached = defaultdict(set)
+    for arrival in history.arrivals:
+        service = history.services[arrival.server_id]
+        arrivals[service].append((arrival.at, arrival.id))
+        reached[arrival.id].add(service)
+    sent_at = defaultdict(list)
+    for call in history.calls:
+        versions = versions_in_force(history, call.sent_at, call.sent_at)
+        allowed = {v.find_service(call.host, call.path) for v in versions}
+        for service in allowed | reached[call.id]:
+            sent_at[service].append(call.sent_at)
+    uses = [
+        worst_budget_use(service, sent_at[service], arrivals[service], ratio, slack)
+        for service in arrivals
+    ]
+    return [use for use in uses if use is not None]
+
+
+def find_budget_violations(history: History, ratio: float, slack: float) -> list[str]:
+    """Checks the retry budget of each service over all gateways.
+
+    No impairment excuses repeats beyond it.
+
+    :returns: one line for each violation.
+    """
+    return [
+        f"budget: {use.repeats} repeats at {use.service} in {BUDGET_WINDOW_S:g} s, "
+        f"{use.allowed:.0f} allowed, at {use.ends_at:.2f} s"
+        for use in worst_uses(history, ratio, slack)
+        if use.share > 1
+    ]
--- a/emulator/platform/soak.py
+++ b/emulator/platform/soak.py
@@ -10,6 +10,8 @@
 import json
 import random
 import sys
+import time
+from collections.abc import Collection
 from pathlib import Path
 
 from emulator.platform.configuration_checks import (
@@ -17,6 +19,7 @@
     find_configuration_violations,
 )
 from emulator.platform.process import temporary_directory
+from emulator.platform.retry_checks import find_budget_violations, worst_uses
 from emulator.platform.soak_callers import Callers
 from emulator.platform.soak_checks import (
     History,
@@ -24,7 +27,12 @@
     count_statuses,
     find_violations,
 )
-from emulator.platform.soak_deployment import STREAM_EVENTS, SoakDeployment
+from emulator.platform.soak_deployment import (
+    RETRY_RATIO,
+    RETRY_SLACK,
+    STREAM_EVENTS,
+    SoakDeployment,
+)
 from emulator.platform.soak_faults import FaultInjector
 
 # Seconds after which the platform allows no request with a withdrawn API key.
@@ -38,10 +46,20 @@
 
     :param seconds: how long faults are injected.
     :param directory: where the gateways write their settings and logs.
+    :param extra: kinds of faults that are injected besides the usual ones.
+    :param only: if not empty, the kinds of faults that are injected alone.
     :ivar faults: number of injected faults by kind.
     """
 
-    def __init__(self, seed: int, seconds: float, directory: Path) -> None:
+    def __init__(
+        self,
+        seed: int,
+        seconds: float,
+        directory: Path,
+        extra: Collection[str] = (),
+        only: Collection[str] = (),
+    ) -> None:
+        self._extra, self._only = extra, only
         self._duration_s = seconds
         self._deployment = SoakDeployment(seed, directory)
         self.history = History(events=STREAM_EVENTS, versions=self._deployment.versions)
@@ -64,7 +82,7 @@
             raise
         self._callers.start()
         try:
-            await self._injector.run(self._duration_s)
+            await self._injector.run(self._duration_s, self._extra, self._only)
             await asyncio.sleep(RECOVERY_S)
         finally:
             errors = await self._callers.stop()
@@ -77,8 +95,30 @@
         workspaces = self._deployment.configuration.workspaces
         found = find_violations(self.history, REVOCATION_LIMIT_S, workspaces)
         found += find_configuration_violations(self.history)
+        found += find_budget_violations(self.history, RETRY_RATIO, RETRY_SLACK)
         return found + self._check_recovery()
 
+    def write_timeline(self, path: Path) -> None:
+        """Writes when faults and versions came, in the time of the gateways' logs."""
+        offset_s = time.time() - time.monotonic()
+        rows = [
+            {"at": began_at, "until": ended_at, "fault": kind}
+            for kind, began_at, ended_at in self._injector.timeline
+        ]
+        rows += [
+            {"at": v.written_at, "configuration": v.version}
+            for v in self.history.versions
+        ]
+        rows += [
+            {"at": fault.begins_at, "until": fault.ends_at, "store_fault": fault.name}
+            for fault in self.history.store_faults
+        ]
+        with path.open("w") as file:
+            for row in sorted(rows, key=lambda row: row["at"]):
+                for name in {"at", "until"} & set(row):
+                    row[name] = round(row[name] + offset_s, 3)
+                file.write(json.dumps(row) + "\n")
+
     def _check_recovery(self) -> list[str]:
         newest = self.history.versions[-1]
         since = self.history.calls[-1].sent_at - RECOVERY_S / 2
@@ -98,16 +138,25 @@
         return []
 
 
-async def run_seed(seed: int, seconds: float, work_directory: Path | None) -> list[str]:
+async def run_seed(
+    seed: int,
+    seconds: float,
+    work_directory: Path | None,
+    extra: Collection[str] = (),
+    only: Collection[str] = (),
+) -> list[str]:
     """Runs a soak with one seed and prints its counts as a JSON line.
 
-    :param work_directory: directory for settings and logs; a temporary one if None.
+    :param work_directory: directory for settings, logs and a timeline; a temporary one
+        if None.
+    :param extra: see :class:`Soak`, also for ``only``.
     :returns: one line for each violation.
     """
     with temporary_directory() as name:
         directory = work_directory or Path(name)
-        soak = Soak(seed, seconds, directory)
+        soak = Soak(seed, seconds, directory, extra, only)
         found = await soak.run()
+        soak.write_timeline(directory / "timeline.jsonl")
         during_stops = calls_during_stops(soak.history)
         run_ids = {run.id for run in soak.history.runs}
         report = {
@@ -118,6 +167,10 @@
             "statuses": count_statuses(soak.history),
             "calls_during_stops": len(during_stops),
             "calls_run_during_stops": sum(c.id in run_ids for c in during_stops),
+            "budget_use": {
+                use.service: round(use.share, 2)
+                for use in worst_uses(soak.history, RETRY_RATIO, RETRY_SLACK)
+            },
             "versions": len(soak.history.versions),
             "served": count_served(soak.history),
             "faults": dict(soak.faults),
@@ -133,11 +186,18 @@
     parser.add_argument("--seeds", default="1", help="N or N-M")
     parser.add_argument("--seconds", type=float, default=30.0)
     parser.add_argument("--keep", type=Path, help="directory for settings and logs")
+    parser.add_argument("--extra", default="", help="kinds of faults, by commas")
+    parser.add_argument("--only", default="", help="inject these kinds of faults only")
     options = parser.parse_args()
+    extra, only = (
+        list(filter(None, x.split(","))) for x in (options.extra, options.only)
+    )
     first, _, last = options.seeds.partition("-")
     broken = 0
     for seed in range(int(first), int(last or first) + 1):
-        broken += bool(asyncio.run(run_seed(seed, options.seconds, options.keep)))
+        broken += bool(
+            asyncio.run(run_seed(seed, options.seconds, options.keep, extra, only))
+        )
     return 1 if broken else 0
 
 
--- a/emulator/platform/soak_callers.py
+++ b/emulator/platform/soak_callers.py
@@ -17,9 +17,11 @@
 ADDED_SHARE = 0.4
 # Share of the other requests on a route that was never added.
 UNKNOWN_SHARE = 0.05
+# Share of requests on a route with much traffic while there is one.
+BUSY_SHARE = 0.7
 # Share of requests whose key is drawn from the valid ones only.
 VALID_KEY_SHARE = 0.8
-PATHS = ("/lookup/1", "/settle/1", "/draft/1", "/answer/1")
+PATHS = ("/lookup/1", "/search/1", "/settle/1", "/draft/1", "/answer/1")
 
 
 class Callers:
@@ -68,14 +70,18 @@
                 await self._call_and_disconnect(client, call, rng)
             else:
                 await self._call(client, call)
-            await asyncio.sleep(rng.uniform(0.0, 0.1))
+            if self._deployment.busy_route is None:
+                await asyncio.sleep(rng.uniform(0.0, 0.1))
         for client in clients.values():
             client.close()
 
     def _draw_call(self, request_id: str, rng: random.Random) -> Call:
         configuration = self._deployment.configuration
         host, path = HOST, rng.choice(PATHS)
-        if configuration.recent_routes and rng.random() < ADDED_SHARE:
+        busy = self._deployment.busy_route
+        if busy is not None and rng.random() < BUSY_SHARE:
+            host, path = busy[0], f"{busy[1]}1"
+        elif configuration.recent_routes and rng.random() < ADDED_SHARE:
             host, prefix = rng.choice(configuration.recent_routes)
             path = f"{prefix}1"
         elif rng.random() < UNKNOWN_SHARE:
@@ -92,7 +98,7 @@
             ("X-Deadline-Ms", str(int(CALL_TIMEOUT_S * 1000))),
             ("Authorization", f"Bearer {call.key}"),
         ]
-        method = "GET" if call.path.startswith("/lookup") else "POST"
+        method = "GET" if call.path.startswith(("/lookup", "/search")) else "POST"
         try:
             response = await client.request(
                 method, call.path, headers, timeout=CALL_TIMEOUT_S + 1.0
--- a/emulator/platform/soak_configuration.py
+++ b/emulator/platform/soak_configuration.py
@@ -12,6 +12,7 @@
 # Kind by first part of a path; the checks tell the kind of a request by its path.
 KINDS = {
     "lookup": "safe",
+    "search": "safe",
     "settle": "non_idempotent",
     "draft": "streaming",
     "answer": "streaming",
@@ -92,6 +93,17 @@
             self.keys[f"key-{self._names}"] = workspace
             self.workspaces.update(self.keys)
 
+    def find_busy_route(self, failing_service: str) -> tuple[str, str]:
+        """Returns host and prefix of a plain route to another service."""
+        routes = [
+            key
+            for key, route in self._routes.items()
+            if route["service"] in PLAIN_SERVICES
+            and route["service"] != failing_service
+            and not route["allow_anonymous"]
+        ]
+        return self._random.choice(routes)
+
     def withdraw_key(self) -> str:
         """Withdraws an API key and returns it."""
         key = self._random.choice(sorted(self.keys))
@@ -154,4 +166,8 @@
 
 
 def _first_routes() -> list[dict]:
-    return build_configuration()["routes"]
+    """Returns routes of each kind and to each service."""
+    return [
+        *build_configuration()["routes"],
+        build_route("/search/", "safe", "registry"),
+    ]
--- a/emulator/platform/soak_deployment.py
+++ b/emulator/platform/soak_deployment.py
@@ -20,6 +20,10 @@
 SERVERS = {"ledger": 3, "registry": 2, "appraiser": 3}
 # Seeds that differ modulo this use other loopback addresses, so they can run at once.
 MAX_ADDRESS_GROUPS = 200
+# Retry budget of each service: repeats per request, and repeats in each window of 10 s
+# in addition. The latter is small, so that a failure of seconds can exceed the budget.
+RETRY_RATIO = 0.2
+RETRY_SLACK = 10
 # Number of events in a stream, and seconds between two of them.
 STREAM_EVENTS = 12
 EVENT_GAP_S = 0.03
@@ -40,6 +44,7 @@
     :param directory: where the gateways write their settings and logs.
     :ivar servers: each server with its proxy and the name of its service.
     :ivar stopping: gateways that got SIGTERM and still run.
+    :ivar busy_route: host and prefix of a route with much traffic; None for none.
     :ivar versions: versions of the configuration, in the order of writing.
     """
 
@@ -50,6 +55,7 @@
         self.stopping: list[GatewayProcess] = []
         self.servers: list[tuple[PlatformServer, FaultProxy, str]] = []
         self.configuration = ChangingConfiguration(random.Random(seed))
+        self.busy_route: tuple[str, str] | None = None
         self.versions: list[ConfigurationVersion] = []
         self._address_group = 1 + seed % MAX_ADDRESS_GROUPS
         self._directory = directory
@@ -69,7 +75,12 @@
             await link.start()
             self.store_links.append(link)
             gateway = GatewayProcess(
-                2 + number, link.address, self._directory, self._address_group
+                2 + number,
+                link.address,
+                self._directory,
+                self._address_group,
+                retry_budget_ratio=RETRY_RATIO,
+                retry_budget_slack=RETRY_SLACK,
             )
             self.gateways.append(gateway)
         await asyncio.gather(*(gateway.start() for gateway in self.gateways))
--- a/emulator/platform/soak_server_faults.py
+++ b/emulator/platform/soak_server_faults.py
@@ -118,6 +118,33 @@
                     server, link, service, born=int(time.time() * 1000)
                 )
 
+    async def fault_service_fails(self) -> None:
+        """All servers of a service fail while another service has much traffic."""
+        async with self._reserved_service() as items:
+            if not items:
+                return
+            service = items[0][2]
+            changes = self._random.choice(
+                (
+                    {"reset_unread": True},
+                    {"status": 500},
+                    {"status": 503},
+                    {"status": 503, "retry_after_s": 0.3},
+                )
+            )
+            configuration = self._deployment.configuration
+            self._deployment.busy_route = configuration.find_busy_route(service)
+            with contextlib.ExitStack() as stack:
+                for server, _, _ in items:
+                    impairments = self._history.impairments
+                    stack.enter_context(self._recorded(server.id, impairments))
+                    behaviour = replace(NORMAL_BEHAVIOUR[service], **changes)
+                    server.behaviour = behaviour
+                await asyncio.sleep(self._random.uniform(1.0, 5.0))
+                for server, _, _ in items:
+                    server.behaviour = NORMAL_BEHAVIOUR[service]
+            self._deployment.busy_route = None
+
     async def fault_service_sheds(self) -> None:
         """Some or all servers of a service refuse requests in two waves."""
         async with self._reserved_service() as items:
--- a/test/test_retry_budget.py
+++ b/test/test_retry_budget.py
@@ -8,8 +8,10 @@
 
 from emulator.platform.deployment import API_KEY, HOST, build_configuration, build_route
 from emulator.platform.process import GatewayProcess, temporary_directory
-from emulator.platform.retry_checks import worst_budget_use
-from emulator.platform.server import Behaviour, PlatformServer
+from emulator.platform.retry_checks import find_budget_violations, worst_budget_use
+from emulator.platform.server import Behaviour, PlatformServer, ReceivedRequest
+from emulator.platform.soak_checks import Call, History, Interval
+from emulator.platform.soak_configuration import ConfigurationVersion
 from emulator.platform.store import PlatformStoreServer
 from heatherswitch.util.http import HttpError
 from heatherswitch.util.http_client import HttpClient
@@ -181,5 +183,36 @@
         self.assertEqual(worst.allowed, 0.5 * 91 + 1.0)
 
 
+class FindBudgetViolationsTest(unittest.TestCase):
+    """Tests the check of each service over a constructed history."""
+
+    def check(self, ledger_calls: int, registry_calls: int, repeats: int) -> list[str]:
+        """Checks requests for two services, some at the ledger sent to two servers."""
+        routes = {(HOST, "/lookup/"): "ledger", (HOST, "/search/"): "registry"}
+        version = ConfigurationVersion(1, 0.0, routes, frozenset({API_KEY}))
+        services = {"l1": "ledger", "l2": "ledger", "r1": "registry"}
+        history = History(versions=[version], services=services)
+        # The whole time is impaired, which does not excuse repeats.
+        history.impairments.append(Interval("l1", 0.0))
+        for number in range(ledger_calls + registry_calls):
+            at_ledger = number < ledger_calls
+            path, server = ("/lookup/1", "l1") if at_ledger else ("/search/1", "r1")
+            call = Call(f"r{number}", path, API_KEY, 5.0 + number / 1000)
+            history.calls.append(call)
+            servers = [server, "l2"] if number < repeats else [server]
+            for server_id in servers:
+                fields = {"x-attempt-id": call.id}
+                at = call.sent_at + (2.0 if server_id == "l2" else 0.0)
+                arrival = ReceivedRequest("GET", path, fields, b"", at)
+                arrival.server_id = server_id
+                history.arrivals.append(arrival)
+        return find_budget_violations(history, RATIO, SLACK)
+
+    def test_requests_for_another_service_allow_no_repeats(self):
+        self.assertEqual(self.check(100, 0, 40), [])
+        self.assertIn("41 repeats at ledger", " ".join(self.check(100, 0, 41)))
+        self.assertIn("41 repeats at ledger", " ".join(self.check(100, 900, 41)))
+
+
 if __name__ == "__main__":
     unittest.main()
