Play odd entries, deaf watches, lapses and large configurations in the soak

New faults: entries of another writer that can't be read, under several keys, some of them written beside a configuration; watches that hear nothing while configurations change, with answers that name the newest revision or the one asked for, after which mostly the history is dropped and waiting watches are cut; leases and entries of servers that lapse while the store is away; all gateways killed at once and started while the store is slow; configurations with hundreds of routes over links of 200 to 1,250 kB/s. In seven of ten runs servers write their entries each second.

Deaf watches last up to 3 s in place of 1 s. Longer ones would break the limit for withdrawn keys, which holds also where the store hides a change.

New checks: a 500 of the gateway's own, and errors in its log that it did not foresee.

--- a/emulator/platform/soak.py
+++ b/emulator/platform/soak.py
@@ -25,6 +25,7 @@
     History,
     calls_during_stops,
     count_statuses,
+    find_logged_errors,
     find_violations,
 )
 from emulator.platform.soak_deployment import (
@@ -96,6 +97,9 @@
         found = find_violations(self.history, REVOCATION_LIMIT_S, workspaces)
         found += find_configuration_violations(self.history)
         found += find_budget_violations(self.history, RETRY_RATIO, RETRY_SLACK)
+        for gateway in self._deployment.gateways:
+            with gateway.log_path.open(errors="replace") as lines:
+                found += find_logged_errors(gateway.name, lines)
         return found + self._check_recovery()
 
     def write_timeline(self, path: Path) -> None:
--- a/emulator/platform/soak_checks.py
+++ b/emulator/platform/soak_checks.py
@@ -2,6 +2,7 @@
 
 from bisect import bisect_right
 from collections import Counter, defaultdict
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from emulator.platform.deployment import HOST
@@ -276,6 +277,8 @@
         and call.path.startswith(RUN_ONCE_PREFIXES)
     ):
         return [f"refused: {call.id} {call.path} got {call.status}, but ran"]
+    if call.status == 500 and "x-response-seal" not in call.headers:
+        return [f"error: {call.id} {call.path} got 500 from {call.gateway} itself"]
     if call.status != 200:
         return []
     if call.path.startswith(STREAM_PREFIXES):
@@ -292,6 +295,18 @@
     return []
 
 
+def find_logged_errors(gateway: str, lines: Iterable[str]) -> list[str]:
+    """Finds errors in a gateway's log that its code did not foresee.
+
+    :returns: one line for each.
+    """
+    return [
+        f"logged: {gateway} {line.strip()[:300]}"
+        for line in lines
+        if "background task failed" in line or "Traceback" in line
+    ]
+
+
 def count_statuses(history: History) -> dict[str, int]:
     """Counts calls by status; 0 stands for calls without a complete response."""
     return dict(Counter(str(call.status) for call in history.calls))
--- a/emulator/platform/soak_configuration.py
+++ b/emulator/platform/soak_configuration.py
@@ -59,6 +59,8 @@
 class ChangingConfiguration:
     """Draws new versions of a configuration.
 
+    :ivar padding_routes: number of further routes, for which no caller asks.
+    :ivar padding_bytes: size of a field that means nothing.
     :ivar keys: workspace by valid API key.
     :ivar workspaces: workspace by API key, valid or withdrawn.
     :ivar recent_routes: host and prefix of routes that were added lately; some of them
@@ -66,6 +68,8 @@
     """
 
     def __init__(self, rng: random.Random) -> None:
+        self.padding_routes = 0
+        self.padding_bytes = 0
         self.keys = dict(API_KEYS)
         self.workspaces = dict(API_KEYS)
         self.recent_routes: list[tuple[str, str]] = []
@@ -116,8 +120,15 @@
             {"name": name, "api_keys": [key], "priority": 1}
             for key, name in self.keys.items()
         ]
+        padding = [
+            build_route(f"/{n}/", "safe", "ledger", host="padding.example")
+            for n in range(self.padding_routes)
+        ]
         document = build_configuration(
-            self._version, tenants=tenants, routes=list(self._routes.values())
+            self._version,
+            tenants=tenants,
+            routes=padding + list(self._routes.values()),
+            padding="x" * self.padding_bytes,
         )
         document["services"].append({"name": "registry", "max_connections": 64})
         return document
--- a/emulator/platform/soak_deployment.py
+++ b/emulator/platform/soak_deployment.py
@@ -24,6 +24,8 @@
 # in addition. The latter is small, so that a failure of seconds can exceed the budget.
 RETRY_RATIO = 0.2
 RETRY_SLACK = 10
+# Seconds between two writes of the entry of a server.
+HEARTBEAT_S = 1.0
 # Number of events in a stream, and seconds between two of them.
 STREAM_EVENTS = 12
 EVENT_GAP_S = 0.03
@@ -44,6 +46,7 @@
     :param directory: where the gateways write their settings and logs.
     :ivar servers: each server with its proxy and the name of its service.
     :ivar stopping: gateways that got SIGTERM and still run.
+    :ivar heartbeats: servers write their entries again and again.
     :ivar busy_route: host and prefix of a route with much traffic; None for none.
     :ivar versions: versions of the configuration, in the order of writing.
     """
@@ -55,6 +58,10 @@
         self.stopping: list[GatewayProcess] = []
         self.servers: list[tuple[PlatformServer, FaultProxy, str]] = []
         self.configuration = ChangingConfiguration(random.Random(seed))
+        self.heartbeats = False
+        # Entry of each listed server by id.
+        self._entries: dict[str, dict] = {}
+        self._heartbeat_task: asyncio.Task | None = None
         self.busy_route: tuple[str, str] | None = None
         self.versions: list[ConfigurationVersion] = []
         self._address_group = 1 + seed % MAX_ADDRESS_GROUPS
@@ -70,6 +77,7 @@
         for service, count in SERVERS.items():
             for number in range(count):
                 await self._add_server(f"{service}-{number}", service)
+        self._heartbeat_task = asyncio.create_task(self._send_heartbeats())
         for number in range(GATEWAYS):
             link = FaultProxy(self.store.address)
             await link.start()
@@ -94,6 +102,8 @@
             if gateway.running:
                 gateway.signal(signal.SIGCONT)
                 await gateway.kill()
+        if self._heartbeat_task is not None:
+            self._heartbeat_task.cancel()
         for server, link, _ in self.servers:
             await link.stop()
             await server.stop()
@@ -129,5 +139,23 @@
 
         :param changes: fields that replace the defaults.
         """
-        entry = server.store_entry(service, address=link.address, **changes)
+        last = self._entries.get(server.id, {"seq": 0, "born": 1000})
+        fields = {"seq": last["seq"] + 1, "born": last["born"]} | changes
+        entry = server.store_entry(service, address=link.address, **fields)
+        self._entries[server.id] = entry
         self.store.put(f"servers/{server.id}", entry)
+
+    def withdraw_server(self, server: PlatformServer) -> None:
+        """Deletes a server's entry in the store."""
+        self._entries.pop(server.id, None)
+        self.store.delete(f"servers/{server.id}")
+
+    async def _send_heartbeats(self) -> None:
+        while True:
+            for server_id in list(self._entries):
+                await asyncio.sleep(HEARTBEAT_S / len(self.servers))
+                away = self.store.silent or self.store.refuse
+                if self.heartbeats and not away and server_id in self._entries:
+                    entry = self._entries[server_id]
+                    entry["seq"] += 1
+                    self.store.put(f"servers/{server_id}", entry)
--- a/emulator/platform/soak_faults.py
+++ b/emulator/platform/soak_faults.py
@@ -8,6 +8,7 @@
 
 from emulator.platform.soak_checks import History
 from emulator.platform.soak_deployment import SoakDeployment
+from emulator.platform.soak_entry_faults import EntryFaults
 from emulator.platform.soak_gateway_faults import GatewayFaults
 from emulator.platform.soak_server_faults import ServerFaults
 from emulator.platform.soak_store_faults import StoreFaults
@@ -18,11 +19,13 @@
 # Factors of the time between two faults, drawn once in a run. With the highest one, most
 # gateways are in touch most of the time.
 CALM_FACTORS = (1.0, 2.0, 4.0)
+# Share of the runs in which servers write their entries again and again.
+HEARTBEAT_SHARE = 0.7
 # Most seconds between two versions of the configuration.
 MAX_CHANGE_INTERVAL_S = 4.0
 
 
-class FaultInjector(GatewayFaults, ServerFaults, StoreFaults):
+class FaultInjector(GatewayFaults, ServerFaults, StoreFaults, EntryFaults):
     """Injects all kinds of faults; each kind is a method whose name has the prefix.
 
     :ivar counts: number of injected faults by kind.
@@ -63,6 +66,7 @@
         kinds = self.select_kinds(extra, only)
         injected: set[asyncio.Task] = set()
         changes = asyncio.create_task(self._change_configuration())
+        self._deployment.heartbeats = self._random.random() < HEARTBEAT_SHARE
         ends_at = time.monotonic() + seconds
         calm = self._random.choice(CALM_FACTORS)
         while time.monotonic() < ends_at:
--- a/emulator/platform/soak_gateway_faults.py
+++ b/emulator/platform/soak_gateway_faults.py
@@ -14,8 +14,13 @@
 
     async def _restart_gateway(self, end_process) -> None:
         gateway = self._choose_target(self._deployment.gateways)
-        if gateway is None:
-            return
+        if gateway is not None:
+            await self._restart_free_gateway(gateway, end_process)
+
+    async def _restart_free_gateway(
+        self, gateway: GatewayProcess, end_process=None
+    ) -> None:
+        end_process = end_process or self._kill_gateway
         with self._reserved(gateway), self._disturbance(gateway):
             await end_process(gateway)
             await asyncio.sleep(self._random.uniform(0.0, 1.0))
@@ -63,6 +68,27 @@
             await self.fault_gateway_reloads()
         await asyncio.gather(*restarts)
 
+    async def fault_gateways_killed(self) -> None:
+        """Kills all gateways at once and starts them while the store is slow."""
+        store = self._deployment.store
+        gateways = [
+            g for g in self._deployment.gateways if id(g) not in self._faulty_ids
+        ]
+        if id(store) in self._faulty_ids or not gateways:
+            return
+        with (
+            self._reserved(store),
+            self._recorded("", self._history.store_faults),
+        ):
+            restarts = [
+                asyncio.create_task(self._restart_free_gateway(gateway))
+                for gateway in gateways
+            ]
+            store.delay_s = self._random.uniform(0.1, 0.4)
+            await asyncio.gather(*restarts)
+            await asyncio.sleep(self._random.uniform(0.0, 3.0))
+            store.delay_s = 0.0
+
     async def fault_gateway_paused(self) -> None:
         gateway = self._choose_target(self._deployment.gateways)
         if gateway is None:
--- a/emulator/platform/soak_server_faults.py
+++ b/emulator/platform/soak_server_faults.py
@@ -53,7 +53,7 @@
             return
         server, link, service = item
         self._faulty_ids.add(id(item))
-        self._deployment.store.delete(f"servers/{server.id}")
+        self._deployment.withdraw_server(server)
         server.id += "x"
         await asyncio.sleep(self._random.uniform(0.0, 1.0))
         self._deployment.publish_server(
@@ -111,7 +111,7 @@
                 normal_behaviour = NORMAL_BEHAVIOUR[service]
                 server.behaviour = replace(normal_behaviour, leaving=True)
                 await asyncio.sleep(self._random.uniform(0.5, 1.0))
-                self._deployment.store.delete(f"servers/{server.id}")
+                self._deployment.withdraw_server(server)
                 server.id += "x"
                 server.behaviour = normal_behaviour
                 self._deployment.publish_server(
--- a/emulator/platform/soak_store_faults.py
+++ b/emulator/platform/soak_store_faults.py
@@ -1,12 +1,16 @@
-"""Faults of the store in a soak, of the links to it, and changes of its entries."""
+"""Faults of the store in a soak, of the links to it, and changes that come meanwhile."""
 
-import time
+import asyncio
 
 from emulator.platform.soak_fault_base import FaultBase
 
+# Most seconds for which watches hear nothing. A gateway cannot notice it before the
+# history is dropped, but must not accept a withdrawn key after 5 s.
+MAX_DEAF_S = 3.0
+
 
 class StoreFaults(FaultBase):
-    """Faults of the store and of the links to it, and changes of the configuration."""
+    """Faults of the store and of the links to it."""
 
     async def fault_store_link(self) -> None:
         link = self._choose_target(self._deployment.store_links)
@@ -16,40 +20,75 @@
                 await self._apply_link_fault(link, max_duration_s=7.0)
 
     async def fault_store(self) -> None:
-        """Lets the store refuse, hang, be slow, report no changes or lose responses."""
+        """Lets the store refuse, hang, be slow or lose responses."""
         name, value, normal = self._random.choice(
             (
                 ("refuse", 503, 0),
                 ("refuse", 429, 0),
                 ("silent", True, False),
                 ("delay_s", 0.3, 0.0),
-                ("deaf", True, False),
                 ("lose_writes", 3, 0),
             )
         )
         store = self._choose_target([self._deployment.store])
         if store is None:
             return
-
-        def restore() -> None:
-            setattr(store, name, normal)
-            if name == "deaf":
-                store.discard_history()
-
-        max_duration_s = 1.0 if name == "deaf" else 6.0
         with self._recorded("", self._history.store_faults):
             await self._apply_fault(
-                store, lambda: setattr(store, name, value), restore, max_duration_s
+                store,
+                lambda: setattr(store, name, value),
+                lambda: setattr(store, name, normal),
+                max_duration_s=6.0,
             )
 
-    async def fault_configuration(self) -> None:
-        self._deployment.write_configuration()
+    async def fault_watches_deaf(self) -> None:
+        """Watches hear nothing while configurations change.
 
-    async def fault_key_withdrawn(self) -> None:
-        if len(self._deployment.configuration.keys) > 1:
-            key = self._deployment.configuration.withdraw_key()
-            self._deployment.write_configuration()
-            self._history.revoked_at[key] = time.monotonic()
+        Mostly the history is dropped and waiting watches are cut at the end.
+        """
+        store = self._choose_target([self._deployment.store])
+        if store is None:
+            return
+        with self._reserved(store), self._recorded("", self._history.store_faults):
+            store.deaf_at_request = self._random.random() < 0.5
+            store.deaf = True
+            for _ in range(self._random.randint(1, 3)):
+                await asyncio.sleep(self._random.uniform(0.0, MAX_DEAF_S / 4))
+                self._deployment.write_configuration()
+            await asyncio.sleep(self._random.uniform(0.0, MAX_DEAF_S / 4))
+            if self._random.random() < 0.7:
+                store.discard_history()
+            if self._random.random() < 0.7:
+                store.cut_watches()
+            store.deaf = False
+
+    async def fault_entries_lapse(self) -> None:
+        """The store is away, and leases and entries of servers lapse meanwhile.
+
+        The servers write their entries again soon after the store is back.
+        """
+        store = self._choose_target([self._deployment.store])
+        if store is None:
+            return
+        servers = self._deployment.servers
+        free = [s for s in servers if id(s) not in self._faulty_ids]
+        lapsed = self._random.sample(free, self._random.randint(0, len(free)))
+        name, value, normal = self._random.choice(
+            (("refuse", 503, 0), ("silent", True, False))
+        )
+        with self._reserved(store, *lapsed):
+            with self._recorded("", self._history.store_faults):
+                setattr(store, name, value)
+                await asyncio.sleep(self._random.uniform(0.3, 4.0))
+                store.lapse_leases()
+                for server, _, _ in lapsed:
+                    self._deployment.withdraw_server(server)
+                await asyncio.sleep(self._random.uniform(0.0, 2.0))
+                setattr(store, name, normal)
+            for server, link, service in lapsed:
+                # All are back within two seconds.
+                await asyncio.sleep(self._random.uniform(0.0, 1.8 / len(lapsed)))
+                self._deployment.publish_server(server, link, service)
 
     async def fault_zone_out(self) -> None:
         # Zone b is empty. All servers of the soak are in zone a, without which nothing
--- a/emulator/platform/store.py
+++ b/emulator/platform/store.py
@@ -33,6 +33,8 @@
     :ivar lose_writes: number of next writes that take effect but get no response.
     :ivar late_writes_s: delay after which such a write takes effect, in seconds.
     :ivar deaf: watches report no changes.
+    :ivar deaf_at_request: answers of deaf watches name the revision that was asked for
+        instead of the newest one.
     :ivar delay_s: delay before a call is handled, in seconds.
     :ivar bytes_per_s: rate at which watch responses are sent; 0 for no limit.
     """
@@ -46,10 +48,13 @@
         self.lose_writes = 0
         self.late_writes_s = 0.0
         self.deaf = False
+        self.deaf_at_request = False
         self.delay_s = 0.0
         self.bytes_per_s = 0
         # Oldest revision in the history. Watches for older changes get status 410.
         self._history_from = 0
+        # Number of times that all waiting watches were cut.
+        self._watch_cuts = 0
         self._server = HttpServer(self._handle)
         self._expiry: asyncio.Task | None = None
         self._late_writes: set[asyncio.Task] = set()
@@ -92,6 +97,14 @@
         """Discards all past changes; watches for them end with status 410."""
         self._history_from = self.data.revision + 1
 
+    def cut_watches(self) -> None:
+        """Closes the connections of all waiting watches."""
+        self._watch_cuts += 1
+
+    def lapse_leases(self) -> None:
+        """Ends all leases as if their time was over."""
+        self.data.expire(float("inf"))
+
     async def _expire_leases(self) -> None:
         while True:
             await asyncio.sleep(0.02)
@@ -149,7 +162,11 @@
         start = query.get("prefix", "").encode()
         after = int(query["after"])
         deadline = time.monotonic() + int(query["wait_ms"]) / 1000
+        cuts = self._watch_cuts
         while True:
+            if cuts != self._watch_cuts:
+                responder.abort()
+                raise ConnectionAbortedError("the watch was cut")
             if after < self._history_from - 1:
                 await responder.send(410)
                 return
@@ -158,7 +175,9 @@
                 changes = []
             if changes or time.monotonic() >= deadline:
                 events = [_to_item(change) for change in changes]
-                body = {"events": events, "as_of": self.data.revision}
+                stale = self.deaf and self.deaf_at_request
+                as_of = after if stale else self.data.revision
+                body = {"events": events, "as_of": as_of}
                 await self._send_slowly(responder, json.dumps(body).encode())
                 return
             await asyncio.sleep(WATCH_POLL_INTERVAL_S)
--- a/test/test_platform_soak.py
+++ b/test/test_platform_soak.py
@@ -9,7 +9,13 @@
 
 from emulator.platform.server import ReceivedRequest, SentNotice
 from emulator.platform.soak import REVOCATION_LIMIT_S, run_seed
-from emulator.platform.soak_checks import Call, History, Interval, find_violations
+from emulator.platform.soak_checks import (
+    Call,
+    History,
+    Interval,
+    find_logged_errors,
+    find_violations,
+)
 from emulator.platform.soak_configuration import API_KEYS
 
 SECONDS = 8.0
@@ -76,6 +82,7 @@
         other = self.make_run(**{"x-tenant": "other"})
         self.assertIn("wrong workspace", self.check(other))
         self.assertIn("refused", self.check(run, calls=[self.call(status=503)]))
+        self.assertIn("error", self.check(calls=[self.call(status=500)]))
         self.assertIn("wrong body", self.check(run, calls=[self.call(body=b"r2")]))
         stream = self.call("/draft/1", body=b"id: 1\ndata: r1\n\n")
         self.assertIn("stream", self.check(self.make_run("/draft/1"), calls=[stream]))
@@ -103,6 +110,16 @@
         revoked = {self.key: self.now - REVOCATION_LIMIT_S - 1}
         self.assertIn("revoked", self.check(run, revoked_at=revoked))
 
+    def test_unforeseen_errors_in_a_log_are_found(self):
+        task = '{"message": "background task failed; it is started again"}'
+        for line in (task, '{"exc_info": "Traceback (most recent call last)..."}'):
+            self.assertEqual(len(find_logged_errors("g1", [line, "{}"])), 1)
+
+    def test_errors_of_servers_are_no_errors_of_the_gateway(self):
+        call = self.call(status=500)
+        call.headers["x-response-seal"] = "seal-of-l1"
+        self.assertEqual(self.check(self.make_run(), calls=[call]), "")
+
 
 class LossCheckTest(ChecksCase):
     """Tests the check of requests that a stopping gateway leaves without an answer."""
