Split routes between services in the soak's configurations

As in the users' example of a configuration (traffic_split). A request on such a route may run at each of its services.

--- a/emulator/platform/configuration_checks.py
+++ b/emulator/platform/configuration_checks.py
@@ -110,7 +110,7 @@
         run.at,
         lambda version: (
             call.key in version.keys
-            and version.find_service(call.host, call.path) == service
+            and service in version.find_services(call.host, call.path)
         ),
     )
 
--- a/emulator/platform/retry_checks.py
+++ b/emulator/platform/retry_checks.py
@@ -89,7 +89,7 @@
     sent_at = defaultdict(list)
     for call in history.calls:
         versions = versions_in_force(history, call.sent_at, call.sent_at)
-        allowed = {v.find_service(call.host, call.path) for v in versions}
+        allowed = {s for v in versions for s in v.find_services(call.host, call.path)}
         for service in allowed | reached[call.id]:
             sent_at[service].append(call.sent_at)
     uses = [
--- a/emulator/platform/soak_configuration.py
+++ b/emulator/platform/soak_configuration.py
@@ -33,14 +33,15 @@
 
     :param written_at: when the store acknowledged it, in seconds of the monotonic
         clock.
-    :param services: service by host and prefix of each route.
+    :param services: services by host and prefix of each route; several if its requests
+        are split between them.
     :param keys: valid API keys.
     :param timeouts_s: time limit by host and prefix of each route, in seconds.
     """
 
     version: int
     written_at: float
-    services: Mapping[tuple[str, str], str]
+    services: Mapping[tuple[str, str], tuple[str, ...]]
     keys: frozenset[str]
     timeouts_s: Mapping[tuple[str, str], float] = field(default_factory=dict)
 
@@ -53,9 +54,9 @@
             end = path.rfind("/", 0, end)
         return None
 
-    def find_service(self, host: str, path: str) -> str | None:
-        """Returns the service of a request; None if it has no route."""
-        return self.services.get(self.find_route(host, path))
+    def find_services(self, host: str, path: str) -> tuple[str, ...]:
+        """Returns the services that may run a request; none if it has no route."""
+        return self.services.get(self.find_route(host, path), ())
 
 
 class ChangingConfiguration:
@@ -99,16 +100,15 @@
             self.keys[f"key-{self._names}"] = workspace
             self.workspaces.update(self.keys)
 
-    def find_busy_route(self, failing_service: str) -> tuple[str, str]:
-        """Returns host and prefix of a plain route to another service."""
+    def find_busy_route(self, failing_service: str) -> tuple[str, str] | None:
+        """Returns host and prefix of a plain route to other services, if there is one."""
         routes = [
             key
             for key, route in self._routes.items()
-            if route["service"] in PLAIN_SERVICES
-            and route["service"] != failing_service
+            if not {failing_service, "appraiser"} & set(_services_of(route))
             and not route["allow_anonymous"]
         ]
-        return self._random.choice(routes)
+        return self._random.choice(routes) if routes else None
 
     def withdraw_key(self) -> str:
         """Withdraws an API key and returns it."""
@@ -137,7 +137,7 @@
 
     def to_version(self, written_at: float) -> ConfigurationVersion:
         """Returns the current version for the checks."""
-        services = {key: route["service"] for key, route in self._routes.items()}
+        services = {key: _services_of(route) for key, route in self._routes.items()}
         timeouts_s = {
             k: route["timeout_ms"] / 1000 for k, route in self._routes.items()
         }
@@ -173,12 +173,26 @@
         del self.recent_routes[:-MAX_RECENT_ROUTES]
 
     def _move_route(self) -> None:
-        """Moves a route to another service."""
-        routes = [r for r in self._routes.values() if r["service"] in PLAIN_SERVICES]
-        route = self._random.choice(routes)
-        others = [name for name in PLAIN_SERVICES if name != route["service"]]
-        moved = route | {"service": self._random.choice(others)}
-        self._routes[route["host"], route["prefix"]] = moved
+        """Moves a route to another service, or splits it between services."""
+        routes = [
+            r for r in self._routes.values() if "appraiser" not in _services_of(r)
+        ]
+        route = dict(self._random.choice(routes))
+        others = [name for name in PLAIN_SERVICES if name != route.get("service")]
+        route.pop("traffic_split", None)
+        route["service"] = self._random.choice(others)
+        if self._random.random() < 0.4:
+            del route["service"]
+            shares = zip(PLAIN_SERVICES, (90, 10), strict=True)
+            route["traffic_split"] = [
+                {"service": name, "weight": weight} for name, weight in shares
+            ]
+        self._routes[route["host"], route["prefix"]] = route
+
+
+def _services_of(route: dict) -> tuple[str, ...]:
+    split = route.get("traffic_split") or [route]
+    return tuple(part["service"] for part in split)
 
 
 def _first_routes() -> list[dict]:
