Test what the soak plays, and remove no route in the version that adds it

A version of the soak's configuration could remove a route that it had just added, so that it was never there; found by the new test. Tests also show that extra faults are drawn only if they are named, and the new faults of the stand-in of the store.

--- a/emulator/platform/soak_configuration.py
+++ b/emulator/platform/soak_configuration.py
@@ -85,13 +85,13 @@
     def change(self) -> None:
         """Draws a new version, which adds, removes and moves routes."""
         self._version += self._random.randint(1, 4)
-        for _ in range(self._random.choice((1, 1, 1, 2, 4))):
-            self._add_route()
         added = [key for key in self._routes if key not in self._first]
         excess = max(0, len(added) - MAX_ADDED_ROUTES)
         removed = max(excess, self._random.choice((0, 1, 1, 2)))
         for key in self._random.sample(added, min(removed, len(added))):
             del self._routes[key]
+        for _ in range(self._random.choice((1, 1, 1, 2, 4))):
+            self._add_route()
         if self._random.random() < 0.5:
             self._move_route()
         if len(self.keys) < MIN_KEYS:
--- a/test/test_platform_soak.py
+++ b/test/test_platform_soak.py
@@ -2,11 +2,14 @@
 
 import contextlib
 import io
+import itertools
 import json
 import random
 import time
 import unittest
+from pathlib import Path
 
+from emulator.platform.process import temporary_directory
 from emulator.platform.server import ReceivedRequest, SentNotice
 from emulator.platform.soak import REVOCATION_LIMIT_S, run_seed
 from emulator.platform.soak_checks import (
@@ -16,7 +19,9 @@
     find_logged_errors,
     find_violations,
 )
-from emulator.platform.soak_configuration import API_KEYS
+from emulator.platform.soak_configuration import API_KEYS, ChangingConfiguration
+from emulator.platform.soak_deployment import SoakDeployment
+from emulator.platform.soak_faults import EXTRA_PREFIX, FaultInjector
 
 SECONDS = 8.0
 # Causes by seed, for seeds whose soak once found a violation.
@@ -47,6 +52,61 @@
                 await self.run_soak(seed)
 
 
+class FaultKindsTest(unittest.TestCase):
+    """Guards against faults that are never drawn, or drawn though they are extra."""
+
+    def setUp(self):
+        directory = Path(self.enterContext(temporary_directory()))
+        self.injector = FaultInjector(
+            SoakDeployment(1, directory), History(), random.Random(1)
+        )
+
+    def test_extra_faults_are_only_drawn_if_they_are_named(self):
+        usual = self.injector.select_kinds((), ())
+        self.assertIn("fault_odd_entries", usual)
+        self.assertFalse([name for name in usual if name.startswith(EXTRA_PREFIX)])
+        extra = self.injector.select_kinds(["bad_prompts"], ())
+        self.assertEqual(extra, [*usual, "extra_fault_bad_prompts"])
+        only = self.injector.select_kinds((), ["bad_prompts", "store"])
+        self.assertEqual(only, ["extra_fault_bad_prompts", "fault_store"])
+        with self.assertRaisesRegex(ValueError, "unknown fault"):
+            self.injector.select_kinds((), ["rain"])
+
+
+class ChangingConfigurationTest(unittest.TestCase):
+    """Guards against configurations that play no changes."""
+
+    def test_versions_add_remove_move_and_split_routes_of_each_kind(self):
+        configuration = ChangingConfiguration(random.Random(1))
+        versions = []
+        kinds = set()
+        for number in range(40):
+            configuration.change()
+            versions.append(configuration.to_version(float(number)))
+            kinds |= {route["kind"] for route in configuration.document()["routes"]}
+        pairs = list(itertools.pairwise(versions))
+        self.assertTrue(all(a.version < b.version for a, b in pairs))
+        self.assertTrue(all(set(b.services) - set(a.services) for a, b in pairs))
+        self.assertTrue(any(set(a.services) - set(b.services) for a, b in pairs))
+        self.assertTrue(
+            any(
+                a.services[key] != b.services[key]
+                for a, b in pairs
+                for key in set(a.services) & set(b.services)
+            )
+        )
+        self.assertEqual(len({key[0] for key in versions[-1].services}), 2)
+        self.assertEqual(kinds, {"safe", "non_idempotent", "streaming"})
+
+    def test_withdrawn_key_is_not_valid_again(self):
+        configuration = ChangingConfiguration(random.Random(1))
+        keys = [configuration.withdraw_key(), configuration.withdraw_key()]
+        for _ in range(20):
+            configuration.change()
+            self.assertTrue(configuration.keys.keys().isdisjoint(keys))
+        self.assertGreaterEqual(len(configuration.keys), 2)
+
+
 class ChecksCase(unittest.TestCase):
     """Builds histories of one call."""
 
--- a/test/test_platform_store.py
+++ b/test/test_platform_store.py
@@ -53,6 +53,31 @@
         self.assertEqual([e.key for e in batch.entries], ["op/b", "op/a"])
         self.assertIsNone(batch.entries[1].value)
 
+    async def test_deaf_watch_names_the_newest_revision_or_the_one_asked_for(self):
+        """Tests the stand-in: the soak depends on both kinds of answers."""
+        revision = self.server.put("op/a", {})
+        self.server.deaf = True
+        self.server.put("op/b", {})
+        for at_request, expected in ((False, revision + 1), (True, revision)):
+            self.server.deaf_at_request = at_request
+            batch = await anext(self.store.watch("", revision + 1))
+            self.assertEqual((batch.entries, batch.revision), ((), expected))
+
+    async def test_cut_watch_fails(self):
+        watch = self.store.watch("", self.server.data.revision + 1)
+        waiting = asyncio.create_task(anext(watch))
+        await asyncio.sleep(0.1)
+        self.server.cut_watches()
+        with self.assertRaises(StoreUnavailable):
+            await waiting
+
+    async def test_lapsed_lease_removes_its_keys(self):
+        lease_id = await self.store.grant(60.0)
+        await self.store.commit({}, {"a": b"1"}, lease_id=lease_id)
+        self.server.lapse_leases()
+        self.assertIsNone(await self.store.get("a"))
+        self.assertEqual(await self.store.keep_alive(lease_id), 0.0)
+
     async def test_empty_watch_response_is_current_as_of_the_end_of_the_poll(self):
         watch = self.store.watch("", self.server.data.revision + 1)
         sent_at = self.clock.now()
