--- a/emulator/platform/soak_deployment.py
+++ b/emulator/platform/soak_deployment.py
@@ -26,6 +26,9 @@
 RETRY_SLACK = 10
 # Seconds between two writes of the entry of a server.
 HEARTBEAT_S = 1.0
+# Entries of other writers before the configuration, so that a read of all entries takes
+# several pages. Half of the runs have none.
+FURTHER_ENTRIES = 130
 # Number of events in a stream, and seconds between two of them.
 STREAM_EVENTS = 12
 EVENT_GAP_S = 0.03
@@ -59,7 +62,8 @@
         self.gateways: list[GatewayProcess] = []
         self.stopping: list[GatewayProcess] = []
         self.servers: list[tuple[PlatformServer, FaultProxy, str]] = []
-        self.configuration = ChangingConfiguration(random.Random(seed))
+        self._random = random.Random(seed)
+        self.configuration = ChangingConfiguration(self._random)
         self.bad_part = ""
         self.bad_turns = 0
         self.heartbeats = False
@@ -77,6 +81,8 @@
         :raises TimeoutError: if the gateways do not become ready.
         """
         await self.store.start()
+        for number in range(self._random.choice((0, FURTHER_ENTRIES))):
+            self.store.put(f"further/{number:03}", {})
         self._put_configuration()
         for service, count in SERVERS.items():
             for number in range(count):
