Let missed versions of the configuration show in the soak

Versions came at most 4 s apart and watches were deaf for at most 0.75 s after the last change, so that a version that a gateway missed was soon replaced.

--- a/emulator/platform/soak_faults.py
+++ b/emulator/platform/soak_faults.py
@@ -22,8 +22,9 @@
 CALM_FACTORS = (1.0, 2.0, 4.0)
 # Share of the runs in which servers write their entries again and again.
 HEARTBEAT_SHARE = 0.7
-# Most seconds between two versions of the configuration.
-MAX_CHANGE_INTERVAL_S = 4.0
+# Most seconds between two versions of the configuration, drawn once in a run. A version
+# that a gateway missed is only noticed if the next one comes late.
+CHANGE_INTERVALS_S = (3.0, 8.0, 20.0)
 
 
 class FaultInjector(GatewayFaults, ServerFaults, StoreFaults, EntryFaults, ExtraFaults):
@@ -86,6 +87,7 @@
     async def _change_configuration(self) -> None:
         """Writes a new version of the configuration from time to time."""
         rng = random.Random(self._random.random())
+        longest_s = rng.choice(CHANGE_INTERVALS_S)
         while True:
-            await asyncio.sleep(rng.uniform(0.2, MAX_CHANGE_INTERVAL_S))
+            await asyncio.sleep(rng.uniform(0.2, longest_s))
             self._deployment.write_configuration()
--- a/emulator/platform/soak_store_faults.py
+++ b/emulator/platform/soak_store_faults.py
@@ -53,9 +53,10 @@
             store.deaf_at_request = self._random.random() < 0.5
             store.deaf = True
             for _ in range(self._random.randint(1, 3)):
-                await asyncio.sleep(self._random.uniform(0.0, MAX_DEAF_S / 4))
+                await asyncio.sleep(self._random.uniform(0.0, MAX_DEAF_S / 10))
                 self._deployment.write_configuration()
-            await asyncio.sleep(self._random.uniform(0.0, MAX_DEAF_S / 4))
+            # Long enough for watches to begin and end after the last change.
+            await asyncio.sleep(self._random.uniform(0.3, MAX_DEAF_S * 0.7))
             if self._random.random() < 0.7:
                 store.discard_history()
             if self._random.random() < 0.7:
