--- a/emulator/platform/soak_extra_faults.py
+++ b/emulator/platform/soak_extra_faults.py
@@ -90,9 +90,12 @@
                 server.behaviour = NORMAL_BEHAVIOUR[service]
 
     async def extra_fault_bad_prompts(self) -> None:
-        """A part of prompts crashes servers, which are back after some seconds."""
+        """A part of prompts crashes servers, which are back after some seconds.
+
+        Played once in a run, since the checks count the crashes of one part.
+        """
         items = self._free_servers("appraiser")
-        if self._deployment.bad_part or not items:
+        if self._history.crashes or self._deployment.bad_part or not items:
             return
         self._deployment.bad_part = f"bad{self._random.randrange(16**5):05x}"
         self._deployment.bad_turns = self._random.choice((1, 11))
