--- a/emulator/platform/server.py
+++ b/emulator/platform/server.py
@@ -159,6 +159,7 @@
     :ivar cancelled: ids of requests whose caller disconnected before the response ended.
     :ivar connections: number of connections accepted so far.
     :ivar crashed: True once it has crashed.
+    :ivar crashed_at: when it crashed last, in seconds of the monotonic clock.
     """
 
     def __init__(self, server_id: str, behaviour: Behaviour | None = None) -> None:
@@ -170,6 +171,7 @@
         self.cancelled: list[str] = []
         self.connections = 0
         self.crashed = False
+        self.crashed_at = 0.0
         self._writers: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
 
@@ -207,6 +209,7 @@
     def crash(self) -> None:
         """Closes the listener and all connections at once, with their requests."""
         self.crashed = True
+        self.crashed_at = time.monotonic()
         self._server.close()
         for writer in self._writers:
             writer.transport.abort()
--- a/emulator/platform/soak_extra_faults.py
+++ b/emulator/platform/soak_extra_faults.py
@@ -125,7 +125,7 @@
             await asyncio.sleep(0.02)
             if not server.crashed:
                 continue
-            interval = Interval(server.id, time.monotonic())
+            interval = Interval(server.id, server.crashed_at)
             self._history.impairments.append(interval)
             self._history.crashes.append(interval.begins_at)
             await asyncio.sleep(self._random.uniform(1.0, 3.0))
