--- a/heatherswitch/gateway/decision_log.py
+++ b/heatherswitch/gateway/decision_log.py
@@ -31,7 +31,7 @@
         self._telemetry = telemetry
 
     def log_forward(self, caller_request: CallerRequest, forward: ev.Forward) -> None:
-        """Logs that a request is sent to a server, and which part of it is a repeat."""
+        """Logs that a request is sent to a server; for a repeat, also its budget."""
         self._telemetry.count_forward(forward)
         repeat = {}
         if forward.repeats:
