--- a/test/test_fairness.py
+++ b/test/test_fairness.py
@@ -27,8 +27,9 @@
 from heatherswitch.platform.reader import PlatformReader
 from heatherswitch.statecore.replica import Entry
 from heatherswitch.statecore.store import Snapshot, WatchBatch
+from heatherswitch.util import fairness
 from heatherswitch.util.clock import Clock
-from heatherswitch.util.fairness import TURN_SLICE_S, Turn
+from heatherswitch.util.fairness import LOGGED_SLICES, TURN_SLICE_S, Turn
 from heatherswitch.util.http_client import HttpClient
 from test.loop_turns import EagerCaller, EagerServer, LoopTurns, ThreadedStore, repeat
 
@@ -165,6 +166,9 @@
 
     async def test_small_events_without_end(self):
         """The log names the server, so that an operator finds it."""
+        # The calls of this test may end before the answer has used up as many slices as
+        # are logged.
+        self.enterContext(mock.patch.object(fairness, "LOGGED_SLICES", 1))
         with self.assertLogs("heatherswitch.fairness", "WARNING") as logs:
             await self.assert_others_are_served(endless(SMALL_EVENT, CHUNKED))
         address = self.deployment.store.read("servers/bad")
@@ -354,6 +358,17 @@
 
 
 class TurnTest(unittest.IsolatedAsyncioTestCase):
+    async def test_work_of_many_slices_is_logged_once(self):
+        turn = Turn("answer", ("127.0.0.1", 7), slice_s=0.0)
+        with self.assertNoLogs("heatherswitch.fairness"):
+            for _ in range(LOGGED_SLICES - 1):
+                await turn.pause_if_due()
+        with self.assertLogs("heatherswitch.fairness", "WARNING") as logs:
+            for _ in range(LOGGED_SLICES):
+                await turn.pause_if_due()
+        (record,) = logs.records
+        self.assertEqual((record.peer, record.slices), ("127.0.0.1:7", LOGGED_SLICES))
+
     async def test_paused_tasks_are_resumed_one_in_an_iteration(self):
         """Else each iteration would take a slice for every task with endless work."""
         steps = []
