Look for the server's log line among those of other work

With the line due at the first slice, a caller's request may be logged first on a busy machine: the test took that line for the server's in two of four runs at a load of 22. It looks for the line of an answer now.

--- a/test/test_fairness.py
+++ b/test/test_fairness.py
@@ -172,9 +172,8 @@
         with self.assertLogs("heatherswitch.fairness", "WARNING") as logs:
             await self.assert_others_are_served(endless(SMALL_EVENT, CHUNKED))
         address = self.deployment.store.read("servers/bad")
-        record = logs.records[0]
-        self.assertEqual(record.work, "answer")
-        self.assertEqual(record.peer, json.loads(address)["address"])
+        peers = {record.peer for record in logs.records if record.work == "answer"}
+        self.assertIn(json.loads(address)["address"], peers)
 
     async def test_small_events_without_end_in_several_streams(self):
         await self.assert_others_are_served(
