Derive whether an attempt drew on the retry budget

Pending.drew_budget said what the number of servers reached already says: a send draws if the request has reached a server before, and an attempt that reached none leaves that number as it was. Behaviour stays as it is.

Run: test_gateway_reducer, test_retry_budget, test_notices and test_prompt_quarantine, 176 passed.

--- a/heatherswitch/gateway/pending.py
+++ b/heatherswitch/gateway/pending.py
@@ -40,7 +40,6 @@
         "tried_ids",
         "possible_runs",
         "arrivals",
-        "drew_budget",
         "current_server",
         "buffered_error",
         "ambiguous_failure",
@@ -85,8 +84,6 @@
         # Number of servers that the request has reached, whether they ran it or not,
         # without the current one.
         self.arrivals = 0
-        # The current attempt was counted in the retry budget.
-        self.drew_budget = False
         self.current_server = current_server
         # Error status of the last server, whose response is buffered for delivery.
         self.buffered_error = buffered_error
--- a/heatherswitch/gateway/reducer.py
+++ b/heatherswitch/gateway/reducer.py
@@ -328,8 +328,7 @@
         pending.current_server = state
         pending.times = AttemptTimes(now)
         pending.queued = False
-        pending.drew_budget = pending.arrivals > 0
-        if pending.drew_budget:
+        if pending.arrivals:
             self._retry_budget.draw(now, pending.service.name)
         pending.in_version_split = self._rollouts.count_request(
             now,
@@ -565,7 +564,7 @@
         """
         pending.possible_runs += ran
         pending.arrivals += arrived
-        if pending.drew_budget and not arrived:
+        if pending.arrivals and not arrived:
             self._retry_budget.refund(now, pending.service.name)
         if (refusal_s := self._crashes.refusal_s(now, pending)) is not None:
             return self._end_unserved(serial, pending, QUARANTINE_REASON, refusal_s)
