Ignore membership entries whose key cannot be encoded

Callers of models got 500 from all gateways while an entry of another writer stood under the membership prefix with an address and a lone surrogate in its key.

Cause: the id of a member is the end of its key and was taken as it came. The gateway chooses owners of servers and prompt parts by a hash of the ids, and raises UnicodeEncodeError for such an id, in each request that asks an owner and in each message to the peers. Values were checked, keys were not.

An entry whose key is not printable text is logged and names no gateway.

Before: test_member_with_a_key_that_cannot_be_encoded_is_ignored fails, a request raises UnicodeEncodeError. After: it passes.

--- a/heatherswitch/gateway/store_sync.py
+++ b/heatherswitch/gateway/store_sync.py
@@ -22,8 +22,10 @@
 from heatherswitch.util.fairness import Turn, run_steps
 from heatherswitch.util.record import Record
 from heatherswitch.util.untrusted import (
+    MalformedInput,
     describe_error,
     parse_object,
+    require_name,
     require_port,
     require_token,
 )
@@ -214,7 +216,9 @@
             members = []
             for entry in entries:
                 await turn.pause_if_due()
-                members.append(_member(entry, decoder.member_prefix))
+                member = _member(entry, decoder.member_prefix)
+                if member is not None:
+                    members.append(member)
             self._emit(
                 ev.RoutersListed(
                     tuple(m.id for m in members),
@@ -240,13 +244,24 @@
                 self._emit(event)
 
 
-def _member(entry: Entry, prefix: str) -> Member:
+def _member(entry: Entry, prefix: str) -> Member | None:
     """Decodes an entry written by :func:`maintain_membership`.
 
     The lease stores the address in the ``owner`` field. A socket would look up a host
     name while the event loop waits, and a port that does not exist would close it.
+
+    :returns: a member without an address if the value is malformed; None if the key is,
+        since no gateway has such an id and it could not be hashed.
     """
     member_id = entry.key.removeprefix(prefix)
+    try:
+        require_name(member_id)
+    except MalformedInput as error:
+        log.warning(
+            "membership entry ignored: its key is malformed",
+            extra={"error": describe_error(error)},
+        )
+        return None
     try:
         address = parse_object(entry.value)["owner"]
         if not address:
--- a/test/test_malformed_input.py
+++ b/test/test_malformed_input.py
@@ -32,6 +32,7 @@
     describe_error,
     parse_json,
 )
+from test.gateway_fakes import Driver, chat_prompt, server
 from test.test_platform_formats import ENTRY, make_request
 from test.test_store_sync import ManualClock
 
@@ -237,6 +238,24 @@
                 asyncio.run(sync._on_batch(batch, PlatformReader()))
                 self.assertEqual(events[-1].addresses, (("good", "127.0.0.1:7"),))
 
+    def test_member_with_a_key_that_cannot_be_encoded_is_ignored(self):
+        """It was chosen as an owner of keys: requests to models ended with 500."""
+        prefix, value = PlatformReader.member_prefix, b'{"owner": "127.0.0.1:7"}'
+        keys = (prefix + "odd\ud800", prefix + "odd\x00", prefix + "me", prefix + "g2")
+        entries = tuple(Entry(key, n, value) for n, key in enumerate(keys, 1))
+        driver = Driver()
+        driver.add_servers(server("e1", "engine"), server("e2", "engine"))
+        sync = StoreSync(ManualClock(), driver.apply, 1.0)
+        batch = WatchBatch(len(keys), entries, 100.0)
+        with self.assertLogs("heatherswitch.gateway.store_sync", "WARNING") as logs:
+            asyncio.run(sync._on_batch(batch, PlatformReader()))
+        self.assertEqual(len(logs.records), 2)
+        self.assertEqual(driver.reducer.fleet_size, 2)
+        for number in range(20):
+            driver.send_request("/chat/1", parts=chat_prompt(f"chat{number}"))
+        driver.advance(1.0)
+        driver.apply(ev.PeerFlushDue())
+
 
 class FailingReader(PlatformReader):
     """Raises an error that nothing foresees for one key."""
