Read the other items of the store beside one without key or revision

A gateway could not read the entries of the store, and in the end refused all requests with a key, while one item without a usable key or revision stood in an answer.

Cause: the decoder of the answer raised for the whole answer. A watch that fails in this way is followed by a read of all entries, which failed in the same way for good.

A read of all entries leaves such an item out, or takes it as of the revision of its page if only the revision can't be read.

--- a/heatherswitch/platform/store.py
+++ b/heatherswitch/platform/store.py
@@ -30,6 +30,7 @@
     describe,
     describe_error,
     parse_json,
+    read_field,
     require_integer,
     require_list,
     require_object,
@@ -104,11 +105,11 @@
                 path = f"/kv-range?{urlencode(query, errors='surrogatepass')}"
                 page = _require_status(200, *await self._call("GET", path))
                 revision = revision or _int_field(page, "as_of")
-                items = await _decode_entries(page, "items")
+                items = await _decode_readable_entries(page, _int_field(page, "as_of"))
                 entries += items
-                if not page.get("truncated") or not items:
+                if not page.get("truncated") or not page.get("items"):
                     break
-                if items[-1].key <= after:
+                if not items or items[-1].key <= after:
                     raise UnusableResponse("malformed response: a page is repeated")
                 after = items[-1].key
         return Snapshot(revision, tuple(entries), sent_at)
@@ -293,24 +294,51 @@
 
 
 async def _decode_entries(payload: dict, name: str) -> list[Entry]:
-    """Decodes the items of a page, or the events of a watch.
+    """Decodes the events of a watch.
 
     :raises UnusableResponse: if they are no list, or one lacks its key or revision.
+        Without it the changes would not be complete, so all entries are read instead.
     """
-    items = payload.get(name)
-    if items is None:
-        return []
     turn = Turn("response of the store")
     entries = []
-    try:
-        for item in require_list(items):
+    for item in _list_field(payload, name):
+        entries.append(_decode_entry(item))
+        await turn.pause_if_due()
+    return entries
+
+
+async def _decode_readable_entries(page: dict, revision: int) -> list[Entry]:
+    """Decodes the items of a page; one that can't be read hides no other one.
+
+    An item without a key is left out. One without a revision gets that of the page, of
+    which its value is a part.
+
+    :raises UnusableResponse: if they are no list.
+    """
+    turn = Turn("response of the store")
+    entries = []
+    for item in _list_field(page, "items"):
+        try:
             entries.append(_decode_entry(item))
-            await turn.pause_if_due()
-    except MalformedInput as error:
-        raise UnusableResponse(f"malformed response: {name}: {error}") from error
+        except UnusableResponse as error:
+            log.warning("item of the store cannot be read", extra={"error": str(error)})
+            if isinstance(item, dict) and isinstance(item.get("key"), str):
+                entries.append(_decode_entry({**item, "revision": revision}))
+        await turn.pause_if_due()
     return entries
 
 
+def _list_field(payload: dict, name: str) -> list[Any]:
+    """Returns a list that is empty if the field is missing.
+
+    :raises UnusableResponse: if it is no list.
+    """
+    try:
+        return read_field(payload, name, require_list, [])
+    except MalformedInput as error:
+        raise UnusableResponse(f"malformed response: {error}") from error
+
+
 def _decode_entry(item: Any) -> Entry:
     """Decodes an item, or the tombstone of a deleted key.
 
