Let a rollout that the store rejects stop no other one

A bad version of one service would never have been rolled back while an order for another service stood whose status the store rejects, such as one with a key of over 200 bytes.

Cause: the owner records and decides the running rollouts one after the other, and an error of the store ended the round. A rejected write fails again in each round, so that the rollouts behind it were never reached, and no gateway published evidence about them. A key that can't be encoded ended the task instead, which starts again and ends again.

Each rollout fails for itself, unless the store doesn't respond. A read of one key encodes it as a read of all entries does. The stand-in of the store rejects keys as the store does.

Before: test_rollout_that_the_store_rejects_stops_no_other ends with StoreError, status 400. After: test_rollouts.OwnerTest is green (5 passed).

--- a/emulator/platform/store.py
+++ b/emulator/platform/store.py
@@ -18,6 +18,8 @@
 WATCH_POLL_INTERVAL_S = 0.005
 # Seconds between two parts of a response whose rate is limited.
 SEND_INTERVAL_S = 0.1
+# Maximum size of a key that is written.
+MAX_KEY_BYTES = 200
 # Prefixes of keys that only operators and backend servers may write.
 READ_ONLY_PREFIXES = ("op/", "servers/")
 
@@ -225,6 +227,8 @@
         keys += body.get("remove", ())
         if any(key.startswith(READ_ONLY_PREFIXES) for key in keys):
             return 403, {}
+        if not all(map(_is_valid_key, keys)):
+            return 400, {}
         for row in body.get("expected", ()):
             if not self.data.compare(row["key"].encode(), "EQUAL", row["revision"]):
                 return 412, {"items": []}
@@ -256,6 +260,13 @@
         return 200, {}
 
 
+def _is_valid_key(key: str) -> bool:
+    try:
+        return len(key.encode()) <= MAX_KEY_BYTES
+    except UnicodeEncodeError:
+        return False
+
+
 def _range_end(prefix: bytes) -> bytes:
     """Returns the end of the range of all keys with a prefix; all keys without one."""
     return prefix[:-1] + bytes([prefix[-1] + 1]) if prefix else b"\0"
--- a/heatherswitch/gateway/rollout_owner.py
+++ b/heatherswitch/gateway/rollout_owner.py
@@ -9,7 +9,7 @@
 import asyncio
 import logging
 import random
-from collections.abc import Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping
 from typing import Protocol
 
 from heatherswitch.gateway.events import RolloutStatusRead
@@ -23,7 +23,11 @@
 from heatherswitch.gateway.rollouts import Rollout, RolloutState, Step, rollout_id
 from heatherswitch.statecore.lease import Lease, LeaseLost, LeaseStore
 from heatherswitch.statecore.replica import Entry
-from heatherswitch.statecore.store import StoreError
+from heatherswitch.statecore.store import (
+    AmbiguousWrite,
+    StoreError,
+    StoreUnavailable,
+)
 from heatherswitch.util.clock import Clock
 
 log = logging.getLogger("heatherswitch.gateway.rollout_owner")
@@ -105,17 +109,19 @@
                 log.warning("rollout not recorded", extra={"error": str(error)})
 
     async def _update(self, running: dict[str, Rollout]) -> None:
-        now = self._clock.now()
         for service, rollout in running.items():
-            records = rollout.own_evidence(now, self._id)
-            if records:
-                key = f"{EVIDENCE_PREFIX}{service}/{self._id}"
-                await self._store.commit({}, {key: encode_evidence(records)})
+            await _record(service, self._publish_evidence(service, rollout))
         await self._acquire_or_renew_lease()
         if self._lease is None:
             return
         for service, rollout in running.items():
-            await self._apply_next_step(service, rollout)
+            await _record(service, self._apply_next_step(service, rollout))
+
+    async def _publish_evidence(self, service: str, rollout: Rollout) -> None:
+        records = rollout.own_evidence(self._clock.now(), self._id)
+        if records:
+            key = f"{EVIDENCE_PREFIX}{service}/{self._id}"
+            await self._store.commit({}, {key: encode_evidence(records)})
 
     async def _acquire_or_renew_lease(self) -> None:
         """Acquires the ownership lease if it is free, or renews it.
@@ -215,3 +221,19 @@
         status = self._codec.read_status(entry) if entry else None
         if status is not None:
             rollout.apply_status(status.target, status.state, status.revision)
+
+
+async def _record(service: str, write: Awaitable[None]) -> None:
+    """Awaits a write about one rollout; one that the store rejects stops no other.
+
+    :raises StoreUnavailable: if the store does not respond, which concerns all rollouts.
+    :raises AmbiguousWrite: if the response was lost.
+    """
+    try:
+        await write
+    except (StoreUnavailable, AmbiguousWrite):
+        raise
+    except StoreError as error:
+        log.warning(
+            "rollout not recorded", extra={"service": service, "error": str(error)}
+        )
--- a/heatherswitch/platform/store.py
+++ b/heatherswitch/platform/store.py
@@ -80,7 +80,8 @@
 
         :raises StoreUnavailable: if the store does not respond.
         """
-        status, payload = await self._call("GET", f"/kv-key?{urlencode({'key': key})}")
+        query = _encode_query({"key": key})
+        status, payload = await self._call("GET", f"/kv-key?{query}")
         if status == 404:
             return None
         return _decode_entry(_require_status(200, status, payload))
@@ -101,8 +102,7 @@
             after = ""
             while True:
                 query = {"prefix": prefix} | ({"after": after} if after else {})
-                # Keys of other writers may hold lone surrogates.
-                path = f"/kv-range?{urlencode(query, errors='surrogatepass')}"
+                path = f"/kv-range?{_encode_query(query)}"
                 page = _require_status(200, *await self._call("GET", path))
                 revision = revision or _int_field(page, "as_of")
                 items = await _decode_readable_entries(page, _int_field(page, "as_of"))
@@ -269,6 +269,11 @@
         raise UnusableResponse(f"response: {error or 'timeout'}") from error
 
 
+def _encode_query(fields: Mapping[str, str]) -> str:
+    """Returns a query string; keys of other writers may hold lone surrogates."""
+    return urlencode(fields, errors="surrogatepass")
+
+
 def confirmation_time(sent_at: float, waited_s: float, now: float) -> float:
     """Returns the latest time at which a watch response is known to be up to date.
 
--- a/test/test_rollouts.py
+++ b/test/test_rollouts.py
@@ -451,6 +451,26 @@
         self.addCleanup(store.close)
         return RolloutOwner(store, PlatformReader(), name, self.clock, dict)
 
+    async def test_rollout_that_the_store_rejects_stops_no_other(self):
+        """Guards EXPOSURE: no rollout after it was recorded, and none was rolled back.
+
+        The key of its status is over the limit of the store, or can't be encoded.
+        """
+        for odd in ("x" * 185, "odd\ud800"):
+            with self.subTest(odd[:9]):
+                owner = self.owner("a")
+                now = self.clock.now()
+                rollouts = {
+                    service: Rollout(now, self.order, "g", 1, ExposureLimit())
+                    for service in (odd, "ledger")
+                }
+                with self.assertLogs("heatherswitch.gateway.rollout_owner") as logs:
+                    await owner._update(rollouts)
+                self.assertIn(odd, [getattr(r, "service", "") for r in logs.records])
+                self.assertIn(b"running", self.server.read("status/rollout/ledger"))
+                self.server.delete("status/rollout/ledger")
+                await owner._lease.release()
+
     async def test_replaced_owner_changes_nothing(self):
         first, second = self.owner("a"), self.owner("b")
         await first._acquire_or_renew_lease()
