Put the crash reports of one request together again

All sound requests of a long chat were refused with 503 and Retry-After 600 after three crashes, if its prompts had over 40 suspected parts (LOST).

Cause: which parts were always together is judged by report. A prompt with more parts than a report holds was two requests to it, so that a report without the part that crashes servers was as suspect as the one with it, and the hash of a part decided. Ruled out: the number of crashes (3 as it should be) and completed requests (none).

Reports of one request have its id in common now, and their parts are put together before groups are formed.

--- a/heatherswitch/gateway/crash_attribution.py
+++ b/heatherswitch/gateway/crash_attribution.py
@@ -12,7 +12,7 @@
 from collections import Counter
 from collections.abc import Callable, Collection, Iterable, Mapping
 
-from heatherswitch.gateway.crash_report import CrashReport, CrashTimes
+from heatherswitch.gateway.crash_report import CONTINUATION, CrashReport, CrashTimes
 from heatherswitch.util.record import Record
 
 # Crashes after which a part is quarantined.
@@ -139,10 +139,17 @@
     :returns: these parts, and the number of requests, by part.
     """
     # An outage brings many reports with the same suspected parts.
-    counts = Counter(
-        frozenset(part for part in report.parts if part in suspected)
-        for report in reports
-    )
+    counts: Counter[frozenset[str]] = Counter()
+    # A long prompt has several reports, but its parts are in one request.
+    parts_by_request: dict[str, frozenset[str]] = {}
+    for report in reports:
+        found = frozenset(part for part in report.parts if part in suspected)
+        if CONTINUATION in report.id:
+            others = parts_by_request.get(report.request_id, frozenset())
+            parts_by_request[report.request_id] = found | others
+        else:
+            counts[found] += 1
+    counts.update(parts_by_request.values())
     groups: dict[str, frozenset[str]] = {}
     requests: Counter[str] = Counter()
     for parts, count in counts.items():
--- a/heatherswitch/gateway/crash_report.py
+++ b/heatherswitch/gateway/crash_report.py
@@ -6,6 +6,9 @@
 # a datagram takes records of 1000 bytes.
 MAX_REPORTED_PARTS = 40
 
+# Separates the id of a request from the number of a report, if it has several.
+CONTINUATION = "+"
+
 # Time of each crash and of the last send before it, in seconds since the epoch, by
 # prompt part and crash.
 CrashTimes = dict[str, dict[tuple[str, int], tuple[float, float]]]
@@ -14,7 +17,8 @@
 class CrashReport(Record):
     """A server broke off a request when it began to write.
 
-    :param id: unique id; starts with that of the reporting gateway.
+    :param id: unique id; starts with that of the reporting gateway. Several reports of
+        one request differ by the number after :data:`CONTINUATION`.
     :param incarnation: start of the server, to tell two crashes apart.
     :param sent_at: time at which the request was sent to the server, in seconds since
         the epoch.
@@ -52,6 +56,12 @@
         """Id of the reporting gateway."""
         return self.id.rpartition("/")[0]
 
+    @property
+    def request_id(self) -> str:
+        """Identifies the request; several reports hold the parts of a long prompt."""
+        gateway_id, _, name = self.id.rpartition("/")
+        return f"{gateway_id}/{name.partition(CONTINUATION)[0]}"
+
     @property
     def crash(self) -> tuple[str, int]:
         """Identifies the crash; several requests may report the same one."""
--- a/heatherswitch/gateway/prompt_quarantine.py
+++ b/heatherswitch/gateway/prompt_quarantine.py
@@ -15,6 +15,7 @@
     merge_times,
 )
 from heatherswitch.gateway.crash_report import (
+    CONTINUATION,
     MAX_REPORTED_PARTS,
     CrashReport,
     CrashTimes,
@@ -135,11 +136,13 @@
         shared = dict.fromkeys(part_hash(part) for part in prompt[:-1])
         suspected = [p for p in shared if not self._completions.exonerates(p, now)]
         reports = []
+        self._report_count += 1
         for first in range(0, len(suspected), MAX_REPORTED_PARTS):
-            self._report_count += 1
+            continued = len(suspected) > MAX_REPORTED_PARTS
+            continuation = f"{CONTINUATION}{len(reports)}" if continued else ""
             reports.append(
                 CrashReport(
-                    f"{self._gateway_id}/{self._report_count}",
+                    f"{self._gateway_id}/{self._report_count}{continuation}",
                     server.id,
                     server.incarnation,
                     sent_at,
--- a/test/test_crash_attribution.py
+++ b/test/test_crash_attribution.py
@@ -123,6 +123,25 @@
                 deadly = part_hash(prompt("deadly")[0])
                 self.assertEqual(fleet.quarantined(1), {deadly})
 
+    def test_sound_parts_in_another_report_of_the_request_are_not_quarantined(self):
+        """Guards LOST: of a prompt with several reports, one without the part that
+        crashes servers was held responsible, and all sound prompts were refused.
+        """
+        for turns in (39, 40, 41, 60, 90, 150):
+            with self.subTest(turns=turns):
+                fleet = Fleet(2, 6, "deadly", peers=True)
+                chat = [f"turn{turn}" for turn in range(turns)]
+                for number in range(6):
+                    crashing = prompt("deadly", *chat, f"crash{number}")
+                    fleet.send(number % 2, "/chat/1", crashing)
+                    fleet.advance(0.8)
+                self.assertEqual(len(fleet.crashes), 3)
+                for number in range(24):
+                    fleet.advance(0.05)
+                    fleet.send(number % 2, "/chat/1", prompt("sound", *chat, "own"))
+                sound = fleet.outcomes["sound"]
+                self.assertEqual([e for e in sound if isinstance(e, ev.Refuse)], [])
+
     def test_reports_of_a_long_chat_fit_into_datagrams(self):
         """Records over the limit are malformed to other gateways."""
         quarantine = PromptQuarantine("gateway-" + "1" * 40)
