Keep crash reports with parts of several crashes at the bounds

Servers would go on crashing on a part of prompts (BUDGET) whose reports a gateway did not keep: it keeps 200 of one crash and 1,000 in all.

Cause: the 201st report of a crash was ignored and the oldest of 1,000 dropped, whatever they held. A server with 64 requests of 150 parts each makes 256 reports of one crash, and the reports of other crashes displaced those on which a quarantine rested: with five crashes of 64 requests between two on the part it was never found, and a quarantined part was released. Ruled out: a larger bound, since each update goes over all reports.

At both bounds, a report whose parts are in no other crash is dropped before one that has a part of several crashes which was not completed lately. The parts of dropped reports are remembered (20,000), so that the second crash shows what the first dropped. A dropped report is taken from the counts of its crash in one pass.

Before: test_part_in_a_report_over_the_bound_of_a_crash_is_quarantined red with 201 and 256 reports, green with 200; test_bystanders_of_other_crashes_do_not_displace_a_part red with 5 and 20 other crashes; test_many_other_crashes_do_not_release_a_quarantined_part red.

--- a/heatherswitch/gateway/prompt_quarantine.py
+++ b/heatherswitch/gateway/prompt_quarantine.py
@@ -8,6 +8,7 @@
 
 from collections import OrderedDict
 from collections.abc import Collection, Iterable, Mapping
+from itertools import islice
 
 from heatherswitch.gateway.crash_attribution import (
     QUARANTINE_CRASHES,
@@ -29,9 +30,13 @@
 REPORT_TTL_S = 600.0
 # Maximum number of reports that a gateway remembers.
 MAX_REPORTS = 1000
-# Maximum number of reports of one crash: more than the requests that a server runs. The
-# time to remove a report grows with the others of its crash.
+# Maximum number of reports of one crash. The time to remove a report grows with the
+# others of its crash. A server runs fewer requests, but long prompts make several reports.
 MAX_CRASH_REPORTS = 200
+# Number of reports that are compared to find one that may be dropped.
+MAX_COMPARED_REPORTS = 8
+# Maximum number of remembered parts whose reports were dropped.
+MAX_DROPPED_PARTS = 20_000
 
 # Heartbeats after which a server that broke off requests counts as not crashed: more
 # than the store delivers late.
@@ -69,6 +74,7 @@
         "_completions",
         "_crash_reports",
         "_crash_times",
+        "_dropped_parts",
         "_gateway_id",
         "_heartbeats",
         "_quarantined",
@@ -88,6 +94,8 @@
         self._report_count = 0
         self._completions = PartCompletions(gateway_id)
         self._crash_times: CrashTimes = {}
+        # Last crash whose report with a part was dropped, least recent first.
+        self._dropped_parts: OrderedDict[str, tuple[str, int]] = OrderedDict()
         # Number of crashes by quarantined group of parts.
         self._quarantined: dict[frozenset[str], int] = {}
         # The same of groups whose crashes happened together.
@@ -169,21 +177,30 @@
         )
 
     def add(self, report: CrashReport) -> QuarantineChange | None:
-        """Adds a report; one with a known id, or of a crash with many, is ignored.
+        """Adds a report; one with a known id is ignored.
+
+        If there are too many, one that has no part in common with another crash is
+        dropped, so that bystanders of many crashes don't displace the evidence.
 
         :returns: the change of the quarantine, or None if there is none.
         """
         if report.id in self._reports:
             return None
-        if len(self._crash_reports.get(report.crash, ())) >= MAX_CRASH_REPORTS:
-            return None
         exonerates = self._completions.exonerates
         left = tuple(part for part in report.parts if not exonerates(part, report.at))
         report = report.replace(parts=left)
-        self._insert(report)
         changed = [report]
+        others = self._crash_reports.get(report.crash, {})
+        if len(others) >= MAX_CRASH_REPORTS:
+            bystander = self._find_bystander(others) if self._recurs(report) else None
+            if bystander is None:
+                self._note_dropped(report)
+                return None
+            changed.append(self._drop(bystander))
+        self._insert(report)
         while len(self._reports) > MAX_REPORTS:
-            changed.append(self._delete(next(iter(self._reports))))
+            bystander = self._find_bystander(self._reports)
+            changed.append(self._drop(bystander or next(iter(self._reports))))
         return self._update(changed)
 
     def remove(self, report_id: str) -> QuarantineChange | None:
@@ -247,6 +264,43 @@
         old = [r.id for r in self._reports.values() if abs(now - r.at) >= REPORT_TTL_S]
         return self._update([self._delete(i) for i in old]) if old else None
 
+    def _recurs(self, report: CrashReport) -> bool:
+        """Tells whether a part that was not completed lately is in another crash too."""
+        for part in report.parts:
+            crashes = self._crash_times.get(part, {})
+            elsewhere = len(crashes) - (report.crash in crashes)
+            if not elsewhere and self._dropped_parts.get(part) in (None, report.crash):
+                continue
+            if not self._completions.is_recent(part, report.at):
+                return True
+        return False
+
+    def _find_bystander(self, reports: dict[str, CrashReport]) -> str | None:
+        """Returns the id of one of the oldest reports whose parts are in no other crash.
+
+        The others that were compared are moved to the end.
+
+        :returns: None if none of them is such a report.
+        """
+        for report_id in list(islice(reports, MAX_COMPARED_REPORTS)):
+            if not self._recurs(reports[report_id]):
+                return report_id
+            reports[report_id] = reports.pop(report_id)
+        return None
+
+    def _drop(self, report_id: str) -> CrashReport:
+        """Deletes a report that there is no room for."""
+        self._note_dropped(self._reports[report_id])
+        return self._delete(report_id)
+
+    def _note_dropped(self, report: CrashReport) -> None:
+        """Remembers the parts of a report, for the next crash that has some of them."""
+        for part in report.parts:
+            self._dropped_parts[part] = report.crash
+            self._dropped_parts.move_to_end(part)
+        while len(self._dropped_parts) > MAX_DROPPED_PARTS:
+            self._dropped_parts.popitem(last=False)
+
     def _is_recent(self, part: str) -> bool:
         first_at = min(at for at, _ in self._crash_times[part].values())
         return self._completions.is_recent(part, first_at)
@@ -272,11 +326,12 @@
 
     def _recount(self, crash: tuple[str, int], parts: Iterable[str]) -> None:
         """Takes the times of a crash from the reports that still hold each part."""
-        for part in parts:
-            times = None
-            for report in self._crash_reports[crash].values():
-                if part in report.parts:
-                    times = merge_times(times, report)
+        left: dict[str, tuple[float, float] | None] = dict.fromkeys(parts)
+        for report in self._crash_reports[crash].values():
+            for part in report.parts:
+                if part in left:
+                    left[part] = merge_times(left[part], report)
+        for part, times in left.items():
             crashes = self._crash_times[part]
             if times is not None:
                 crashes[crash] = times
--- a/test/test_crash_attribution.py
+++ b/test/test_crash_attribution.py
@@ -7,7 +7,11 @@
 from heatherswitch.gateway.crash_records import decode_report, encode_report
 from heatherswitch.gateway.crash_report import CrashReport
 from heatherswitch.gateway.probes import PROBE_SLOT_S
-from heatherswitch.gateway.prompt_quarantine import PromptQuarantine, part_hash
+from heatherswitch.gateway.prompt_quarantine import (
+    MAX_CRASH_REPORTS,
+    PromptQuarantine,
+    part_hash,
+)
 from test.gateway_fakes import Driver, server
 from test.test_prompt_quarantine import Fleet, prompt
 
@@ -154,6 +158,59 @@
         self.assertEqual(sum(len(report.parts) for report in reports), len(chat) - 1)
 
 
+class ReportBoundsTest(unittest.TestCase):
+    """More reports than a gateway remembers, of one crash and of many."""
+
+    # Requests that a server runs.
+    SLOTS = 64
+
+    def setUp(self):
+        self.quarantine = PromptQuarantine("g")
+        self.crashes = 0
+
+    def crash(self, at: float, reports: int, place: int | None = None) -> None:
+        """Reports a crash; the request at a place has the part that crashes servers."""
+        self.crashes += 1
+        server_id = f"s{self.crashes}"
+        for number in range(reports):
+            parts = tuple(f"turn{server_id}-{number}-{part}" for part in range(8))
+            if number == place:
+                parts += ("deadly",)
+            report_id = f"g/{server_id}-{number}"
+            self.quarantine.add(
+                CrashReport(report_id, server_id, 1, at - 0.1, at, parts)
+            )
+
+    def test_part_in_a_report_over_the_bound_of_a_crash_is_quarantined(self):
+        """Guards BUDGET: it was in none of the first 200 reports of any crash."""
+        for reports in (MAX_CRASH_REPORTS, MAX_CRASH_REPORTS + 1, 256):
+            with self.subTest(reports=reports):
+                self.setUp()
+                for number in range(BUDGET_CRASHES):
+                    self.crash(100.0 + 5 * number, reports, place=reports - 1)
+                self.assertEqual(list(self.quarantine.crash_counts), ["deadly"])
+
+    def test_bystanders_of_other_crashes_do_not_displace_a_part(self):
+        """Guards BUDGET: the reports of earlier crashes on the part were dropped."""
+        for others in (5, 20):
+            with self.subTest(others=others):
+                self.setUp()
+                for number in range(BUDGET_CRASHES):
+                    at = 100.0 + 100 * number
+                    self.crash(at, self.SLOTS, place=3)
+                    for other in range(others):
+                        self.crash(at + 1 + other, self.SLOTS)
+                self.assertEqual(list(self.quarantine.crash_counts), ["deadly"])
+
+    def test_many_other_crashes_do_not_release_a_quarantined_part(self):
+        """Guards BUDGET: each release costs three servers more."""
+        for number in range(3):
+            self.crash(100.0 + 5 * number, self.SLOTS, place=3)
+        for number in range(40):
+            self.crash(120.0 + number, self.SLOTS)
+            self.assertEqual(list(self.quarantine.crash_counts), ["deadly"])
+
+
 class ClockTest(unittest.TestCase):
     """Gateways whose clocks differ report crashes to one whose clock is right."""
 
