Let single requests through when the reports of a quarantine expire

Servers crashed on one part of prompts again and again, three of them every ten minutes (BUDGET, from the twentieth minute on).

Cause: a report counts for ten minutes, and a quarantine ended with its reports although requests with the part still came, each refused. Nothing of the earlier crashes was known after that. Ruled out: to keep reports for longer, since a sound part that is held back by mistake would be refused for longer, and the store's leases end after ten minutes.

A group whose reports expire is remembered (100 at most). One gateway in each slot of 2 s lets one request with the whole group through. A completed one clears its parts at all gateways; one that crashes a server quarantines the group again at once, for 20 minutes and twice as long each time. A server that turns out to run ends that too.

A gateway that starts more than ten minutes after the last crash knows nothing of the group.

--- a/heatherswitch/gateway/crash_handling.py
+++ b/heatherswitch/gateway/crash_handling.py
@@ -56,9 +56,9 @@
         :returns: None if it may be sent now.
         """
         prompt = pending.request.prompt_parts
-        if self._quarantine.blocks(prompt):
+        if self._quarantine.blocks(now, prompt):
             return REPORT_TTL_S
-        group = self._quarantine.suspected_group(prompt)
+        group = self._quarantine.suspected_group(now, prompt)
         if group is None or self._probes.allows(now, group, pending):
             return None
         return PROBE_SLOT_S
--- a/heatherswitch/gateway/prompt_quarantine.py
+++ b/heatherswitch/gateway/prompt_quarantine.py
@@ -21,6 +21,7 @@
     CrashReport,
     CrashTimes,
 )
+from heatherswitch.gateway.expired_groups import ExpiredGroups
 from heatherswitch.gateway.model import PromptPart, Server
 from heatherswitch.gateway.part_completions import SHARED_CRASHES, PartCompletions
 from heatherswitch.statecore.hashing import hash64
@@ -75,6 +76,7 @@
         "_crash_reports",
         "_crash_times",
         "_dropped_parts",
+        "_expired",
         "_gateway_id",
         "_heartbeats",
         "_quarantined",
@@ -100,10 +102,11 @@
         self._quarantined: dict[frozenset[str], int] = {}
         # The same of groups whose crashes happened together.
         self._suspected: dict[frozenset[str], int] = {}
+        self._expired = ExpiredGroups()
 
     @property
     def crash_counts(self) -> Mapping[str, int]:
-        """Number of crashes by the name of each quarantined group of parts."""
+        """Number of crashes by the name of each group that reports quarantine."""
         return {_name(group): n for group, n in self._quarantined.items()}
 
     @property
@@ -111,19 +114,30 @@
         """Number of suspected groups of parts."""
         return len(self._suspected)
 
-    def blocks(self, prompt: Iterable[PromptPart]) -> bool:
+    def blocks(self, now: float, prompt: Iterable[PromptPart]) -> bool:
         """Returns True if a prompt contains all parts of a quarantined group."""
-        if not self._quarantined:
+        if not self._quarantined and not self._expired:
             return False
         parts = {part_hash(part) for part in prompt}
-        return any(group <= parts for group in self._quarantined)
+        if any(group <= parts for group in self._quarantined):
+            return True
+        return self._expired.blocks(now, parts)
 
-    def suspected_group(self, prompt: Iterable[PromptPart]) -> frozenset[str] | None:
-        """Returns a suspected group of which a prompt contains a part, or None."""
-        if not self._suspected:
+    def suspected_group(
+        self, now: float, prompt: Iterable[PromptPart]
+    ) -> frozenset[str] | None:
+        """Returns a group of which single requests with this prompt are let through.
+
+        The prompt contains a part of a suspected group, or all parts of a group that was
+        quarantined until its reports expired. Returns None if there is none.
+        """
+        if not self._suspected and not self._expired:
             return None
         parts = {part_hash(part) for part in prompt}
-        return next((g for g in self._suspected if not g.isdisjoint(parts)), None)
+        for group in self._suspected:
+            if not group.isdisjoint(parts):
+                return group
+        return self._expired.find(now, parts)
 
     def report(
         self,
@@ -174,6 +188,7 @@
             part
             for part in shared
             if len(self._crash_times.get(part, ())) >= SHARED_CRASHES
+            or self._expired.suspects(part)
         )
 
     def add(self, report: CrashReport) -> QuarantineChange | None:
@@ -189,6 +204,11 @@
         exonerates = self._completions.exonerates
         left = tuple(part for part in report.parts if not exonerates(part, report.at))
         report = report.replace(parts=left)
+        held = self._expired.note_crash(report)
+        change = self._add(report)
+        return _joined(change, added=held)
+
+    def _add(self, report: CrashReport) -> QuarantineChange | None:
         changed = [report]
         others = self._crash_reports.get(report.crash, {})
         if len(others) >= MAX_CRASH_REPORTS:
@@ -207,7 +227,7 @@
         """Removes a report that has expired; returns as :meth:`add` does."""
         if report_id not in self._reports:
             return None
-        return self._update([self._delete(report_id)])
+        return self._expire([report_id])
 
     def note_heartbeat(self, server: Server) -> QuarantineChange | None:
         """Removes the reports of a server that has not started again since.
@@ -222,7 +242,11 @@
         self._heartbeats[crash] = self._heartbeats.get(crash, 0) + 1
         if self._heartbeats[crash] < ALIVE_HEARTBEATS:
             return None
-        return self._update([self._delete(i) for i in list(self._crash_reports[crash])])
+        ended = self._expired.note_alive(crash)
+        change = self._update(
+            [self._delete(i) for i in list(self._crash_reports[crash])]
+        )
+        return _joined(change, released=ended)
 
     def note_suspected(self, now: float, report: CrashReport) -> None:
         """Compares a report of another gateway with the requests completed here."""
@@ -243,6 +267,7 @@
         :param age_s: seconds since the completion.
         """
         self._completions.note_shared(now - age_s, parts)
+        released = self._expired.clear(parts)
         changed = [
             r for r in self._reports.values() if not set(parts).isdisjoint(r.parts)
         ]
@@ -254,7 +279,7 @@
             self._reports[report.id] = report.replace(parts=left)
             self._crash_reports[report.crash][report.id] = self._reports[report.id]
             self._recount(report.crash, set(report.parts).difference(left))
-        return self._update(changed)
+        return _joined(self._update(changed), released=released)
 
     def expire(self, now: float) -> QuarantineChange | None:
         """Removes reports older than :data:`REPORT_TTL_S`; returns as :meth:`add`.
@@ -262,7 +287,15 @@
         Those that far in the future come from a gateway whose clock is wrong.
         """
         old = [r.id for r in self._reports.values() if abs(now - r.at) >= REPORT_TTL_S]
-        return self._update([self._delete(i) for i in old]) if old else None
+        return self._expire(old) if old else None
+
+    def _expire(self, report_ids: Iterable[str]) -> QuarantineChange | None:
+        """Deletes reports because of their age, and remembers the groups they released."""
+        before = self._quarantined
+        change = self._update([self._delete(i) for i in report_ids])
+        for group in before.keys() - self._quarantined.keys():
+            self._expired.add(group)
+        return change
 
     def _recurs(self, report: CrashReport) -> bool:
         """Tells whether a part that was not completed lately is in another crash too."""
@@ -376,5 +409,21 @@
     return f"{hash64(part.id):016x}"
 
 
+def _joined(
+    change: QuarantineChange | None,
+    added: Iterable[frozenset[str]] = (),
+    released: Iterable[frozenset[str]] = (),
+) -> QuarantineChange | None:
+    """Returns a change with further groups; None if there is none."""
+    # A further crash quarantines a group whose earlier ones have expired.
+    more = tuple((_name(group), 1) for group in added)
+    less = tuple(sorted(map(_name, released)))
+    if not more and not less:
+        return change
+    if change is None:
+        return QuarantineChange(more, less)
+    return QuarantineChange((*change.added, *more), (*change.released, *less))
+
+
 def _name(group: frozenset[str]) -> str:
     return "+".join(sorted(group))
--- a/test/test_crash_attribution.py
+++ b/test/test_crash_attribution.py
@@ -6,9 +6,12 @@
 from heatherswitch.gateway import events as ev
 from heatherswitch.gateway.crash_records import decode_report, encode_report
 from heatherswitch.gateway.crash_report import CrashReport
+from heatherswitch.gateway.expired_groups import MAX_EXPIRED_GROUPS, ExpiredGroups
 from heatherswitch.gateway.probes import PROBE_SLOT_S
 from heatherswitch.gateway.prompt_quarantine import (
+    ALIVE_HEARTBEATS,
     MAX_CRASH_REPORTS,
+    REPORT_TTL_S,
     PromptQuarantine,
     part_hash,
 )
@@ -211,6 +214,70 @@
             self.assertEqual(list(self.quarantine.crash_counts), ["deadly"])
 
 
+class ExpiredReportsTest(unittest.TestCase):
+    """Reports expire while requests with the part still come."""
+
+    def play(self, fleet: Fleet, seconds: float) -> None:
+        """Sends two requests every five seconds, one of them with the part."""
+        for number in range(int(seconds / 5.0)):
+            gateway = number % len(fleet.drivers)
+            fleet.send(gateway, "/chat/1", prompt("root", "deadly", f"crash{number}"))
+            fleet.send(gateway, "/chat/1", prompt("root", "sound", f"own{number}"))
+            fleet.advance(5.0)
+
+    def test_part_does_not_crash_three_servers_each_time_its_reports_expire(self):
+        """Guards BUDGET: every ten minutes the quarantine began anew."""
+        fleet = Fleet(2, 12, "deadly", peers=True)
+        self.play(fleet, 3 * 3600.0)
+        self.assertLessEqual(len(fleet.crashes), BUDGET_CRASHES + BUDGET_REQUESTS)
+        late = [at for at in fleet.crashes if at > fleet.crashes[2] + CONTACT_S]
+        gaps = [b - a for a, b in zip(late, late[1:], strict=False)]
+        self.assertEqual(gaps, sorted(gaps))
+        self.assertFalse(
+            [e for e in fleet.outcomes["sound"] if not isinstance(e, ev.Finish)]
+        )
+
+    def quarantine_sound_part(self, fleet: Fleet) -> None:
+        """Three servers crash on a part that is sound from then on."""
+        for number in range(3):
+            fleet.send(number % 2, "/chat/1", prompt("deadly", f"crash{number}"))
+            fleet.advance(5.0)
+        fleet.deadly = ""
+        fleet.advance(REPORT_TTL_S)
+        fleet.outcomes["sound"].clear()
+
+    def test_completed_request_releases_a_part_whose_reports_expired(self):
+        """Guards LOST: a part that was sound would be held back for good."""
+        fleet = Fleet(2, 12, "deadly", peers=True)
+        self.quarantine_sound_part(fleet)
+        for number in range(20):
+            fleet.advance(1.0)
+            fleet.send(number % 2, "/chat/1", prompt("deadly", f"own{number}"))
+        outcomes = [isinstance(e, ev.Finish) for e in fleet.outcomes["sound"]]
+        self.assertTrue(all(outcomes[6:]), outcomes)
+
+    def test_server_that_had_not_crashed_does_not_hold_the_part_again(self):
+        """Its connections were reset, which looks like a further crash."""
+        quarantine = PromptQuarantine("g")
+        for number in range(3):
+            at = 100.0 + number
+            quarantine.add(CrashReport(f"g/{number}", f"e{number}", 1, at, at, ("p",)))
+        now = 103.0 + REPORT_TTL_S
+        quarantine.expire(now)
+        quarantine.add(CrashReport("g/9", "e9", 1, now, now, ("other", "p")))
+        self.assertEqual(quarantine._expired.held(now), {frozenset("p"): 1})
+        for _ in range(ALIVE_HEARTBEATS):
+            quarantine.note_heartbeat(server("e9", "engine"))
+        self.assertEqual(quarantine._expired.held(now), {})
+
+    def test_expired_groups_are_bounded(self):
+        groups = ExpiredGroups()
+        for number in range(MAX_EXPIRED_GROUPS + 1):
+            groups.add(frozenset((f"p{number}",)))
+        self.assertEqual(len(groups), MAX_EXPIRED_GROUPS)
+        self.assertIsNone(groups.find(0.0, {"p0"}))
+
+
 class ClockTest(unittest.TestCase):
     """Gateways whose clocks differ report crashes to one whose clock is right."""
 
