Test response heads that are cut in all places

Played before: heads with a length, chunks and neither, as first answers. Not played: interim answers before the head, 204 and 304, a retry, a resumed stream.

It can't happen here: h11 takes a head that has no empty line at its end for an error, and the gateway writes no head of its own before a server's head is whole.

The stand-in server can reset the connection after bytes of its own.

--- a/emulator/platform/server.py
+++ b/emulator/platform/server.py
@@ -329,6 +329,8 @@
                 return False
             # Lets other tasks run even if the caller reads without a pause.
             await asyncio.sleep(behaviour.raw_gap_s)
+        if behaviour.reset:
+            return await self._end_response(behaviour, writer, unframed=True)
         return False
 
     async def _send_plain(self, request, behaviour, writer) -> bool:
