Answer pipelined requests before a connection closes at a stop

At a planned stop, a caller that had sent several requests on one connection got a response to the first; the process had received the others and closed the connection without a word about them (LOST).

Cause: the response to the first request says "Connection: close" once the gateway stops, and the connection ends after it, whatever was received behind it. Ruled out by the same test: requests on 34 kept and new connections in the 3.4 s after the signal, bodies in chunks that end before and after the time up to which requests are accepted, SIGHUP, SIGTERM and SIGINT in between, the store away. All of these were answered before the change, as not run where no server had got them.

A response says "close" only if nothing was received behind its request. Requests behind it are served, or refused as not run if it is too late.

Before: test_pipelined_requests_are_all_answered fails, two of three requests of a connection without a response. After: green; test_stop_under_load, test_http_server_stop, test_http and test_gateway_stop: 34 passed. The server of routers is the same.

--- a/heatherswitch/util/http_server.py
+++ b/heatherswitch/util/http_server.py
@@ -266,10 +266,10 @@
             writer.close()
             return
         task = asyncio.current_task()
-        connection = _Connection(self, self._handler, reader, writer)
+        connection = _Connection(self, self._handler, reader, writer, protocol)
         self._connections[task] = connection
         try:
-            await connection.serve(protocol.closed)
+            await connection.serve()
             connection.reset_if_truncated()
             # stop() waits for this: data that the socket has not taken would be lost
             # when the process ends.
@@ -330,6 +330,8 @@
         "_handler",
         "_header_bytes",
         "_idle_timeout",
+        "_protocol",
+        "_read_bytes",
         "_reader",
         "_server",
         "_turn",
@@ -337,11 +339,14 @@
         "_writer",
     )
 
-    def __init__(self, server, handler, reader, writer) -> None:
+    def __init__(self, server, handler, reader, writer, protocol) -> None:
         self._server = server
         self._handler = handler
         self._reader = reader
         self._writer = writer
+        self._protocol = protocol
+        # Bytes taken from the reader so far.
+        self._read_bytes = 0
         self._header_bytes = server.limits.header_bytes
         self._h11_connection = _new_server_connection(self._header_bytes)
         # Set while the connection waits for a request.
@@ -365,11 +370,8 @@
         if self._idle_timeout is not None and not self._idle_timeout.expired():
             self._idle_timeout.reschedule(asyncio.get_running_loop().time())
 
-    async def serve(self, closed: asyncio.Event) -> None:
-        """Serves requests until the connection must close.
-
-        :param closed: set when the caller closes its side of the connection.
-        """
+    async def serve(self) -> None:
+        """Serves requests until the connection must close."""
         while True:
             try:
                 request = await self._read_request()
@@ -378,8 +380,7 @@
                 responder = self._new_responder()
                 if not self._server.accepts_requests:
                     await self._refuse(responder)
-                    return
-                if not await self._run_handler(request, responder, closed):
+                elif not await self._run_handler(request, responder):
                     return
             except h11.RemoteProtocolError as error:
                 await self._send_error(
@@ -396,9 +397,25 @@
 
     def _new_responder(self) -> Responder:
         return Responder(
-            self._h11_connection, self._writer, lambda: self._server.closing
+            self._h11_connection,
+            self._writer,
+            # Requests that were received behind this one get a response too.
+            lambda: self._server.closing and not self._has_unparsed_data,
         )
 
+    @property
+    def _has_unparsed_data(self) -> bool:
+        """True if the caller has sent data behind the current request."""
+        if self._unparsed or self._protocol.received_bytes > self._read_bytes:
+            return True
+        return bool(self._h11_connection.trailing_data[0])
+
+    async def _read(self) -> bytes:
+        """Returns the next data of the caller; empty at the end of the connection."""
+        data = await self._reader.read(MAX_READ_BYTES)
+        self._read_bytes += len(data)
+        return data
+
     def _apply_header_limit(self) -> None:
         """Takes over a changed limit before a request; h11 can't change its own."""
         if self._header_bytes == self._server.limits.header_bytes:
@@ -442,7 +459,7 @@
         if idle_s > 0:
             try:
                 async with asyncio.timeout(idle_s) as self._idle_timeout:
-                    return await self._reader.read(MAX_READ_BYTES)
+                    return await self._read()
             except TimeoutError:
                 pass
             finally:
@@ -454,7 +471,7 @@
         transport.pause_reading()
         try:
             async with asyncio.timeout(0):
-                data = await self._reader.read(MAX_READ_BYTES)
+                data = await self._read()
         except TimeoutError:
             return b""
         transport.resume_reading()
@@ -483,7 +500,7 @@
         event = self._h11_connection.next_event()
         while event is h11.NEED_DATA:
             if not self._unparsed:
-                self._unparsed.append(await self._reader.read(MAX_READ_BYTES))
+                self._unparsed.append(await self._read())
             self._h11_connection.receive_data(self._unparsed.take())
             event = self._h11_connection.next_event()
         # A read doesn't wait if the caller's data is buffered already.
@@ -501,10 +518,10 @@
             [(k.decode("latin-1"), v.decode("latin-1")) for k, v in event.headers],
         )
 
-    async def _run_handler(self, request, responder, closed: asyncio.Event) -> bool:
+    async def _run_handler(self, request, responder) -> bool:
         """Runs the handler; returns False if the connection must close."""
         handler_task = asyncio.ensure_future(self._handler(request, responder))
-        disconnect_task = asyncio.ensure_future(closed.wait())
+        disconnect_task = asyncio.ensure_future(self._protocol.closed.wait())
         try:
             await asyncio.wait(
                 {handler_task, disconnect_task}, return_when=asyncio.FIRST_COMPLETED
@@ -565,11 +582,13 @@
 
     :ivar closed: set when the peer has closed its side, or the connection has ended.
     :ivar lost: set when the connection has ended.
+    :ivar received_bytes: bytes received so far.
     """
 
     def __init__(self, on_connection, loop: asyncio.AbstractEventLoop) -> None:
         self.closed = asyncio.Event()
         self.lost = asyncio.Event()
+        self.received_bytes = 0
         self._on_connection = on_connection
         super().__init__(
             asyncio.StreamReader(MAX_READ_BYTES, loop), self._connected, loop
@@ -578,6 +597,11 @@
     async def _connected(self, reader, writer) -> None:
         await self._on_connection(reader, writer, self)
 
+    def data_received(self, data: bytes) -> None:
+        """Passes data to the reader and counts it."""
+        self.received_bytes += len(data)
+        super().data_received(data)
+
     def eof_received(self) -> bool | None:
         """Sets :attr:`closed` when the peer has sent its last byte."""
         self.closed.set()
