Fit crash reports about servers with long ids into datagrams

Other gateways rejected the datagram of a report about a server whose id has over about 120 bytes, with up to three more reports in it, and learned of the crash from the store up to 2.3 s later.

Cause: the number of parts in a report is chosen for short ids; a store key allows 192 bytes, and JSON may double them, so that records had up to 1,264 bytes where 1,000 are read.

A report about a server with a long id holds fewer parts.

Before: test_reports_of_a_long_chat_fit_into_datagrams, with ids of 192 bytes, fails at 1,072 and 1,264 bytes. After: all ids fit (test_crash_attribution green).

--- a/heatherswitch/gateway/crash_report.py
+++ b/heatherswitch/gateway/crash_report.py
@@ -1,10 +1,16 @@
 """A report of a request whose server may have crashed on its prompt."""
 
+import json
+import math
+
 from heatherswitch.util.record import Record
 
-# Maximum number of prompt parts in a report. Its record has about 19 bytes for each, and
-# a datagram takes records of 1000 bytes.
+# Maximum number of prompt parts in a report. Its record has 19 bytes for each, and a
+# datagram takes records of 1000 bytes.
 MAX_REPORTED_PARTS = 40
+PART_RECORD_BYTES = 19
+# Bytes of a server's id in a record above which fewer parts fit.
+SHORT_ID_BYTES = 100
 
 # Separates the id of a request from the number of a report, if it has several.
 CONTINUATION = "+"
@@ -14,6 +20,13 @@
 CrashTimes = dict[str, dict[tuple[str, int], tuple[float, float]]]
 
 
+def reported_parts_limit(server_id: str) -> int:
+    """Returns how many parts fit into a report about a server."""
+    id_bytes = len(json.dumps(server_id))
+    excess_bytes = max(0, id_bytes - SHORT_ID_BYTES)
+    return max(1, MAX_REPORTED_PARTS - math.ceil(excess_bytes / PART_RECORD_BYTES))
+
+
 class CrashReport(Record):
     """A server broke off a request when it began to write.
 
--- a/heatherswitch/gateway/prompt_quarantine.py
+++ b/heatherswitch/gateway/prompt_quarantine.py
@@ -17,9 +17,9 @@
 )
 from heatherswitch.gateway.crash_report import (
     CONTINUATION,
-    MAX_REPORTED_PARTS,
     CrashReport,
     CrashTimes,
+    reported_parts_limit,
 )
 from heatherswitch.gateway.expired_groups import ExpiredGroups
 from heatherswitch.gateway.model import PromptPart, Server
@@ -162,8 +162,9 @@
         suspected = [p for p in shared if not self._completions.exonerates(p, now)]
         reports = []
         self._report_count += 1
-        for first in range(0, len(suspected), MAX_REPORTED_PARTS):
-            continued = len(suspected) > MAX_REPORTED_PARTS
+        limit = reported_parts_limit(server.id)
+        for first in range(0, len(suspected), limit):
+            continued = len(suspected) > limit
             continuation = f"{CONTINUATION}{len(reports)}" if continued else ""
             reports.append(
                 CrashReport(
@@ -172,7 +173,7 @@
                     server.incarnation,
                     sent_at,
                     now,
-                    tuple(suspected[first : first + MAX_REPORTED_PARTS]),
+                    tuple(suspected[first : first + limit]),
                     written_at,
                 )
             )
--- a/test/test_crash_attribution.py
+++ b/test/test_crash_attribution.py
@@ -151,14 +151,19 @@
 
     def test_reports_of_a_long_chat_fit_into_datagrams(self):
         """Records over the limit are malformed to other gateways."""
-        quarantine = PromptQuarantine("gateway-" + "1" * 40)
         chat = prompt(*(f"part{number}" for number in range(100)))
-        reports = quarantine.report(1e9, server("e" * 40), 1e9, chat)
-        for report in reports:
-            key, value = encode_report(report)
-            self.assertLessEqual(len(value), MAX_RECORD_BYTES)
-            self.assertEqual(decode_report(report.id, value), report)
-        self.assertEqual(sum(len(report.parts) for report in reports), len(chat) - 1)
+        # A store key of 200 bytes holds ids of up to 192, which JSON may double.
+        for server_id in ("e" * 40, "e" * 192, '"' * 192):
+            with self.subTest(server_id[:9], size=len(server_id)):
+                quarantine = PromptQuarantine("gateway-" + "1" * 40)
+                crashed = server(server_id, incarnation=10**13)
+                reports = quarantine.report(1e9 + 0.25, crashed, 1e9, chat, 1e9 + 9.5)
+                for report in reports:
+                    _, value = encode_report(report)
+                    self.assertLessEqual(len(value), MAX_RECORD_BYTES)
+                    self.assertEqual(decode_report(report.id, value), report)
+                reported = sum(len(report.parts) for report in reports)
+                self.assertEqual(reported, len(chat) - 1)
 
 
 class ReportBoundsTest(unittest.TestCase):
