Keep as many crash records for the store as a gateway remembers

With the store away, a gateway wrote only its last 256 records when it came back: of three crashes with long prompts only the last. A gateway that starts after them reads no others, and lets requests with the part crash three more servers.

Cause: a bound of the outbox under the number of reports that one crash can have.

Before: test_reports_of_several_crashes_are_kept_while_the_store_is_away fails. After: green.

--- a/heatherswitch/gateway/crash_publisher.py
+++ b/heatherswitch/gateway/crash_publisher.py
@@ -6,7 +6,7 @@
 
 from heatherswitch.gateway import events as ev
 from heatherswitch.gateway.crash_records import encode_cleared, encode_report
-from heatherswitch.gateway.prompt_quarantine import REPORT_TTL_S
+from heatherswitch.gateway.prompt_quarantine import MAX_REPORTS, REPORT_TTL_S
 from heatherswitch.statecore.lease import LeaseStore
 from heatherswitch.statecore.store import StoreError
 from heatherswitch.util.clock import Clock
@@ -16,9 +16,11 @@
 # Seconds for which records are collected before they are written in one call. A server
 # that crashes breaks off many requests within milliseconds.
 COLLECT_S = 0.05
-# Maximum number of records in one write, and of records that wait for one.
+# Maximum number of records in one write.
 MAX_BATCH = 32
-MAX_OUTBOX = 256
+# Maximum number of records that wait for a write: as many as a gateway remembers, since a
+# gateway that starts later knows only what was written.
+MAX_OUTBOX = MAX_REPORTS
 # Seconds after which records get a new lease. Records are removed with their lease,
 # which is not renewed, so that they outlive the gateway that wrote them.
 LEASE_REUSE_S = 60.0
--- a/test/test_prompt_quarantine.py
+++ b/test/test_prompt_quarantine.py
@@ -800,6 +800,14 @@
         self.assertEqual(store.grants, [REPORT_TTL_S] * 2)
         self.assertIn(CLEARED_PREFIX + "b", store.written)
 
+    async def test_reports_of_several_crashes_are_kept_while_the_store_is_away(self):
+        """Of three crashes with 256 reports each, only those of the last were written."""
+        outbox = CrashOutbox()
+        for number in range(3 * 256):
+            report = CrashReport(f"g/{number}", f"e{number % 3}", 1, 1.0, 2.0, ("a",))
+            outbox.add(ev.PublishCrash(report))
+        self.assertIn(CRASH_PREFIX + "g/0", outbox.next_batch())
+
     async def test_outbox_is_bounded(self):
         outbox = CrashOutbox()
         with self.assertLogs("heatherswitch.gateway.crash_publisher", "WARNING"):
