Read prompt parts in several header lines as one list

A part of prompts that crashes servers was in no report, and its requests were never refused, if it came in a second X-Prompt-Prefix line (BUDGET).

Cause: only the first line was read, while all are forwarded, and a server reads repeated lines of a list header as one list.

Before: test_prompt_parts_in_several_lines_are_one_list fails, two parts of three. After: test_malformed_input, test_platform_formats and test_fuzz_decoders are green.

--- a/heatherswitch/platform/headers.py
+++ b/heatherswitch/platform/headers.py
@@ -42,6 +42,9 @@
     for name, value in request.headers:
         if name in (names.ATTEMPT_ID, names.DEADLINE_MS, "host") and name in fields:
             raise BadRequest(400, f"the header {name} is repeated")
+        if name == names.PROMPT_PREFIX and name in fields:
+            # Repeated lines of a list are one list.
+            fields[name] += f",{value}"
         fields.setdefault(name, value)
     attempt_id = fields.get(names.ATTEMPT_ID, "")
     if not attempt_id:
--- a/test/test_malformed_input.py
+++ b/test/test_malformed_input.py
@@ -160,6 +160,12 @@
                 self.assertEqual(decode_request(request).prompt_parts, ())
             self.assertLessEqual(len(logs.records[0].parts), MAX_LOG_CHARACTERS)
 
+    def test_prompt_parts_in_several_lines_are_one_list(self):
+        """Guards BUDGET: a part in a further line was in no crash report."""
+        lines = (("x-prompt-prefix", "a:1,b:2"), ("x-prompt-prefix", "c:3"))
+        parts = decode_request(make_request(*lines)).prompt_parts
+        self.assertEqual([part.id for part in parts], ["a", "b", "c"])
+
     def test_malformed_load_is_ignored(self):
         for number in self.NUMBERS:
             for text in (f"{number},1,8", f"1,{number},8", f"1,1,{number}"):
