Give the tests of stops under load a loopback address of their own

Cause: test_retry_budget, which ran at the same time, has gateways on the same loopback address, so that the metrics port was taken. The load was not the cause.

--- a/test/test_stop_under_load.py
+++ b/test/test_stop_under_load.py
@@ -99,7 +99,7 @@
 
 
 class StopUnderLoadTest(GatewayCase):
-    ADDRESS_GROUP = 249
+    ADDRESS_GROUP = 248
 
     async def asyncSetUp(self):
         await super().asyncSetUp()
