Answer running requests before the grace period of a router ends

Cause: the HTTP server cancels its connections at the end of the grace period, and the reducer was only told that their callers had left. SIGHUP had no handler.

0.2 s before the end the reducer ends all requests as it does at their deadlines: the attempt is cancelled, and the response says that the request may have run, code `stopping`. SIGHUP is logged; daemons read their settings at the start.

Before: test_request_that_outlasts_the_grace_period_gets_a_response ends with a closed connection, test_sighup_does_not_end_the_daemon with exit code 7. SIGTERM before a daemon has installed its handlers still ends it; gateways hold signals from their first step on.

--- a/heatherswitch/router/events.py
+++ b/heatherswitch/router/events.py
@@ -125,3 +125,8 @@
     """
 
     serve_until: float
+
+
+@dataclass(frozen=True, slots=True)
+class GraceEnding(Event):
+    """The grace period of a shutdown is about to end."""
--- a/heatherswitch/router/reducer.py
+++ b/heatherswitch/router/reducer.py
@@ -128,6 +128,7 @@
             events.VersionBlocked: self._on_version_cut,
             events.Tick: self._on_tick,
             events.StopRequested: self._on_stop,
+            events.GraceEnding: self._on_grace_ending,
         }
 
     @property
@@ -248,15 +249,28 @@
             _, request_id = heapq.heappop(self._deadlines)
             state = self._requests.get(request_id)
             if state is not None:
-                state.record_executed(OutcomeUnknown("deadline", "the deadline passed"))
-                effects.append(CancelAttempt(request_id, state.attempt))
-                effects += self._complete(state, state.executed_outcome)
+                outcome = OutcomeUnknown("deadline", "the deadline passed")
+                effects += self._abandon(state, outcome)
         return effects
 
     def _on_stop(self, event: events.StopRequested) -> list[Effect]:
         self._serve_until = event.serve_until
         return [Log("graceful shutdown started", {"running": self.running})]
 
+    def _on_grace_ending(self, event: events.GraceEnding) -> list[Effect]:
+        """Ends all requests, so that their connections close with a response."""
+        effects: list[Effect] = []
+        for state in list(self._requests.values()):
+            outcome = OutcomeUnknown("stopping", "the router stops")
+            effects += self._abandon(state, outcome)
+        return effects
+
+    def _abandon(self, state: _RequestState, outcome: OutcomeUnknown) -> list[Effect]:
+        """Ends a request whose attempt may still run."""
+        state.record_executed(outcome)
+        cancel = CancelAttempt(state.arrived.request_id, state.attempt)
+        return [cancel, *self._complete(state, state.executed_outcome)]
+
     def _may_retry(self, now: float, state: _RequestState) -> bool:
         if not state.arrived.idempotent:
             return False
--- a/heatherswitch/router/shell.py
+++ b/heatherswitch/router/shell.py
@@ -39,6 +39,9 @@
     ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
     ("grpc.max_send_message_length", MAX_MESSAGE_BYTES),
 )
+# Seconds before the end of the grace period at which running requests get their final
+# response, so that it still reaches their callers.
+FINAL_RESPONSE_S = 0.2
 
 
 @dataclass(frozen=True, slots=True)
@@ -286,7 +289,12 @@
         with contextlib.suppress(Exception):
             await self._node.run_exchange()
         await asyncio.sleep(max(0.0, drained_at - self._clock.now()))
+        final_response = asyncio.get_running_loop().call_later(
+            max(0.0, self._config.grace_s - FINAL_RESPONSE_S),
+            lambda: self._runner.post(events.GraceEnding(self._clock.now())),
+        )
         await self._caller_server.stop(self._config.grace_s)
+        final_response.cancel()
         if self._tick_task is not None:
             self._tick_task.cancel()
         for component in reversed(self._components):
--- a/heatherswitch/ui/daemon.py
+++ b/heatherswitch/ui/daemon.py
@@ -354,12 +354,15 @@
 async def run_until_signal(daemon: Daemon, ready_file: str) -> None:
     """Runs a daemon until SIGTERM or SIGINT, then stops it gracefully.
 
+    SIGHUP has no effect: a daemon reads its settings at the start.
+
     :param ready_file: path to write the bound addresses to; empty writes no file.
     """
     loop = asyncio.get_running_loop()
     stop = asyncio.Event()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, stop.set)
+    loop.add_signal_handler(signal.SIGHUP, log_hangup)
     await daemon.start()
     if ready_file:
         write_ready_file(Path(ready_file), daemon.addresses)
@@ -368,6 +371,11 @@
     await daemon.stop()
 
 
+def log_hangup() -> None:
+    """Handles SIGHUP, whose default action would end the process and its requests."""
+    log.info("SIGHUP ignored; restart the daemon to change its settings")
+
+
 def write_ready_file(path: Path, bound_addresses: Mapping[str, str]) -> None:
     """Writes the bound addresses as JSON.
 
--- a/test/test_callers.py
+++ b/test/test_callers.py
@@ -1,6 +1,7 @@
 import asyncio
 import json
 import unittest
+from dataclasses import replace
 
 from heatherswitch.protocol import heatherswitch_pb2 as pb
 from heatherswitch.protocol import heatherswitch_pb2_grpc as pb_grpc
@@ -236,6 +237,20 @@
         await stop
         health.close()
 
+    async def test_request_that_outlasts_the_grace_period_gets_a_response(self):
+        # P9: its connection was closed without one, so that its caller could not tell
+        # whether it had run.
+        self.router._config = replace(self.router._config, grace_s=0.6)
+        running = pb.Accepted(incarnation=1)
+        self.agent.script = lambda r: [event(r.request_id, accepted=running), None]
+        call = asyncio.create_task(
+            self.send_and_read_error("POST", "/v1/chat/completions", CHAT)
+        )
+        while not self.agent.requests:
+            await asyncio.sleep(0.01)
+        await self.router.stop()
+        self.assertEqual(await call, (504, "stopping"))
+
     async def test_request_in_flight_when_the_listener_closes_is_served(self):
         # P9: a new connection must not be closed before its first request is served.
         host, _, port = self.router.addresses["caller"].rpartition(":")
--- a/test/test_router_reducer.py
+++ b/test/test_router_reducer.py
@@ -218,3 +218,17 @@
         self.assertIsInstance(self.arrive("r1", now=4.0)[0], Dispatch)
         (completion,) = self.arrive("r2", now=5.0)
         self.assertEqual(completion.outcome.reason, Reason.NOT_READY)
+
+    def test_running_requests_are_answered_before_the_grace_period_ends(self):
+        # Their connections were closed without a response, and nobody knew whether
+        # they had run.
+        self.apply(events.StopRequested(0.0, serve_until=5.0))
+        self.arrive("r1")
+        self.arrive("r2", idempotent=False)
+        effects = self.apply(events.GraceEnding(9.0))
+        self.assertEqual(effects[0], CancelAttempt("r1", 1))
+        ended = [e for e in effects if isinstance(e, CompleteRequest)]
+        self.assertEqual([e.request_id for e in ended], ["r1", "r2"])
+        for completion in ended:
+            self.assertIsInstance(completion.outcome, OutcomeUnknown)
+        self.assertEqual(self.reducer.running, 0)
--- a/test/test_ui.py
+++ b/test/test_ui.py
@@ -190,6 +190,23 @@
         self.assertEqual((code, fake.stopped), (0, True))
         self.assertEqual((values["version"], values["peers"]), ("v1", []))
 
+    def test_sighup_does_not_end_the_daemon(self):
+        # Guards against its default action, which cut all running requests.
+        class HangupDaemon(FakeDaemon):
+            async def start(self):
+                os.kill(os.getpid(), signal.SIGHUP)
+                await super().start()
+
+        arguments = ["--id=r1", "--zone=z1"]
+        with mock.patch(f"{__name__}.FakeDaemon", HangupDaemon):
+            # Without a handler of its own, the signal would end the test run.
+            previous = signal.signal(signal.SIGHUP, lambda *_: self.fail("not handled"))
+            try:
+                code, _, _, fake = self.run_command(RouterCommand(), arguments)
+            finally:
+                signal.signal(signal.SIGHUP, previous)
+        self.assertEqual((code, fake.stopped), (0, True))
+
     def test_flags_override_environment_variables(self):
         # Guards against a variable that is ignored or overrides the command line.
         environment = {
