Remove a method of expired groups that only tests called

The test asks whether a prompt with the group is blocked, as the gateway does. No change of behaviour; test_crash_attribution is green.

--- a/heatherswitch/gateway/expired_groups.py
+++ b/heatherswitch/gateway/expired_groups.py
@@ -60,10 +60,6 @@
         while len(self._holds) > MAX_EXPIRED_GROUPS:
             self._holds.popitem(last=False)
 
-    def held(self, now: float) -> dict[frozenset[str], int]:
-        """Returns the groups that are quarantined, with their further crashes."""
-        return {g: h.crashes for g, h in self._holds.items() if h.is_active(now)}
-
     def blocks(self, now: float, parts: Collection[str]) -> bool:
         """Tells whether a prompt contains all parts of a quarantined group."""
         return any(
