Log the age of notices and of the server list

A gateway logged nothing when it read in the store that a server leaves, so that a late request could not be told from one on an old view, and nothing told how long an answer of the store took to arrive and to be applied.

'server taken out' now has the source of the notice and an upper bound on its age, 'request forwarded' the age of the server list, and 'changes of the store applied' the size and the times of each answer; two metrics follow them. No decision changes.

--- a/heatherswitch/gateway/decision_log.py
+++ b/heatherswitch/gateway/decision_log.py
@@ -58,6 +58,7 @@
                 "time_left_s": round(
                     forward.deadline_at - self._clock.now(), LOG_DECIMALS
                 ),
+                "servers_age_s": round(forward.servers_age_s, LOG_DECIMALS),
                 **repeat,
             },
         )
@@ -155,6 +156,8 @@
                     "server": effect.server_id,
                     "request": effect.request_id,
                     "reason": effect.reason,
+                    "source": effect.source,
+                    "delay_s": _rounded(effect.delay_s),
                 },
             )
         else:
@@ -171,8 +174,9 @@
         "first_event_s": timing.first_event_s,
         "last_event_s": timing.last_event_s,
     }
-    rounded = {
-        name: None if value is None else round(value, LOG_DECIMALS)
-        for name, value in times.items()
-    }
+    rounded = {name: _rounded(value) for name, value in times.items()}
     return {**rounded, "events": timing.events}
+
+
+def _rounded(seconds: float | None) -> float | None:
+    return None if seconds is None else round(seconds, LOG_DECIMALS)
--- a/heatherswitch/gateway/events.py
+++ b/heatherswitch/gateway/events.py
@@ -477,6 +477,7 @@
         :class:`AttemptStalled` is due; None for never.
     :param reason: which rule decided the choice, for the log.
     :param repeats: number of servers that the request has reached before.
+    :param servers_age_s: seconds since the store confirmed the list of servers.
     """
 
     __slots__ = (
@@ -490,6 +491,7 @@
         "stall_timeout_s",
         "reason",
         "repeats",
+        "servers_age_s",
     )
 
     def __init__(
@@ -504,6 +506,7 @@
         stall_timeout_s: float | None,
         reason: str,
         repeats: int = 0,
+        servers_age_s: float = 0.0,
     ) -> None:
         self.serial = serial
         self.server = server
@@ -515,6 +518,7 @@
         self.stall_timeout_s = stall_timeout_s
         self.reason = reason
         self.repeats = repeats
+        self.servers_age_s = servers_age_s
 
 
 class KeepWaiting(Record):
@@ -681,22 +685,37 @@
 
 
 class ServerTakenOut(Record):
-    """A backend server gets no new requests, as it asked for in a response.
-
-    :param request_id: id of the caller's request that it responded to.
-    :param reason: ``leaving`` or ``busy``.
+    """A backend server gets no new requests.
+
+    :param request_id: id of the caller's request that it responded to; empty if the
+        notice came from elsewhere.
+    :param reason: ``leaving``, ``busy``, or ``removed`` if its entry disappeared.
+    :param source: where this gateway learned of it: ``response`` or ``store``.
+    :param delay_s: upper bound on the seconds from the time at which the store had the
+        notice; None if unknown.
     """
 
     __slots__ = (
         "server_id",
         "request_id",
         "reason",
+        "source",
+        "delay_s",
     )
 
-    def __init__(self, server_id: str, request_id: str, reason: str) -> None:
+    def __init__(
+        self,
+        server_id: str,
+        request_id: str,
+        reason: str,
+        source: str = "response",
+        delay_s: float | None = None,
+    ) -> None:
         self.server_id = server_id
         self.request_id = request_id
         self.reason = reason
+        self.source = source
+        self.delay_s = delay_s
 
 
 class ServerReturned(Record):
--- a/heatherswitch/gateway/reducer.py
+++ b/heatherswitch/gateway/reducer.py
@@ -148,6 +148,10 @@
         """Returns the number of repeats that may be sent to a service now."""
         return self._retry_budget.left(now, service)
 
+    def servers_age_s(self, now: float) -> float:
+        """Returns the seconds since the store confirmed the list of servers."""
+        return self._servers.age_s(now)
+
     def ready(self, now: float) -> bool:
         """Tells whether the configuration is recent enough to serve new callers."""
         if self._configuration.configuration is None:
@@ -188,6 +192,7 @@
                 self._configuration.update(event.configuration)
             case ev.StoreConfirmed():
                 self._configuration.confirm(event.current_at)
+                self._servers.confirm(event.current_at)
                 return []
             case (
                 ev.LoadReplyReceived()
@@ -237,6 +242,7 @@
     def _on_server_listed(self, now: float, event: ev.ServerListed) -> list[ev.Effect]:
         effects: list[ev.Effect] = []
         known = self._servers.get(event.server.id)
+        in_use = known is not None and not known.leaving
         if self._servers.upsert(now, event.server):
             self._prefixes.remove_server(event.server.id)
             if (
@@ -245,6 +251,8 @@
             ):
                 effects = self._crashes.note_ended(now, known.record)
         effects += self._crashes.note_heartbeat(event.server)
+        if in_use and event.server.draining:
+            effects.append(self._taken_out(now, event.server.id, "leaving"))
         return [*effects, *self._dispatch_waiting(now)]
 
     def _on_server_removed(
@@ -255,8 +263,17 @@
         self._servers.remove(now, event.server_id, event.after_outage)
         if known is not None and not event.after_outage and not known.leaving:
             effects = self._crashes.note_ended(now, known.record)
+            effects.append(self._taken_out(now, event.server_id, "removed"))
         return [*effects, *self._dispatch_waiting(now)]
 
+    def _taken_out(self, now: float, server_id: str, reason: str) -> ev.ServerTakenOut:
+        """Returns the effect for a server that the store no longer lists as ready.
+
+        The store did not have the change yet when it last confirmed its list.
+        """
+        delay_s = self._servers.age_s(now)
+        return ev.ServerTakenOut(server_id, "", reason, "store", delay_s)
+
     def _returned_servers(self) -> list[ev.Effect]:
         returned = self._servers.take_returned()
         return [ev.ServerReturned(server_id, reason) for server_id, reason in returned]
@@ -368,6 +385,7 @@
             pending.stall_timeout_s,
             f"{choice.reason}; load {state.load(now):.0f}",
             pending.arrivals,
+            self._servers.age_s(now),
         )
 
     def _enqueue(
--- a/heatherswitch/gateway/servers.py
+++ b/heatherswitch/gateway/servers.py
@@ -214,9 +214,11 @@
 class ServerTable:
     """The backend servers by id and by service."""
 
-    __slots__ = ("_by_service", "_notices", "_out", "_servers")
+    __slots__ = ("_by_service", "_confirmed_at", "_notices", "_out", "_servers")
 
     def __init__(self) -> None:
+        # Time at which the store had no newer entries than those held here.
+        self._confirmed_at = float("-inf")
         self._notices = NoticeMemory()
         # Ids of servers that were taken out and why, the newest last.
         self._out: OrderedDict[str, str] = OrderedDict()
@@ -226,6 +228,14 @@
     def __iter__(self) -> Iterator[ServerState]:
         return iter(self._servers.values())
 
+    def confirm(self, current_at: float) -> None:
+        """Notes that the store held nothing newer at ``current_at``."""
+        self._confirmed_at = max(self._confirmed_at, current_at)
+
+    def age_s(self, now: float) -> float:
+        """Returns the seconds since the last confirmation; infinite before the first."""
+        return now - self._confirmed_at
+
     def get(self, server_id: str) -> ServerState | None:
         """Returns the server with an id, or None."""
         return self._servers.get(server_id)
--- a/heatherswitch/gateway/store_sync.py
+++ b/heatherswitch/gateway/store_sync.py
@@ -207,10 +207,20 @@
     ) -> None:
         """Emits the events of changed entries; confirms the store once all are out."""
         turn = Turn("changes of the store")
+        arrived_at = self._clock.now()
         for entry in changed:
             await turn.pause_if_due()
             await self._emit_change(entry, decoder, after_outage, turn)
         self._emit(ev.StoreConfirmed(current_at))
+        log.info(
+            "changes of the store applied",
+            extra={
+                "entries": len(changed),
+                "bytes": sum(len(e.value or b"") for e in changed),
+                "arrived_after_s": round(arrived_at - current_at, 4),
+                "applied_in_s": round(self._clock.now() - arrived_at, 4),
+            },
+        )
         if any(e.key.startswith(decoder.member_prefix) for e in changed):
             entries = self._entries.with_prefix(decoder.member_prefix)
             members = []
--- a/heatherswitch/gateway/telemetry.py
+++ b/heatherswitch/gateway/telemetry.py
@@ -106,9 +106,16 @@
         if isinstance(effect, ev.ServerTakenOut):
             self._metrics.count(
                 "gateway_servers_taken_out_total",
-                "Servers that get no requests, as they asked for in an answer.",
+                "Servers that get no new requests, by the reason.",
                 labels,
             )
+            if effect.delay_s is not None:
+                self._metrics.observe_s(
+                    "gateway_notice_delay_seconds",
+                    "Upper bound on the time from the store to this gateway.",
+                    {"reason": effect.reason},
+                    effect.delay_s,
+                )
         else:
             self._metrics.count(
                 "gateway_servers_returned_total",
@@ -143,6 +150,10 @@
                 "Time since the store confirmed the configuration.",
                 min(reducer.configuration.age_s(now), 1e9),
             ),
+            "gateway_servers_age_seconds": (
+                "Time since the store confirmed the list of backend servers.",
+                min(reducer.servers_age_s(now), 1e9),
+            ),
             "gateway_pending_requests": (
                 "Requests without their final answer.",
                 reducer.pending_count,
--- /dev/null
+++ b/test/test_store_notices.py
@@ -0,0 +1,41 @@
+"""Servers of which the store says that they are leaving or gone; rule DRAIN."""
+
+import unittest
+
+from heatherswitch.gateway import events as ev
+from test.gateway_fakes import Driver, server
+
+
+class NoticeAgeTest(unittest.TestCase):
+    """Guards against notices that get older and older without a trace in the logs."""
+
+    def setUp(self):
+        self.driver = Driver()
+        self.driver.add_servers(server("l1"), server("l2"))
+        self.driver.take_effects()
+        self.driver.now += 1.5
+
+    def test_notice_of_the_store_is_reported_once_with_its_greatest_age(self):
+        for _ in range(2):
+            self.driver.add_servers(server("l1", draining=True))
+        self.assertEqual(
+            self.driver.take_effects(),
+            [ev.ServerTakenOut("l1", "", "leaving", "store", 1.5)],
+        )
+
+    def test_removed_entry_is_reported_unless_the_server_was_leaving(self):
+        self.driver.add_servers(server("l2", draining=True))
+        self.driver.take_effects()
+        for server_id in ("l1", "l2"):
+            self.driver.apply(ev.ServerRemoved(server_id, after_outage=False))
+        self.assertEqual(
+            self.driver.take_effects(),
+            [ev.ServerTakenOut("l1", "", "removed", "store", 1.5)],
+        )
+
+    def test_forwarded_request_states_the_age_of_the_server_list(self):
+        self.assertEqual(self.driver.decide("/safe/1").servers_age_s, 1.5)
+
+
+if __name__ == "__main__":
+    unittest.main()
