Reproduce requests to leaving servers behind a thin link

The base of the tests with gateway processes moves from test_notices into a module of its own, unchanged but for the address group. The fault proxy gets a throughput that all its connections share, since calls on a second connection would otherwise have a link of their own.

--- a/emulator/proxy.py
+++ b/emulator/proxy.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import contextlib
+import time
 from dataclasses import asdict, dataclass, fields
 from typing import Any
 
@@ -21,6 +22,8 @@
 from heatherswitch.util.http_server import HttpServer, Responder
 
 DIRECTIONS = ("to_target", "to_client")
+# Data that a connection sends in one turn on a link of limited throughput; a few packets.
+LINK_CHUNK_BYTES = 8192
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,6 +32,8 @@
 
     :param delay_s: delay before each chunk of data is forwarded, in seconds.
     :param bytes_per_s: throughput of a connection; 0 is unlimited.
+    :param link_bytes_per_s: throughput of all connections together, which take turns;
+        0 is unlimited.
     :param cut: closes a connection when data arrives.
     :param cut_after_bytes: closes a connection after that many bytes; 0 is never.
     :param drop_existing: connections that are open when the fault is set forward no
@@ -42,6 +47,7 @@
 
     delay_s: float = 0.0
     bytes_per_s: float = 0.0
+    link_bytes_per_s: float = 0.0
     cut: bool = False
     cut_after_bytes: int = 0
     drop_existing: bool = False
@@ -94,13 +100,23 @@
 class FaultProxy:
     """Forwards bytes between clients and one target, with faults by direction."""
 
-    __slots__ = ("_faults", "_open_connections", "_server", "_target", "_tasks")
+    __slots__ = (
+        "_faults",
+        "_link_free_at",
+        "_open_connections",
+        "_server",
+        "_target",
+        "_tasks",
+    )
 
     def __init__(self, target: str) -> None:
         """:param target: ``host:port``."""
         host, _, port = target.rpartition(":")
         self._target = (host, int(port))
         self._faults = dict.fromkeys(DIRECTIONS, DirectionFaults())
+        # When the link has sent all data that was given to it, by direction, in seconds
+        # of the monotonic clock.
+        self._link_free_at = dict.fromkeys(DIRECTIONS, 0.0)
         self._open_connections: set[ProxiedConnection] = set()
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task] = set()
@@ -190,7 +206,7 @@
         self, connection: ProxiedConnection, direction: str, reader
     ) -> None:
         writer = connection.writers[direction]
-        while data := await reader.read(MAX_READ_BYTES):
+        while data := await reader.read(self._chunk_bytes(direction)):
             faults = self._faults[direction]
             if faults.delay_s:
                 await asyncio.sleep(faults.delay_s)
@@ -204,6 +220,8 @@
             data = self._cut_to_limit(connection, direction, faults, data)
             if faults.bytes_per_s:
                 await asyncio.sleep(len(data) / faults.bytes_per_s)
+            if faults.link_bytes_per_s:
+                await self._take_link(direction, len(data) / faults.link_bytes_per_s)
             writer.write(data * 2 if faults.duplicate else data)
             await writer.drain()
             connection.target_received_data = (
@@ -216,6 +234,17 @@
             with contextlib.suppress(OSError):
                 writer.write_eof()
 
+    def _chunk_bytes(self, direction: str) -> int:
+        limited = self._faults[direction].link_bytes_per_s
+        return LINK_CHUNK_BYTES if limited else MAX_READ_BYTES
+
+    async def _take_link(self, direction: str, seconds: float) -> None:
+        """Waits until the link has sent what was given to it before, and this data."""
+        now = time.monotonic()
+        sent_at = max(now, self._link_free_at[direction]) + seconds
+        self._link_free_at[direction] = sent_at
+        await asyncio.sleep(sent_at - now)
+
     def _cut_to_limit(self, connection, direction, faults, data: bytes) -> bytes:
         if not faults.cut_after_bytes:
             return data
--- a/test/test_notices.py
+++ b/test/test_notices.py
@@ -4,28 +4,17 @@
 """
 
 import asyncio
-import itertools
-import time
 import unittest
-from pathlib import Path
-
-from emulator.platform.deployment import API_KEY, HOST, build_configuration
-from emulator.platform.process import GatewayProcess, temporary_directory
-from emulator.platform.server import Behaviour, PlatformServer
-from emulator.platform.soak_checks import Call, History, find_unwanted_arrivals
-from emulator.platform.store import PlatformStoreServer
-from emulator.proxy import FaultProxy
+
+from emulator.platform.server import Behaviour
 from heatherswitch.fleet.peer_messages import PrefixHolder
 from heatherswitch.gateway import events as ev
 from heatherswitch.gateway.limits import Limits
 from heatherswitch.gateway.notices import MAX_REMEMBERED_STARTS, NOTICE_MEMORY_S
 from heatherswitch.gateway.rollouts import RolloutOrder, RolloutState
-from heatherswitch.util.http import HttpError
 from heatherswitch.util.http_client import HttpClient
 from test.gateway_fakes import Driver, chat_prompt, server
-
-# Part of the loopback addresses of the gateway processes; soaks use lower ones.
-ADDRESS_GROUP = 231
+from test.gateway_process_case import ProcessCase
 
 
 class NoticeCase(unittest.TestCase):
@@ -606,107 +595,9 @@
         self.assertEqual(self.refused, refused)
 
 
-class ProcessCase(unittest.IsolatedAsyncioTestCase):
-    """Gateway processes with stand-ins; checks what the backend servers saw."""
-
-    async def start(self, gateways: int = 2, **servers: str) -> None:
-        """Starts backend servers, given by id with their service, and gateways."""
-        directory = temporary_directory()
-        self.addCleanup(directory.cleanup)
-        self.ids = itertools.count(1)
-        self.history = History()
-        self.store = PlatformStoreServer()
-        await self.store.start()
-        self.addAsyncCleanup(self.store.stop)
-        self.store.put("op/config", build_configuration())
-        self.servers = {}
-        for server_id, service in servers.items():
-            stand_in = self.servers[server_id] = PlatformServer(server_id)
-            await stand_in.start()
-            self.addAsyncCleanup(stand_in.stop)
-            self.publish(server_id, service)
-        self.store_link = FaultProxy(self.store.address)
-        await self.store_link.start()
-        self.addAsyncCleanup(self.store_link.stop)
-        self.gateways = [
-            GatewayProcess(
-                2 + n,
-                self.store_link.address,
-                Path(directory.name),
-                ADDRESS_GROUP,
-                # Enough for all requests that a server refuses at the same time.
-                retry_budget_slack=1000,
-            )
-            for n in range(gateways)
-        ]
-        for gateway in self.gateways:
-            await gateway.start()
-            self.addAsyncCleanup(gateway.kill)
-        async with asyncio.timeout(10):
-            while not all([await g.is_ready() for g in self.gateways]):
-                await asyncio.sleep(0.05)
-
-    def publish(self, server_id: str, service: str, **changes) -> None:
-        stand_in = self.servers[server_id]
-        entry = stand_in.store_entry(service, **changes)
-        self.store.put(f"servers/{stand_in.id}", entry)
-
-    def cut_store(self) -> None:
-        """Cuts all gateways off the store."""
-        self.store_link.set_faults({"to_target": {"cut": True}})
-
-    async def send(
-        self, gateway: GatewayProcess, path: str, client: HttpClient
-    ) -> Call:
-        call = Call(f"{next(self.ids):08x}", path, API_KEY, time.monotonic())
-        call.gateway = gateway.name
-        self.history.calls.append(call)
-        headers = [
-            ("Host", HOST),
-            ("X-Attempt-Id", call.id),
-            ("X-Deadline-Ms", "3000"),
-            ("Authorization", f"Bearer {API_KEY}"),
-        ]
-        method = "GET" if path.startswith("/lookup") else "POST"
-        try:
-            response = await client.request(method, path, headers, timeout=4.0)
-            call.body = await response.read()
-            call.status, call.headers = response.status, dict(response.headers)
-        except HttpError:
-            call.status = 0
-        call.ended_at = time.monotonic()
-        return call
-
-    async def load(self, seconds: float, path: str = "/lookup/1", callers: int = 3):
-        """Lets callers send requests to each gateway over kept connections."""
-        ends_at = time.monotonic() + seconds
-
-        async def run(gateway: GatewayProcess) -> None:
-            client = HttpClient.from_address(gateway.address)
-            while time.monotonic() < ends_at:
-                await self.send(gateway, path, client)
-                await asyncio.sleep(0.01)
-            client.close()
-
-        await asyncio.gather(*(run(g) for g in self.gateways for _ in range(callers)))
-
-    def violations(self) -> list[str]:
-        for stand_in in self.servers.values():
-            self.history.add_server(stand_in)
-        return find_unwanted_arrivals(self.history, max_while_busy=0)
-
-    async def read_metrics(self, gateway: GatewayProcess) -> str:
-        client = HttpClient.from_address(f"{gateway.host}:7340")
-        response = await client.request("GET", "/metrics", new_connection=True)
-        text = (await response.read()).decode()
-        client.close()
-        return text
-
-    def arrivals(self, server_id: str) -> list[float]:
-        return [request.at for request in self.servers[server_id].received]
-
-
 class LeavingProcessTest(ProcessCase):
+    ADDRESS_GROUP = 231
+
     async def test_leaving_server_gets_no_request_from_gateways_cut_off_the_store(self):
         """Callers keep their connections, and the store lists the server as ready."""
         await self.start(l1="ledger", l2="ledger", l3="ledger")
@@ -788,6 +679,7 @@
 
 
 class BusyProcessTest(ProcessCase):
+    ADDRESS_GROUP = 231
     RETRY_AFTER_S = 1.6
 
     async def test_busy_server_gets_nothing_in_its_time_and_work_returns_after_it(self):
--- a/test/test_proxy.py
+++ b/test/test_proxy.py
@@ -1,5 +1,6 @@
 import asyncio
 import contextlib
+import time
 import unittest
 
 from emulator.proxy import FaultProxy
@@ -51,6 +52,17 @@
         with self.assertRaises(TimeoutError):
             await self.exchange(existing, timeout=0.3)
 
+    async def test_connections_share_the_throughput_of_the_link(self):
+        # Guards against a thin link whose connections don't delay each other.
+        self.proxy.set_faults({"to_client": {"link_bytes_per_s": 20_000}})
+        connections = [await self.connect() for _ in range(2)]
+        started_at = time.monotonic()
+        for connection in connections:
+            connection[1].write(b"x" * 4000)
+        for connection in connections:
+            await asyncio.wait_for(connection[0].readexactly(4000), 2.0)
+        self.assertGreater(time.monotonic() - started_at, 0.35)
+
     async def test_lose_answers_delivers_the_request(self):
         # Guards against a lose_answers fault that also loses the request.
         self.proxy.set_faults({"to_client": {"lose_answers": True}})
--- a/test/test_store_notices.py
+++ b/test/test_store_notices.py
@@ -37,5 +37,33 @@
         self.assertEqual(self.driver.decide("/safe/1").servers_age_s, 1.5)
 
 
+class RevokedNoticeTest(unittest.TestCase):
+    """Guards DRAIN: an entry of a start that leaves took it in again."""
+
+    def setUp(self):
+        self.driver = Driver()
+        self.driver.add_servers(server("l1"), server("l2"))
+
+    def assert_only_the_other_is_used(self):
+        used = {self.driver.decide("/safe/1").server.id for _ in range(6)}
+        self.assertEqual(used, {"l2"})
+
+    def test_entry_of_a_start_that_leaves_does_not_return_it(self):
+        self.driver.add_servers(server("l1", draining=True), server("l1"))
+        self.assert_only_the_other_is_used()
+
+    def test_entry_that_is_back_after_its_removal_does_not_return_it(self):
+        self.driver.add_servers(server("l1", draining=True))
+        self.driver.apply(ev.ServerRemoved("l1", after_outage=False))
+        self.driver.add_servers(server("l1"))
+        self.assert_only_the_other_is_used()
+
+    def test_new_start_under_the_id_is_used(self):
+        self.driver.add_servers(server("l1", draining=True))
+        self.driver.apply(ev.ServerRemoved("l2", after_outage=False))
+        self.driver.add_servers(server("l1", incarnation=2))
+        self.assertEqual(self.driver.decide("/safe/1").server.id, "l1")
+
+
 if __name__ == "__main__":
     unittest.main()
