Keep a start of a server out once it has said that it leaves

So the notice holds for the start, also after its entry was removed; an entry with a lower number than one read before changes nothing but may carry a notice; and a start whose entry was removed comes back only with a later heartbeat, as after a lapse. Ruled out: taking the newest revision of the key, which is what failed; dropping the notice with the entry. An entry that states no start still follows its newest state, since the next one may be a new start.

--- a/heatherswitch/gateway/model.py
+++ b/heatherswitch/gateway/model.py
@@ -207,10 +207,11 @@
 class Server(Record):
     """A backend server as it is registered in the store.
 
-    :param incarnation: differs between two starts under the same id.
+    :param incarnation: differs between two starts under the same id; 0 if not stated.
     :param slots: requests that the server runs concurrently; 0 if unknown.
     :param draining: the server finishes its requests and must get no new ones.
     :param cold_for_s: seconds from now for which the server stays cold.
+    :param sequence: number of the heartbeat within the start; 0 if not stated.
     """
 
     __slots__ = (
@@ -224,6 +225,7 @@
         "slots",
         "draining",
         "cold_for_s",
+        "sequence",
     )
 
     def __init__(
@@ -238,6 +240,7 @@
         slots: int,
         draining: bool,
         cold_for_s: float,
+        sequence: int = 0,
     ) -> None:
         self.id = id
         self.incarnation = incarnation
@@ -249,6 +252,11 @@
         self.slots = slots
         self.draining = draining
         self.cold_for_s = cold_for_s
+        self.sequence = sequence
+
+    def is_older_than(self, sequence: int) -> bool:
+        """Tells whether this is an earlier heartbeat of its start than a given one."""
+        return self.incarnation != 0 and self.sequence < sequence
 
 
 class PromptPart(Record):
--- a/heatherswitch/gateway/reducer.py
+++ b/heatherswitch/gateway/reducer.py
@@ -243,6 +243,7 @@
         effects: list[ev.Effect] = []
         known = self._servers.get(event.server.id)
         in_use = known is not None and not known.leaving
+        outdated = self._servers.is_outdated(event.server)
         if self._servers.upsert(now, event.server):
             self._prefixes.remove_server(event.server.id)
             if (
@@ -250,8 +251,9 @@
                 and known.record.incarnation != event.server.incarnation
             ):
                 effects = self._crashes.note_ended(now, known.record)
-        effects += self._crashes.note_heartbeat(event.server)
-        if in_use and event.server.draining:
+        if not outdated:
+            effects += self._crashes.note_heartbeat(event.server)
+        if in_use and known.leaving:
             effects.append(self._taken_out(now, event.server.id, "leaving"))
         return [*effects, *self._dispatch_waiting(now)]
 
--- a/heatherswitch/gateway/servers.py
+++ b/heatherswitch/gateway/servers.py
@@ -71,9 +71,10 @@
         self, now: float, record: Server, notices: ServerNotices | None = None
     ) -> None:
         self.record = record
-        # What this start of the server has said of itself in its responses. A store
-        # entry does not change it.
+        # What this start of the server has said of itself. A start that leaves does not
+        # take that back, and an earlier heartbeat may reach the store after a later one.
         self.notices = notices or ServerNotices()
+        self.note_draining(record)
         # Time at which this gateway first read the server's entry.
         self.first_seen_at = now
         self.in_flight = 0
@@ -104,11 +105,20 @@
 
     def update(self, now: float, record: Server) -> None:
         """Takes a newer store entry of the same start of the server."""
+        self.note_draining(record)
         self.record = record
         self.connection_refused = False
         self.entry_lost_at = None
         self.extend_cold_period(now, record.cold_for_s)
 
+    def note_draining(self, record: Server) -> None:
+        """Notes for good whether this start of the server leaves.
+
+        Without a stated start, the next entry may be one of a new start.
+        """
+        if record.draining and record.incarnation:
+            self.notices.leaving = True
+
     def extend_cold_period(self, now: float, cold_for_s: float) -> None:
         """Extends the cold period to the remaining seconds that the server reports."""
         if cold_for_s > 0:
@@ -214,9 +224,19 @@
 class ServerTable:
     """The backend servers by id and by service."""
 
-    __slots__ = ("_by_service", "_confirmed_at", "_notices", "_out", "_servers")
+    __slots__ = (
+        "_by_service",
+        "_confirmed_at",
+        "_ended",
+        "_notices",
+        "_out",
+        "_servers",
+    )
 
     def __init__(self) -> None:
+        # Starts of servers whose entries were removed, and their last heartbeats; the
+        # newest last.
+        self._ended: OrderedDict[tuple[str, int], int] = OrderedDict()
         # Time at which the store had no newer entries than those held here.
         self._confirmed_at = float("-inf")
         self._notices = NoticeMemory()
@@ -248,12 +268,33 @@
         """Returns the versions of a service's servers."""
         return {state.record.version for state in self.for_service(service)}
 
+    def is_outdated(self, record: Server) -> bool:
+        """Tells whether an entry is an earlier heartbeat than one that was read before.
+
+        A heartbeat may reach the store late, also after the entry was removed. A start
+        whose entry lapsed although it runs comes back with a later one.
+        """
+        existing = self._servers.get(record.id)
+        if existing is not None and existing.record.incarnation == record.incarnation:
+            return record.is_older_than(existing.record.sequence)
+        last = self._ended.get((record.id, record.incarnation), 0)
+        return record.is_older_than(last)
+
     def upsert(self, now: float, record: Server) -> bool:
-        """Adds or updates a server from its store entry.
+        """Adds or updates a server from its store entry, unless that is outdated.
+
+        Of an outdated entry, only the notice that the server leaves counts.
 
         :returns: True if the server is new or was started again.
         """
         existing = self._servers.get(record.id)
+        if self.is_outdated(record):
+            if (
+                existing is not None
+                and existing.record.incarnation == record.incarnation
+            ):
+                existing.note_draining(record)
+            return False
         same_start = existing is not None and (
             existing.record.incarnation == record.incarnation
             and existing.record.service == record.service
@@ -338,6 +379,12 @@
         state = self._servers.pop(server_id, None)
         if state is not None:
             state.removed = True
+            if state.record.incarnation:
+                key = (server_id, state.record.incarnation)
+                self._ended[key] = state.record.sequence
+                self._ended.move_to_end(key)
+                while len(self._ended) > MAX_REMEMBERED_STARTS:
+                    self._ended.popitem(last=False)
             del self._by_service[state.record.service][server_id]
             if state.notices.out:
                 self._notices.remember(now, state.record, state.notices)
--- a/heatherswitch/platform/records.py
+++ b/heatherswitch/platform/records.py
@@ -313,6 +313,7 @@
             cold_for_s=max(
                 0.0, read_field(item, "cold_remaining_ms", require_number, 0.0) / 1000
             ),
+            sequence=read_field(item, "seq", require_integer, 0),
         )
     except MalformedInput as error:
         log.warning(
