Let watch calls wait in the store for changes

A notice waited up to 1.6 s for the next watch call although nothing else had changed: calls were held by the store for 0.5 s only and followed by a pause. They are now held for as long as the bound allows (2.1 s of 3 s), so that a change is reported at once, with as many calls in calm stretches as before. The pause follows changes only, a third of the bound at most, and is spread, since gateways that read the same change would go on in step and none of them would see the next one early. When a call is sent and how long it is held is decided by WatchPacing, apart from the store client.

The tests of the sum now add the longest hold and the answer timeout in place of pause and timeout; their bounds are the same.

--- a/heatherswitch/gateway/timing.py
+++ b/heatherswitch/gateway/timing.py
@@ -2,11 +2,10 @@
 
 from heatherswitch.util.record import Record
 
-# Longest time that a watch call waits in the store for a change, in seconds. The
-# response may take as long again. Tighter bounds reduce it to the given share of the
-# bound.
-MAX_WATCH_WAIT_S = 0.5
-WATCH_WAIT_SHARE = 0.25
+# Longest time that the response to a watch call takes beyond the time for which the
+# store held it, in seconds. Tighter bounds reduce it to the given share of the bound.
+MAX_ANSWER_TIMEOUT_S = 0.5
+ANSWER_TIMEOUT_SHARE = 0.25
 # Margin for a request forwarded on outdated information to reach its server, in
 # seconds, and its maximum as a share of the bound.
 IN_FLIGHT_MARGIN_S = 0.4
@@ -14,7 +13,13 @@
 # The readiness check fails at this share of the age up to which API keys are accepted,
 # at the latest. The platform's balancer takes about two seconds to react.
 READY_AGE_SHARE = 0.7
-MIN_WATCH_PAUSE_S = 0.05
+# Pause after changes as a share of the bound and, at most, of the longest time between
+# two confirmations.
+WATCH_PAUSE_SHARE = 1 / 3
+MAX_WATCH_PAUSE_SHARE = 0.5
+# Smallest share of that pause. Gateways that read a change at the same moment would go
+# on in step otherwise, and none of them would see the next change early.
+MIN_PAUSE_SPREAD = 0.5
 # Share of the bound that the changes in one response may take on a link that carries
 # nothing else, and the share after which their transfer is given up.
 TRANSFER_SHARE = 0.1
@@ -26,9 +31,12 @@
 class Timing(Record):
     """How often the store is queried and how old its data may be, in seconds.
 
-    :param watch_wait_s: how long the store holds a watch call open if nothing changes.
-    :param watch_timeout_s: a watch call without a response is given up after this time.
-    :param watch_pause_s: pause between two watch calls, since each call is billed.
+    :param watch_wait_s: how long the store holds a watch call open if nothing changes:
+        the longest time between two confirmations. Each call is billed, and a change is
+        reported at once.
+    :param answer_timeout_s: a watch call without a response is given up so long after
+        the time for which the store holds it.
+    :param watch_pause_s: pause between two watch calls after changes, at most.
     :param max_watch_bytes: size of a response above which the newest entries are read
         in place of the changes, the small ones first.
     :param transfer_s: the same for a response that takes longer to arrive.
@@ -44,7 +52,7 @@
 
     __slots__ = (
         "watch_wait_s",
-        "watch_timeout_s",
+        "answer_timeout_s",
         "watch_pause_s",
         "max_watch_bytes",
         "transfer_s",
@@ -57,7 +65,7 @@
     def __init__(
         self,
         watch_wait_s: float,
-        watch_timeout_s: float,
+        answer_timeout_s: float,
         watch_pause_s: float,
         max_watch_bytes: int,
         transfer_s: float,
@@ -67,7 +75,7 @@
         member_ttl_s: float,
     ) -> None:
         self.watch_wait_s = watch_wait_s
-        self.watch_timeout_s = watch_timeout_s
+        self.answer_timeout_s = answer_timeout_s
         self.watch_pause_s = watch_pause_s
         self.max_watch_bytes = max_watch_bytes
         self.transfer_s = transfer_s
@@ -93,20 +101,56 @@
             accepted.
         :param link_bytes_per_s: throughput of the link over which the store is read.
         """
-        wait_s = min(MAX_WATCH_WAIT_S, WATCH_WAIT_SHARE * change_s)
-        timeout_s = 2 * wait_s
+        answer_s = min(MAX_ANSWER_TIMEOUT_S, ANSWER_TIMEOUT_SHARE * change_s)
         margin_s = min(IN_FLIGHT_MARGIN_S, IN_FLIGHT_MARGIN_SHARE * change_s)
         ready_s = min(change_s, READY_AGE_SHARE * key_max_age_s)
-        pause_s = min(change_s - timeout_s, ready_s - wait_s) - margin_s
-        pause_s = max(MIN_WATCH_PAUSE_S, pause_s)
+        wait_s = min(change_s - answer_s, ready_s) - margin_s
         return cls(
             watch_wait_s=wait_s,
-            watch_timeout_s=timeout_s,
-            watch_pause_s=pause_s,
+            answer_timeout_s=answer_s,
+            watch_pause_s=min(
+                WATCH_PAUSE_SHARE * change_s, MAX_WATCH_PAUSE_SHARE * wait_s
+            ),
             max_watch_bytes=int(TRANSFER_SHARE * change_s * link_bytes_per_s),
             transfer_s=MAX_TRANSFER_SHARE * change_s,
             ready_age_s=ready_s,
             refuse_age_s=change_s,
-            outage_s=pause_s + timeout_s + margin_s,
+            outage_s=wait_s + answer_s + margin_s,
             member_ttl_s=2 * change_s + 2,
         )
+
+
+class WatchPacing:
+    """Decides when the next call of a watch is sent and how long the store may hold it.
+
+    While nothing changes, a call waits in the store, so that a change is reported at
+    once. After changes, further ones are collected for a while.
+    """
+
+    __slots__ = ("_confirmed_at", "_timing")
+
+    def __init__(self, timing: Timing, now: float) -> None:
+        self._timing = timing
+        # What was read before the watch began is at most one pause old.
+        self._confirmed_at = now - timing.watch_pause_s
+
+    def hold_s(self, now: float) -> float:
+        """Returns the seconds for which the store may hold a call that is sent now."""
+        next_at = self._confirmed_at + self._timing.watch_wait_s
+        return min(self._timing.watch_wait_s, max(0.0, next_at - now))
+
+    def pause_s(
+        self, now: float, current_at: float, changed: bool, spread: float
+    ) -> float:
+        """Returns the seconds until the next call.
+
+        :param current_at: time up to which the last response is complete. The pause
+            counts from there, since a large response takes long to arrive.
+        :param changed: the last response contained changes.
+        :param spread: random number from 0 to 1.
+        """
+        self._confirmed_at = current_at
+        if not changed:
+            return 0.0
+        share = MIN_PAUSE_SPREAD + (1 - MIN_PAUSE_SPREAD) * spread
+        return max(0.0, current_at + share * self._timing.watch_pause_s - now)
--- a/heatherswitch/platform/store.py
+++ b/heatherswitch/platform/store.py
@@ -4,11 +4,12 @@
 import base64
 import json
 import logging
+import random
 from collections.abc import AsyncIterator, Iterable, Mapping
 from typing import Any
 from urllib.parse import urlencode
 
-from heatherswitch.gateway.timing import Timing
+from heatherswitch.gateway.timing import Timing, WatchPacing
 from heatherswitch.statecore.replica import Entry, KeyRange
 from heatherswitch.statecore.store import (
     UNREADABLE_VALUE,
@@ -135,7 +136,7 @@
         return Snapshot(revision, tuple(entries), sent_at)
 
     async def watch(self, prefix: str, from_revision: int) -> AsyncIterator[WatchBatch]:
-        """Yields changes under a prefix, with a pause between two batches.
+        """Yields changes under a prefix; see :class:`WatchPacing` for the pauses.
 
         A batch is empty if nothing changed during the long poll.
 
@@ -144,16 +145,17 @@
         :raises StoreUnavailable: if the store does not respond.
         """
         timing = self._timing
+        pacing = WatchPacing(timing, self._clock.now())
         after = from_revision - 1
         while True:
-            wait_ms = int(timing.watch_wait_s * 1000)
-            query = {"prefix": prefix, "after": after, "wait_ms": wait_ms}
             sent_at = self._clock.now()
+            wait_ms = int(pacing.hold_s(sent_at) * 1000)
+            query = {"prefix": prefix, "after": after, "wait_ms": wait_ms}
             try:
                 status, payload = await self._call(
                     "GET",
                     f"/kv-watch?{urlencode(query)}",
-                    timing.watch_timeout_s,
+                    wait_ms / 1000 + timing.answer_timeout_s,
                     body_limit=BodyLimit(timing.max_watch_bytes, timing.transfer_s),
                 )
             except ResponseOverLimit as error:
@@ -166,11 +168,10 @@
             waited_s = 0.0 if entries else wait_ms / 1000
             current_at = confirmation_time(sent_at, waited_s, self._clock.now())
             yield WatchBatch(after, entries, current_at)
-            # The pause counts from the time that the response confirms, not from its
-            # arrival: a large response takes seconds over a slow link, and servers may
-            # be removed in that time.
-            next_at = current_at + timing.watch_pause_s
-            await asyncio.sleep(max(MIN_WATCH_PAUSE_S, next_at - self._clock.now()))
+            pause_s = pacing.pause_s(
+                self._clock.now(), current_at, bool(entries), random.random()
+            )
+            await asyncio.sleep(max(MIN_WATCH_PAUSE_S, pause_s))
 
     async def commit(
         self,
--- a/test/test_timing.py
+++ b/test/test_timing.py
@@ -7,7 +7,7 @@
 
 from heatherswitch.fleet.shares import DEFAULT_FLEET_SIZE
 from heatherswitch.gateway.limits import Limits
-from heatherswitch.gateway.timing import Timing
+from heatherswitch.gateway.timing import Timing, WatchPacing
 from heatherswitch.platform.settings import SettingsError, parse_gateway_config
 from test.gateway_fakes import Driver
 from test.test_platform_formats import SETTINGS
@@ -28,7 +28,7 @@
     ):
         """Guards the rules DRAIN and CONFIG on deployments with other bounds."""
         timing = Timing.from_bounds(change_s, key_age_s)
-        lost_s = timing.watch_pause_s + timing.watch_timeout_s + CALL_S
+        lost_s = timing.watch_wait_s + timing.answer_timeout_s + CALL_S
         self.assertLess(lost_s, change_s)
         self.assertGreater(timing.watch_pause_s, 0)
 
@@ -36,7 +36,7 @@
     def test_gateway_stays_ready_while_the_store_responds(self, change_s, key_age_s):
         """A watch call that is answered in time never makes the gateway not ready."""
         timing = Timing.from_bounds(change_s, key_age_s)
-        oldest_s = timing.watch_pause_s + timing.watch_wait_s + CALL_S
+        oldest_s = timing.watch_wait_s + CALL_S
         self.assertLess(oldest_s, timing.ready_age_s)
         self.assertLess(timing.ready_age_s, key_age_s)
 
@@ -44,18 +44,56 @@
     def test_one_lost_watch_response_is_no_outage(self, change_s):
         """After an outage, a removed server would get requests for two more seconds."""
         timing = Timing.from_bounds(change_s)
-        lost_s = timing.watch_pause_s + timing.watch_timeout_s
+        lost_s = timing.watch_wait_s + timing.answer_timeout_s
         self.assertLess(lost_s, timing.outage_s)
 
     def test_times_of_the_default_bounds(self):
         timing = Timing.from_bounds(2.0, 4.5)
-        self.assertAlmostEqual(timing.watch_pause_s, 0.6)
+        self.assertAlmostEqual(timing.watch_wait_s, 1.1)
+        self.assertAlmostEqual(timing.watch_pause_s, 0.55)
         self.assertAlmostEqual(timing.ready_age_s, 2.0)
         self.assertAlmostEqual(timing.outage_s, 2.0)
 
     def test_wider_bounds_lead_to_fewer_store_calls(self):
-        pauses = [Timing.from_bounds(s).watch_pause_s for s in (1, 2, 3, 4)]
-        self.assertEqual(pauses, sorted(set(pauses)))
+        timings = [Timing.from_bounds(s) for s in (1, 2, 3, 4)]
+        for name in ("watch_wait_s", "watch_pause_s"):
+            times = [getattr(timing, name) for timing in timings]
+            self.assertEqual(times, sorted(set(times)))
+
+
+class PacingTest(unittest.TestCase):
+    """Guards DRAIN: a notice waited for the next call although nothing else changed."""
+
+    def setUp(self):
+        self.timing = Timing.from_bounds(3.0)
+        self.pacing = WatchPacing(self.timing, 10.0)
+
+    def test_call_after_a_response_without_changes_follows_at_once(self):
+        self.assertEqual(self.pacing.pause_s(12.0, 12.0, False, 1.0), 0.0)
+        self.assertAlmostEqual(self.pacing.hold_s(12.0), self.timing.watch_wait_s)
+
+    @given(
+        st.lists(st.tuples(st.booleans(), st.floats(0, 1), st.floats(0, 0.4))),
+        st.floats(0.5, 20),
+    )
+    def test_confirmations_are_never_further_apart_than_the_wait(self, calls, change_s):
+        """Whatever mix of changes and empty responses, each at most 0.4 s late."""
+        timing = Timing.from_bounds(change_s)
+        now = confirmed_at = 100.0
+        pacing = WatchPacing(timing, now + timing.watch_pause_s)
+        for changed, spread, late_s in calls:
+            held_s = 0.0 if changed else pacing.hold_s(now)
+            current_at = now + held_s
+            self.assertLessEqual(current_at - confirmed_at, timing.watch_wait_s + 0.401)
+            now = current_at + late_s
+            confirmed_at = current_at
+            now += pacing.pause_s(now, current_at, changed, spread)
+
+    def test_gateways_that_read_a_change_together_do_not_go_on_in_step(self):
+        pauses = {self.pacing.pause_s(5.0, 5.0, True, n / 10) for n in range(11)}
+        self.assertEqual(len(pauses), 11)
+        self.assertEqual(max(pauses), self.timing.watch_pause_s)
+        self.assertGreaterEqual(min(pauses), self.timing.watch_pause_s / 2)
 
 
 class SettingsTest(unittest.TestCase):
