--- a/heatherswitch/gateway/timing.py
+++ b/heatherswitch/gateway/timing.py
@@ -15,8 +15,8 @@
 READY_AGE_SHARE = 0.7
 # Pause after changes as a share of the bound and, at most, of the longest time between
 # two confirmations.
-WATCH_PAUSE_SHARE = 1 / 3
-MAX_WATCH_PAUSE_SHARE = 0.5
+WATCH_PAUSE_SHARE = 0.5
+MAX_WATCH_PAUSE_SHARE = 0.75
 # Smallest share of that pause. Gateways that read a change at the same moment would go
 # on in step otherwise, and none of them would see the next change early.
 MIN_PAUSE_SPREAD = 0.5
