Keep the hold of a watch call above zero

With a revocation bound of a few 100 ms the hold came out negative (-0.05 s for a key age of 0.5 s and a bound of 2 s), so that each watch call asked for a negative wait and the store would refuse it.

--- a/heatherswitch/gateway/timing.py
+++ b/heatherswitch/gateway/timing.py
@@ -13,6 +13,7 @@
 # The readiness check fails at this share of the age up to which API keys are accepted,
 # at the latest. The platform's balancer takes about two seconds to react.
 READY_AGE_SHARE = 0.7
+MIN_WATCH_WAIT_S = 0.05
 # Pause after changes as a share of the bound and, at most, of the longest time between
 # two confirmations.
 WATCH_PAUSE_SHARE = 0.5
@@ -110,6 +111,7 @@
         # Changes that pile up during a lost call arrive in one response after it.
         response_s = answer_s + TRANSFER_SHARE * change_s
         wait_s = min(change_s - response_s, ready_s) - margin_s
+        wait_s = max(MIN_WATCH_WAIT_S, wait_s)
         return cls(
             watch_wait_s=wait_s,
             answer_timeout_s=answer_s,
--- a/test/test_timing.py
+++ b/test/test_timing.py
@@ -47,6 +47,15 @@
         lost_s = timing.watch_wait_s + timing.answer_timeout_s
         self.assertLess(lost_s, timing.outage_s)
 
+    @given(st.floats(0.5, 20), st.floats(0.05, 2))
+    def test_store_is_never_asked_to_hold_a_call_for_a_negative_time(
+        self, change_s, key_age_s
+    ):
+        """Guards deployments whose keys must be revoked within a few 100 ms."""
+        timing = Timing.from_bounds(change_s, key_age_s)
+        self.assertGreater(timing.watch_wait_s, 0)
+        self.assertGreater(timing.watch_pause_s, 0)
+
     def test_times_of_the_default_bounds(self):
         timing = Timing.from_bounds(2.0, 4.5)
         self.assertAlmostEqual(timing.watch_wait_s, 0.9)
