--- a/review/7/case.py
+++ b/review/7/case.py
@@ -17,29 +17,32 @@
 
 # The impairment: srv_grey, how "reset all", x 0.45, for 6.5 s.
 GREY_S = 6.5
-# Of each 20 requests at a worker the first 9 are reset.
-BLOCK, FAILED = 20, 9
+MAX_FAILED_SHARE = 0.45
 CONTACT_S = 3.0
 # Seconds in steady state for which both routes are observed.
-STEADY_S = 40.0
+STEADY_S = 25.0
 DRAFT_GAP_S = 0.1
-QUOTE_GAP_S = 0.3
+QUOTE_GAP_S = 0.12
 DRAFT, QUOTE = "/draft/", "/quote/"
 
 
 class GreyWorker(Worker):
-    """A model worker that resets some requests before their first event."""
+    """A model worker that resets the requests of one route before their first event.
 
-    grey = False
-    _count = 0
+    :ivar counts: requests that ran and that were reset while the worker was grey.
+    """
+
+    def __init__(self, *args) -> None:
+        super().__init__(*args)
+        self.grey = False
+        self.counts = [0, 0]
 
     async def serve(self, request, writer) -> bool:
         """Runs a request, or breaks it off before its first event."""
-        if not self.grey:
-            self._count = 0
-            return await self.serve_stream(request, writer, 4, 0.02)
-        self._count += 1
-        if (self._count - 1) % BLOCK >= FAILED:
+        failing = self.grey and request.target.startswith(QUOTE)
+        if self.grey:
+            self.counts[failing] += 1
+        if not failing:
             return await self.serve_stream(request, writer, 4, 0.02)
         self.note_run(request)
         await asyncio.sleep(0.02)
@@ -55,7 +58,7 @@
         service("appraiser", engine={"slots": 64, "kv_capacity_tokens": 436460})
     ]
     first = route(DRAFT, "streaming", "appraiser", stream_resume=True)
-    added = route(QUOTE, "streaming", "appraiser", stream_resume=True)
+    added = route(QUOTE, "streaming", "appraiser", retry_attempts=1)
     if not await installation.start(manifest(1, [first], services), workers, 2):
         return COULD_NOT_RUN
     tasks: set[asyncio.Task] = set()
@@ -101,8 +104,11 @@
         prefix: [a.served for a in answers[prefix] if a.sent_at >= steady_at]
         for prefix in answers
     }
+    counts = [worker.counts for worker in workers]
+    failed_share = sum(c[1] for c in counts) / max(1, sum(map(sum, counts)))
     record.write(
         "check",
+        failed_share=round(failed_share, 3),
         draft=len(served[DRAFT]),
         draft_served=sum(served[DRAFT]),
         quote=len(served[QUOTE]),
@@ -110,6 +116,8 @@
     )
     if len(served[QUOTE]) < 20 or not any(served[DRAFT]):
         return COULD_NOT_RUN
+    if failed_share > MAX_FAILED_SHARE:
+        return COULD_NOT_RUN
     shares = {prefix: sum(found) / len(found) for prefix, found in served.items()}
     return BROKEN if shares[QUOTE] < shares[DRAFT] / 4 else HELD
 
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,5 +5,5 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 export PYTHONPATH="$PWD/target/deps"
-python3 -S -m compileall -q review/common2 review/6 review/7 review/8 emulator/platform
+python3 -S -m compileall -q review/common2 review/6 review/7 review/8 review/9 review/10 emulator/platform
 python3 -S -c "import review.common2.installation"
--- a/review/common2/consumer.py
+++ b/review/common2/consumer.py
@@ -32,6 +32,20 @@
         return 200 <= self.status < 300 and sealed and self.complete
 
 
+class KeptChannel:
+    """A channel that carries one request after the other."""
+
+    def __init__(self, front: tuple[str, int]) -> None:
+        self.front = front
+        self.streams: tuple | None = None
+
+    def close(self) -> None:
+        """Closes the channel if it is open."""
+        if self.streams is not None:
+            self.streams[1].close()
+        self.streams = None
+
+
 async def send(
     record,
     front: tuple[str, int],
@@ -40,10 +54,12 @@
     body: bytes = b"",
     deadline_ms: int = 3000,
     label: str = "",
+    channel: KeptChannel | None = None,
     **fields: str,
 ) -> Answer:
     """Sends a request and reads the answer until the deadline.
 
+    :param channel: kept channel that carries it in place of a new one.
     :param fields: further headers; underscores stand for dashes.
     """
     request_id = f"{label or 'c'}{next(_numbers):06x}"
@@ -60,17 +76,24 @@
     record.write("sent", id=request_id, path=path, bytes=len(body))
     answer = Answer(request_id, sent_at, 0, {}, b"", False)
     writer = None
+    kept = channel.streams if channel is not None else None
     try:
         async with asyncio.timeout(deadline_ms / 1000 + 0.5):
-            reader, writer = await asyncio.open_connection(*front, limit=1 << 20)
+            reader, writer = kept or await asyncio.open_connection(
+                *front, limit=1 << 20
+            )
             writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
             writer.write(body)
             await _read_answer(reader, answer)
     except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError) as error:
         record.write("broken", id=request_id, error=type(error).__name__)
-    finally:
-        if writer is not None:
-            writer.close()
+    closing = "close" in answer.headers.get("connection", "").lower()
+    if channel is not None and answer.complete and not closing:
+        channel.streams = (reader, writer)
+    elif writer is not None:
+        writer.close()
+        if channel is not None:
+            channel.streams = None
     record.write(
         "answered",
         id=request_id,
--- a/review/common2/installation.py
+++ b/review/common2/installation.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import json
 import os
 import sys
 import tempfile
@@ -104,6 +105,10 @@
         self.store.put(key, value)
         self.record.write("store", key=key, value=value if key != "op/config" else {})
 
+    def read(self, key: str) -> dict:
+        """Returns an entry as it stands in the store; empty if there is none."""
+        return json.loads(self.store.read(key) or b"{}")
+
     def pick(self, number: int) -> GatewayProcess:
         """Returns the gateway that gets a new channel; any one if none is ready."""
         ready = [g for g in self.gateways if g.rotation] or self.gateways
--- a/review/common2/record.py
+++ b/review/common2/record.py
@@ -11,6 +11,7 @@
     def __init__(self, path: Path) -> None:
         self._file = path.open("w", encoding="utf-8")
         self._began_at = time.monotonic()
+        self._ids: dict[str, set[str]] = {}
 
     def now(self) -> float:
         """Returns the seconds since the script began."""
@@ -18,6 +19,12 @@
 
     def write(self, what: str, **fields) -> None:
         """Writes one event."""
+        if "id" in fields:
+            self._ids.setdefault(what, set()).add(fields["id"])
         line = {"t": round(self.now(), 3), "what": what, **fields}
         self._file.write(json.dumps(line) + "\n")
         self._file.flush()
+
+    def ids(self, what: str) -> set[str]:
+        """Returns the ids of the requests of which something was written."""
+        return self._ids.get(what, set())
