--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,12 +1,10 @@
-"""Many users come at once with bodies inside ``max_body_bytes``; a gateway's memory runs out."""
+"""A sound part of prompts was in one crash more than the part that crashes workers."""
 
 import asyncio
-import re
-from collections import Counter
-from pathlib import Path
+import signal
 
 from review.common2.consumer import send
-from review.common2.gateway import MEMORY_MB
+from review.common2.gateway import BOUNDS, wait_until_ready
 from review.common2.installation import (
     BROKEN,
     COULD_NOT_RUN,
@@ -17,115 +15,146 @@
     route,
     service,
 )
-from review.common2.worker import Worker, head
-
-# Users of the whole installation, and their number as a multiple of it in a burst.
-USERS = 90
-BURST_X = 1.7
-BURST_S = 3.0
-# Seconds from one burst to the next.
-BURST_GAP_S = 24.0
-BURSTS = 3
-BODY_BYTES = 4_000_000
-WORK_S = 6.0
-DEADLINE_MS = 15_000
-# Seconds after which the platform starts a process again that has ended.
-RESTART_S = 1.0
-POLL_S = 0.05
-
-
-class DocumentWorker(Worker):
-    """A plain worker that takes seconds for a long document."""
+from review.common2.worker import Worker
+
+CONTACT_S = BOUNDS["contact_ms"] / 1000
+WORKERS = 6
+# Sound requests before the impairment, and after it.
+COUNTED = 24
+# A crashed worker is back after this time; its entry expires after three heartbeats.
+DOWN_S = 2.5
+ENTRY_EXPIRES_S = 3.6
+BAD_GAP_S = 0.8
+FIRST_PART, BAD_PART = "a0", "bad"
 
-    async def serve(self, request, writer) -> bool:
-        """Runs a request."""
-        self.note_run(request)
-        await asyncio.sleep(WORK_S)
-        body = f"answer to {request.id}".encode()
-        writer.write(head(200, request.id, len(body), self.fields()) + body)
-        return True
 
+class CrashingWorker(Worker):
+    """A model worker that crashes when it begins to write on the bad part.
 
-def memory_mb(pid: int) -> float:
-    """Returns the resident memory of a process that the script started."""
-    status = Path("/proc", str(pid), "status").read_text()
-    found = re.search(r"VmRSS:\s*(\d+) kB", status)
-    return int(found[1]) / 1024 if found else 0.0
+    :ivar crash_next: the next request meets a crash that has nothing to do with it.
+    """
+
+    crash_next = False
+
+    def __init__(self, *args) -> None:
+        super().__init__(*args)
+        self.crashed = asyncio.Event()
+
+    async def serve(self, request, writer) -> bool:
+        """Runs a request, or crashes."""
+        parts = request.headers.get("x-prompt-prefix", "")
+        if CrashingWorker.crash_next or f"{BAD_PART}:" in parts:
+            CrashingWorker.crash_next = False
+            self.note_run(request)
+            await asyncio.sleep(0.05)
+            self.record.write("crash", worker=self.id, id=request.id)
+            self.refuse()
+            self.crashed.set()
+            return False
+        return await self.serve_stream(request, writer, 4, 0.02)
 
 
 async def play(installation: Installation) -> int:
     """Plays the case; returns the exit status."""
     record = installation.record
-    workers = [DocumentWorker(f"i-doc{n}", "papers", record) for n in range(3)]
+    workers = [CrashingWorker(f"i-app{n}", "appraiser", record) for n in range(WORKERS)]
     config = manifest(
         1,
-        [
-            route(
-                "/file/",
-                "non_idempotent",
-                "papers",
-                retry_attempts=1,
-                timeout_ms=DEADLINE_MS,
-                target_latency_ms=8000,
-            )
-        ],
-        [service("papers")],
+        [route("/draft/", "streaming", "appraiser", retry_attempts=1)],
+        [service("appraiser", engine={"slots": 64, "kv_capacity_tokens": 436460})],
     )
     if not await installation.start(config, workers, 2):
         return COULD_NOT_RUN
-    body = b"x" * BODY_BYTES
-    ends: Counter[str] = Counter()
-    most: Counter[str] = Counter()
-    statuses: Counter[int] = Counter()
+    crashes = []
+
+    async def keep_up(worker: CrashingWorker) -> None:
+        """Starts a worker again under a new id after each crash."""
+        number = 0
+        while True:
+            await worker.crashed.wait()
+            crashes.append(record.now())
+            number += 1
+            key = f"servers/{worker.id}"
+            await asyncio.sleep(DOWN_S)
+            worker = CrashingWorker(f"{worker.id}-{number}", "appraiser", record)
+            await worker.listen()
+            workers.append(worker)
+            installation.put(f"servers/{worker.id}", worker.entry())
+            await asyncio.sleep(ENTRY_EXPIRES_S - DOWN_S)
+            installation.store.delete(key)
+
+    keepers = [asyncio.create_task(keep_up(worker)) for worker in list(workers)]
+    counter = iter(range(1, 100_000))
+
+    async def ask(parts: str, label: str):
+        number = next(counter)
+        return await send(
+            record,
+            installation.pick(number).front,
+            "/draft/a",
+            label=label,
+            X_Model="m",
+            X_Token_Count="2401,24",
+            X_Prompt_Prefix=f"{FIRST_PART}:512,{parts}:700,c{number:06x}:360",
+        )
+
+    def begun(answers: list) -> int:
+        """Returns how many requests a worker began to run."""
+        ran = record.ids("run")
+        return sum(answer.id in ran for answer in answers)
 
-    async def watch_memory(gateway) -> None:
-        """Ends a process over its limit and starts it again, as the platform does."""
+    before = []
+    for number in range(COUNTED):
+        before.append(await ask(f"s{number:02x}", "sound"))
+        await asyncio.sleep(0.05)
+    # Planned work: the gateways are stopped and started in turn.
+    for gateway in installation.gateways:
+        gateway.signal(signal.SIGTERM)
+        while gateway.running:
+            await asyncio.sleep(0.1)
+        gateway.start()
+        gateway.rotation = False
+        if not await wait_until_ready(installation.gateways):
+            return COULD_NOT_RUN
+    await asyncio.sleep(CONTACT_S)
+    bad_tasks: list[asyncio.Task] = []
+
+    async def send_bad() -> None:
+        """Sends requests with the bad part to the end."""
         while True:
-            await asyncio.sleep(POLL_S)
-            used_mb = memory_mb(gateway.pid) if gateway.running else 0.0
-            most[gateway.name] = max(most[gateway.name], int(used_mb))
-            if used_mb > MEMORY_MB:
-                record.write("over the limit", gateway=gateway.name, mb=int(used_mb))
-                gateway.kill()
-                ends[gateway.name] += 1
-                await asyncio.sleep(RESTART_S)
-                gateway.start()
-
-    async def use(number: int, until: float) -> None:
-        """Sends one request after the other until a time."""
-        while record.now() < until:
-            front = installation.pick(number).front
-            answer = await send(
-                record, front, "/file/a", body=body, deadline_ms=DEADLINE_MS
-            )
-            statuses[answer.status] += 1
-            await asyncio.sleep(0.2 if answer.status else 3.0)
-
-    watchers = [asyncio.create_task(watch_memory(g)) for g in installation.gateways]
-    end_at = record.now() + BURSTS * BURST_GAP_S
-    users = []
-    for number in range(USERS):
-        users.append(asyncio.create_task(use(number, end_at)))
-        # The users don't start at the same moment.
-        await asyncio.sleep(WORK_S / USERS)
-    for _ in range(BURSTS):
-        await asyncio.sleep(2.0)
-        if installation.trouble:
-            record.write("burst")
-            extra = int(USERS * (BURST_X - 1))
-            users += [
-                asyncio.create_task(use(number, record.now() + BURST_S))
-                for number in range(extra)
-            ]
-        await asyncio.sleep(max(0.0, BURST_GAP_S - 2.0 - WORK_S / BURSTS))
-    await asyncio.gather(*users, return_exceptions=True)
-    for watcher in watchers:
-        watcher.cancel()
-    record.write("check", ends=ends, most_mb=most, statuses=statuses)
-    if not statuses[200]:
+            bad_tasks.append(asyncio.create_task(ask(BAD_PART, "bad")))
+            await asyncio.sleep(BAD_GAP_S)
+
+    if installation.trouble:
+        CrashingWorker.crash_next = True
+        await ask("s77", "sound")
+        await asyncio.sleep(BAD_GAP_S)
+        bad = asyncio.create_task(send_bad())
+    # Up to the fifth crash, or until no worker has crashed for some seconds.
+    await asyncio.sleep(6.0)
+    while len(crashes) < 5 and crashes and record.now() - crashes[-1] < 5.0:
+        await asyncio.sleep(0.1)
+    last_at = (crashes[:5] or [record.now()])[-1]
+    await asyncio.sleep(max(0.0, last_at + 2 * CONTACT_S - record.now()))
+    after = []
+    for number in range(COUNTED):
+        after.append(await ask(f"t{number:02x}", "sound"))
+        await asyncio.sleep(0.2)
+    if installation.trouble:
+        bad.cancel()
+    for keeper in keepers:
+        keeper.cancel()
+    record.write(
+        "check",
+        crashes=len(crashes),
+        before=len(before),
+        begun_before=begun(before),
+        after=len(after),
+        begun_after=begun(after),
+    )
+    if begun(before) < COUNTED or (installation.trouble and len(crashes) < 3):
         return COULD_NOT_RUN
-    often = [name for name, count in ends.items() if count >= 3]
-    return BROKEN if len(often) >= 2 else HELD
+    return BROKEN if begun(after) < begun(before) / 2 else HELD
 
 
 if __name__ == "__main__":
