--- a/review/common2/worker.py
+++ b/review/common2/worker.py
@@ -92,7 +92,8 @@
                 elif not await self.serve(request, writer):
                     return
                 await writer.drain()
-        except (OSError, asyncio.IncompleteReadError):
+        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            # The caller has left, or the script ends.
             pass
         finally:
             self._writers.discard(writer)
