Withdraw crash reports about servers that go on

Cause: three sound servers had reset the first requests of the route before any output. Each reset is reported as a crash, and three of different servers put the part that all requests of the route share into quarantine. Only a completed request with the part took that back, which the quarantine itself prevents, or four changed entries of each server: an entry in which only seq differs brings no event, so that they never came.

A report is now withdrawn by what proves that its server goes on: an answer of the same start to a request sent after the report, within the time in which a crashed server isn't back; or the listing of the same start for longer than the entry of a crashed server stays, counted from the last outage of the store. The second needs no traffic and no event. Reports that are read again are checked by it as well. "server had not crashed" is logged with the evidence.

BurstTest lists the next start of each server that it crashes: its servers stayed listed for seconds after their crash, which is what proves that they had not crashed. Its checks are the same.

--- a/heatherswitch/gateway/crash_handling.py
+++ b/heatherswitch/gateway/crash_handling.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Mapping
+from typing import Protocol
 
 from heatherswitch.gateway import events as ev
 from heatherswitch.gateway.clock_offsets import ClockOffsets
@@ -13,11 +14,8 @@
 from heatherswitch.gateway.peers import PeerView
 from heatherswitch.gateway.pending import Pending
 from heatherswitch.gateway.probes import PROBE_SLOT_S, Probes
-from heatherswitch.gateway.prompt_quarantine import (
-    REPORT_TTL_S,
-    PromptQuarantine,
-    QuarantineChange,
-)
+from heatherswitch.gateway.prompt_quarantine import REPORT_TTL_S, PromptQuarantine
+from heatherswitch.gateway.quarantine_changes import QuarantineChange
 from heatherswitch.gateway.servers import ServerState
 from heatherswitch.gateway.silent_requests import SilentRequest, SilentRequests
 
@@ -26,17 +24,26 @@
 BEGUN_S = 1.0
 
 
+class ServerListing(Protocol):
+    """The servers that the store lists."""
+
+    def outlived(self, server_id: str, incarnation: int, at: float) -> bool:
+        """Tells whether a start of a server certainly has not ended since a time."""
+
+
 class CrashHandling:
     """The crash reports of the fleet and the requests that they keep back.
 
     :param own_id: id of this gateway in the fleet.
     :param peers: the other gateways.
+    :param listing: the servers by which reports are checked.
     """
 
-    __slots__ = ("_clocks", "_peers", "_probes", "_quarantine", "_silent")
+    __slots__ = ("_clocks", "_listing", "_peers", "_probes", "_quarantine", "_silent")
 
-    def __init__(self, own_id: str, peers: PeerView) -> None:
+    def __init__(self, own_id: str, peers: PeerView, listing: ServerListing) -> None:
         self._quarantine = PromptQuarantine(own_id)
+        self._listing = listing
         self._peers = peers
         self._clocks = ClockOffsets()
         self._probes = Probes(peers.owns)
@@ -86,12 +93,19 @@
 
     def note_heartbeat(self, server: Server) -> list[ev.Effect]:
         """Notes that a server runs."""
-        return _effects(self._quarantine.note_heartbeat(server))
+        return list(self._quarantine.note_heartbeat(server))
+
+    def note_answer(self, now: float, pending: Pending) -> list[ev.Effect]:
+        """Notes that the server of a request's current attempt began to answer it."""
+        server = pending.current_server.record
+        sent_at = pending.times.sent_at
+        return list(self._quarantine.note_answer(now, server, sent_at))
 
     def tick(self, now: float) -> list[ev.Effect]:
-        """Removes old reports, and tells of completed requests that excuse parts."""
+        """Removes old and wrong reports, and tells of completed requests."""
         self._silent.expire(now)
         effects = _effects(self._quarantine.expire(now))
+        effects += self._quarantine.withdraw_outlived(self._listing.outlived)
         for age_s, parts in _by_age(now, self._quarantine.take_completions(now)):
             effects += self._clear(now, parts, age_s)
         return effects
@@ -192,6 +206,9 @@
         return self._add(now, report.replace(sent_at=sent_at, at=at))
 
     def _add(self, now: float, report: CrashReport) -> QuarantineChange | None:
+        if self._listing.outlived(*report.crash, report.at):
+            # A record in the store outlasts the proof that its server had not crashed.
+            return None
         self._quarantine.note_suspected(now, report)
         return self._quarantine.add(report)
 
--- a/heatherswitch/gateway/events.py
+++ b/heatherswitch/gateway/events.py
@@ -20,7 +20,7 @@
     NotSent,
     Rejected,
 )
-from heatherswitch.gateway.prompt_quarantine import QuarantineChange
+from heatherswitch.gateway.quarantine_changes import QuarantineEffect
 from heatherswitch.gateway.rollout_records import Progress
 from heatherswitch.gateway.rollouts import RolloutOrder, RolloutState
 from heatherswitch.util.record import Record
@@ -798,6 +798,6 @@
     | QueryHolder
     | PeerEffect
     | CrashEffect
-    | QuarantineChange
+    | QuarantineEffect
     | ServerEffect
 )
--- a/heatherswitch/gateway/limits.py
+++ b/heatherswitch/gateway/limits.py
@@ -7,6 +7,7 @@
 
 DEFAULT_EXPOSURE = ExposureLimit()
 DEFAULT_TIMING = Timing.from_bounds()
+DEFAULT_ENTRY_TTL_S = 4.8
 
 
 class Limits(Record):
@@ -19,6 +20,8 @@
     :param timing: intervals and timeouts for following the store.
     :param expected_fleet: upper bound on the number of routers, used until the list of
         routers can be complete.
+    :param entry_ttl_s: seconds after which the entry of a server that has crashed is gone
+        from the store, also if its last heartbeat arrives late.
     """
 
     __slots__ = (
@@ -28,6 +31,7 @@
         "exposure",
         "timing",
         "expected_fleet",
+        "entry_ttl_s",
     )
 
     def __init__(
@@ -38,6 +42,7 @@
         exposure: ExposureLimit = DEFAULT_EXPOSURE,
         timing: Timing = DEFAULT_TIMING,
         expected_fleet: int = DEFAULT_FLEET_SIZE,
+        entry_ttl_s: float = DEFAULT_ENTRY_TTL_S,
     ) -> None:
         self.key_max_age_s = key_max_age_s
         self.budget_ratio = budget_ratio
@@ -45,3 +50,4 @@
         self.exposure = exposure
         self.timing = timing
         self.expected_fleet = expected_fleet
+        self.entry_ttl_s = entry_ttl_s
--- a/heatherswitch/gateway/prompt_quarantine.py
+++ b/heatherswitch/gateway/prompt_quarantine.py
@@ -7,10 +7,11 @@
 """
 
 from collections import OrderedDict
-from collections.abc import Collection, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from itertools import islice
 
 from heatherswitch.gateway.crash_attribution import (
+    COINCIDENCE_S,
     QUARANTINE_CRASHES,
     attribute_crashes,
     merge_times,
@@ -24,8 +25,14 @@
 from heatherswitch.gateway.expired_groups import ExpiredGroups
 from heatherswitch.gateway.model import PromptPart, Server
 from heatherswitch.gateway.part_completions import SHARED_CRASHES, PartCompletions
+from heatherswitch.gateway.quarantine_changes import (
+    QuarantineChange,
+    QuarantineEffect,
+    ReportsWithdrawn,
+    group_name,
+    join_change,
+)
 from heatherswitch.statecore.hashing import hash64
-from heatherswitch.util.record import Record
 
 # Seconds for which a report counts.
 REPORT_TTL_S = 600.0
@@ -39,32 +46,14 @@
 # Maximum number of remembered parts whose reports were dropped.
 MAX_DROPPED_PARTS = 20_000
 
+# Seconds after a crash within which a server isn't back under the same id, so that an
+# answer is one of the start before.
+MIN_RESTART_S = 1.5
 # Heartbeats after which a server that broke off requests counts as not crashed: more
 # than the store delivers late.
 ALIVE_HEARTBEATS = 4
 
 
-class QuarantineChange(Record):
-    """Groups of prompt parts that were added to the quarantine or released from it.
-
-    A group is named by the hashes of its parts, joined by ``+``.
-
-    :param added: each added group and the number of crashes on it.
-    :param released: the released groups.
-    """
-
-    __slots__ = (
-        "added",
-        "released",
-    )
-
-    def __init__(
-        self, added: tuple[tuple[str, int], ...], released: tuple[str, ...]
-    ) -> None:
-        self.added = added
-        self.released = released
-
-
 class PromptQuarantine:
     """Prompt parts that crash servers, by the reports of all gateways.
 
@@ -108,7 +97,7 @@
     @property
     def crash_counts(self) -> Mapping[str, int]:
         """Number of crashes by the name of each group that reports quarantine."""
-        return {_name(group): n for group, n in self._quarantined.items()}
+        return {group_name(group): n for group, n in self._quarantined.items()}
 
     @property
     def suspected_count(self) -> int:
@@ -212,7 +201,7 @@
         report = report.replace(parts=left)
         held = self._expired.note_crash(report)
         change = self._add(report)
-        return _joined(change, added=held)
+        return join_change(change, added=held)
 
     def _add(self, report: CrashReport) -> QuarantineChange | None:
         changed = [report]
@@ -235,24 +224,61 @@
             return None
         return self._expire([report_id])
 
-    def note_heartbeat(self, server: Server) -> QuarantineChange | None:
+    def note_heartbeat(self, server: Server) -> list[QuarantineEffect]:
         """Removes the reports of a server that has not started again since.
 
-        A reset of its connections looks like a crash to its callers. Returns as
-        :meth:`add` does.
+        A reset of its connections looks like a crash to its callers.
         """
         crash = (server.id, server.incarnation)
         # Without a start time, the next start of the server would look the same.
         if not server.incarnation or crash not in self._crash_reports:
-            return None
+            return []
         self._heartbeats[crash] = self._heartbeats.get(crash, 0) + 1
         if self._heartbeats[crash] < ALIVE_HEARTBEATS:
-            return None
-        ended = self._expired.note_alive(crash)
-        change = self._update(
-            [self._delete(i) for i in list(self._crash_reports[crash])]
-        )
-        return _joined(change, released=ended)
+            return []
+        return self._withdraw(crash, list(self._crash_reports[crash]), "heartbeats")
+
+    def note_answer(
+        self, now: float, server: Server, sent_at: float
+    ) -> list[QuarantineEffect]:
+        """Removes the reports of a server that answered a request sent after them.
+
+        :param sent_at: time at which the request was sent, in seconds of the clock.
+        """
+        crash = (server.id, server.incarnation)
+        if not server.incarnation or crash not in self._crash_reports:
+            return []
+        # The clocks of the gateways that reported may differ a little from this one.
+        excused = [
+            r.id
+            for r in self._crash_reports[crash].values()
+            if r.at + COINCIDENCE_S <= sent_at and now < r.at + MIN_RESTART_S
+        ]
+        return self._withdraw(crash, excused, "answer") if excused else []
+
+    def withdraw_outlived(
+        self, outlived: Callable[[str, int, float], bool]
+    ) -> list[QuarantineEffect]:
+        """Removes the reports of the starts of servers that outlived them.
+
+        :param outlived: tells whether a server has not ended since a time, by its id and
+            its start.
+        """
+        effects: list[QuarantineEffect] = []
+        for crash, reports in list(self._crash_reports.items()):
+            if outlived(*crash, max(report.at for report in reports.values())):
+                effects += self._withdraw(crash, list(reports), "listed")
+        return effects
+
+    def _withdraw(
+        self, crash: tuple[str, int], report_ids: list[str], evidence: str
+    ) -> list[QuarantineEffect]:
+        """Removes reports of a crash that was none."""
+        change = self._update([self._delete(i) for i in report_ids])
+        ended = () if crash in self._crash_reports else self._expired.note_alive(crash)
+        change = join_change(change, released=ended)
+        withdrawn = ReportsWithdrawn(*crash, len(report_ids), evidence)
+        return [withdrawn, change] if change else [withdrawn]
 
     def note_suspected(self, now: float, report: CrashReport) -> None:
         """Compares a report of another gateway with the requests completed here."""
@@ -285,7 +311,7 @@
             self._reports[report.id] = report.replace(parts=left)
             self._crash_reports[report.crash][report.id] = self._reports[report.id]
             self._recount(report.crash, set(report.parts).difference(left))
-        return _joined(self._update(changed), released=released)
+        return join_change(self._update(changed), released=released)
 
     def expire(self, now: float) -> QuarantineChange | None:
         """Removes reports older than :data:`REPORT_TTL_S`; returns as :meth:`add`.
@@ -405,31 +431,11 @@
         if not added and not released:
             return None
         return QuarantineChange(
-            tuple((_name(group), n) for group, n in added.items()),
-            tuple(sorted(map(_name, released))),
+            tuple((group_name(group), n) for group, n in added.items()),
+            tuple(sorted(map(group_name, released))),
         )
 
 
 def part_hash(part: PromptPart) -> str:
     """Returns a short hash of a part's id, which callers choose freely."""
     return f"{hash64(part.id):016x}"
-
-
-def _joined(
-    change: QuarantineChange | None,
-    added: Iterable[frozenset[str]] = (),
-    released: Iterable[frozenset[str]] = (),
-) -> QuarantineChange | None:
-    """Returns a change with further groups; None if there is none."""
-    # A further crash quarantines a group whose earlier ones have expired.
-    more = tuple((_name(group), 1) for group in added)
-    less = tuple(sorted(map(_name, released)))
-    if not more and not less:
-        return change
-    if change is None:
-        return QuarantineChange(more, less)
-    return QuarantineChange((*change.added, *more), (*change.released, *less))
-
-
-def _name(group: frozenset[str]) -> str:
-    return "+".join(sorted(group))
--- a/heatherswitch/gateway/reducer.py
+++ b/heatherswitch/gateway/reducer.py
@@ -84,9 +84,9 @@
             own_id, limits.expected_fleet, now + limits.timing.member_ttl_s
         )
         self._prefixes = PrefixIndex()
-        self._servers = ServerTable()
+        self._servers = ServerTable(limits.timing.outage_s, limits.entry_ttl_s)
         self._peers = PeerView(own_id, self._servers, self._prefixes)
-        self._crashes = CrashHandling(own_id, self._peers)
+        self._crashes = CrashHandling(own_id, self._peers, self._servers)
         self._placer = RequestPlacer(
             self._servers,
             Selector(self._fleet, self._prefixes, zone),
@@ -505,7 +505,8 @@
             self._prefixes.add(
                 pending.request.shared_parts, pending.current_server.record.id
             )
-        return []
+        effects = self._crashes.note_answer(now, pending)
+        return [*effects, *self._dispatch_waiting(now)] if effects else []
 
     def _on_stream_progressed(
         self, now: float, event: ev.StreamProgressed
--- a/heatherswitch/gateway/servers.py
+++ b/heatherswitch/gateway/servers.py
@@ -222,23 +222,36 @@
 
 
 class ServerTable:
-    """The backend servers by id and by service."""
+    """The backend servers by id and by service.
+
+    :param outage_s: the store counts as unreachable after this time without a
+        confirmation, in seconds.
+    :param entry_ttl_s: seconds after which the entry of a crashed server is gone if the
+        store is reachable.
+    """
 
     __slots__ = (
         "_by_service",
         "_confirmed_at",
         "_ended",
+        "_entry_ttl_s",
         "_notices",
         "_out",
+        "_outage_s",
+        "_reachable_since",
         "_servers",
     )
 
-    def __init__(self) -> None:
+    def __init__(self, outage_s: float, entry_ttl_s: float) -> None:
+        self._outage_s = outage_s
+        self._entry_ttl_s = entry_ttl_s
         # Starts of servers whose entries were removed, and their last heartbeats; the
         # newest last.
         self._ended: OrderedDict[tuple[str, int], int] = OrderedDict()
         # Time at which the store had no newer entries than those held here.
         self._confirmed_at = float("-inf")
+        # Time of the first confirmation since the last outage of the store.
+        self._reachable_since = float("-inf")
         self._notices = NoticeMemory()
         # Ids of servers that were taken out and why, the newest last.
         self._out: OrderedDict[str, str] = OrderedDict()
@@ -250,6 +263,8 @@
 
     def confirm(self, current_at: float) -> None:
         """Notes that the store held nothing newer at ``current_at``."""
+        if current_at - self._confirmed_at > self._outage_s:
+            self._reachable_since = current_at
         self._confirmed_at = max(self._confirmed_at, current_at)
 
     def age_s(self, now: float) -> float:
@@ -260,6 +275,24 @@
         """Returns the server with an id, or None."""
         return self._servers.get(server_id)
 
+    def outlived(self, server_id: str, incarnation: int, at: float) -> bool:
+        """Tells whether a start of a server certainly ran at a time and has not ended.
+
+        The store lists it for longer than the entry of a crashed server stays. Leases
+        may pause while the store is down, so that the time counts from the last outage;
+        a shorter one may have passed unnoticed.
+
+        :param at: time of a failure that looked like a crash, in seconds of the clock.
+        """
+        state = self._servers.get(server_id)
+        # Without a stated start, the next start of the server would look the same.
+        if state is None or not incarnation or state.entry_lost_at is not None:
+            return False
+        if state.record.incarnation != incarnation:
+            return False
+        since = max(at, self._reachable_since, state.first_seen_at)
+        return self._confirmed_at - since >= self._entry_ttl_s + self._outage_s
+
     def for_service(self, service: str) -> Iterable[ServerState]:
         """Returns the servers of a service."""
         return self._by_service.get(service, {}).values()
--- a/heatherswitch/gateway/shell.py
+++ b/heatherswitch/gateway/shell.py
@@ -14,7 +14,11 @@
 from heatherswitch.gateway.limits import Limits
 from heatherswitch.gateway.model import CallerRequest, RequestKind
 from heatherswitch.gateway.peer_link import PeerLink
-from heatherswitch.gateway.prompt_quarantine import QuarantineChange
+from heatherswitch.gateway.quarantine_changes import (
+    QuarantineChange,
+    QuarantineEffect,
+    ReportsWithdrawn,
+)
 from heatherswitch.gateway.reducer import GatewayReducer
 from heatherswitch.gateway.relay import RequestRelay, ServerCodec
 from heatherswitch.gateway.rollouts import Rollout
@@ -348,7 +352,7 @@
             if isinstance(effect, ev.PeerEffect):
                 self._peers.send_effect(effect)
                 continue
-            if isinstance(effect, ev.CrashEffect | QuarantineChange):
+            if isinstance(effect, ev.CrashEffect | QuarantineEffect):
                 self._handle_crash_effect(effect)
                 continue
             if isinstance(effect, ev.ServerEffect):
@@ -362,7 +366,7 @@
         elif isinstance(event, ev.StoreConfirmed) and self._configuration_version:
             self._configured.set()
 
-    def _handle_crash_effect(self, effect: ev.CrashEffect | QuarantineChange) -> None:
+    def _handle_crash_effect(self, effect: ev.CrashEffect | QuarantineEffect) -> None:
         """Logs the effect and publishes what other gateways need to know."""
         match effect:
             case ev.PublishCrash(report):
@@ -382,6 +386,9 @@
                     extra={"added": dict(added), "released": released},
                 )
                 return
+            case ReportsWithdrawn():
+                log.info("server had not crashed", extra=effect.to_dict())
+                return
         self._crash_outbox.add(effect)
 
     def _apply_configured_limits(self) -> None:
--- a/heatherswitch/platform/settings.py
+++ b/heatherswitch/platform/settings.py
@@ -34,6 +34,10 @@
     "config_apply_ms": 2000,
     "evacuate_ms": 5000,
 }
+# Heartbeats after which the entry of a crashed server is gone: the platform removes it
+# after three intervals of silence, and the last heartbeat may arrive one interval late.
+ENTRY_TTL_HEARTBEATS = 4
+DEFAULT_HEARTBEAT_MS = 1200
 # Offset of the port for messages between gateways from the first internal port.
 PEER_PORT_OFFSET = 1
 BYTES_PER_MEGABIT = 125_000
@@ -68,6 +72,16 @@
     return shortest / 1000
 
 
+def _heartbeat_s(settings: dict[str, Any]) -> float:
+    """Returns the interval of the servers' heartbeats, in seconds."""
+    heartbeat_ms = read_field(
+        settings, "heartbeat_ms", require_number, DEFAULT_HEARTBEAT_MS
+    )
+    if heartbeat_ms <= 0:
+        raise ValueError("heartbeat_ms must be above zero")
+    return heartbeat_ms / 1000
+
+
 def _link_bytes_per_s(limits: dict[str, Any]) -> float:
     """Returns the throughput of the VM's link; that of the thinnest if not stated."""
     megabits = read_field(limits, "link_mbps", require_number, 0.0)
@@ -118,6 +132,7 @@
                 expected_fleet=max(
                     DEFAULT_FLEET_SIZE, int(writes_per_s / WRITES_PER_S_PER_ROUTER)
                 ),
+                entry_ttl_s=ENTRY_TTL_HEARTBEATS * _heartbeat_s(settings),
             ),
             http=HttpLimits(
                 connections=max(16, (max_descriptors - RESERVED_FILE_DESCRIPTORS) // 2)
--- a/test/crash_model.py
+++ b/test/crash_model.py
@@ -2,19 +2,20 @@
 
 It plays gateways with the real crash handling, servers that crash and start again, and
 messages and store records that are lost or late, in simulated time. A longer run than the
-test's: ``python -m test.crash_model WORLDS SEED``.
+test's: ``python -m test.crash_model WORLDS SEED``; ``--help`` lists what else can fail.
 """
 
+import argparse
 import heapq
 import itertools
 import random
 import statistics
-import sys
 from collections.abc import Callable, Iterable
 from types import SimpleNamespace
 
 from heatherswitch.gateway import events as ev
 from heatherswitch.gateway.crash_handling import CrashHandling
+from heatherswitch.gateway.limits import DEFAULT_ENTRY_TTL_S, DEFAULT_TIMING
 from heatherswitch.gateway.model import PromptPart, RequestKind, Server
 from heatherswitch.gateway.response_speed import AttemptTimes
 from heatherswitch.statecore.hashing import rendezvous_score
@@ -44,6 +45,13 @@
 # Seconds after which callers of a silent server leave, and its entry expires.
 LEAVE_S = 2.0
 EXPIRY_S = 3.6
+# Seconds for which a start is listed if its server certainly has not crashed.
+OUTLIVED_S = DEFAULT_ENTRY_TTL_S + DEFAULT_TIMING.outage_s
+# Sound servers reset this share of their requests for some seconds.
+RESET_SHARE = 0.45
+RESET_S = 6.5
+# Seconds between the restarts of two gateways, and of a restart.
+RESTART_GAP_S = 1.0
 
 
 class World:
@@ -56,6 +64,8 @@
     :ivar burst: number of requests with the part that come together.
     :ivar pieces_before_crash: a server crashes after so many pieces of an answer.
     :ivar dark: a crashed server falls silent, and callers leave before the store tells.
+    :ivar resets: sound servers reset a share of their requests for some seconds.
+    :ivar restarts: all gateways are started again, one after the other, at some time.
     """
 
     def __init__(
@@ -65,6 +75,8 @@
         pieces_before_crash: int = 0,
         burst: int = 1,
         dark: bool = False,
+        resets: bool = False,
+        restarts: bool = False,
     ) -> None:
         rng = random.Random(seed)
         self.seed = seed
@@ -90,6 +102,8 @@
         self.pieces_before_crash = pieces_before_crash
         self.burst = burst
         self.dark = dark
+        self.resets = resets
+        self.restarts = restarts
 
 
 class Result:
@@ -155,21 +169,46 @@
         return [ev.SendCleared(self._names, effect)]
 
 
+class Listing:
+    """The servers that one gateway has read from the store.
+
+    :ivar starts: the start of each listed server, and since when it is listed.
+    """
+
+    def __init__(self, now: Callable[[], float], delay_s: float, starts) -> None:
+        self._now = now
+        self._delay_s = delay_s
+        self.starts: dict[str, tuple[int, float]] = starts
+
+    def outlived(self, server_id: str, incarnation: int, at: float) -> bool:
+        listed, since = self.starts.get(server_id, (0, 0.0))
+        confirmed_at = self._now() - self._delay_s
+        return listed == incarnation and confirmed_at - max(at, since) >= OUTLIVED_S
+
+
 class Play:
     """Plays one world."""
 
     def __init__(self, world: World, new_gateway: Callable = CrashHandling) -> None:
         self.world = world
         self.rng = random.Random(world.seed)
+        # Separate, so that the worlds stay the same whatever else is played in them.
+        self.listing_rng = random.Random(f"listing/{world.seed}")
+        self.trouble_rng = random.Random(f"trouble/{world.seed}")
         self.result = Result(world)
         self.now = 0.0
         self._order = itertools.count()
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         names = tuple(f"g{n}" for n in range(world.gateways))
-        self.gateways = [new_gateway(name, Peers(name, names)) for name in names]
         self.names = names
         self.offsets = [1e6 + self._skew() for _ in names]
         self.incarnations = {f"s{n}": 1 for n in range(world.servers)}
+        self._new_gateway = new_gateway
+        self.listings = [self._new_listing(number) for number in range(len(names))]
+        self.gateways = [self._start_gateway(number) for number in range(len(names))]
+        # Records that gateways have written to the store.
+        self._records: list[ev.Event] = []
+        self._resets_at = float("inf")
         self.down: set[str] = set()
         # Open requests of each server.
         self.open: dict[str, dict[int, SimpleNamespace]] = {
@@ -177,6 +216,39 @@
         }
         self._numbers = itertools.count()
 
+    def _new_listing(self, gateway: int) -> Listing:
+        starts = {s: (n, 0.0) for s, n in self.incarnations.items()}
+        return Listing(
+            lambda: self.local_now(gateway), self.world.store_delay_s, starts
+        )
+
+    def _start_gateway(self, gateway: int) -> CrashHandling:
+        name = self.names[gateway]
+        peers = Peers(name, self.names)
+        return self._new_gateway(name, peers, self.listings[gateway])
+
+    def restart_gateway(self, gateway: int) -> None:
+        """Starts a gateway anew, which knows only what is in the store."""
+        now = self.local_now(gateway)
+        listing = self.listings[gateway]
+        listing.starts = {s: (n, now) for s, (n, _) in listing.starts.items()}
+        self.gateways[gateway] = self._start_gateway(gateway)
+        self.deliver(gateway, list(self._records))
+
+    def relist(self, server_id: str, incarnation: int | None) -> None:
+        """Tells each gateway of the start of a server; None if its entry has expired."""
+
+        def note(gateway: int) -> None:
+            starts = self.listings[gateway].starts
+            if incarnation is not None:
+                starts[server_id] = (incarnation, self.local_now(gateway))
+            elif server_id in self.down:
+                starts.pop(server_id, None)
+
+        for gateway in range(self.world.gateways):
+            delay_s = self.listing_rng.uniform(0.1, 1.0) * self.world.store_delay_s
+            self.at(delay_s, lambda gateway=gateway: note(gateway))
+
     def _skew(self) -> float:
         return self.rng.uniform(-self.world.skew_s, self.world.skew_s)
 
@@ -208,6 +280,13 @@
                 self.at(delay_s, lambda server_id=server_id: self.crash(server_id))
         for number in range(world.gateways):
             self.at(self.rng.random() * TICK_S, lambda n=number: self.tick(n))
+        if world.resets:
+            self._resets_at = starts_at
+        if world.restarts:
+            begins_at = starts_at + self.trouble_rng.random() * seconds / 4
+            for number in range(world.gateways):
+                delay_s = begins_at + number * min(RESTART_GAP_S, 10 / world.gateways)
+                self.at(delay_s, lambda n=number: self.restart_gateway(n))
         self.ends_at = starts_at + seconds
         while self._events and self._events[0][0] <= self.ends_at:
             self.now, _, call = heapq.heappop(self._events)
@@ -265,7 +344,12 @@
             return
         server_id = self.rng.choice(up)
         number = next(self._numbers)
-        request = SimpleNamespace(gateway=gateway, pending=pending)
+        start, _ = self.listings[gateway].starts.get(server_id, (0, 0.0))
+        listed = server(server_id, "engine", incarnation=start)
+        pending.current_server = SimpleNamespace(record=listed)
+        request = SimpleNamespace(
+            gateway=gateway, pending=pending, handling=self.gateways[gateway]
+        )
         self.open[server_id][number] = request
         first_s = self.rng.uniform(*FIRST_OUTPUT_S)
         if bad:
@@ -275,6 +359,10 @@
                 begin_s = 0.9 * first_s
                 self.at(begin_s, lambda: self.begin(server_id, number, begin_s))
             return
+        resets_s = self.now - self._resets_at
+        if 0 <= resets_s < RESET_S and self.trouble_rng.random() < RESET_SHARE:
+            self.at(first_s, lambda: self.reset(server_id, number))
+            return
         self.at(first_s, lambda: self.begin(server_id, number, first_s))
         answer_s = first_s + self.rng.uniform(*ANSWER_S)
         self.at(answer_s, lambda: self.complete(server_id, number))
@@ -285,16 +373,40 @@
         if request is not None:
             request.pending.times.first_event_s = first_s
             request.pending.partly_delivered = True
+            self.gateways[request.gateway].note_answer(
+                self.local_now(request.gateway), request.pending
+            )
 
     def complete(self, server_id: str, number: int) -> None:
         request = self.open[server_id].pop(number, None)
-        if request is None:
+        if request is None or request.handling is not self.gateways[request.gateway]:
             return
         effects = self.gateways[request.gateway].note_completed(
             self.local_now(request.gateway), request.pending, ev.Completed(200, 1.0)
         )
         self.publish(request.gateway, effects)
 
+    def reset(self, server_id: str, number: int) -> None:
+        """Breaks a request off at a server that goes on."""
+        request = self.open[server_id].pop(number, None)
+        if request is not None:
+            self.report(request, self.record(server_id))
+
+    def report(self, request: SimpleNamespace, record: Server) -> None:
+        """Ends a request that its server broke off."""
+        gateway = request.gateway
+        if request.handling is not self.gateways[gateway]:
+            return
+        outcome = ev.Broken("cut", started=request.pending.partly_delivered)
+        effects = self.gateways[gateway].report(
+            self.local_now(gateway),
+            next(self._numbers),
+            request.pending,
+            SimpleNamespace(record=record),
+            outcome,
+        )
+        self.publish(gateway, effects)
+
     def crash(self, server_id: str, number: int | None = None) -> None:
         """Crashes a server, on one of its requests or for another reason."""
         if server_id in self.down or (
@@ -310,15 +422,8 @@
             self.fall_silent(record, requests.values())
             requests = {}
         for request in requests.values():
-            outcome = ev.Broken("cut", started=request.pending.partly_delivered)
-            effects = self.gateways[request.gateway].report(
-                self.local_now(request.gateway),
-                next(self._numbers),
-                request.pending,
-                SimpleNamespace(record=record),
-                outcome,
-            )
-            self.publish(request.gateway, effects)
+            self.report(request, record)
+        self.at(EXPIRY_S, lambda: self.relist(server_id, None))
         self.at(self.rng.uniform(*RESTART_S), lambda: self.restart(server_id))
 
     def fall_silent(self, record: Server, requests: Iterable[SimpleNamespace]) -> None:
@@ -350,6 +455,7 @@
     def restart(self, server_id: str) -> None:
         self.incarnations[server_id] += 1
         self.down.discard(server_id)
+        self.relist(server_id, self.incarnations[server_id])
 
     def publish(self, gateway: int, effects: list[ev.Effect]) -> None:
         """Delivers what a gateway tells the others, by datagram and store."""
@@ -367,6 +473,8 @@
                 parts, age_s = effect.cleared.parts, effect.cleared.age_s
                 events = [ev.PartCleared(part, age_s, sender) for part in parts]
             from_store = isinstance(effect, ev.CrashEffect)
+            if from_store:
+                self._records += events
             self.result.writes += from_store
             for other in range(world.gateways) if events else ():
                 if from_store:
@@ -418,13 +526,19 @@
 
 
 def main() -> None:
-    worlds, seed = int(sys.argv[1]), int(sys.argv[2])
-    options = [float(argument) for argument in sys.argv[3:]] + [0.0, 0.0, 1.0][
-        len(sys.argv) - 3 :
-    ]
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("worlds", type=int)
+    parser.add_argument("seed", type=int)
+    parser.add_argument("--skew-s", type=float, default=0.0)
+    parser.add_argument("--pieces-before-crash", type=int, default=0)
+    parser.add_argument("--burst", type=int, default=1)
+    for name in ("dark", "resets", "restarts"):
+        parser.add_argument(f"--{name}", action="store_true")
+    options = vars(parser.parse_args())
+    worlds, seed = options.pop("worlds"), options.pop("seed")
     results = []
     for number in range(worlds):
-        world = World(seed + number, options[0], int(options[1]), int(options[2]))
+        world = World(seed + number, **options)
         results.append(Play(world).run())
         result = results[-1]
         if result.breaks_budget or result.breaks_lost:
--- a/test/test_crash_attribution.py
+++ b/test/test_crash_attribution.py
@@ -402,6 +402,10 @@
         self.advance(0.1)
         for forward in forwards:
             first.apply(ev.AttemptEnded(forward.serial, ev.Broken("cut")))
+            # The server is listed again with its next start.
+            again = server(forward.server.id, "engine", slots=64, incarnation=2)
+            for driver in self.drivers:
+                driver.add_servers(again)
         for effect in first.take_effects():
             if isinstance(effect, ev.SendCrash):
                 second.apply(ev.PeerCrashReceived("g0:1", effect.report))
--- a/test/test_platform_formats.py
+++ b/test/test_platform_formats.py
@@ -283,8 +283,20 @@
         self.assertEqual(config.limits.key_max_age_s, 4.5)
         self.assertEqual(config.limits.budget_slack, 58)
         self.assertLess(config.grace_s, 8)
+        self.assertEqual(config.limits.entry_ttl_s, 4.8)
         self.assertEqual(config.http.connections, 1950)
 
+    def test_interval_of_heartbeats_decides_how_long_entries_stay(self):
+        """Guards the proof that a server has not crashed: its entry would be gone."""
+        config = parse_gateway_config(SETTINGS | {"heartbeat_ms": 2000})
+        self.assertEqual(config.limits.entry_ttl_s, 8.0)
+        for heartbeat_ms in (0, -1, "1200"):
+            with (
+                self.subTest(heartbeat_ms),
+                self.assertRaisesRegex(SettingsError, "heartbeat_ms"),
+            ):
+                parse_gateway_config(SETTINGS | {"heartbeat_ms": heartbeat_ms})
+
     def test_error_names_the_missing_field(self):
         for name in ("node_name", "zone", "ip", "listen", "platform"):
             document = {key: value for key, value in SETTINGS.items() if key != name}
--- a/test/test_prompt_quarantine.py
+++ b/test/test_prompt_quarantine.py
@@ -34,10 +34,12 @@
 from heatherswitch.gateway.prompt_quarantine import (
     ALIVE_HEARTBEATS,
     MAX_REPORTS,
+    MIN_RESTART_S,
     REPORT_TTL_S,
     PromptQuarantine,
     part_hash,
 )
+from heatherswitch.gateway.quarantine_changes import ReportsWithdrawn
 from heatherswitch.gateway.silent_requests import (
     MAX_SILENT_REQUESTS,
     SILENCE_TTL_S,
@@ -576,6 +578,92 @@
             self.driver.add_servers(*self.servers)
         self.assertIsInstance(self.decide("root", "session", "own"), ev.Forward)
 
+    def reset_three(self, *ids: str) -> set[str]:
+        """Resets requests until three servers have reset one; returns the servers."""
+        used: set[str] = set()
+        while len(used) < QUARANTINE_CRASHES:
+            used.add(self.reset(*ids, "own"))
+        self.assertIsInstance(self.decide(*ids, "own"), ev.Refuse)
+        return used
+
+    def test_part_is_released_though_no_entry_of_its_servers_changes(self):
+        """Guards CONFIG (review case 7): resets by sound servers kept a route refused.
+
+        Only four changed entries took a report back, and an entry in which nothing but
+        its count changes brings no event.
+        """
+        self.reset_three("root", "session")
+        for _ in range(8):
+            self.driver.advance(1.0)
+        self.assertIsInstance(self.decide("root", "session", "own"), ev.Forward)
+
+    def test_part_is_not_released_while_the_store_is_away(self):
+        """Guards BUDGET: leases may pause, so that the entry of a crashed server stays."""
+        self.reset_three("root", "deadly")
+        for _ in range(30):
+            self.driver.now += 1.0
+            self.driver.apply(ev.Tick())
+        self.driver.advance(1.0)
+        self.assertIsInstance(self.decide("root", "deadly", "own"), ev.Refuse)
+
+    def test_part_is_not_released_by_an_entry_that_came_back(self):
+        """Guards BUDGET: the last heartbeat of a crashed server may arrive late."""
+        for number in range(3):
+            self.crash("root", "deadly", f"own{number}")
+        for _ in range(6):
+            self.driver.advance(1.0)
+        self.driver.add_servers(*self.servers)
+        self.driver.advance(1.0)
+        self.assertIsInstance(self.decide("root", "deadly", "own"), ev.Refuse)
+
+    def test_part_is_released_if_its_servers_answer_later_requests(self):
+        """Guards CONFIG: other requests showed at once that no server had crashed."""
+        self.reset_three("root", "session")
+        self.driver.advance(COINCIDENCE_S)
+        for number in range(len(self.servers) * 2):
+            serial = self.driver.send_request("/chat/1", parts=prompt(f"other{number}"))
+            self.driver.apply(ev.ResponseStarted(serial, None, 0.1, True))
+        withdrawn = [
+            e for e in self.driver.take_effects() if isinstance(e, ReportsWithdrawn)
+        ]
+        self.assertTrue(withdrawn)
+        self.assertEqual({e.evidence for e in withdrawn}, {"answer"})
+        self.assertIsInstance(self.decide("root", "session", "own"), ev.Forward)
+
+    def test_answer_to_an_earlier_request_does_not_release_a_part(self):
+        """Guards BUDGET: it was sent before the crash."""
+        serials = [
+            self.driver.send_request("/chat/1", parts=prompt(f"other{number}"))
+            for number in range(len(self.servers))
+        ]
+        self.reset_three("root", "deadly")
+        for serial in serials:
+            self.driver.apply(ev.ResponseStarted(serial, None, 0.1, True))
+        self.assertIsInstance(self.decide("root", "deadly", "own"), ev.Refuse)
+
+    def test_answer_of_the_next_start_does_not_release_a_part(self):
+        """Guards BUDGET: the gateway may not have read the entry of the next start."""
+        self.reset_three("root", "deadly")
+        self.driver.now += MIN_RESTART_S
+        for number in range(len(self.servers) * 2):
+            serial = self.driver.send_request("/chat/1", parts=prompt(f"other{number}"))
+            self.driver.apply(ev.ResponseStarted(serial, None, 0.1, True))
+        self.assertIsInstance(self.decide("root", "deadly", "own"), ev.Refuse)
+
+    def test_report_that_is_read_again_has_no_effect(self):
+        """Guards CONFIG: a gateway reads the records again after a compaction."""
+        self.driver.advance(1.0)
+        for _ in range(10):
+            self.driver.advance(1.0)
+        at = self.driver.now - 9.0
+        for number in range(3):
+            report = CrashReport(
+                f"g/{number}", f"e{number}", 1, at, at + number, ("part",)
+            )
+            self.driver.apply(ev.CrashReported(report))
+        # The reports are 9, 8 and 7 seconds old, and the servers are listed since.
+        self.assertEqual(self.driver.reducer.crashes.quarantined, {})
+
     def test_part_stays_in_quarantine_when_its_servers_have_restarted(self):
         """A few heartbeats from before a crash may arrive after it."""
         for number in range(3):
