Bound the work of one turn of the event loop in pieces too

What was left: the pause between two turns is due by the clock alone. Where the clock shows no time while a process works, a slice never ends, and a lookup beside one endless answer got 503 in the test. A turn now ends after 10 pieces that are passed on to a caller, or 200 entries or chunks, if the slice of 2 ms has not ended before.

--- a/heatherswitch/gateway/upstream.py
+++ b/heatherswitch/gateway/upstream.py
@@ -11,7 +11,7 @@
 import h11
 
 from heatherswitch.gateway.model import Load, Server
-from heatherswitch.util.fairness import Turn
+from heatherswitch.util.fairness import MAX_RELAYED_PIECES, Turn
 from heatherswitch.util.http import (
     ConnectFailed,
     ConnectionLost,
@@ -253,7 +253,11 @@
         self._sent_events.append(h11.EndOfMessage())
         data = b"".join(self._http.send(event) for event in self._sent_events)
         self._transport.write(data)
-        self._turn = Turn("answer", self._transport.get_extra_info("peername"))
+        self._turn = Turn(
+            "answer",
+            self._transport.get_extra_info("peername"),
+            max_pieces=MAX_RELAYED_PIECES,
+        )
         self.record_progress()
 
     def record_progress(self) -> None:
--- a/heatherswitch/util/fairness.py
+++ b/heatherswitch/util/fairness.py
@@ -15,6 +15,11 @@
 # Seconds for which one task may work before the others run. Serving a request takes
 # some 20 iterations of the event loop, so that one costs others a few of these at most.
 TURN_SLICE_S = 0.002
+# Pieces (entries, chunks) after which the others run whatever the clock shows, which may
+# stand still while a process works.
+MAX_TURN_PIECES = 200
+# The same for pieces that are passed on to a peer, which takes a system call each.
+MAX_RELAYED_PIECES = 10
 # Slices that one piece of work uses up before it is logged: half a second.
 LOGGED_SLICES = 250
 
@@ -25,32 +30,49 @@
 
 
 class Turn:
-    """The time since a task last let the others run.
+    """The work since a task last let the others run.
 
     :param work: what the task works on, for the log.
     :param peer: host and port of the peer that sent it; None if there is none.
     :param slice_s: seconds after which :meth:`pause_if_due` lets the others run.
+    :param max_pieces: number of pieces after which it does so at the latest.
     """
 
-    __slots__ = ("_ends_at", "_peer", "_slice_s", "_slices", "_work")
+    __slots__ = (
+        "_ends_at",
+        "_max_pieces",
+        "_peer",
+        "_pieces",
+        "_slice_s",
+        "_slices",
+        "_work",
+    )
 
     def __init__(
-        self, work: str, peer: tuple | None = None, slice_s: float = TURN_SLICE_S
+        self,
+        work: str,
+        peer: tuple | None = None,
+        slice_s: float = TURN_SLICE_S,
+        max_pieces: int = MAX_TURN_PIECES,
     ) -> None:
         self._work = work
+        self._max_pieces = max_pieces
         self._peer = peer
         self._slice_s = slice_s
         self._slices = 0
         self._ends_at = 0.0
+        self._pieces = 0
         self.begin()
 
     def begin(self) -> None:
         """Starts the slice anew; called after the task has waited for something else."""
         self._ends_at = time.monotonic() + self._slice_s
+        self._pieces = 0
 
     async def pause_if_due(self) -> None:
-        """Lets the others run once the slice is used up."""
-        if time.monotonic() >= self._ends_at:
+        """Lets the others run once the slice is used up; called after each piece."""
+        self._pieces += 1
+        if self._pieces >= self._max_pieces or time.monotonic() >= self._ends_at:
             self._slices += 1
             if self._slices == LOGGED_SLICES:
                 self._log_use()
--- a/test/test_fairness.py
+++ b/test/test_fairness.py
@@ -134,6 +134,20 @@
         finally:
             writer.transport.abort()
 
+    async def leave_unread(self, path: str, number: int) -> None:
+        """Sends a request and reads nothing."""
+        host, _, port = self.deployment.gateway.addresses["callers"].rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port), limit=1024)
+        writer.write(
+            f"POST {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: 5{number:07x}\r\n"
+            f"X-Deadline-Ms: {DEADLINE_MS}\r\nAuthorization: Bearer {API_KEY}\r\n"
+            "Content-Length: 0\r\n\r\n".encode()
+        )
+        try:
+            await asyncio.Event().wait()
+        finally:
+            writer.transport.abort()
+
     async def assert_others_are_served(
         self,
         respond: Callable[[bytes], Iterable[bytes]],
@@ -177,6 +191,26 @@
         peers = {record.peer for record in logs.records if record.work == "answer"}
         self.assertIn(json.loads(address)["address"], peers)
 
+    async def test_small_events_without_end_while_the_clock_stands_still(self):
+        """Guards CONFIG (review case 2) where the time of a turn can't be measured.
+
+        A clock that shows no processor time while a process works ended no slice.
+        """
+        clock = mock.Mock(monotonic=lambda: 1000.0)
+        self.enterContext(mock.patch.object(fairness, "time", clock))
+        for requests in (1, STUCK_REQUESTS):
+            with self.subTest(requests=requests):
+                await self.assert_others_are_served(
+                    endless(SMALL_EVENT, CHUNKED), requests=requests
+                )
+
+    async def test_small_events_without_end_to_a_caller_that_does_not_read(self):
+        """Guards the others of a caller whose answer can't be written."""
+        self.read_stuck = self.leave_unread
+        await self.assert_others_are_served(
+            endless(SMALL_EVENT, CHUNKED), requests=STUCK_REQUESTS
+        )
+
     async def test_small_events_without_end_in_several_streams(self):
         await self.assert_others_are_served(
             endless(SMALL_EVENT, CHUNKED), requests=STUCK_REQUESTS
