Refuse statuses that HTTP doesn't have

Operators of another system told of callers that got an answer with status 000. Here h11 refuses 000, 099, 0200, 20, -20 and 1000, but 600 and 999 were passed on to callers on all kinds of routes, and the client that agents and programs use for the store took them too. RFC 9110, section 15, calls statuses outside 100 to 599 invalid.

Cause: h11 takes any number of three digits from 200 on as a final status, and nothing behind it looked.

Both clients check the status of a final response now. The gateway treats such an answer as one that is malformed: the request may have run, so that a safe one goes to another server and any other gets 502.

--- a/heatherswitch/gateway/upstream.py
+++ b/heatherswitch/gateway/upstream.py
@@ -16,6 +16,7 @@
     ConnectFailed,
     ConnectionLost,
     Headers,
+    check_final_status,
     encode_headers,
 )
 from heatherswitch.util.received_data import ReceivedData
@@ -269,7 +270,8 @@
     async def head(self, stall_timeout_s: float | None) -> h11.Response:
         """Returns the head of the next final response; skips 1xx responses.
 
-        :raises ConnectionLost: if none arrives or it is over :data:`MAX_HEAD_BYTES`.
+        :raises ConnectionLost: if none arrives, it is over :data:`MAX_HEAD_BYTES`, or its
+            status doesn't exist.
         """
         for _ in range(MAX_INTERIM_RESPONSES + 1):
             event = await self.next_event(stall_timeout_s)
@@ -277,6 +279,7 @@
                 size = sum(len(n) + len(v) + 4 for n, v in event.headers)
                 if size > MAX_HEAD_BYTES:
                     raise ConnectionLost(f"the head is over {MAX_HEAD_BYTES} bytes")
+                check_final_status(event.status_code)
                 self.record_progress()
                 return event
             if not isinstance(event, h11.InformationalResponse):
--- a/heatherswitch/util/http.py
+++ b/heatherswitch/util/http.py
@@ -12,6 +12,10 @@
 # Seconds after which a request that is not received completely is rejected.
 REQUEST_READ_TIMEOUT_S = 20.0
 
+# Range of the statuses of final responses.
+MIN_FINAL_STATUS = 200
+MAX_FINAL_STATUS = 599
+
 Headers = list[tuple[str, str]]
 
 
@@ -41,6 +45,15 @@
     """The response is over the limit that its reader set."""
 
 
+def check_final_status(status: int) -> None:
+    """Checks the status of a final response; h11 accepts any number of three digits.
+
+    :raises ConnectionLost: if HTTP has no such status (RFC 9110, section 15).
+    """
+    if not MIN_FINAL_STATUS <= status <= MAX_FINAL_STATUS:
+        raise ConnectionLost(f"the answer is malformed: status {status}")
+
+
 class BadRequest(HttpError):
     """A request is invalid or incomplete; the message is sent to the caller.
 
--- a/heatherswitch/util/http_client.py
+++ b/heatherswitch/util/http_client.py
@@ -15,6 +15,7 @@
     ConnectionLost,
     Headers,
     ResponseTooLarge,
+    check_final_status,
 )
 from heatherswitch.util.untrusted import MalformedInput, parse_json
 
@@ -183,6 +184,7 @@
         for _ in range(MAX_INTERIM_RESPONSES + 1):
             event = await self._next_event(streams, connection, timeout)
             if isinstance(event, h11.Response):
+                check_final_status(event.status_code)
                 return event
             if not isinstance(event, h11.InformationalResponse):
                 raise ConnectionLost("the server closed the connection")
