Complete no answer before its request is sent whole

Operators of another system told of an upload that was answered at once with a 200 without a length; the server reset the connection while the upload was being written, and the client got the part as a whole answer. But if the connection ended in the ordinary way, as a proxy between may make of a reset, the part was delivered as whole on all kinds of routes.

Cause: the end of a connection completes an answer without a length, whatever of the request is still unsent. A server that has not read the request can't have answered all of it.

With unsent bytes in the transport the end counts as a loss now. The answer of a server that ends its connection after a request that it has read is delivered as before, which the module tests too.

The servers of the module have small receive buffers, so that the largest body stays at the gateway.

Not covered: bytes that are in the socket's buffer and not read by the server.

--- a/heatherswitch/gateway/upstream.py
+++ b/heatherswitch/gateway/upstream.py
@@ -211,9 +211,16 @@
         self._wake()
 
     def eof_received(self) -> bool:
-        """Marks the end of the data, which completes a response without a length."""
+        """Marks the end of the data, which completes a response without a length.
+
+        It doesn't while part of the request is unsent: the server has not read all of it,
+        and a proxy may turn its reset into an ordinary end.
+        """
         self._closed = True
-        self._unparsed.append(b"")
+        if self._transport.get_write_buffer_size() > 0:
+            self._error = ConnectionResetError("the request was not sent whole")
+        else:
+            self._unparsed.append(b"")
         self._wake()
         return False
 
--- a/test/test_early_answers.py
+++ b/test/test_early_answers.py
@@ -25,6 +25,8 @@
 # Bodies that fit into the buffers of the sockets, and one that doesn't.
 BODY_BYTES = (0, 60_000, 3_900_000)
 MAX_BODY_BYTES = 4_194_304
+# Receive buffer of a server, so that most of the largest body stays at the gateway.
+RECEIVE_BUFFER_BYTES = 16_384
 # Seconds between a part of the answer and the end of the connection.
 DELAYS_S = (0.0, 0.005, 0.05, 0.3)
 PATHS = ("/lookup/1", "/settle/1", "/draft/1", "/answer/1")
@@ -62,6 +64,9 @@
         self._read_bytes_s = read_bytes_s
         self.requests = 0
         self._listener = socket.create_server((LOOPBACK, 0))
+        self._listener.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+        )
         threading.Thread(target=self._accept, daemon=True).start()
 
     @property
@@ -175,6 +180,18 @@
     async def test_reset_of_an_answer_that_closes(self):
         await self.check(fields=(b"Connection: close",))
 
+    async def test_end_of_the_connection_before_the_request_was_sent(self):
+        """What a server says before it has read the request is no answer to it."""
+        for status_line in (b"HTTP/1.1 200 OK", b"HTTP/1.0 200 OK"):
+            server = EarlyServer(status_line, delay_s=0.05, reset=False)
+            await self.add(server, f"half-{status_line[5:8].decode()}")
+            for path in PATHS:
+                with self.subTest(path=path, status_line=status_line):
+                    status, _ = await self.call(path, b"x" * BODY_BYTES[-1])
+                    self.assertFalse(200 <= status < 300, status)
+            self.assertGreaterEqual(server.requests, len(PATHS))
+            server.close()
+
     async def test_whole_answer_without_a_length_is_delivered(self):
         server = EarlyServer(reset=False)
         await self.add(server)
