Take only a success as proof that a server has not crashed

The head of any response withdrew crash reports of the server that it was sent to, also a 421 of another server that got the address of the crashed one. Only a success does now: it names the request and carries the server's signature.

test_refusal_at_the_same_address_does_not_release_a_part failed before.

--- a/heatherswitch/gateway/reducer.py
+++ b/heatherswitch/gateway/reducer.py
@@ -501,11 +501,13 @@
         if event.load is not None:
             pending.current_server.set_reported_load(now, event.load)
         pending.current_server.extend_cold_period(now, event.cold_for_s)
-        if event.success:
-            pending.current_server.notices.end_request(event.serial, taken=True)
-            self._prefixes.add(
-                pending.request.shared_parts, pending.current_server.record.id
-            )
+        if not event.success:
+            # Perhaps of another server at the address.
+            return []
+        pending.current_server.notices.end_request(event.serial, taken=True)
+        self._prefixes.add(
+            pending.request.shared_parts, pending.current_server.record.id
+        )
         effects = self._crashes.note_answer(now, pending)
         return [*effects, *self._dispatch_waiting(now)] if effects else []
 
--- a/test/test_prompt_quarantine.py
+++ b/test/test_prompt_quarantine.py
@@ -630,6 +630,15 @@
         self.assertEqual({e.evidence for e in withdrawn}, {"answer"})
         self.assertIsInstance(self.decide("root", "session", "own"), ev.Forward)
 
+    def test_refusal_at_the_same_address_does_not_release_a_part(self):
+        """Guards BUDGET: another server may have the address of the one that crashed."""
+        self.reset_three("root", "deadly")
+        self.driver.advance(COINCIDENCE_S)
+        for number in range(len(self.servers) * 2):
+            serial = self.driver.send_request("/chat/1", parts=prompt(f"other{number}"))
+            self.driver.apply(ev.ResponseStarted(serial, None, 0.1, False))
+        self.assertIsInstance(self.decide("root", "deadly", "own"), ev.Refuse)
+
     def test_answer_to_an_earlier_request_does_not_release_a_part(self):
         """Guards BUDGET: it was sent before the crash."""
         serials = [
