--- a/review/common3/deployment.py
+++ b/review/common3/deployment.py
@@ -15,6 +15,8 @@
 ROOT = Path(__file__).resolve().parents[2]
 HOST = "floor.example"
 START_S = 20.0
+# Metrics, and messages of other gateways.
+INTERNAL_PORTS = (7340, 7341)
 
 
 def free_port(host):
@@ -24,6 +26,20 @@
         return sock.getsockname()[1]
 
 
+def free_host(number):
+    """Returns a loopback address on which the ports of a gateway's own are free."""
+    for _ in range(100):
+        host = f"127.{random.randrange(60, 120)}.{random.randrange(250)}.{number}"
+        try:
+            for port in INTERNAL_PORTS:
+                with socket.socket() as sock:
+                    sock.bind((host, port))
+        except OSError:
+            continue
+        return host
+    raise OSError("no free loopback address")
+
+
 def bounds(**changes):
     """Returns the bounds of the small installation on the page DEPLOY."""
     return {
@@ -96,10 +112,9 @@
     :param store: ``host:port`` of the store, or of a proxy before it.
     """
 
-    def __init__(self, number, store, directory, zone="a", group=None):
-        group = group or random.randrange(20, 250)
+    def __init__(self, number, store, directory, zone="a"):
         self.name = f"edge-{zone}-{number}"
-        self.host = f"127.77.{group}.{number}"
+        self.host = free_host(number)
         self.front = f"{self.host}:{free_port(self.host)}"
         self.ready = f"{self.host}:{free_port(self.host)}"
         self.process = None
