Let the stand-in of the store be restored from a backup

The platform's store may come back from a copy some seconds old, with lower revisions and a higher Store-Era in all its responses. The stand-in kept everything, so that no test could show what gateways do then. It can also keep a response back, as a slow connection does.

--- a/emulator/platform/store.py
+++ b/emulator/platform/store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import copy
 import json
 import time
 from collections.abc import Callable
@@ -9,7 +10,7 @@
 
 from emulator.standin import LOOPBACK
 from emulator.store_data import CallStats, KeyVersion, StoreData, StoreRequestError
-from heatherswitch.util.http import Request
+from heatherswitch.util.http import Headers, Request
 from heatherswitch.util.http_server import HttpServer, Responder
 
 # Items in one page of a range; so few that tests with few entries need several pages.
@@ -39,6 +40,10 @@
         instead of the newest one.
     :ivar delay_s: delay before a call is handled, in seconds.
     :ivar bytes_per_s: rate at which watch responses are sent; 0 for no limit.
+    :ivar hold_answers: number of next responses that are kept back, as they are, until
+        :meth:`release_answers`.
+    :ivar era: number of times that the store was restored from a backup, from 1, which
+        each response states; None for a store that states none.
     """
 
     def __init__(self) -> None:
@@ -53,10 +58,14 @@
         self.deaf_at_request = False
         self.delay_s = 0.0
         self.bytes_per_s = 0
+        self.hold_answers = 0
+        self._answers_released = asyncio.Event()
+        self.era: int | None = 1
         # Oldest revision in the history. Watches for older changes get status 410.
         self._history_from = 0
         # Number of times that all waiting watches were cut.
         self._watch_cuts = 0
+        self._away = False
         self._server = HttpServer(self._handle)
         self._expiry: asyncio.Task | None = None
         self._late_writes: set[asyncio.Task] = set()
@@ -103,25 +112,61 @@
         """Closes the connections of all waiting watches."""
         self._watch_cuts += 1
 
+    def release_answers(self) -> None:
+        """Sends the responses that were kept back."""
+        self._answers_released.set()
+        self._answers_released = asyncio.Event()
+
     def lapse_leases(self) -> None:
         """Ends all leases as if their time was over."""
         self.data.expire(float("inf"))
 
+    def back_up(self) -> StoreData:
+        """Returns a backup of all entries, leases and the history."""
+        return copy.deepcopy(self.data)
+
+    async def restore(
+        self, backup: StoreData, away_s: float, keeps_history: bool = True
+    ) -> None:
+        """Takes the store away, then restores it from a backup and states a new era.
+
+        All changes since the backup are lost. Its leases run on.
+
+        :param away_s: seconds for which calls are reset.
+        :param keeps_history: watches may go on from the revisions of the backup.
+        """
+        self._away = True
+        self.cut_watches()
+        await asyncio.sleep(away_s)
+        data = copy.deepcopy(backup)
+        data.extend_leases(time.monotonic())
+        self.data = data
+        if not keeps_history:
+            self.discard_history()
+        if self.era is not None:
+            self.era += 1
+        self._away = False
+
     async def _expire_leases(self) -> None:
         while True:
             await asyncio.sleep(0.02)
+            if self._away:
+                continue
             self.data.expire(time.monotonic())
 
     async def _handle(self, request: Request, responder: Responder) -> None:
         path = request.path
         self.stats.count(time.monotonic(), path.split("/")[1])
+        if self._away:
+            responder.abort()
+            raise ConnectionAbortedError("the store is away")
         if self.delay_s:
             await asyncio.sleep(self.delay_s)
         if self.silent or self.silent_calls > 0:
             self.silent_calls -= 1
             await asyncio.Event().wait()
         if self.refuse:
-            await responder.send(self.refuse)
+            await responder.send(self.refuse, b"", self._era_header())
             return
         query = {name: values[-1] for name, values in parse_qs(request.query).items()}
         if path == "/kv-key":
@@ -136,11 +181,10 @@
     async def _read_key(self, query: dict, responder: Responder) -> None:
         found = self.data.range(query["key"].encode(), b"")
         if not found:
-            await responder.send_json(404, {"as_of": self.data.revision})
+            await self._send_json(responder, 404, {"as_of": self.data.revision})
             return
-        await responder.send_json(
-            200, _to_item(found[0]) | {"as_of": self.data.revision}
-        )
+        body = _to_item(found[0]) | {"as_of": self.data.revision}
+        await self._send_json(responder, 200, body)
 
     async def _read_range(self, query: dict, responder: Responder) -> None:
         start = query.get("prefix", "").encode()
@@ -151,7 +195,8 @@
             if item.key > after
         ]
         page = found[:PAGE_ITEMS]
-        await responder.send_json(
+        await self._send_json(
+            responder,
             200,
             {
                 "items": [_to_item(item) for item in page],
@@ -169,8 +214,9 @@
             if cuts != self._watch_cuts:
                 responder.abort()
                 raise ConnectionAbortedError("the watch was cut")
-            if after < self._history_from - 1:
-                await responder.send(410)
+            # After a restore, a watch may ask for a revision that is not there yet.
+            if after < self._history_from - 1 or after > self.data.revision:
+                await responder.send(410, b"", self._era_header())
                 return
             changes = self.data.changes(start, _range_end(start), after + 1)
             if self.deaf:
@@ -187,9 +233,9 @@
     async def _send_slowly(self, responder: Responder, body: bytes) -> None:
         """Sends a response at ``bytes_per_s``."""
         size = int(self.bytes_per_s * SEND_INTERVAL_S) or len(body)
-        await responder.start(
-            200, [("Content-Length", str(len(body)))], defer_send=True
-        )
+        headers = [*self._era_header(), ("Content-Length", str(len(body)))]
+        await self._hold_answer()
+        await responder.start(200, headers, defer_send=True)
         for start in range(0, len(body), size):
             await responder.write(body[start : start + size])
             if self.bytes_per_s:
@@ -205,7 +251,20 @@
             task.add_done_callback(self._late_writes.discard)
             await asyncio.Event().wait()
         status, body = apply()
-        await responder.send_json(status, body)
+        await self._send_json(responder, status, body)
+
+    async def _send_json(self, responder: Responder, status: int, body: dict) -> None:
+        headers = self._era_header()
+        await self._hold_answer()
+        await responder.send_json(status, body, headers)
+
+    async def _hold_answer(self) -> None:
+        if self.hold_answers > 0:
+            self.hold_answers -= 1
+            await self._answers_released.wait()
+
+    def _era_header(self) -> Headers:
+        return [] if self.era is None else [("Store-Era", str(self.era))]
 
     async def _apply_late(self, apply: Callable) -> None:
         await asyncio.sleep(self.late_writes_s)
--- a/emulator/store_data.py
+++ b/emulator/store_data.py
@@ -162,6 +162,11 @@
         self._lease_expiry[lease] = now + self._lease_ttl[lease]
         return self._lease_ttl[lease]
 
+    def extend_leases(self, now: float) -> None:
+        """Lets all leases run from now on, as in a store that was restored."""
+        for lease, ttl_s in self._lease_ttl.items():
+            self._lease_expiry[lease] = now + ttl_s
+
     def revoke(self, lease: int) -> None:
         """Ends a lease and deletes its keys.
 
--- a/test/test_platform_store.py
+++ b/test/test_platform_store.py
@@ -71,6 +71,28 @@
             batch = await anext(self.store.watch("", revision + 1))
             self.assertEqual((batch.entries, batch.revision), ((), expected))
 
+    async def test_restored_store_loses_what_came_after_its_backup(self):
+        """Tests the stand-in: the tests of restores depend on what is lost."""
+        revision = self.server.put("op/a", {})
+        lease_id = await self.store.grant(60.0)
+        backup = self.server.back_up()
+        self.server.put("op/b", {})
+        lost_lease_id = await self.store.grant(60.0)
+        restore = asyncio.create_task(self.server.restore(backup, 0.2))
+        await asyncio.sleep(0.05)
+        with self.assertRaises(StoreUnavailable):
+            await self.store.get("op/a")
+        await restore
+        self.assertIsNotNone(await self.store.get("op/a"))
+        self.assertIsNone(await self.store.get("op/b"))
+        self.assertGreater(await self.store.keep_alive(lease_id), 0.0)
+        self.assertEqual(await self.store.keep_alive(lost_lease_id), 0.0)
+        with self.assertRaises(Compacted):
+            await anext(self.store.watch("", revision + 2))
+        # Revisions are used again.
+        self.assertEqual(self.server.put("op/c", {}), revision + 1)
+        self.assertEqual(self.server.era, 2)
+
     async def test_cut_watch_fails(self):
         watch = self.store.watch("", self.server.data.revision + 1)
         waiting = asyncio.create_task(anext(watch))
