Follow the store after it was restored from a backup

Cause: revisions were compared across the restore. Each response looked older than what was held and was dropped, and the same response confirmed the configuration as current. Nothing read Store-Era.

Fix: the adapter reads the era of each response; StoreView compares eras and revisions in one place, begins anew at a later era, and raises an error for what it doesn't take in, so that only what was taken in confirms. A store without eras works as before, but a read below what is held confirms nothing any more.

--- a/heatherswitch/gateway/events.py
+++ b/heatherswitch/gateway/events.py
@@ -203,6 +203,21 @@
         self.current_at = current_at
 
 
+class StoreRestored(Record):
+    """The store was restored from a backup and has lost its latest changes.
+
+    Operators and backend servers write theirs again. What follows from an entry that was
+    lost holds until then, unless it can't be taken back at all.
+
+    :param era: how often the store was restored.
+    """
+
+    __slots__ = ("era",)
+
+    def __init__(self, era: int) -> None:
+        self.era = era
+
+
 class ServersConfirmed(Record):
     """The entries of backend servers were up to date at a point in time.
 
@@ -476,6 +491,7 @@
     | CallerDisconnected
     | ConfigurationRead
     | StoreConfirmed
+    | StoreRestored
     | ServersConfirmed
     | ServerListed
     | ServerRemoved
--- a/heatherswitch/gateway/reducer.py
+++ b/heatherswitch/gateway/reducer.py
@@ -197,6 +197,9 @@
                 self._configuration.confirm(event.current_at)
                 self._servers.confirm(event.current_at)
                 return []
+            case ev.StoreRestored():
+                self._servers.note_restored(now)
+                return []
             case ev.ServersConfirmed():
                 self._servers.confirm(event.current_at)
                 return []
--- a/heatherswitch/gateway/servers.py
+++ b/heatherswitch/gateway/servers.py
@@ -267,6 +267,10 @@
             self._reachable_since = current_at
         self._confirmed_at = max(self._confirmed_at, current_at)
 
+    def note_restored(self, now: float) -> None:
+        """Notes that the store was restored from a backup, in which leases run anew."""
+        self._reachable_since = now
+
     def age_s(self, now: float) -> float:
         """Returns the seconds since the last confirmation; infinite before the first."""
         return now - self._confirmed_at
--- a/heatherswitch/gateway/shell.py
+++ b/heatherswitch/gateway/shell.py
@@ -378,6 +378,8 @@
             self._apply_configured_limits()
         elif isinstance(event, ev.StoreConfirmed) and self._configuration_version:
             self._configured.set()
+        elif isinstance(event, ev.StoreRestored):
+            self._telemetry.count_restore()
 
     def _handle_crash_effect(self, effect: ev.CrashEffect | QuarantineEffect) -> None:
         """Logs the effect and publishes what other gateways need to know."""
--- a/heatherswitch/gateway/store_sync.py
+++ b/heatherswitch/gateway/store_sync.py
@@ -8,13 +8,16 @@
 from typing import Protocol
 
 from heatherswitch.gateway import events as ev
+from heatherswitch.gateway.store_view import Applied, StoreView
 from heatherswitch.statecore.lease import Lease, LeaseLost, LeaseStore
-from heatherswitch.statecore.replica import Entry, KeyRange, ReplicatedEntries
+from heatherswitch.statecore.replica import Entry, KeyRange
 from heatherswitch.statecore.store import (
     Compacted,
     HistoryTooLarge,
+    IncompleteWatch,
     Snapshot,
     StoreError,
+    StoreRestored,
     UnusableResponse,
     WatchBatch,
 )
@@ -49,10 +52,6 @@
 DEFAULT_REREAD_PAUSE_S = 0.6
 
 
-class IncompleteWatch(StoreError):
-    """The store answered a watch without some of the changes."""
-
-
 class Member(Record):
     """A gateway that is registered in the store as live.
 
@@ -121,10 +120,10 @@
     __slots__ = (
         "_clock",
         "_emit",
-        "_entries",
         "_last_response_at",
         "_outage_s",
         "_reread_pause_s",
+        "_view",
     )
 
     def __init__(
@@ -138,7 +137,7 @@
         self._outage_s = outage_s
         self._reread_pause_s = reread_pause_s
         self._emit = emit
-        self._entries = ReplicatedEntries()
+        self._view = StoreView()
         self._last_response_at = clock.now()
 
     async def run(self, store: WatchableStore, decoder: EntryDecoder) -> None:
@@ -152,9 +151,8 @@
                     await self._read_all(store, decoder)
                     snapshot_at = self._clock.now()
                     failures = 0
-                async for batch in store.watch("", self._entries.revision + 1):
+                async for batch in store.watch("", self._view.revision + 1):
                     failures = 0
-                    self._check_complete(batch)
                     await self._on_batch(batch, decoder)
                     rereads = 0
                     if self._clock.now() - snapshot_at >= SNAPSHOT_INTERVAL_S:
@@ -162,7 +160,12 @@
             except HistoryTooLarge as error:
                 log.info("reading the newest entries", extra={"reason": str(error)})
                 snapshot_at = float("-inf")
-            except (Compacted, IncompleteWatch, UnusableResponse) as error:
+            except (
+                Compacted,
+                IncompleteWatch,
+                StoreRestored,
+                UnusableResponse,
+            ) as error:
                 # Repeating the watch would fail again.
                 log.warning(
                     "watch can't go on; reading all entries",
@@ -184,41 +187,24 @@
                 await asyncio.sleep(_retry_delay_s(failures))
                 failures += 1
 
-    def _check_complete(self, batch: WatchBatch) -> None:
-        """Checks that a batch holds all changes up to the revision that it names.
-
-        Each revision is a change of some key and the watch covers all keys. A store whose
-        watches miss changes for a while may answer with its newest revision all the same.
-
-        :raises IncompleteWatch: if revisions are missing.
-        """
-        known = self._entries.revision
-        held = {e.mod_revision for e in batch.entries if e.mod_revision > known}
-        missing = batch.revision - known - len(held)
-        if missing > 0:
-            raise IncompleteWatch(
-                f"{missing} of the revisions from {known + 1} to {batch.revision} "
-                "are missing"
-            )
-
     async def _on_batch(self, batch: WatchBatch, decoder: EntryDecoder) -> None:
+        applied = self._view.take_batch(batch)
         after_outage = self._detect_outage_end(batch.current_at)
-        changed = self._entries.apply(batch.entries, batch.revision)
-        await self._emit_changes(changed, decoder, batch.current_at, after_outage)
-        self._emit(ev.StoreConfirmed(batch.current_at))
-        await self._emit_members(changed, decoder)
+        await self._emit_changes(applied, decoder, after_outage)
+        self._emit(ev.StoreConfirmed(applied.current_at))
+        await self._emit_members(applied.changed, decoder)
 
     async def _read_all(self, store: WatchableStore, decoder: EntryDecoder) -> None:
         """Reads all entries; the first time in one go, which takes the fewest calls."""
-        if self._entries.revision:
+        if self._view.started:
             await self._read_newest(store, decoder)
             return
         snapshot = await store.snapshot(decoder.prefixes)
-        after_outage = self._detect_outage_end(snapshot.current_at)
-        changed = self._entries.apply_snapshot(snapshot.entries, snapshot.revision)
-        await self._emit_changes(changed, decoder, snapshot.current_at, after_outage)
-        self._emit(ev.StoreConfirmed(snapshot.current_at))
-        await self._emit_members(changed, decoder)
+        applied = self._view.take_range(snapshot, KeyRange())
+        after_outage = self._detect_outage_end(applied.current_at)
+        await self._emit_changes(applied, decoder, after_outage)
+        self._emit(ev.StoreConfirmed(self._view.complete(applied).current_at))
+        await self._emit_members(applied.changed, decoder)
 
     async def _read_newest(self, store: WatchableStore, decoder: EntryDecoder) -> None:
         """Reads the newest small entries, again and again until the bulk is read too.
@@ -232,16 +218,16 @@
             done: set[asyncio.Task] = set()
             while not done:
                 small = await self._read_ranges(store, decoder, decoder.small_ranges)
-                self._emit(ev.ServersConfirmed(small.current_at))
+                newest_at = min(part.current_at for part in small)
+                self._emit(ev.ServersConfirmed(newest_at))
                 done, _ = await asyncio.wait({bulk}, timeout=self._reread_pause_s)
             read = await bulk
         finally:
             bulk.cancel()
             await asyncio.gather(bulk, return_exceptions=True)
-        self._entries.complete(min(small.revision, read.revision))
-        self._emit(ev.StoreConfirmed(min(small.current_at, read.current_at)))
+        self._emit(ev.StoreConfirmed(self._view.complete(*small, *read).current_at))
         # The changes since then may again be too many for one response.
-        next_at = small.current_at + self._reread_pause_s
+        next_at = newest_at + self._reread_pause_s
         await asyncio.sleep(max(0.0, next_at - self._clock.now()))
 
     async def _read_ranges(
@@ -249,27 +235,40 @@
         store: WatchableStore,
         decoder: EntryDecoder,
         key_ranges: tuple[KeyRange, ...],
-    ) -> Snapshot:
-        """Reads ranges of keys and emits their changes.
-
-        :returns: a snapshot without entries, at the revision and the time up to which
-            all ranges are complete.
-        """
+    ) -> list[Applied]:
+        """Reads ranges of keys, emits their changes and returns what was taken in."""
         after_outage = False
-        parts: list[Snapshot] = []
+        parts: list[Applied] = []
         for key_range in key_ranges:
             part = await store.read_range(key_range)
+            era, revision = self._view.era, self._view.revision
+            applied = self._view.take_range(part, key_range)
+            if applied.restored:
+                self._note_restored(era, revision, applied)
             if key_ranges == decoder.small_ranges:
-                after_outage |= self._detect_outage_end(part.current_at)
-            changed = self._entries.apply_range(part.entries, part.revision, key_range)
-            await self._emit_changes(changed, decoder, part.current_at, after_outage)
-            await self._emit_members(changed, decoder)
-            parts.append(part)
-        return Snapshot(
-            min(part.revision for part in parts),
-            (),
-            min(part.current_at for part in parts),
+                after_outage |= self._detect_outage_end(applied.current_at)
+            await self._emit_changes(applied, decoder, after_outage)
+            await self._emit_members(applied.changed, decoder)
+            parts.append(applied)
+        return parts
+
+    def _note_restored(self, era: int, revision: int, applied: Applied) -> None:
+        """Tells the gateway of a new era before it gets the era's entries.
+
+        :param era: the era before.
+        :param revision: revision up to which its changes were held.
+        """
+        log.warning(
+            "the store was restored from a backup; reading all entries",
+            extra={
+                "era": applied.era,
+                "era_before": era,
+                "revision": applied.revision,
+                "revision_before": revision,
+                "lost_revisions": max(0, revision - applied.revision),
+            },
         )
+        self._emit(ev.StoreRestored(applied.era))
 
     def _detect_outage_end(self, requested_at: float) -> bool:
         """Records the time of a response and returns whether it ends an outage.
@@ -291,12 +290,10 @@
         return after_outage
 
     async def _emit_changes(
-        self, changed: list[Entry], decoder, current_at: float, after_outage: bool
+        self, applied: Applied, decoder, after_outage: bool
     ) -> None:
-        """Emits the events of changed entries.
-
-        :param current_at: time up to which the response is complete.
-        """
+        """Emits the events of changed entries."""
+        changed = applied.changed
         turn = Turn("changes of the store")
         arrived_at = self._clock.now()
         for entry in changed:
@@ -307,7 +304,9 @@
             extra={
                 "entries": len(changed),
                 "bytes": sum(len(e.value or b"") for e in changed),
-                "arrived_after_s": round(arrived_at - current_at, 4),
+                "era": applied.era,
+                "revision": applied.revision,
+                "arrived_after_s": round(arrived_at - applied.current_at, 4),
                 "applied_in_s": round(self._clock.now() - arrived_at, 4),
             },
         )
@@ -318,7 +317,7 @@
             return
         turn = Turn("changes of the store")
         members = []
-        for entry in self._entries.with_prefix(decoder.member_prefix):
+        for entry in self._view.with_prefix(decoder.member_prefix):
             await turn.pause_if_due()
             member = _member(entry, decoder.member_prefix)
             if member is not None:
--- a/heatherswitch/gateway/telemetry.py
+++ b/heatherswitch/gateway/telemetry.py
@@ -123,6 +123,14 @@
                 labels,
             )
 
+    def count_restore(self) -> None:
+        """Counts a restore of the store from a backup."""
+        self._metrics.count(
+            "gateway_store_restores_total",
+            "Restores of the store from a backup that this gateway has noticed.",
+            {},
+        )
+
     def count_caller_left(self) -> None:
         """Counts a caller that disconnected before the end of the response."""
         self._metrics.count(
--- a/heatherswitch/platform/names.py
+++ b/heatherswitch/platform/names.py
@@ -69,5 +69,8 @@
 SERVERS_PREFIX = "servers/"
 ROLLOUT_STATUS_PREFIX = "status/rollout/"
 
+# Header of the store's responses: how often it was restored from a backup.
+ERA_HEADER = "store-era"
+
 # Environment variable that holds the path of the settings file.
 SETTINGS_VARIABLE = "HEATHERSWITCH_CONFIG"
--- a/heatherswitch/platform/store.py
+++ b/heatherswitch/platform/store.py
@@ -10,6 +10,7 @@
 from urllib.parse import urlencode
 
 from heatherswitch.gateway.timing import Timing, WatchPacing
+from heatherswitch.platform import names
 from heatherswitch.statecore.replica import Entry, KeyRange
 from heatherswitch.statecore.store import (
     UNREADABLE_VALUE,
@@ -19,7 +20,9 @@
     HistoryTooLarge,
     ResponseOverLimit,
     Snapshot,
+    StaleRead,
     StoreError,
+    StoreRestored,
     StoreUnavailable,
     UnusableResponse,
     WatchBatch,
@@ -67,18 +70,52 @@
 DEFAULT_BODY_LIMIT = BodyLimit(MAX_RESPONSE_BYTES, RESPONSE_BODY_TIMEOUT_S)
 
 
+class Answer(Record):
+    """A response of the store.
+
+    :param payload: the parsed JSON body.
+    :param era: how often the store had been restored from a backup when it responded; 0
+        if it doesn't say.
+    """
+
+    __slots__ = ("status", "payload", "era")
+
+    def __init__(self, status: int, payload: Any, era: int) -> None:
+        self.status = status
+        self.payload = payload
+        self.era = era
+
+    def require(self, status: int) -> dict:
+        """Returns the body, an object.
+
+        :raises StoreError: if it is none, or the status is another one.
+        """
+        if self.status != status or not isinstance(self.payload, dict):
+            raise StoreError(f"status {self.status}: {describe(self.payload)}")
+        return self.payload
+
+
 class PlatformStore:
     """Reads, watches and writes the store; reads are linearizable.
 
+    A response of an earlier era than one that was received before is stale: its data may
+    be lost by now.
+
     :param timing: long-poll time of a watch and the pause between two of its calls.
     """
 
-    __slots__ = ("_client", "_clock", "_timing")
+    __slots__ = ("_client", "_clock", "_era", "_timing")
 
     def __init__(self, client: HttpClient, clock: Clock, timing: Timing) -> None:
         self._client = client
         self._clock = clock
         self._timing = timing
+        self._era = 0
+
+    @property
+    def era(self) -> int:
+        """The newest era of the store in a response; 0 if it states none."""
+        return self._era
 
     @classmethod
     def from_address(
@@ -97,16 +134,17 @@
         :raises StoreUnavailable: if the store does not respond.
         """
         query = _encode_query({"key": key})
-        status, payload = await self._call("GET", f"/kv-key?{query}")
-        if status == 404:
+        answer = await self._call("GET", f"/kv-key?{query}")
+        if answer.status == 404:
             return None
-        return _decode_entry(_require_status(200, status, payload))
+        return _decode_entry(answer.require(200), answer.era)
 
     async def snapshot(self, prefixes: Iterable[str]) -> Snapshot:
         """Reads all entries under some prefixes; see :meth:`read_range`."""
         parts = [await self.read_range(KeyRange(prefix)) for prefix in prefixes]
         entries = [entry for part in parts for entry in part.entries]
-        return Snapshot(parts[0].revision, tuple(entries), parts[0].current_at)
+        era = _common_era(part.era for part in parts)
+        return Snapshot(parts[0].revision, tuple(entries), parts[0].current_at, era)
 
     async def read_range(self, key_range: KeyRange) -> Snapshot:
         """Reads all entries in a range of keys.
@@ -115,25 +153,29 @@
         snapshot gets that of the first page, so that a watch from there repeats the
         changes made while the other pages were read.
 
+        :raises StoreRestored: if the store was restored between two pages.
         :raises StoreUnavailable: if the store does not respond.
         """
         sent_at = self._clock.now()
         revision = 0
+        eras: set[int] = set()
         entries: list[Entry] = []
         after = key_range.after
         while True:
             query = {"prefix": key_range.prefix} | ({"after": after} if after else {})
             path = f"/kv-range?{_encode_query(query)}"
-            page = _require_status(200, *await self._call("GET", path))
+            answer = await self._call("GET", path)
+            eras.add(answer.era)
+            page = answer.require(200)
             revision = revision or _int_field(page, "as_of")
-            items = await _decode_readable_entries(page, _int_field(page, "as_of"))
+            items = await _decode_readable_entries(page, answer.era)
             entries += items
             if not page.get("truncated") or not page.get("items"):
                 break
             if not items or items[-1].key <= after:
                 raise UnusableResponse("malformed response: a page is repeated")
             after = items[-1].key
-        return Snapshot(revision, tuple(entries), sent_at)
+        return Snapshot(revision, tuple(entries), sent_at, _common_era(eras))
 
     async def watch(self, prefix: str, from_revision: int) -> AsyncIterator[WatchBatch]:
         """Yields changes under a prefix; see :class:`WatchPacing` for the pauses.
@@ -152,7 +194,7 @@
             wait_ms = int(pacing.hold_s(sent_at) * 1000)
             query = {"prefix": prefix, "after": after, "wait_ms": wait_ms}
             try:
-                status, payload = await self._call(
+                answer = await self._call(
                     "GET",
                     f"/kv-watch?{urlencode(query)}",
                     wait_ms / 1000 + timing.answer_timeout_s,
@@ -160,14 +202,14 @@
                 )
             except ResponseOverLimit as error:
                 raise HistoryTooLarge(f"changes after {after}: {error}") from error
-            if status == 410:
+            if answer.status == 410:
                 raise Compacted(f"history after revision {after} was compacted")
-            body = _require_status(200, status, payload)
-            entries = tuple(await _decode_entries(body, "events"))
-            after = max(after, _int_field(body, "as_of"))
+            body = answer.require(200)
+            entries = tuple(await _decode_entries(body, "events", answer.era))
+            after = _int_field(body, "as_of")
             waited_s = 0.0 if entries else wait_ms / 1000
             current_at = confirmation_time(sent_at, waited_s, self._clock.now())
-            yield WatchBatch(after, entries, current_at)
+            yield WatchBatch(after, entries, current_at, answer.era)
             pause_s = pacing.pause_s(
                 self._clock.now(), current_at, bool(entries), random.random()
             )
@@ -197,12 +239,12 @@
             ],
             "remove": list(deletes),
         }
-        status, payload = await self._write("POST", "/kv-txn", body)
-        if status == 412:
+        answer = await self._write("POST", "/kv-txn", body)
+        if answer.status == 412:
             raise CompareFailed(f"revision mismatch in {', '.join(compares)}")
         # The store has executed the transaction, also if the response is malformed.
         try:
-            return _int_field(_require_status(200, status, payload), "revision")
+            return _int_field(answer.require(200), "revision")
         except StoreUnavailable as error:
             raise AmbiguousWrite(str(error)) from error
 
@@ -213,8 +255,8 @@
             expires, since it is not renewed.
         """
         body = {"ttl_ms": int(ttl_s * 1000)}
-        status, payload = await self._write("POST", "/kv-lease", body)
-        return _int_field(_require_status(200, status, payload), "lease")
+        answer = await self._write("POST", "/kv-lease", body)
+        return _int_field(answer.require(200), "lease")
 
     async def keep_alive(self, lease_id: int) -> float:
         """Renews a lease and returns its time to live in seconds, 0 if it has ended.
@@ -222,21 +264,23 @@
         :raises StoreUnavailable: if the store does not respond; the lease may have been
             renewed.
         """
-        status, payload = await self._call("POST", f"/kv-keep/{lease_id}")
-        if status == 404:
+        answer = await self._call("POST", f"/kv-keep/{lease_id}")
+        if answer.status == 404:
             return 0.0
-        return _int_field(_require_status(200, status, payload), "ttl_ms") / 1000
+        return _int_field(answer.require(200), "ttl_ms") / 1000
 
     async def revoke(self, lease_id: int) -> None:
         """Revokes a lease, which deletes its keys.
 
         :raises StoreError: if the store refuses, as for a lease that does not exist.
         """
-        status, payload = await self._write("DELETE", f"/kv-lease-end/{lease_id}")
-        if status != 200 and status != 204:
-            raise StoreError(f"lease {lease_id}: status {status}: {describe(payload)}")
+        answer = await self._write("DELETE", f"/kv-lease-end/{lease_id}")
+        if answer.status not in (200, 204):
+            raise StoreError(
+                f"lease {lease_id}: status {answer.status}: {describe(answer.payload)}"
+            )
 
-    async def _write(self, method: str, path: str, body: Any = None):
+    async def _write(self, method: str, path: str, body: Any = None) -> Answer:
         return await self._call(method, path, CALL_TIMEOUT_S, body, AmbiguousWrite)
 
     async def _call(
@@ -247,8 +291,8 @@
         body: Any = None,
         ambiguous_error: type[StoreError] = StoreUnavailable,
         body_limit: BodyLimit = DEFAULT_BODY_LIMIT,
-    ) -> tuple[int, Any]:
-        """Sends a request and returns the status and the parsed JSON body.
+    ) -> Answer:
+        """Sends a request and returns the response.
 
         :param timeout_s: time limit for the response head, and for each further part of
             the response, in seconds.
@@ -256,6 +300,7 @@
         :raises StoreUnavailable: if no connection was made or the store refused the
             request with status 429 or 503; it was not executed.
         :raises UnusableResponse: if the response to a read cannot be used.
+        :raises StaleRead: if the response to a read is of an earlier era.
         """
         try:
             async with asyncio.timeout(timeout_s):
@@ -282,7 +327,35 @@
             raise StoreUnavailable(f"{path}: status {response.status}")
         if response.status >= 500:
             raise ambiguous_error(f"{path}: status {response.status}")
-        return response.status, payload
+        try:
+            era = self._check_era(response)
+        except (StaleRead, UnusableResponse) as error:
+            if ambiguous_error is StoreUnavailable:
+                raise
+            # The store may have executed the request, in an era whose data is lost.
+            raise ambiguous_error(f"{path}: {error}") from error
+        return Answer(response.status, payload, era)
+
+    def _check_era(self, response: HttpResponse) -> int:
+        """Returns the era that a response states, which is the newest one from then on.
+
+        :raises StaleRead: if it is an earlier era.
+        :raises UnusableResponse: if it is malformed, or missing although the store has
+            stated one before.
+        """
+        text = response.header(names.ERA_HEADER)
+        # At most as many digits as the largest integer that the store may use.
+        if text and not (text.isascii() and text.isdecimal() and len(text) < 20):
+            raise UnusableResponse(f"malformed era {describe(text)}")
+        if not text and self._era:
+            raise UnusableResponse(f"no era is stated, {self._era} is known")
+        era = int(text or 0)
+        if era < self._era:
+            raise StaleRead(f"response of era {era}, {self._era} is known")
+        if era > self._era:
+            log.info("era of the store", extra={"era": era, "era_before": self._era})
+            self._era = era
+        return era
 
 
 async def _read_json(response: HttpResponse, limit: BodyLimit) -> Any:
@@ -320,10 +393,15 @@
     return min(sent_at + waited_s, now)
 
 
-def _require_status(expected: int, status: int, payload: Any) -> dict:
-    if status != expected or not isinstance(payload, dict):
-        raise StoreError(f"status {status}: {describe(payload)}")
-    return payload
+def _common_era(eras: Iterable[int]) -> int:
+    """Returns the era of all parts of a read.
+
+    :raises StoreRestored: if the store was restored while they were read.
+    """
+    found = set(eras)
+    if len(found) != 1:
+        raise StoreRestored(f"parts of a read are of eras {sorted(found)}")
+    return found.pop()
 
 
 def _int_field(payload: dict, name: str) -> int:
@@ -333,7 +411,7 @@
         raise UnusableResponse(f"malformed response: {name}: {error}") from error
 
 
-async def _decode_entries(payload: dict, name: str) -> list[Entry]:
+async def _decode_entries(payload: dict, name: str, era: int) -> list[Entry]:
     """Decodes the events of a watch.
 
     :raises UnusableResponse: if they are no list, or one lacks its key or revision.
@@ -342,12 +420,12 @@
     turn = Turn("response of the store")
     entries = []
     for item in _list_field(payload, name):
-        entries.append(_decode_entry(item))
+        entries.append(_decode_entry(item, era))
         await turn.pause_if_due()
     return entries
 
 
-async def _decode_readable_entries(page: dict, revision: int) -> list[Entry]:
+async def _decode_readable_entries(page: dict, era: int) -> list[Entry]:
     """Decodes the items of a page; one that can't be read hides no other one.
 
     An item without a key is left out. One without a revision gets that of the page, of
@@ -356,14 +434,15 @@
     :raises UnusableResponse: if they are no list.
     """
     turn = Turn("response of the store")
+    revision = _int_field(page, "as_of")
     entries = []
     for item in _list_field(page, "items"):
         try:
-            entries.append(_decode_entry(item))
+            entries.append(_decode_entry(item, era))
         except UnusableResponse as error:
             log.warning("item of the store cannot be read", extra={"error": str(error)})
             if isinstance(item, dict) and isinstance(item.get("key"), str):
-                entries.append(_decode_entry({**item, "revision": revision}))
+                entries.append(_decode_entry({**item, "revision": revision}, era))
         await turn.pause_if_due()
     return entries
 
@@ -379,7 +458,7 @@
         raise UnusableResponse(f"malformed response: {error}") from error
 
 
-def _decode_entry(item: Any) -> Entry:
+def _decode_entry(item: Any, era: int) -> Entry:
     """Decodes an item, or the tombstone of a deleted key.
 
     A value that cannot be read is replaced by one that the decoders of entries reject,
@@ -395,12 +474,13 @@
     except (KeyError, MalformedInput) as error:
         raise UnusableResponse(f"malformed item: {describe_error(error)}") from error
     if item.get("tombstone"):
-        return Entry(key, revision, None)
+        return Entry(key, revision, None, era)
     try:
-        return Entry(key, revision, base64.b64decode(item["value"], validate=True))
+        value = base64.b64decode(item["value"], validate=True)
+        return Entry(key, revision, value, era)
     except (KeyError, TypeError, ValueError) as error:
         log.warning(
             "value of a store entry cannot be read",
             extra={"key": key, "error": describe_error(error)},
         )
-        return Entry(key, revision, UNREADABLE_VALUE)
+        return Entry(key, revision, UNREADABLE_VALUE, era)
--- a/heatherswitch/statecore/replica.py
+++ b/heatherswitch/statecore/replica.py
@@ -10,11 +10,13 @@
 
     :param mod_revision: store revision of the entry's last change.
     :param value: None if the entry was deleted at that revision.
+    :param era: era of the store that the revision belongs to; 0 if the store has none.
     """
 
     key: str
     mod_revision: int
     value: bytes | None
+    era: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/heatherswitch/statecore/store.py
+++ b/heatherswitch/statecore/store.py
@@ -67,7 +67,15 @@
 
 
 class StaleRead(StoreUnavailable):
-    """The store returned a revision below one that it had returned before."""
+    """The response is of an earlier revision or era than one that was read before."""
+
+
+class StoreRestored(StoreError):
+    """The store was restored from a backup; revisions read before mean nothing now."""
+
+
+class IncompleteWatch(StoreError):
+    """The store answered a watch without some of the changes."""
 
 
 class AmbiguousWrite(StoreError):
@@ -88,11 +96,13 @@
 
     :param current_at: time of the clock at which the store had no newer revision; 0 if
         the client does not provide it.
+    :param era: how often the store was restored from a backup; 0 if it doesn't say.
     """
 
     revision: int
     entries: tuple[Entry, ...]
     current_at: float = 0.0
+    era: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -102,11 +112,13 @@
     :param entries: oldest first; empty if the store only reports progress.
     :param current_at: time of the clock at which the store had no newer revision; 0 if
         the client does not provide it.
+    :param era: how often the store was restored from a backup; 0 if it doesn't say.
     """
 
     revision: int
     entries: tuple[Entry, ...]
     current_at: float = 0.0
+    era: int = 0
 
 
 class StoreClient:
--- a/test/test_fuzz_decoders.py
+++ b/test/test_fuzz_decoders.py
@@ -240,11 +240,16 @@
 
 
 class FixedResponse:
-    """A response of the store with a given body."""
+    """A response of the store with a given body and era."""
 
-    def __init__(self, status: int, body: bytes) -> None:
+    def __init__(self, status: int, body: bytes, era: str = "") -> None:
         self.status = status
         self.body = body
+        self.era = era
+
+    def header(self, name: str) -> str:
+        """Returns the era, which is the only header that is read."""
+        return self.era
 
     async def read(self, limit: int = 0) -> bytes:
         """Returns the body."""
@@ -288,9 +293,13 @@
     """Guards all callers of the store, which expect only its own errors."""
 
     @FUZZ_SETTINGS
-    @given(documents(ANSWER) | documents(ITEM), st.sampled_from([200, 404, 410, 412]))
-    def test_answers(self, body, status):
-        asyncio.run(self.call_all(FixedResponse(status, body)))
+    @given(
+        documents(ANSWER) | documents(ITEM),
+        st.sampled_from([200, 404, 410, 412]),
+        st.sampled_from(["", "1", "3"]) | st.text(max_size=30),
+    )
+    def test_answers(self, body, status, era):
+        asyncio.run(self.call_all(FixedResponse(status, body, era)))
         self.assert_log_is_clean()
 
     async def call_all(self, response):
