Carry entries over that a restored store lacks

Callers and servers saw: after a restore, a server that was registered in the lost span and had gone since got requests for good, and each gateway forgot the other gateways, so that it took a larger share of the fleet-wide limits (BUDGET) until they had registered again.

Cause: the view of the new era began empty, and nothing told of entries that the copy lacks.

An entry that the copy holds unchanged is no change.

--- a/heatherswitch/gateway/shell.py
+++ b/heatherswitch/gateway/shell.py
@@ -280,7 +280,11 @@
             await self._peers.bind(host, int(port))
         timing = self._config.limits.timing
         sync = StoreSync(
-            self._clock, self._apply, timing.outage_s, timing.watch_pause_s
+            self._clock,
+            self._apply,
+            timing.outage_s,
+            timing.watch_pause_s,
+            timing.member_ttl_s,
         )
         member = Member(self._member_id, self._peers.address)
         self._tasks = [
--- a/heatherswitch/gateway/store_sync.py
+++ b/heatherswitch/gateway/store_sync.py
@@ -3,11 +3,14 @@
 import asyncio
 import ipaddress
 import logging
+import math
 import random
 from collections.abc import AsyncIterator, Callable, Generator, Iterable
 from typing import Protocol
 
 from heatherswitch.gateway import events as ev
+from heatherswitch.gateway.crash_records import CRASH_PREFIX
+from heatherswitch.gateway.servers import REAPPEAR_GRACE_S
 from heatherswitch.gateway.store_view import Applied, StoreView
 from heatherswitch.statecore.lease import Lease, LeaseLost, LeaseStore
 from heatherswitch.statecore.replica import Entry, KeyRange
@@ -48,6 +51,13 @@
 RELEASE_TIMEOUT_S = 0.2
 
 
+# Seconds for which an entry of an operator holds that a restored store lacks: it is
+# written again, and an order that ended too early would let forbidden requests through.
+REWRITE_GRACE_S = 10.0
+# The same for the memberships of other gateways, unless the deployment has another time
+# to live for them.
+DEFAULT_MEMBER_TTL_S = 6.0
+
 # Seconds between two reads of the small entries while a bulk entry is on its way.
 DEFAULT_REREAD_PAUSE_S = 0.6
 
@@ -84,7 +94,8 @@
 class EntryDecoder(Protocol):
     """Decodes entries of the store into events.
 
-    Under ``member_prefix`` are the registrations of live gateways. The entries in
+    Under ``member_prefix`` are the registrations of live gateways, under
+    ``server_prefix`` the entries of backend servers. The entries in
     ``bulk_ranges`` may take seconds to arrive over a thin link, those in
     ``small_ranges`` don't; together they are all entries that matter.
     """
@@ -93,6 +104,7 @@
     small_ranges: tuple[KeyRange, ...]
     bulk_ranges: tuple[KeyRange, ...]
     member_prefix: str
+    server_prefix: str
 
     def read_steps(
         self, entry: Entry, after_outage: bool
@@ -115,11 +127,13 @@
         unreachable.
     :param reread_pause_s: seconds between two reads of the small entries while a bulk
         entry is on its way.
+    :param member_ttl_s: time to live of a gateway's membership, in seconds.
     """
 
     __slots__ = (
         "_clock",
         "_emit",
+        "_member_ttl_s",
         "_last_response_at",
         "_outage_s",
         "_reread_pause_s",
@@ -132,11 +146,13 @@
         emit: Callable[[ev.Event], None],
         outage_s: float,
         reread_pause_s: float = DEFAULT_REREAD_PAUSE_S,
+        member_ttl_s: float = DEFAULT_MEMBER_TTL_S,
     ) -> None:
         self._clock = clock
         self._outage_s = outage_s
         self._reread_pause_s = reread_pause_s
         self._emit = emit
+        self._member_ttl_s = member_ttl_s
         self._view = StoreView()
         self._last_response_at = clock.now()
 
@@ -154,6 +170,7 @@
                 async for batch in store.watch("", self._view.revision + 1):
                     failures = 0
                     await self._on_batch(batch, decoder)
+                    await self._expire_carried(decoder)
                     rereads = 0
                     if self._clock.now() - snapshot_at >= SNAPSHOT_INTERVAL_S:
                         break
@@ -203,7 +220,8 @@
         applied = self._view.take_range(snapshot, KeyRange())
         after_outage = self._detect_outage_end(applied.current_at)
         await self._emit_changes(applied, decoder, after_outage)
-        self._emit(ev.StoreConfirmed(self._view.complete(applied).current_at))
+        completed = self._view.complete(self._clock.now(), applied)
+        self._emit(ev.StoreConfirmed(completed.current_at))
         await self._emit_members(applied.changed, decoder)
 
     async def _read_newest(self, store: WatchableStore, decoder: EntryDecoder) -> None:
@@ -225,7 +243,8 @@
         finally:
             bulk.cancel()
             await asyncio.gather(bulk, return_exceptions=True)
-        self._emit(ev.StoreConfirmed(self._view.complete(*small, *read).current_at))
+        completed = self._view.complete(self._clock.now(), *small, *read)
+        self._emit(ev.StoreConfirmed(completed.current_at))
         # The changes since then may again be too many for one response.
         next_at = newest_at + self._reread_pause_s
         await asyncio.sleep(max(0.0, next_at - self._clock.now()))
@@ -270,6 +289,28 @@
         )
         self._emit(ev.StoreRestored(applied.era))
 
+    async def _expire_carried(self, decoder: EntryDecoder) -> None:
+        """Emits the removal of entries that were lost and not written again."""
+        expired = self._view.expire(
+            self._clock.now(), lambda key: self._grace_s(decoder, key)
+        )
+        if expired.changed:
+            log.info(
+                "entries were not written again after the restore of the store",
+                extra={"entries": len(expired.changed), "era": expired.era},
+            )
+            await self._emit_changes(expired, decoder, after_outage=False)
+            await self._emit_members(expired.changed, decoder)
+
+    def _grace_s(self, decoder: EntryDecoder, key: str) -> float:
+        """Returns the seconds for which a lost entry counts as if it were still there."""
+        if key.startswith(decoder.server_prefix):
+            return REAPPEAR_GRACE_S
+        if key.startswith(decoder.member_prefix):
+            return self._member_ttl_s
+        # Reports expire by themselves.
+        return math.inf if key.startswith(CRASH_PREFIX) else REWRITE_GRACE_S
+
     def _detect_outage_end(self, requested_at: float) -> bool:
         """Records the time of a response and returns whether it ends an outage.
 
--- a/heatherswitch/gateway/store_view.py
+++ b/heatherswitch/gateway/store_view.py
@@ -5,6 +5,8 @@
 revisions of two eras can't be compared.
 """
 
+from collections.abc import Callable
+
 from heatherswitch.statecore.replica import Entry, KeyRange, ReplicatedEntries
 from heatherswitch.statecore.store import (
     IncompleteWatch,
@@ -45,14 +47,22 @@
 
 
 class StoreView:
-    """The entries of the store's newest era, as far as they were read."""
+    """The entries of the store's newest era, as far as they were read.
+
+    An entry that a restored store lacks is carried over for a while, since most are
+    written again.
+    """
 
-    __slots__ = ("_entries", "_era", "_started")
+    __slots__ = ("_carried", "_complete_at", "_entries", "_era", "_started")
 
     def __init__(self) -> None:
         self._entries = ReplicatedEntries()
         self._era = 0
         self._started = False
+        # Entries of former eras that this era has neither confirmed nor replaced yet.
+        self._carried: dict[str, Entry] = {}
+        # Time at which all entries of this era had been read for the first time.
+        self._complete_at: float | None = None
 
     @property
     def era(self) -> int:
@@ -84,7 +94,7 @@
             raise StoreRestored(f"the store is in era {batch.era}, {self._era} is held")
         self._require_newest(batch)
         self._check_complete(batch)
-        changed = self._entries.apply(batch.entries, batch.revision)
+        changed = self._settle(self._entries.apply(batch.entries, batch.revision))
         return Applied(changed, batch.current_at, batch.era, batch.revision)
 
     def take_range(self, part: Snapshot, key_range: KeyRange) -> Applied:
@@ -94,16 +104,22 @@
         """
         restored = self._started and part.era > self._era
         if restored:
-            self._entries = ReplicatedEntries()
+            self._carry_over()
         self._era = max(self._era, part.era)
         self._require_newest(part)
         self._started = True
-        changed = self._entries.apply_range(part.entries, part.revision, key_range)
+        read = {entry.key for entry in part.entries}
+        kept = [self._entries.get(key) for key in self._carried if key not in read]
+        changed = self._entries.apply_range(
+            [*part.entries, *kept], part.revision, key_range
+        )
+        changed = self._settle(changed)
         return Applied(changed, part.current_at, part.era, part.revision, restored)
 
-    def complete(self, *parts: Applied) -> Applied:
+    def complete(self, now: float, *parts: Applied) -> Applied:
         """Notes that ranges that were taken in are all entries that matter.
 
+        :param now: time of the clock, from which entries are carried over.
         :returns: the oldest revision and time of the parts, without changes.
         :raises StoreRestored: if they are of different eras.
         """
@@ -111,9 +127,52 @@
             raise StoreRestored(f"era {self._era} began while entries were read")
         revision = min(part.revision for part in parts)
         self._entries.complete(revision)
+        if self._complete_at is None:
+            self._complete_at = now
         current_at = min(part.current_at for part in parts)
         return Applied([], current_at, self._era, revision)
 
+    def expire(self, now: float, grace_s: Callable[[str], float]) -> Applied:
+        """Deletes the entries that were carried over and not written again in time.
+
+        :param grace_s: returns the seconds for which an entry is carried over after all
+            entries of the era were read, by its key.
+        """
+        lost = []
+        if self._carried and self._complete_at is not None:
+            held_s = now - self._complete_at
+            lost = [key for key in self._carried if held_s >= grace_s(key)]
+        deleted = [Entry(key, self.revision, None, self._era) for key in lost]
+        for key in lost:
+            del self._carried[key]
+        changed = self._entries.apply(deleted, 0)
+        return Applied(changed, now, self._era, self.revision)
+
+    def _carry_over(self) -> None:
+        """Begins a new era with the entries of the former one."""
+        held = {entry.key: entry for entry in self._entries.with_prefix("")}
+        self._carried = held | self._carried
+        self._entries = ReplicatedEntries()
+        # Any entry of the new era is newer.
+        self._entries.apply(
+            [Entry(e.key, 0, e.value, e.era) for e in self._carried.values()], 0
+        )
+        self._complete_at = None
+
+    def _settle(self, changed: list[Entry]) -> list[Entry]:
+        """Returns the changes without entries that are the same write as before."""
+        if not self._carried:
+            return changed
+        settled = []
+        for entry in changed:
+            former = self._carried.pop(entry.key, None)
+            if former is None or (former.mod_revision, former.value) != (
+                entry.mod_revision,
+                entry.value,
+            ):
+                settled.append(entry)
+        return settled
+
     def _require_newest(self, response: Snapshot | WatchBatch) -> None:
         held, read = (self._era, self.revision), (response.era, response.revision)
         if read < held:
--- a/heatherswitch/platform/reader.py
+++ b/heatherswitch/platform/reader.py
@@ -51,6 +51,7 @@
     __slots__ = ("_evacuated_zones",)
 
     member_prefix = f"{OWN_PREFIX}routers/"
+    server_prefix = names.SERVERS_PREFIX
     # Reads all keys at once: they fit one page in most deployments, and each call is
     # billed.
     prefixes = ("",)
--- a/test/test_store_restore.py
+++ b/test/test_store_restore.py
@@ -13,6 +13,7 @@
 )
 from heatherswitch.gateway.limits import Limits
 from heatherswitch.gateway.store_view import StoreView
+from heatherswitch.gateway.telemetry import Telemetry
 from heatherswitch.gateway.timing import Timing
 from heatherswitch.platform.store import PlatformStore
 from heatherswitch.statecore.replica import Entry, KeyRange
@@ -46,7 +47,7 @@
     def read(self, revision: int, era: int, *entries: Entry):
         part = Snapshot(revision, entries, 5.0, era)
         applied = self.view.take_range(part, KeyRange())
-        self.view.complete(applied)
+        self.view.complete(10.0, applied)
         return applied
 
     def test_older_responses_are_rejected(self):
@@ -82,7 +83,7 @@
         first = self.view.take_range(Snapshot(9, (), 6.0, 1), KeyRange("a"))
         second = self.view.take_range(Snapshot(9, (), 6.0, 2), KeyRange("b"))
         with self.assertRaises(StoreRestored):
-            self.view.complete(first, second)
+            self.view.complete(10.0, first, second)
 
     def test_first_response_is_no_restore(self):
         view = StoreView()
@@ -91,11 +92,66 @@
 
     def test_store_that_begins_to_state_its_era_is_read_again(self):
         view = StoreView()
-        view.complete(view.take_range(Snapshot(9, (), 1.0), KeyRange()))
+        view.complete(1.0, view.take_range(Snapshot(9, (), 1.0), KeyRange()))
         with self.assertRaises(StoreRestored):
             view.take_batch(WatchBatch(10, (Entry("a", 10, b""),), 2.0, 1))
 
 
+class CarriedEntriesTest(unittest.TestCase):
+    """Guards against removals that a restore only seems to tell of."""
+
+    GRACE_S = 2.0
+
+    def setUp(self):
+        self.view = StoreView()
+        self.take(9, 1, Entry("a", 8, b"a"), Entry("b", 9, b"b"), at=0.0)
+
+    def take(self, revision: int, era: int, *entries: Entry, at: float) -> list[Entry]:
+        part = Snapshot(revision, entries, at, era)
+        applied = self.view.take_range(part, KeyRange())
+        self.view.complete(at, applied)
+        return applied.changed
+
+    def keys(self) -> list[str]:
+        return [entry.key for entry in self.view.with_prefix("")]
+
+    def expire(self, now: float) -> list[str]:
+        applied = self.view.expire(now, lambda key: self.GRACE_S)
+        return [e.key for e in applied.changed if e.value is None]
+
+    def test_lost_entry_stays_for_its_grace_period(self):
+        self.assertEqual(self.take(4, 2, at=5.0), [])
+        self.assertEqual((self.expire(6.9), self.keys()), ([], ["a", "b"]))
+        # A second read of the same era removes nothing either.
+        self.assertEqual(self.take(5, 2, at=6.9), [])
+        self.assertEqual((self.expire(7.0), self.keys()), (["a", "b"], []))
+
+    def test_entry_that_is_written_again_stays(self):
+        self.take(4, 2, at=5.0)
+        again = Entry("b", 5, b"b")
+        changed = self.view.take_batch(WatchBatch(5, (again,), 6.0, 2)).changed
+        self.assertEqual(changed, [again])
+        self.assertEqual((self.expire(9.0), self.keys()), (["a"], ["b"]))
+
+    def test_entry_that_is_deleted_in_the_new_era_goes_at_once(self):
+        self.take(4, 2, at=5.0)
+        deletion = Entry("b", 5, None)
+        changed = self.view.take_batch(WatchBatch(5, (deletion,), 6.0, 2)).changed
+        self.assertEqual((changed, self.keys()), ([deletion], ["a"]))
+
+    def test_same_write_is_no_change(self):
+        kept = Entry("a", 8, b"a")
+        other = Entry("b", 9, b"another value at a revision of before")
+        self.assertEqual(self.take(9, 2, kept, other, at=5.0), [other])
+        self.assertEqual(self.expire(9.0), [])
+
+    def test_entries_lost_in_two_restores(self):
+        self.take(8, 2, Entry("a", 8, b"a"), at=5.0)
+        self.take(1, 3, at=6.0)
+        self.assertEqual((self.expire(7.9), self.keys()), ([], ["a", "b"]))
+        self.assertEqual(self.expire(8.0), ["a", "b"])
+
+
 class EraOfResponsesTest(unittest.IsolatedAsyncioTestCase):
     """Guards against data of an era that the store has lost since."""
 
@@ -286,6 +342,74 @@
         self.assertEqual(await self.status(key=OTHER_KEY), 503)
 
 
+class LostEntriesTest(RestoreCase):
+    """Guards DRAIN and BUDGET: what a restore has lost is neither taken back nor kept.
+
+    Members were forgotten at once, and servers that had gone were used for good.
+    """
+
+    async def restore_without(self, backup) -> None:
+        """Restores the store and waits until the gateway has read it."""
+        await self.store.restore(backup, AWAY_S)
+        await self.deployment.wait_until(lambda: self.restores.called)
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        patch = mock.patch.object(Telemetry, "count_restore")
+        self.restores = patch.start()
+        self.addCleanup(patch.stop)
+
+    async def test_evacuated_zone_stays_out_until_it_is_written_again(self):
+        backup = self.store.back_up()
+        self.store.put("op/evacuate/a", {})
+        await self.wait_until_read()
+        await self.restore_without(backup)
+        gateway = self.deployment.gateway
+        for _ in range(15):
+            await asyncio.sleep(0.1)
+            self.assertEqual(gateway.zones_out, {"a"})
+        self.store.put("op/evacuate/a", {})
+        await self.wait_until_read()
+        self.assertEqual(gateway.zones_out, {"a"})
+        self.store.delete("op/evacuate/a")
+        await self.deployment.wait_until(lambda: not gateway.zones_out, CHANGE_S)
+
+    async def test_servers_get_requests_until_they_are_written_again(self):
+        backup = self.store.back_up()
+        await self.deployment.add_server("l3", "ledger")
+        await self.wait_until_read()
+        await self.restore_without(backup)
+        for _ in range(10):
+            await asyncio.sleep(0.1)
+            self.assertTrue(self.deployment.gateway.routes_to("l3"))
+        self.write_servers()
+        await asyncio.sleep(2 * CHANGE_S)
+        self.assertTrue(self.deployment.gateway.routes_to("l3"))
+
+    async def test_server_that_is_not_written_again_is_gone(self):
+        """The pages: one that is missing two seconds after the store's return."""
+        backup = self.store.back_up()
+        await self.deployment.add_server("l3", "ledger")
+        await self.wait_until_read()
+        await self.restore_without(backup)
+        await self.deployment.wait_until(
+            lambda: not self.deployment.gateway.routes_to("l3"), 2 * CHANGE_S
+        )
+        self.assertTrue(self.deployment.gateway.routes_to("l1"))
+
+    async def test_other_gateways_count_until_they_register_again(self):
+        """Guards BUDGET: fewer members than live ones get too large shares."""
+        backup = self.store.back_up()
+        self.store.put("heatherswitch/routers/other", {"owner": ""})
+        await self.deployment.wait_until(
+            lambda: self.deployment.gateway._reducer.fleet_size == 2, 8.0
+        )
+        await self.restore_without(backup)
+        for _ in range(30):
+            await asyncio.sleep(0.1)
+            self.assertEqual(self.deployment.gateway._reducer.fleet_size, 2)
+
+
 class RevisionsPassedTest(RestoreCase):
     """Guards CONFIG: a watch that goes on missed what the new era wrote before."""
 
