Don't use servers that only a backup of the store lists

Cause: an entry that comes back was taken for one whose server runs, whatever brought it back.

Fix: for the time that the entry of a crashed server stays after a restore, a start that had ended is listed but gets no requests until a later heartbeat; if its entry stays longer, its server runs. An earlier start replaces no later one in that time.

--- a/heatherswitch/gateway/reducer.py
+++ b/heatherswitch/gateway/reducer.py
@@ -252,7 +252,7 @@
         effects: list[ev.Effect] = []
         known = self._servers.get(event.server.id)
         in_use = known is not None and not known.leaving
-        outdated = self._servers.is_outdated(event.server)
+        outdated = self._servers.is_outdated(now, event.server)
         if self._servers.upsert(now, event.server):
             self._prefixes.remove_server(event.server.id)
             if (
--- a/heatherswitch/gateway/servers.py
+++ b/heatherswitch/gateway/servers.py
@@ -63,6 +63,7 @@
         "latency_s",
         "first_seen_at",
         "entry_lost_at",
+        "unproven_until",
         "notices",
         "record",
     )
@@ -84,6 +85,8 @@
         self.connection_refused = False
         # Time at which the entry disappeared after a store outage.
         self.entry_lost_at: float | None = None
+        # Until then only a later heartbeat shows that the server still runs.
+        self.unproven_until = float("-inf")
         self.cold_until = now + record.cold_for_s
         self.latency_s = INITIAL_LATENCY_S
         self.failure_rate = 0.0
@@ -106,6 +109,8 @@
     def update(self, now: float, record: Server) -> None:
         """Takes a newer store entry of the same start of the server."""
         self.note_draining(record)
+        if record.sequence > self.record.sequence:
+            self.unproven_until = float("-inf")
         self.record = record
         self.connection_refused = False
         self.entry_lost_at = None
@@ -128,6 +133,8 @@
         """Tells whether new requests may be sent to the server."""
         if self.removed or self.connection_refused or self.leaving:
             return False
+        if now < self.unproven_until:
+            return False
         return self.entry_lost_at is None or now - self.entry_lost_at < REAPPEAR_GRACE_S
 
     def in_backoff(self, now: float) -> bool:
@@ -239,6 +246,7 @@
         "_out",
         "_outage_s",
         "_reachable_since",
+        "_restored_at",
         "_servers",
     )
 
@@ -252,6 +260,8 @@
         self._confirmed_at = float("-inf")
         # Time of the first confirmation since the last outage of the store.
         self._reachable_since = float("-inf")
+        # Time at which the store was last restored from a backup.
+        self._restored_at = float("-inf")
         self._notices = NoticeMemory()
         # Ids of servers that were taken out and why, the newest last.
         self._out: OrderedDict[str, str] = OrderedDict()
@@ -269,7 +279,7 @@
 
     def note_restored(self, now: float) -> None:
         """Notes that the store was restored from a backup, in which leases run anew."""
-        self._reachable_since = now
+        self._reachable_since = self._restored_at = now
 
     def age_s(self, now: float) -> float:
         """Returns the seconds since the last confirmation; infinite before the first."""
@@ -305,27 +315,47 @@
         """Returns the versions of a service's servers."""
         return {state.record.version for state in self.for_service(service)}
 
-    def is_outdated(self, record: Server) -> bool:
+    def is_outdated(self, now: float, record: Server) -> bool:
         """Tells whether an entry is an earlier heartbeat than one that was read before.
 
         A heartbeat may reach the store late, also after the entry was removed. A start
-        whose entry lapsed although it runs comes back with a later one.
+        whose entry lapsed although it runs comes back with a later one. A backup from
+        which the store was restored may hold an earlier start.
         """
         existing = self._servers.get(record.id)
         if existing is not None and existing.record.incarnation == record.incarnation:
             return record.is_older_than(existing.record.sequence)
+        if existing is not None and self._may_be_of_backup(now):
+            return 0 < record.incarnation < existing.record.incarnation
         last = self._ended.get((record.id, record.incarnation), 0)
-        return record.is_older_than(last)
+        return record.is_older_than(last) or self._had_ended(now, record)
+
+    def _may_be_of_backup(self, now: float) -> bool:
+        """Tells whether an entry may be one of a backup whose server has gone since.
+
+        Its lease runs anew when the store is restored.
+        """
+        return now - self._restored_at < self._entry_ttl_s
+
+    def _had_ended(self, now: float, record: Server) -> bool:
+        """Tells whether a backup lists a start whose entry had been removed before."""
+        last = self._ended.get((record.id, record.incarnation))
+        if last is None or record.id in self._servers:
+            return False
+        return self._may_be_of_backup(now) and record.sequence <= last
 
     def upsert(self, now: float, record: Server) -> bool:
         """Adds or updates a server from its store entry, unless that is outdated.
 
-        Of an outdated entry, only the notice that the server leaves counts.
+        Of an outdated entry, only the notice that the server leaves counts. A server
+        that had gone before the store was restored gets no requests unless it shows that
+        it runs: by a later heartbeat, or if its entry stays.
 
         :returns: True if the server is new or was started again.
         """
         existing = self._servers.get(record.id)
-        if self.is_outdated(record):
+        had_ended = self._had_ended(now, record)
+        if not had_ended and self.is_outdated(now, record):
             if (
                 existing is not None
                 and existing.record.incarnation == record.incarnation
@@ -343,6 +373,8 @@
             return False
         self._drop(now, record.id)
         state = ServerState(now, record, self._notices.find(now, record))
+        if had_ended:
+            state.unproven_until = self._restored_at + self._entry_ttl_s
         self._servers[record.id] = state
         self._by_service.setdefault(record.service, {})[record.id] = state
         return True
@@ -424,7 +456,8 @@
             state.removed = True
             if state.record.incarnation:
                 key = (server_id, state.record.incarnation)
-                self._ended[key] = state.record.sequence
+                last = self._ended.get(key, 0)
+                self._ended[key] = max(last, state.record.sequence)
                 self._ended.move_to_end(key)
                 while len(self._ended) > MAX_REMEMBERED_STARTS:
                     self._ended.popitem(last=False)
--- a/test/test_store_restore.py
+++ b/test/test_store_restore.py
@@ -11,6 +11,7 @@
     build_configuration,
     build_route,
 )
+from heatherswitch.gateway import events as ev
 from heatherswitch.gateway.limits import Limits
 from heatherswitch.gateway.store_view import StoreView
 from heatherswitch.gateway.telemetry import Telemetry
@@ -27,6 +28,7 @@
     WatchBatch,
 )
 from heatherswitch.util.clock import Clock
+from test.gateway_fakes import Driver, server
 
 # Seconds within which a change must be in force, as on the platform's sites.
 CHANGE_S = 2.0
@@ -256,8 +258,8 @@
 
     def write_servers(self, **changes) -> None:
         """Lets the servers write their entries again."""
-        for server_id, server in self.deployment.servers.items():
-            entry = server.store_entry("ledger", seq=100, **changes)
+        for server_id, stand_in in self.deployment.servers.items():
+            entry = stand_in.store_entry("ledger", seq=100, **changes)
             self.store.put(f"servers/{server_id}", entry)
 
     async def lose_writes(self, count: int = LOST_WRITES) -> None:
@@ -410,6 +412,74 @@
             self.assertEqual(self.deployment.gateway._reducer.fleet_size, 2)
 
 
+class ServersOfTheBackupTest(unittest.TestCase):
+    """Guards DRAIN: a backup lists servers that have gone or started again since."""
+
+    def setUp(self):
+        self.driver = Driver()
+        self.list("l1", 5)
+        self.list("l2", 5)
+
+    def list(self, server_id: str, sequence: int, **changes) -> None:
+        self.driver.add_servers(server(server_id, sequence=sequence, **changes))
+
+    def used(self) -> set[str]:
+        accepts = self.driver.reducer.server_accepts_work
+        return {i for i in ("l1", "l2") if accepts(self.driver.now, i)}
+
+    def restore(self) -> None:
+        self.driver.apply(ev.StoreRestored(2))
+
+    def remove(self, server_id: str) -> None:
+        self.driver.apply(ev.ServerRemoved(server_id, after_outage=False))
+
+    def test_server_that_has_gone_is_not_used_again(self):
+        for sequence in (3, 5):
+            self.remove("l1")
+            self.restore()
+            self.list("l1", sequence)
+            self.assertEqual(self.used(), {"l2"})
+
+    def test_server_that_lives_is_used_after_its_next_heartbeat(self):
+        self.remove("l1")
+        self.restore()
+        self.list("l1", 5)
+        self.list("l1", 6)
+        self.assertEqual(self.used(), {"l1", "l2"})
+
+    def test_server_that_stays_listed_is_used(self):
+        """A heartbeat that changes only its number is no change of the entry."""
+        self.remove("l1")
+        self.restore()
+        self.list("l1", 5)
+        ttl_s = Limits().entry_ttl_s
+        self.driver.advance(ttl_s - 0.1)
+        self.assertEqual(self.used(), {"l2"})
+        self.driver.advance(0.2)
+        self.assertEqual(self.used(), {"l1", "l2"})
+
+    def test_entry_that_comes_back_without_a_restore_is_used_at_once(self):
+        """It expired in an outage although its server runs."""
+        self.remove("l1")
+        self.list("l1", 5)
+        self.assertEqual(self.used(), {"l1", "l2"})
+
+    def test_earlier_start_replaces_no_later_one(self):
+        self.list("l1", 1, incarnation=7, host="10.0.0.9")
+        self.restore()
+        self.list("l1", 5, incarnation=1)
+        table = self.driver.reducer._servers
+        self.assertEqual(table.get("l1").record.host, "10.0.0.9")
+        self.list("l1", 1, incarnation=8, host="10.0.0.8")
+        self.assertEqual(table.get("l1").record.host, "10.0.0.8")
+
+    def test_server_that_leaves_stays_out(self):
+        self.list("l1", 6, draining=True)
+        self.restore()
+        self.list("l1", 5)
+        self.assertEqual(self.used(), {"l2"})
+
+
 class RevisionsPassedTest(RestoreCase):
     """Guards CONFIG: a watch that goes on missed what the new era wrote before."""
 
