Check a lease again after the store was restored

What could happen after a restore: a gateway renewed a lease that had been granted to another one under the same id. It took itself for registered, or for the owner of the rollouts, for good, and kept the other's lease alive. A late write of a former owner passed the fence, since the revision of the owner's key had occurred again.

Cause: leases relied on ids and revisions that never occur again.

The variant of the ownership model without the lease's fence leaves the new key out as well.

--- a/heatherswitch/gateway/crash_publisher.py
+++ b/heatherswitch/gateway/crash_publisher.py
@@ -8,7 +8,7 @@
 from heatherswitch.gateway.crash_records import encode_cleared, encode_report
 from heatherswitch.gateway.prompt_quarantine import MAX_REPORTS, REPORT_TTL_S
 from heatherswitch.statecore.lease import LeaseStore
-from heatherswitch.statecore.store import StoreError
+from heatherswitch.statecore.store import StoreError, StoreRestored
 from heatherswitch.util.clock import Clock
 
 log = logging.getLogger("heatherswitch.gateway.crash_publisher")
@@ -73,13 +73,15 @@
     A write is repeated until it succeeds; repeating it changes nothing.
     """
 
-    __slots__ = ("_clock", "_granted_at", "_lease_id", "_outbox", "_store")
+    __slots__ = ("_clock", "_era", "_granted_at", "_lease_id", "_outbox", "_store")
 
     def __init__(self, store: LeaseStore, outbox: CrashOutbox, clock: Clock) -> None:
         self._store = store
         self._outbox = outbox
         self._clock = clock
         self._lease_id = 0
+        # Era of the store in which the lease was granted.
+        self._era = 0
         self._granted_at = float("-inf")
 
     async def run(self) -> None:
@@ -103,7 +105,12 @@
 
     async def _write(self, batch: dict[str, bytes]) -> None:
         now = self._clock.now()
-        if not self._lease_id or now - self._granted_at >= LEASE_REUSE_S:
+        reusable = self._lease_id and now - self._granted_at < LEASE_REUSE_S
+        # After a restore of the store, the id may be that of another's lease.
+        if not reusable or self._era != self._store.era:
             self._lease_id = await self._store.grant(REPORT_TTL_S)
+            self._era = self._store.era
             self._granted_at = now
         await self._store.commit({}, batch, lease_id=self._lease_id)
+        if self._era != self._store.era:
+            raise StoreRestored("the store was restored while records were written")
--- a/heatherswitch/gateway/rollout_owner.py
+++ b/heatherswitch/gateway/rollout_owner.py
@@ -33,6 +33,8 @@
 log = logging.getLogger("heatherswitch.gateway.rollout_owner")
 
 OWNER_KEY = "heatherswitch/owners/rollouts"
+# Prefix of the keys that tell two acquisitions of the ownership apart.
+FENCE_PREFIX = f"{OWNER_KEY}/"
 # Time to live of the ownership lease in seconds. A dead owner is replaced within half the
 # duration of the shortest rollout on the platform, 12 s.
 LEASE_TTL_S = 4.0
@@ -131,7 +133,9 @@
         if self._lease is not None:
             await self._lease.keep_alive()
             return
-        lease = Lease(self._store, OWNER_KEY, self._id, LEASE_TTL_S, self._clock)
+        lease = Lease(
+            self._store, OWNER_KEY, self._id, LEASE_TTL_S, self._clock, FENCE_PREFIX
+        )
         if await lease.acquire():
             log.info("ownership of rollouts acquired")
             self._lease = lease
--- a/heatherswitch/statecore/store.py
+++ b/heatherswitch/statecore/store.py
@@ -171,6 +171,11 @@
         """The highest revision that the store has returned."""
         return self._revision
 
+    @property
+    def era(self) -> int:
+        """Always 0: the protocol does not tell of a restore from a backup."""
+        return 0
+
     async def get(self, key: str) -> Entry | None:
         """Reads one key; returns None if it does not exist.
 
--- a/test/test_lease.py
+++ b/test/test_lease.py
@@ -73,6 +73,7 @@
             return lease_id
 
         class ResponseLosingStore:
+            era = 0
             commit, get = self.store.commit, self.store.get
             grant, revoke = staticmethod(grant_then_lose_response), self.store.revoke
 
--- a/test/test_prompt_quarantine.py
+++ b/test/test_prompt_quarantine.py
@@ -858,6 +858,8 @@
 class FailingStore:
     """Store that fails a number of times before it accepts a write."""
 
+    era = 0
+
     def __init__(self, failures: int) -> None:
         self.failures = failures
         self.grants: list[float] = []
--- a/test/test_protocol_models.py
+++ b/test/test_protocol_models.py
@@ -81,6 +81,7 @@
     def __init__(self, clock: ModelClock) -> None:
         self.clock = clock
         self.revision = 10
+        self.era = 1
         self.fault = ""
         self.delayed_writes = []
         self.statuses: list[tuple[str, str, str]] = []
@@ -281,7 +282,11 @@
 
     class store_class(WriterTaggingStore):  # noqa: N801
         def select_compares(self, compares):
-            return {k: r for k, r in compares.items() if k != OWNER_KEY or r == 0}
+            return {
+                key: revision
+                for key, revision in compares.items()
+                if not key.startswith(OWNER_KEY) or revision == 0
+            }
 
 
 class WithoutStatusFence(RolloutOwnershipModel):
