Let rollouts go on after the store was restored

Operators saw: an order that they wrote again after a restore began a new rollout, also if it had been decided: evidence, stage and the count of exposed requests were gone. The decision, if the store had lost it, was not written again. An earlier order that the backup brought back replaced the running one.

Cause: the revision of an order was its identity, and statuses were compared with it across eras.

Fix: orders and statuses have a position, era and revision, which is ordered across restores. Soon after a restore, an order with the content of the held one is that order; it goes on under the new position, which all gateways read. A decision never changes, and a gateway that knows one writes it again if the store lacks it, conditional on the status that it read. An earlier order of the backup is followed only if the lost one is not written within 2 s.

Tests that build orders and statuses state positions in place of bare revisions; their checks are as before.

--- a/heatherswitch/gateway/events.py
+++ b/heatherswitch/gateway/events.py
@@ -23,6 +23,7 @@
 from heatherswitch.gateway.quarantine_changes import QuarantineEffect
 from heatherswitch.gateway.rollout_records import Progress
 from heatherswitch.gateway.rollouts import RolloutOrder, RolloutState
+from heatherswitch.statecore.replica import Position
 from heatherswitch.util.record import Record
 
 Outcome = NotSent | Rejected | FailedAnswer | Broken | Interrupted | Completed
@@ -307,23 +308,23 @@
     """The recorded state of a rollout was read from the store.
 
     :param target: version that the rollout moves the service to.
-    :param revision: store revision of the record.
+    :param position: when the record was written.
     """
 
     __slots__ = (
         "service",
         "target",
         "state",
-        "revision",
+        "position",
     )
 
     def __init__(
-        self, service: str, target: str, state: RolloutState, revision: int
+        self, service: str, target: str, state: RolloutState, position: Position
     ) -> None:
         self.service = service
         self.target = target
         self.state = state
-        self.revision = revision
+        self.position = position
 
 
 class RolloutProgressRead(Record):
--- a/heatherswitch/gateway/reducer.py
+++ b/heatherswitch/gateway/reducer.py
@@ -199,6 +199,7 @@
                 return []
             case ev.StoreRestored():
                 self._servers.note_restored(now)
+                self._rollouts.note_restored(now)
                 return []
             case ev.ServersConfirmed():
                 self._servers.confirm(event.current_at)
--- a/heatherswitch/gateway/rollout_owner.py
+++ b/heatherswitch/gateway/rollout_owner.py
@@ -3,7 +3,8 @@
 One gateway owns all rollouts under a lease. Every write is conditional on the lease's
 key, so that a paused or replaced owner changes nothing, and on the revision of the
 status that it replaces, so that a write whose response was lost and which the store
-executes late does not undo a decision.
+executes late does not undo a decision. A decision that the store lost, since it was
+restored from a backup, is written again by any gateway that knows it.
 """
 
 import asyncio
@@ -68,6 +69,7 @@
         "_id",
         "_lease",
         "_rollouts",
+        "_status_era",
         "_status_revisions",
         "_store",
     )
@@ -88,6 +90,8 @@
         self._lease: Lease | None = None
         # Revision of each status key; dropped when the outcome of a write is unknown.
         self._status_revisions: dict[str, int] = {}
+        # Era of the store that they belong to.
+        self._status_era = 0
 
     async def run(self) -> None:
         """Updates the running rollouts until cancelled."""
@@ -99,6 +103,9 @@
                 if rollout.state is RolloutState.RUNNING
             }
             try:
+                for service, rollout in list(self._rollouts().items()):
+                    if rollout.decision_lost:
+                        await _record(service, self._restore_decision(service, rollout))
                 if running:
                     await self._update(running)
                 elif self._lease is not None:
@@ -206,6 +213,10 @@
         :raises StoreError: if the write failed or its outcome is unknown.
         """
         key, value = self._codec.status(service, state, rollout.order.target)
+        if self._status_era != self._store.era:
+            # Revisions of an earlier era mean nothing now.
+            self._status_revisions.clear()
+            self._status_era = self._store.era
         if key not in self._status_revisions:
             await self._load_status(key, rollout)
         if rollout.state is not RolloutState.RUNNING:
@@ -219,12 +230,48 @@
         self._status_revisions[key] = revision
         return True
 
+    async def _restore_decision(self, service: str, rollout: Rollout) -> None:
+        """Writes a decision again that a restore of the store has lost.
+
+        :raises StoreError: if the write failed or its outcome is unknown.
+        """
+        if rollout.order.position.era < self._store.era:
+            # The order was not read in this era yet.
+            return
+        key, value = self._codec.status(service, rollout.state, rollout.order.target)
+        entry = await self._store.get(key)
+        status = self._codec.read_status(entry) if entry else None
+        if status is not None:
+            rollout.apply_status(status.target, status.state, status.position)
+        if not rollout.decision_lost:
+            return
+        if (
+            status is not None
+            and status.target != rollout.order.target
+            and status.position > rollout.order.position
+        ):
+            # Of an order that this gateway has not read yet.
+            return
+        await self._store.commit(
+            {key: entry.mod_revision if entry else 0}, {key: value}
+        )
+        rollout.decision_lost = False
+        log.info(
+            "decision on a rollout written again after a restore of the store",
+            extra={
+                "service": service,
+                "target": rollout.order.target,
+                "state": rollout.state.value,
+                "era": self._store.era,
+            },
+        )
+
     async def _load_status(self, key: str, rollout: Rollout) -> None:
         entry = await self._store.get(key)
         self._status_revisions[key] = entry.mod_revision if entry else 0
         status = self._codec.read_status(entry) if entry else None
         if status is not None:
-            rollout.apply_status(status.target, status.state, status.revision)
+            rollout.apply_status(status.target, status.state, status.position)
 
 
 async def _record(service: str, write: Awaitable[None]) -> None:
--- a/heatherswitch/gateway/rollout_table.py
+++ b/heatherswitch/gateway/rollout_table.py
@@ -19,6 +19,12 @@
 # Returns True if servers of a version may take a request.
 VersionFilter = Callable[[str], bool]
 
+# Seconds after a restore of the store for which an order with the content of the one that
+# is held is that order, written again.
+ORDER_REWRITE_S = 10.0
+# Seconds after a restore for which an earlier order that the backup brings back is not
+# followed: operators write the lost one again.
+EARLIER_ORDER_GRACE_S = 2.0
 # Number of responses per route whose times are kept for a later rollout.
 MAX_RECENT_TIMES = 64
 
@@ -32,10 +38,12 @@
 
     __slots__ = (
         "_decisions",
+        "_earlier_orders",
         "_exposure",
         "_gateway_id",
         "_incarnation",
         "_recent_times",
+        "_restored_at",
         "_rollouts",
         "_served_alone",
     )
@@ -47,6 +55,10 @@
         self._incarnation = incarnation
         self._exposure = exposure
         self._rollouts: dict[str, Rollout] = {}
+        # Time at which the store was last restored from a backup.
+        self._restored_at = float("-inf")
+        # Orders of the backup that are earlier than the held ones, by service.
+        self._earlier_orders: dict[str, ev.RolloutOrdered] = {}
         # Last decision on a version of each service, and the state that it left.
         self._decisions: dict[str, tuple[str, RolloutState]] = {}
         # When a version last served requests that no rollout had sent to it.
@@ -67,9 +79,14 @@
         :param listed_versions: versions of the service's servers in the store.
         """
         current = self._rollouts.get(event.service)
+        self._earlier_orders.pop(event.service, None)
         if event.order is None:
             self._rollouts.pop(event.service, None)
-        elif current is None or current.order.revision != event.order.revision:
+        elif current is not None and self._was_written_again(now, current, event.order):
+            current.adopt_order(event.order)
+        elif current is not None and self._is_earlier(now, current, event.order):
+            self._earlier_orders[event.service] = event
+        elif current is None or current.order.position != event.order.position:
             rollout = Rollout(
                 now, event.order, self._gateway_id, self._incarnation, self._exposure
             )
@@ -78,13 +95,36 @@
             rollout.update_versions(listed_versions)
             self._rollouts[event.service] = rollout
 
+    def note_restored(self, now: float) -> None:
+        """Notes that the store was restored from a backup, with earlier orders."""
+        self._restored_at = now
+        for rollout in self._rollouts.values():
+            rollout.note_restored()
+
+    def _was_written_again(
+        self, now: float, current: Rollout, order: RolloutOrder
+    ) -> bool:
+        """Tells whether an order is the held one, written again after a restore."""
+        is_later = order.position.era > 0 and order.position > current.order.position
+        since_s = now - self._restored_at
+        return is_later and since_s < ORDER_REWRITE_S and order.repeats(current.order)
+
+    def _is_earlier(self, now: float, current: Rollout, order: RolloutOrder) -> bool:
+        """Tells whether a backup brought an order back that the held one had replaced.
+
+        Revisions of the backup are those of the former era.
+        """
+        held, read = current.order.position, order.position
+        from_backup = read.era > held.era and read.revision < held.revision
+        return from_backup and now - self._restored_at < EARLIER_ORDER_GRACE_S
+
     def on_status(self, event: ev.RolloutStatusRead) -> None:
         """Applies a decision recorded in the store."""
         if event.state is not RolloutState.RUNNING:
             self._decisions[event.service] = event.target, event.state
         rollout = self._rollouts.get(event.service)
         if rollout is not None:
-            rollout.apply_status(event.target, event.state, event.revision)
+            rollout.apply_status(event.target, event.state, event.position)
 
     def _was_in_force(
         self, now: float, order: RolloutOrder, current: Rollout | None
@@ -126,6 +166,10 @@
 
         :param listed_versions: returns the versions of a service's servers in the store.
         """
+        if now - self._restored_at >= EARLIER_ORDER_GRACE_S:
+            # No order was written in their place.
+            for event in list(self._earlier_orders.values()):
+                self.on_order(now, event, listed_versions(event.service))
         for service, rollout in self._rollouts.items():
             rollout.update_versions(listed_versions(service))
             rollout.advance_evidence(now)
--- a/heatherswitch/gateway/rollouts.py
+++ b/heatherswitch/gateway/rollouts.py
@@ -11,6 +11,7 @@
 from heatherswitch.fleet.evidence import EvidenceRecord, MoveEvidence
 from heatherswitch.fleet.rollout import Counts, SequentialTest, Verdict
 from heatherswitch.gateway.response_speed import AttemptTimes, SpeedLimits
+from heatherswitch.statecore.replica import Position
 from heatherswitch.util.record import Record
 
 # Bound on the probability that a good version is ever judged bad.
@@ -74,23 +75,28 @@
 
     :param target: the new version.
     :param duration_s: seconds within which the rollout must be decided.
-    :param revision: store revision of the order; a repeated order is a new rollout.
+    :param position: when the order was written; a repeated order is a new rollout,
+        unless it was written again after a restore of the store.
     """
 
     __slots__ = (
         "service",
         "target",
         "duration_s",
-        "revision",
+        "position",
     )
 
     def __init__(
-        self, service: str, target: str, duration_s: float, revision: int
+        self, service: str, target: str, duration_s: float, position: Position
     ) -> None:
         self.service = service
         self.target = target
         self.duration_s = duration_s
-        self.revision = revision
+        self.position = position
+
+    def repeats(self, other: "RolloutOrder") -> bool:
+        """Tells whether another order has the same content."""
+        return self.replace(position=other.position) == other
 
 
 class ExposureLimit(Record):
@@ -116,6 +122,7 @@
     :param gateway_id: id of this gateway.
     :param incarnation: tells the evidence of two runs of this gateway apart.
     :ivar was_in_force: the version was in force when the order came.
+    :ivar decision_lost: the store, restored from a backup, may lack the decision.
     """
 
     __slots__ = (
@@ -126,6 +133,7 @@
         "_speed_limits",
         "_started_at",
         "_target_request_count",
+        "decision_lost",
         "order",
         "stage",
         "state",
@@ -144,6 +152,7 @@
         self.state = RolloutState.RUNNING
         self.stage = 0
         self.was_in_force = False
+        self.decision_lost = False
         self._other_versions_listed = True
         self._started_at = now
         self._exposure = exposure
@@ -206,15 +215,33 @@
             self.advance_evidence(now)
         self._started_at = min(self._started_at, now - elapsed_s)
 
-    def apply_status(self, target: str, state: RolloutState, revision: int) -> None:
-        """Adopts a recorded decision.
+    def apply_status(
+        self, target: str, state: RolloutState, position: Position
+    ) -> None:
+        """Adopts a recorded decision, which is final.
 
-        :param revision: store revision of the record. One from before the order belongs
+        :param position: when the record was written. One from before the order belongs
             to an earlier rollout of the same version and is ignored.
         """
-        is_own = target == self.order.target and revision > self.order.revision
-        if is_own and state is not RolloutState.RUNNING:
+        is_own = target == self.order.target and position > self.order.position
+        if not is_own or state is RolloutState.RUNNING:
+            return
+        if self.state is RolloutState.RUNNING:
             self.state = state
+        if self.state is state:
+            self.decision_lost = False
+
+    def note_restored(self) -> None:
+        """Notes that the store may have lost the decision."""
+        self.decision_lost = self.state is not RolloutState.RUNNING
+
+    def adopt_order(self, order: RolloutOrder) -> None:
+        """Goes on under the same order, which was written again after a restore.
+
+        All gateways read that order, so that they tell the rollout apart by it.
+        """
+        self.order = order
+        self.note_restored()
 
     def share(self, now: float, gateways: int) -> float:
         """Returns the fraction of new requests that the new version gets.
@@ -308,7 +335,12 @@
 
     def own_evidence(self, now: float, gateway_id: str) -> list[EvidenceRecord]:
         """Returns this gateway's recently changed totals, for publishing."""
-        return [r for r in self._evidence.recent_records(now) if r.router == gateway_id]
+        move = rollout_id(self.order)
+        return [
+            record.replace(move=move)
+            for record in self._evidence.recent_records(now)
+            if record.router == gateway_id
+        ]
 
     def next_step(self, now: float) -> Step:
         """Returns the owner's next step."""
@@ -368,4 +400,4 @@
 
 def rollout_id(order: RolloutOrder) -> str:
     """Returns an id that is unique to the order, to tell repeated rollouts apart."""
-    return f"{order.service}/{order.target}/{order.revision}"
+    return f"{order.service}/{order.target}/{order.position.revision}"
--- a/heatherswitch/gateway/store_sync.py
+++ b/heatherswitch/gateway/store_sync.py
@@ -95,7 +95,8 @@
     """Decodes entries of the store into events.
 
     Under ``member_prefix`` are the registrations of live gateways, under
-    ``server_prefix`` the entries of backend servers. The entries in
+    ``server_prefix`` the entries of backend servers, under ``order_prefix`` those whose
+    revision matters. The entries in
     ``bulk_ranges`` may take seconds to arrive over a thin link, those in
     ``small_ranges`` don't; together they are all entries that matter.
     """
@@ -105,6 +106,7 @@
     bulk_ranges: tuple[KeyRange, ...]
     member_prefix: str
     server_prefix: str
+    order_prefix: str
 
     def read_steps(
         self, entry: Entry, after_outage: bool
@@ -333,8 +335,9 @@
     async def _emit_changes(
         self, applied: Applied, decoder, after_outage: bool
     ) -> None:
-        """Emits the events of changed entries."""
-        changed = applied.changed
+        """Emits the events of changed entries, and of orders that a restore has kept."""
+        kept = [e for e in applied.kept if e.key.startswith(decoder.order_prefix)]
+        changed = [*kept, *applied.changed]
         turn = Turn("changes of the store")
         arrived_at = self._clock.now()
         for entry in changed:
--- a/heatherswitch/gateway/store_view.py
+++ b/heatherswitch/gateway/store_view.py
@@ -25,11 +25,12 @@
     confirm it.
 
     :param changed: the changes, in order of revision.
+    :param kept: entries of the former era that the new one holds unchanged.
     :param current_at: time of the clock at which the store had nothing newer.
     :param restored: it is the first response of a new era.
     """
 
-    __slots__ = ("changed", "current_at", "era", "revision", "restored")
+    __slots__ = ("changed", "current_at", "era", "revision", "restored", "kept")
 
     def __init__(
         self,
@@ -38,12 +39,14 @@
         era: int,
         revision: int,
         restored: bool = False,
+        kept: tuple[Entry, ...] = (),
     ) -> None:
         self.changed = changed
         self.current_at = current_at
         self.era = era
         self.revision = revision
         self.restored = restored
+        self.kept = kept
 
 
 class StoreView:
@@ -94,8 +97,9 @@
             raise StoreRestored(f"the store is in era {batch.era}, {self._era} is held")
         self._require_newest(batch)
         self._check_complete(batch)
-        changed = self._settle(self._entries.apply(batch.entries, batch.revision))
-        return Applied(changed, batch.current_at, batch.era, batch.revision)
+        merged = self._entries.apply(batch.entries, batch.revision)
+        changed, kept = self._settle(merged)
+        return Applied(changed, batch.current_at, batch.era, batch.revision, kept=kept)
 
     def take_range(self, part: Snapshot, key_range: KeyRange) -> Applied:
         """Takes in all entries of a range; see :meth:`complete`.
@@ -109,12 +113,14 @@
         self._require_newest(part)
         self._started = True
         read = {entry.key for entry in part.entries}
-        kept = [self._entries.get(key) for key in self._carried if key not in read]
-        changed = self._entries.apply_range(
-            [*part.entries, *kept], part.revision, key_range
+        carried = [self._entries.get(key) for key in self._carried if key not in read]
+        merged = self._entries.apply_range(
+            [*part.entries, *carried], part.revision, key_range
+        )
+        changed, kept = self._settle(merged)
+        return Applied(
+            changed, part.current_at, part.era, part.revision, restored, kept
         )
-        changed = self._settle(changed)
-        return Applied(changed, part.current_at, part.era, part.revision, restored)
 
     def complete(self, now: float, *parts: Applied) -> Applied:
         """Notes that ranges that were taken in are all entries that matter.
@@ -159,19 +165,19 @@
         )
         self._complete_at = None
 
-    def _settle(self, changed: list[Entry]) -> list[Entry]:
-        """Returns the changes without entries that are the same write as before."""
+    def _settle(self, merged: list[Entry]) -> tuple[list[Entry], tuple[Entry, ...]]:
+        """Divides merged entries into changes and writes that were held before."""
         if not self._carried:
-            return changed
-        settled = []
-        for entry in changed:
+            return merged, ()
+        changed, kept = [], []
+        for entry in merged:
             former = self._carried.pop(entry.key, None)
-            if former is None or (former.mod_revision, former.value) != (
-                entry.mod_revision,
-                entry.value,
-            ):
-                settled.append(entry)
-        return settled
+            same_write = former is not None and (
+                former.mod_revision == entry.mod_revision
+                and former.value == entry.value
+            )
+            (kept if same_write else changed).append(entry)
+        return changed, tuple(kept)
 
     def _require_newest(self, response: Snapshot | WatchBatch) -> None:
         held, read = (self._era, self.revision), (response.era, response.revision)
--- a/heatherswitch/platform/reader.py
+++ b/heatherswitch/platform/reader.py
@@ -52,6 +52,7 @@
 
     member_prefix = f"{OWN_PREFIX}routers/"
     server_prefix = names.SERVERS_PREFIX
+    order_prefix = names.ROLLOUT_PREFIX
     # Reads all keys at once: they fit one page in most deployments, and each call is
     # billed.
     prefixes = ("",)
@@ -128,7 +129,7 @@
         if entry.value is None:
             return [ev.RolloutOrdered(service, None)]
         try:
-            order = decode_rollout_order(service, entry.mod_revision, entry.value)
+            order = decode_rollout_order(service, entry)
         except RecordError as error:
             log.error(
                 "ignoring invalid rollout order",
@@ -151,7 +152,7 @@
                 extra={"service": service, "error": describe_error(error)},
             )
             return None
-        return ev.RolloutStatusRead(service, target, state, entry.mod_revision)
+        return ev.RolloutStatusRead(service, target, state, entry.position)
 
     def _read_crash_report(self, report_id: str, value: bytes | None) -> list[ev.Event]:
         if value is None:
--- a/heatherswitch/platform/records.py
+++ b/heatherswitch/platform/records.py
@@ -14,6 +14,7 @@
     Workspace,
 )
 from heatherswitch.gateway.rollouts import RolloutOrder
+from heatherswitch.statecore.replica import Entry
 from heatherswitch.util.fairness import finish_steps
 from heatherswitch.util.untrusted import (
     MAX_INTEGER,
@@ -270,17 +271,16 @@
     return keys
 
 
-def decode_rollout_order(service: str, revision: int, value: bytes) -> RolloutOrder:
+def decode_rollout_order(service: str, entry: Entry) -> RolloutOrder:
     """Decodes an operator's order to roll a service out to a version.
 
-    :param revision: store revision of the order.
     :raises RecordError: if it is malformed.
     """
     try:
-        document = parse_object(value)
+        document = parse_object(entry.value)
         duration_s = read_field(document, "duration_s", require_number)
         target = read_field(document, "target", require_name)
-        return RolloutOrder(service, target, duration_s, revision)
+        return RolloutOrder(service, target, duration_s, entry.position)
     except MalformedInput as error:
         raise RecordError(f"rollout order: {describe_error(error)}") from error
 
--- a/heatherswitch/statecore/replica.py
+++ b/heatherswitch/statecore/replica.py
@@ -2,6 +2,18 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass
+from typing import NamedTuple
+
+
+class Position(NamedTuple):
+    """Place of a write among all writes of the store, ordered across restores.
+
+    :param era: how often the store had been restored from a backup; 0 if unknown.
+    :param revision: revision of the write in that era.
+    """
+
+    era: int
+    revision: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -18,6 +30,11 @@
     value: bytes | None
     era: int = 0
 
+    @property
+    def position(self) -> Position:
+        """Era and revision of the entry's last change."""
+        return Position(self.era, self.mod_revision)
+
 
 @dataclass(frozen=True, slots=True)
 class KeyRange:
--- a/test/test_gateway_reducer.py
+++ b/test/test_gateway_reducer.py
@@ -14,6 +14,7 @@
     MAX_LOAD_TTL_S,
     REAPPEAR_GRACE_S,
 )
+from heatherswitch.statecore.replica import Position
 from test.gateway_fakes import Driver, chat_prompt, configuration, server
 
 
@@ -87,7 +88,7 @@
         self.old, self.new = server("e1", "engine"), server("e2", "engine")
         self.new = self.new.replace(version="v2")
         self.driver.add_servers(self.old, self.new)
-        order = RolloutOrder("engine", "v2", 12.0, 7)
+        order = RolloutOrder("engine", "v2", 12.0, Position(1, 7))
         for _ in range(20):
             self.stream(interval_s=0.03)
         self.driver.apply(ev.RolloutOrdered("engine", order))
--- a/test/test_notices.py
+++ b/test/test_notices.py
@@ -12,6 +12,7 @@
 from heatherswitch.gateway.limits import Limits
 from heatherswitch.gateway.notices import MAX_REMEMBERED_STARTS, NOTICE_MEMORY_S
 from heatherswitch.gateway.rollouts import RolloutOrder, RolloutState
+from heatherswitch.statecore.replica import Position
 from heatherswitch.util.http_client import HttpClient
 from test.gateway_fakes import Driver, chat_prompt, server
 from test.gateway_process_case import ProcessCase
@@ -366,10 +367,14 @@
             driver = self.driver = Driver()
             driver.add_servers(server("l1"), server("l2", version="v2"))
             driver.apply(
-                ev.RolloutOrdered("ledger", RolloutOrder("ledger", "v2", 60.0, 5))
+                ev.RolloutOrdered(
+                    "ledger", RolloutOrder("ledger", "v2", 60.0, Position(1, 5))
+                )
             )
             driver.apply(
-                ev.RolloutStatusRead("ledger", "v2", RolloutState.COMPLETED, 6)
+                ev.RolloutStatusRead(
+                    "ledger", "v2", RolloutState.COMPLETED, Position(1, 6)
+                )
             )
             busy = {"v1": server("l1"), "v2": server("l2")}[busy_version]
             self.say_busy(busy, 9.0)
@@ -415,7 +420,11 @@
         ]
         driver.add_servers(*engines)
         driver.apply(ev.ZonesOut(frozenset({"b"})))
-        driver.apply(ev.RolloutOrdered("engine", RolloutOrder("engine", "v2", 60.0, 5)))
+        driver.apply(
+            ev.RolloutOrdered(
+                "engine", RolloutOrder("engine", "v2", 60.0, Position(1, 5))
+            )
+        )
         tell(engines[0])
         chosen, running = [], []
         for number in range(300):
--- a/test/test_protocol_models.py
+++ b/test/test_protocol_models.py
@@ -33,7 +33,7 @@
 from heatherswitch.platform.reader import PlatformReader
 from heatherswitch.platform.store import confirmation_time
 from heatherswitch.statecore.lease import LeaseLost
-from heatherswitch.statecore.replica import Entry
+from heatherswitch.statecore.replica import Entry, Position
 from heatherswitch.statecore.store import (
     AmbiguousWrite,
     CompareFailed,
@@ -93,7 +93,7 @@
     async def get(self, key: str) -> Entry | None:
         self._expire()
         item = self._items.get(key)
-        return Entry(key, item[1], item[0]) if item else None
+        return Entry(key, item[1], item[0], self.era) if item else None
 
     async def commit(self, compares, puts, deletes=(), lease_id=0) -> int:
         return self._write(lambda: self._commit(compares, puts, lease_id))
@@ -197,7 +197,7 @@
         self.loop = asyncio.new_event_loop()
         self.clock = ModelClock()
         self.store = ModelStore(self.clock)
-        order = RolloutOrder("ledger", "v2", 12.0, 5)
+        order = RolloutOrder("ledger", "v2", 12.0, Position(1, 5))
         self.owners, self.rollouts = {}, {}
         for name in ("a", "b", "c"):
             store = self.store_class(self.store, name)
--- a/test/test_rollouts.py
+++ b/test/test_rollouts.py
@@ -42,11 +42,12 @@
 from heatherswitch.gateway.timing import Timing
 from heatherswitch.platform.reader import PlatformReader
 from heatherswitch.platform.store import PlatformStore
+from heatherswitch.statecore.replica import Position
 from heatherswitch.statecore.store import AmbiguousWrite, CompareFailed
 from heatherswitch.util.clock import Clock
 from heatherswitch.util.http import HttpError
 
-ORDER = RolloutOrder("ledger", "v2", 12.0, 7)
+ORDER = RolloutOrder("ledger", "v2", 12.0, Position(1, 7))
 EXPOSURE_SHARE, EXPOSURE_SLACK = 0.1, 50.0
 
 
@@ -400,7 +401,11 @@
 
     def test_evidence_of_an_earlier_rollout_is_ignored(self):
         earlier_rollout = Rollout(
-            0.0, RolloutOrder("ledger", "v2", 12.0, 3), "g1", 1, ExposureLimit()
+            0.0,
+            RolloutOrder("ledger", "v2", 12.0, Position(1, 3)),
+            "g1",
+            1,
+            ExposureLimit(),
         )
         for _ in range(50):
             earlier_rollout.count_response(
@@ -438,7 +443,7 @@
         self.addAsyncCleanup(self.server.stop)
         self.clock = Clock()
         revision = self.server.put("op/rollout/ledger", {})
-        self.order = ORDER.replace(revision=revision)
+        self.order = ORDER.replace(position=Position(1, revision))
         self.rollout = self.new_rollout("g")
 
     def new_rollout(self, gateway: str) -> Rollout:
@@ -536,7 +541,7 @@
         """Guards a rollout that is ordered again after it was rolled back."""
         rollouts = RolloutTable("g", 1, ExposureLimit())
         rollouts.on_order(0.0, ev.RolloutOrdered("ledger", ORDER), {"v1"})
-        earlier, later = ORDER.revision - 1, ORDER.revision + 1
+        earlier, later = Position(1, 6), Position(1, 8)
         for revision, state in (
             (earlier, RolloutState.RUNNING),
             (later, RolloutState.ROLLED_BACK),
@@ -554,7 +559,9 @@
         self.rollouts = RolloutTable("g", 1, ExposureLimit())
 
     def decide(self, target: str, state: RolloutState, revision: int = 1) -> None:
-        self.rollouts.on_status(ev.RolloutStatusRead("ledger", target, state, revision))
+        self.rollouts.on_status(
+            ev.RolloutStatusRead("ledger", target, state, Position(1, revision))
+        )
 
     def serve(self, version: str, sent_at: float = 0.0, randomized=False) -> None:
         times = AttemptTimes(sent_at)
@@ -564,7 +571,7 @@
 
     def order(self, target: str, listed: set[str], revision: int = 7) -> bool:
         """Orders a version and tells whether it counts as in force."""
-        order = RolloutOrder("ledger", target, 12.0, revision)
+        order = RolloutOrder("ledger", target, 12.0, Position(1, revision))
         self.rollouts.on_order(1.0, ev.RolloutOrdered("ledger", order), listed)
         return self.rollouts.by_service["ledger"].in_force
 
--- a/test/test_store_restore.py
+++ b/test/test_store_restore.py
@@ -412,6 +412,32 @@
             self.assertEqual(self.deployment.gateway._reducer.fleet_size, 2)
 
 
+class DecidedRolloutTest(RestoreCase):
+    """Guards decisions: operators waited for one that the store had lost."""
+
+    ORDER = {"service": "ledger", "target": "v1", "duration_s": 30}
+
+    async def wait_for_status(self) -> None:
+        read = self.store.read
+        await self.deployment.wait_until(
+            lambda: b"completed" in (read("status/rollout/ledger") or b"")
+        )
+
+    async def test_decision_is_written_again(self):
+        self.assertEqual(await self.status(), 200)
+        backup = self.store.back_up()
+        self.store.put("op/rollout/ledger", self.ORDER)
+        await self.wait_for_status()
+        await self.wait_until_read()
+        await self.restore(backup)
+        self.assertIsNone(self.store.read("status/rollout/ledger"))
+        # Servers of another version make it one that needs evidence, if it began again.
+        server = await self.deployment.add_server("l3", "ledger", version="v0")
+        self.store.put("op/rollout/ledger", self.ORDER)
+        await self.wait_for_status()
+        self.assertEqual(len(server.received), 0)
+
+
 class ServersOfTheBackupTest(unittest.TestCase):
     """Guards DRAIN: a backup lists servers that have gone or started again since."""
 
