Write crash reports again after the store was restored

Servers saw: after a restore, a gateway that started later knew of no crash of the lost span and sent requests on whose part of the prompt was quarantined elsewhere (BUDGET).

Cause: reports are written once; nothing noticed that the store had lost them.

Fix: a gateway writes the reports that it holds as its own again, once for each restore. Reports of others stay in force until they expire by themselves, as the view carries them over.

Evidence: CrashReportRestoreTest is new; on the code before no effect follows from a restore.

--- a/heatherswitch/gateway/crash_events.py
+++ b/heatherswitch/gateway/crash_events.py
@@ -85,6 +85,15 @@
         self.report = report
 
 
+class RepublishCrashes(Record):
+    """Write this gateway's crash reports to the store again, which has lost them."""
+
+    __slots__ = ("reports",)
+
+    def __init__(self, reports: tuple[CrashReport, ...]) -> None:
+        self.reports = reports
+
+
 class PublishCleared(Record):
     """Tell all gateways that requests with some prompt parts were completed.
 
@@ -113,4 +122,4 @@
         self.cleared = cleared
 
 
-CrashEffect = PublishCrash | PublishCleared
+CrashEffect = PublishCrash | RepublishCrashes | PublishCleared
--- a/heatherswitch/gateway/crash_handling.py
+++ b/heatherswitch/gateway/crash_handling.py
@@ -124,6 +124,14 @@
                 change = self._quarantine.clear(now, (event.part,), event.age_s)
         return _effects(change)
 
+    def note_restored(self) -> list[ev.Effect]:
+        """Writes the reports again that a restored store may have lost.
+
+        Those of other gateways stay here until they expire, and are written by them.
+        """
+        reports = self._quarantine.own_reports()
+        return [ev.RepublishCrashes(reports)] if reports else []
+
     def note_heartbeat(self, server: Server) -> list[ev.Effect]:
         """Notes that a server runs."""
         return list(self._quarantine.note_heartbeat(server))
--- a/heatherswitch/gateway/crash_publisher.py
+++ b/heatherswitch/gateway/crash_publisher.py
@@ -37,12 +37,15 @@
         self._records: OrderedDict[str, bytes] = OrderedDict()
         self._filled = asyncio.Event()
 
-    def add(self, effect: ev.PublishCrash | ev.PublishCleared) -> None:
+    def add(self, effect: ev.CrashEffect) -> None:
         """Adds the records of an effect."""
-        if isinstance(effect, ev.PublishCrash):
-            records = [encode_report(effect.report)]
-        else:
-            records = encode_cleared(effect)
+        match effect:
+            case ev.PublishCrash(report):
+                records = [encode_report(report)]
+            case ev.RepublishCrashes(reports):
+                records = [encode_report(report) for report in reports]
+            case ev.PublishCleared():
+                records = encode_cleared(effect)
         for key, value in records:
             self._records[key] = value
         while len(self._records) > MAX_OUTBOX:
--- a/heatherswitch/gateway/events.py
+++ b/heatherswitch/gateway/events.py
@@ -798,6 +798,7 @@
 CrashEffect = crash_events.CrashEffect
 PublishCrash = crash_events.PublishCrash
 PublishCleared = crash_events.PublishCleared
+RepublishCrashes = crash_events.RepublishCrashes
 SendCrash = crash_events.SendCrash
 SendCleared = crash_events.SendCleared
 PeerEffect = (
--- a/heatherswitch/gateway/prompt_quarantine.py
+++ b/heatherswitch/gateway/prompt_quarantine.py
@@ -203,6 +203,11 @@
             )
         return reports
 
+    def own_reports(self) -> tuple[CrashReport, ...]:
+        """Returns the reports of this gateway that are held, oldest first."""
+        own = (r for r in self._reports.values() if r.gateway_id == self._gateway_id)
+        return tuple(own)
+
     def note_completed(
         self, now: float, prompt: tuple[PromptPart, ...]
     ) -> tuple[str, ...]:
--- a/heatherswitch/gateway/reducer.py
+++ b/heatherswitch/gateway/reducer.py
@@ -200,7 +200,7 @@
             case ev.StoreRestored():
                 self._servers.note_restored(now)
                 self._rollouts.note_restored(now)
-                return []
+                return self._crashes.note_restored()
             case ev.ServersConfirmed():
                 self._servers.confirm(event.current_at)
                 return []
--- a/heatherswitch/gateway/shell.py
+++ b/heatherswitch/gateway/shell.py
@@ -397,6 +397,8 @@
                     else "server broke off before any output"
                 )
                 log.info(message, extra=report.to_dict())
+            case ev.RepublishCrashes(reports):
+                log.info("crash reports written again", extra={"reports": len(reports)})
             case ev.PublishCleared(parts):
                 log.info("suspected prompt parts completed", extra={"parts": parts})
             case QuarantineChange(added, released):
--- a/test/test_store_restore.py
+++ b/test/test_store_restore.py
@@ -12,7 +12,11 @@
     build_route,
 )
 from heatherswitch.gateway import events as ev
+from heatherswitch.gateway.crash_publisher import CrashOutbox
+from heatherswitch.gateway.crash_records import CRASH_PREFIX, encode_report
+from heatherswitch.gateway.crash_report import CrashReport
 from heatherswitch.gateway.limits import Limits
+from heatherswitch.gateway.store_sync import REWRITE_GRACE_S
 from heatherswitch.gateway.store_view import StoreView
 from heatherswitch.gateway.telemetry import Telemetry
 from heatherswitch.gateway.timing import Timing
@@ -399,6 +403,21 @@
         )
         self.assertTrue(self.deployment.gateway.routes_to("l1"))
 
+    async def test_lost_crash_reports_stay_in_force(self):
+        """Guards BUDGET: each request with the part crashed a server again."""
+        backup = self.store.back_up()
+        key, value = encode_report(
+            CrashReport("other/1", "e1", 1, 1.0, self.deployment.clock.now(), ("a",))
+        )
+        self.store.put(key, value)
+        await self.wait_until_read()
+        quarantine = self.deployment.gateway._reducer.crashes._quarantine
+        held = set(quarantine._reports)
+        self.assertEqual(held, {key.removeprefix(CRASH_PREFIX)})
+        await self.restore_without(backup)
+        await asyncio.sleep(REWRITE_GRACE_S + CHANGE_S)
+        self.assertEqual(set(quarantine._reports), held)
+
     async def test_other_gateways_count_until_they_register_again(self):
         """Guards BUDGET: fewer members than live ones get too large shares."""
         backup = self.store.back_up()
@@ -506,6 +525,31 @@
         self.assertEqual(self.used(), {"l2"})
 
 
+class CrashReportRestoreTest(unittest.TestCase):
+    """Guards the quarantine: gateways that start after a restore knew of no crash."""
+
+    def test_own_reports_are_written_again(self):
+        driver = Driver()
+        reports = [
+            CrashReport(f"{gateway}/1", server_id, 1, 99.0, 100.0, ("a",))
+            for gateway, server_id in (("me", "e1"), ("other", "e2"))
+        ]
+        for report in reports:
+            driver.apply(ev.CrashReported(report))
+        driver.take_effects()
+        driver.apply(ev.StoreRestored(2))
+        self.assertEqual(driver.take_effects(), [ev.RepublishCrashes((reports[0],))])
+        outbox = CrashOutbox()
+        outbox.add(ev.RepublishCrashes((reports[0],)))
+        self.assertEqual(outbox.next_batch(), dict([encode_report(reports[0])]))
+
+    def test_gateway_without_reports_writes_none(self):
+        driver = Driver()
+        driver.take_effects()
+        driver.apply(ev.StoreRestored(2))
+        self.assertEqual(driver.take_effects(), [])
+
+
 class RevisionsPassedTest(RestoreCase):
     """Guards CONFIG: a watch that goes on missed what the new era wrote before."""
 
