--- a/emulator/platform/soak_deployment.py
+++ b/emulator/platform/soak_deployment.py
@@ -72,6 +72,8 @@
         self.heartbeats = False
         # Entry of each listed server by id.
         self._entries: dict[str, dict] = {}
+        # Number of the last heartbeat of each start of a server, by id and start.
+        self._sequences: dict[tuple[str, int], int] = {}
         self._heartbeat_task: asyncio.Task | None = None
         self.busy_route: tuple[str, str] | None = None
         self.versions: list[ConfigurationVersion] = []
@@ -153,11 +155,20 @@
 
         :param changes: fields that replace the defaults.
         """
-        last = self._entries.get(server.id, {"seq": 0, "born": 1000})
-        fields = {"seq": last["seq"] + 1, "born": last["born"]} | changes
+        born = self._entries.get(server.id, {"born": 1000})["born"]
+        fields = {"born": born} | changes
         entry = server.store_entry(service, address=link.address, **fields)
         self._entries[server.id] = entry
-        self.store.put(f"servers/{server.id}", entry)
+        self._put_entry(server.id)
+
+    def _put_entry(self, server_id: str) -> None:
+        """Writes the entry of a server with the number of its next heartbeat."""
+        entry = self._entries[server_id]
+        start = server_id, entry["born"]
+        # A count begins anew only with a new start.
+        self._sequences[start] = self._sequences.get(start, 0) + 1
+        entry["seq"] = self._sequences[start]
+        self.store.put(f"servers/{server_id}", entry)
 
     def withdraw_server(self, server: PlatformServer) -> None:
         """Deletes a server's entry in the store."""
@@ -173,6 +184,4 @@
             # Entries that lapsed are written again by the fault that let them lapse.
             away = self.store.silent or self.store.refuse
             if self.heartbeats and not away and server_id in self._entries:
-                entry = self._entries[server_id]
-                entry["seq"] += 1
-                self.store.put(f"servers/{server_id}", entry)
+                self._put_entry(server_id)
--- a/test/test_platform_soak.py
+++ b/test/test_platform_soak.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 
 from emulator.platform.process import temporary_directory
-from emulator.platform.server import ReceivedRequest, SentNotice
+from emulator.platform.server import PlatformServer, ReceivedRequest, SentNotice
 from emulator.platform.soak import REVOCATION_LIMIT_S, run_seed
 from emulator.platform.soak_checks import (
     Call,
@@ -22,6 +22,7 @@
 from emulator.platform.soak_configuration import API_KEYS, ChangingConfiguration
 from emulator.platform.soak_deployment import SoakDeployment
 from emulator.platform.soak_faults import EXTRA_PREFIX, FaultInjector
+from emulator.proxy import FaultProxy
 
 SECONDS = 8.0
 # Seeds whose soak once found a violation: the faults that were played alone, the cause.
@@ -54,6 +55,26 @@
                 await self.run_soak(seed, only)
 
 
+class HeartbeatTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against a stand-in that counts a start's heartbeats from 1 again."""
+
+    async def test_count_goes_on_after_the_entry_lapsed(self):
+        deployment = SoakDeployment(1, Path())
+        server = PlatformServer("l1")
+        await server.start()
+        self.addAsyncCleanup(server.stop)
+        link = FaultProxy(server.address)
+        await link.start()
+        self.addAsyncCleanup(link.stop)
+        sequences = []
+        for born in (1000, 1000, 2000):
+            deployment.publish_server(server, link, "ledger", born=born)
+            entry = json.loads(deployment.store.read("servers/l1"))
+            sequences.append((entry["born"], entry["seq"]))
+            deployment.withdraw_server(server)
+        self.assertEqual(sequences, [(1000, 1), (1000, 2), (2000, 1)])
+
+
 class MemoryTest(unittest.TestCase):
     """Guards against a soak that overlooks a process that holds too much memory."""
 
