Restore the store from a backup in the soak

The soak draws restores by default beside its other faults, also two in a row: the store is away, comes back without what was written since the backup, at times without its history, and operators and servers write theirs again. Entries of servers that have gone meanwhile expire.

--- a/emulator/platform/soak_deployment.py
+++ b/emulator/platform/soak_deployment.py
@@ -170,6 +170,19 @@
         entry["seq"] = self._sequences[start]
         self.store.put(f"servers/{server_id}", entry)
 
+    def write_again(self) -> None:
+        """Writes what operators and servers wrote, as after a restore of the store."""
+        self._put_configuration()
+        for server_id in self._entries:
+            self._put_entry(server_id)
+
+    def withdraw_lost_servers(self) -> None:
+        """Deletes entries of servers that have gone, but are in the restored backup."""
+        for item in self.store.data.range(b"servers/", b"servers0"):
+            server_id = item.key.decode().removeprefix("servers/")
+            if server_id not in self._entries:
+                self.store.delete(f"servers/{server_id}")
+
     def withdraw_server(self, server: PlatformServer) -> None:
         """Deletes a server's entry in the store."""
         self._entries.pop(server.id, None)
@@ -182,6 +195,6 @@
             number = (number + 1) % len(self.servers)
             server_id = self.servers[number][0].id
             # Entries that lapsed are written again by the fault that let them lapse.
-            away = self.store.silent or self.store.refuse
+            away = self.store.silent or self.store.refuse or self.store.away
             if self.heartbeats and not away and server_id in self._entries:
                 self._put_entry(server_id)
--- a/emulator/platform/soak_store_faults.py
+++ b/emulator/platform/soak_store_faults.py
@@ -7,6 +7,14 @@
 # Most seconds for which watches hear nothing. A gateway cannot notice it before the
 # history is dropped, but must not accept a withdrawn key after 5 s.
 MAX_DEAF_S = 3.0
+# Most seconds for which changes are lost when the store is restored from a backup, for
+# which it is away, and until operators and servers have written theirs again. A key that
+# is withdrawn just after the backup is written again within the bound of 5 s.
+MAX_LOST_S = 2.0
+MAX_AWAY_S = 1.0
+MAX_REWRITE_S = 1.0
+# Seconds after which the entry of a server that has gone expires in a restored store.
+MAX_EXPIRY_S = 2.5
 
 
 class StoreFaults(FaultBase):
@@ -91,6 +99,26 @@
                 await asyncio.sleep(self._random.uniform(0.0, 1.8 / len(lapsed)))
                 self._deployment.publish_server(server, link, service)
 
+    async def fault_store_restored(self) -> None:
+        """The store is away and restored from a backup, at times twice in a row."""
+        store = self._choose_target([self._deployment.store])
+        if store is None:
+            return
+        with self._reserved(store):
+            for _ in range(self._random.choice((1, 1, 2))):
+                backup = store.back_up()
+                await asyncio.sleep(self._random.uniform(0.0, MAX_LOST_S))
+                with self._recorded("", self._history.store_faults):
+                    await store.restore(
+                        backup,
+                        self._random.uniform(0.0, MAX_AWAY_S),
+                        keeps_history=self._random.random() < 0.7,
+                    )
+                    await asyncio.sleep(self._random.uniform(0.0, MAX_REWRITE_S))
+                    self._deployment.write_again()
+                await asyncio.sleep(self._random.uniform(0.0, MAX_EXPIRY_S))
+                self._deployment.withdraw_lost_servers()
+
     async def fault_zone_out(self) -> None:
         # Zone b is empty. All servers of the soak are in zone a, without which nothing
         # could be served.
--- a/emulator/platform/store.py
+++ b/emulator/platform/store.py
@@ -40,6 +40,7 @@
         instead of the newest one.
     :ivar delay_s: delay before a call is handled, in seconds.
     :ivar bytes_per_s: rate at which watch responses are sent; 0 for no limit.
+    :ivar away: all calls are reset while the store is being restored.
     :ivar hold_answers: number of next responses that are kept back, as they are, until
         :meth:`release_answers`.
     :ivar era: number of times that the store was restored from a backup, from 1, which
@@ -65,7 +66,7 @@
         self._history_from = 0
         # Number of times that all waiting watches were cut.
         self._watch_cuts = 0
-        self._away = False
+        self.away = False
         self._server = HttpServer(self._handle)
         self._expiry: asyncio.Task | None = None
         self._late_writes: set[asyncio.Task] = set()
@@ -135,7 +136,7 @@
         :param away_s: seconds for which calls are reset.
         :param keeps_history: watches may go on from the revisions of the backup.
         """
-        self._away = True
+        self.away = True
         self.cut_watches()
         await asyncio.sleep(away_s)
         data = copy.deepcopy(backup)
@@ -145,19 +146,19 @@
             self.discard_history()
         if self.era is not None:
             self.era += 1
-        self._away = False
+        self.away = False
 
     async def _expire_leases(self) -> None:
         while True:
             await asyncio.sleep(0.02)
-            if self._away:
+            if self.away:
                 continue
             self.data.expire(time.monotonic())
 
     async def _handle(self, request: Request, responder: Responder) -> None:
         path = request.path
         self.stats.count(time.monotonic(), path.split("/")[1])
-        if self._away:
+        if self.away:
             responder.abort()
             raise ConnectionAbortedError("the store is away")
         if self.delay_s:
