Don't take an entry without a start for a new start of a server

Cause: a notice is final for a start; an entry without one was taken for another start, without the notice.

Fix: where a start of the server is known, such an entry names no server, as one that can't be read, until the server's next heartbeat. On a platform that states no starts nothing changes.

--- a/heatherswitch/gateway/notices.py
+++ b/heatherswitch/gateway/notices.py
@@ -113,3 +113,10 @@
             (server.id, server.incarnation), (None, now)
         )
         return notices if now - remembered_at < NOTICE_MEMORY_S else None
+
+    def knows_start_of(self, server_id: str) -> bool:
+        """Tells whether notices of a stated start of a server are remembered."""
+        return any(
+            known_id == server_id and incarnation
+            for known_id, incarnation in self._by_start
+        )
--- a/heatherswitch/gateway/reducer.py
+++ b/heatherswitch/gateway/reducer.py
@@ -250,6 +250,10 @@
         return self._dispatch_waiting(now)
 
     def _on_server_listed(self, now: float, event: ev.ServerListed) -> list[ev.Effect]:
+        if self._servers.is_foreign(event.server):
+            # As one that can't be read: the server's next heartbeat replaces it.
+            removed = ev.ServerRemoved(event.server.id, after_outage=False)
+            return self._on_server_removed(now, removed)
         effects: list[ev.Effect] = []
         known = self._servers.get(event.server.id)
         in_use = known is not None and not known.leaving
--- a/heatherswitch/gateway/servers.py
+++ b/heatherswitch/gateway/servers.py
@@ -330,6 +330,19 @@
         last = self._ended.get((record.id, record.incarnation), 0)
         return record.is_older_than(last) or self._had_ended(now, record)
 
+    def is_foreign(self, record: Server) -> bool:
+        """Tells whether an entry that states no start is one of another writer.
+
+        Servers of a platform that states starts do so in each entry.
+        """
+        if record.incarnation:
+            return False
+        existing = self._servers.get(record.id)
+        if existing is not None and existing.record.incarnation:
+            return True
+        ended = any(server_id == record.id for server_id, _ in self._ended)
+        return ended or self._notices.knows_start_of(record.id)
+
     def _may_be_of_backup(self, now: float) -> bool:
         """Tells whether an entry may be one of a backup whose server has gone since.
 
--- a/test/test_store_notices.py
+++ b/test/test_store_notices.py
@@ -47,6 +47,55 @@
         self.assertEqual(self.driver.decide("/safe/1").servers_age_s, 1.5)
 
 
+class ForeignEntryTest(unittest.TestCase):
+    """Guards DRAIN: an entry of another writer without a start took a server in again.
+
+    Its requests were cut when the server ended.
+    """
+
+    def setUp(self):
+        self.driver = Driver()
+        self.driver.add_servers(server("l1", sequence=5), server("l2", sequence=5))
+
+    def accepts(self, server_id: str) -> bool:
+        return self.driver.reducer.server_accepts_work(self.driver.now, server_id)
+
+    def list_foreign(self) -> None:
+        self.driver.add_servers(server("l1", incarnation=0, sequence=9))
+
+    def test_server_that_leaves_stays_out(self):
+        self.driver.add_servers(server("l1", sequence=6, draining=True))
+        self.list_foreign()
+        self.assertFalse(self.accepts("l1"))
+        self.driver.add_servers(server("l1", sequence=7, draining=True))
+        self.assertFalse(self.accepts("l1"))
+
+    def test_server_that_said_so_in_a_response_stays_out(self):
+        start = self.driver.reducer._servers.get("l1").record
+        self.driver.apply(ev.NoticeReceived(start, "r1", leaving=True, busy_s=0.0))
+        self.list_foreign()
+        self.assertFalse(self.accepts("l1"))
+
+    def test_server_that_left_and_is_gone_stays_out(self):
+        self.driver.add_servers(server("l1", sequence=6, draining=True))
+        self.driver.apply(ev.ServerRemoved("l1", after_outage=False))
+        self.list_foreign()
+        self.assertFalse(self.accepts("l1"))
+
+    def test_server_that_runs_is_used_after_its_next_heartbeat(self):
+        self.list_foreign()
+        self.assertFalse(self.accepts("l1"))
+        self.driver.add_servers(server("l1", sequence=6))
+        self.assertTrue(self.accepts("l1"))
+        self.assertTrue(self.accepts("l2"))
+
+    def test_platform_that_states_no_starts(self):
+        self.driver.add_servers(server("l3", incarnation=0))
+        self.assertTrue(self.accepts("l3"))
+        self.driver.add_servers(server("l3", incarnation=0, draining=True))
+        self.assertFalse(self.accepts("l3"))
+
+
 class RevokedNoticeTest(unittest.TestCase):
     """Guards DRAIN: an entry of a start that leaves took it in again."""
 
