Use a server again whose entry outlasts a refused connection

Cause: the mark of a refused connection ended only with a changed entry, and a heartbeat that changes only its number is no change. A 421 of another server at the address left a mark that not even that ended.

Fix: both marks end when a crashed server's entry would be gone; if it still stands, the server runs.

--- a/heatherswitch/gateway/peers.py
+++ b/heatherswitch/gateway/peers.py
@@ -150,8 +150,12 @@
         if self.peer_count < 2:
             return None
         for part in reversed(pending.request.shared_parts):
-            holders = filter(self._can_serve_copies, self._prefixes.holders(part.id))
-            if any(not self._servers.get(i).notices.busy_s(now) for i in holders):
+            holders = self._prefixes.holders(part.id)
+            if any(
+                self._can_serve_copies(now, server_id)
+                and not self._servers.get(server_id).notices.busy_s(now)
+                for server_id in holders
+            ):
                 return None
             if part.id in pending.queried_parts:
                 continue
@@ -176,19 +180,19 @@
         if event.holder.server:
             self._add_holder(event.holder)
 
-    def _can_serve_copies(self, server_id: str) -> bool:
+    def _can_serve_copies(self, now: float, server_id: str) -> bool:
         state = self._servers.get(server_id)
-        return state is not None and not (state.removed or state.connection_refused)
+        return state is not None and not (state.removed or state.is_excluded(now))
 
     def _add_holder(self, holder: PrefixHolder) -> None:
         self._prefixes.add([PromptPart(holder.part, 0)], holder.server)
 
-    def _holder_reply(self, query: PrefixHolder) -> PrefixHolder:
+    def _holder_reply(self, now: float, query: PrefixHolder) -> PrefixHolder:
         """Returns another server that has a part cached, and records the asking one."""
         candidates = [
             server_id
             for server_id in self._prefixes.holders(query.part)
-            if server_id != query.server and self._can_serve_copies(server_id)
+            if server_id != query.server and self._can_serve_copies(now, server_id)
         ]
         self._add_holder(query)
         # The oldest entry, because the newest server may still be processing the part.
@@ -215,7 +219,7 @@
             Count(c.key, self._total_without(now, c.key, event.peer))
             for c in event.counts
         )
-        holders = tuple(self._holder_reply(query) for query in event.holders)
+        holders = tuple(self._holder_reply(now, query) for query in event.holders)
         return [ev.ReplyToPeer(event.peer, event.sequence, counts, holders)]
 
     def on_totals(self, now: float, event: ev.ServiceTotalsReceived) -> list[ev.Effect]:
--- a/heatherswitch/gateway/reducer.py
+++ b/heatherswitch/gateway/reducer.py
@@ -606,11 +606,13 @@
                 return [ev.Finish(serial), *noted]
             case ev.NotSent():
                 state.record_failure(now, UNRESPONSIVE_BACKOFF_S)
-                state.connection_refused = state.connection_refused or outcome.refused
+                if outcome.refused:
+                    state.exclude(now, self._limits.entry_ttl_s)
                 return self._retry(now, serial, pending, ran=False, arrived=False)
             case ev.Rejected(_, other_instance):
                 state.record_failure(now)
-                state.removed = state.removed or other_instance
+                if other_instance:
+                    state.exclude(now, self._limits.entry_ttl_s)
                 return self._retry(now, serial, pending, ran=False)
             case ev.FailedAnswer():
                 state.record_failure(now, base_backoff_s=0.0)
--- a/heatherswitch/gateway/selection.py
+++ b/heatherswitch/gateway/selection.py
@@ -225,7 +225,7 @@
             s.record.id: s
             for s in servers
             if s is not chosen
-            and not (s.removed or s.connection_refused or s.in_backoff(now))
+            and not (s.removed or s.is_excluded(now) or s.in_backoff(now))
             and not s.notices.busy_s(now)
         }
         is_new = now - chosen.first_seen_at < NEW_SERVER_AGE_S
--- a/heatherswitch/gateway/servers.py
+++ b/heatherswitch/gateway/servers.py
@@ -56,7 +56,7 @@
         "_other_requests_at",
         "_fleet_load_at",
         "cold_until",
-        "connection_refused",
+        "excluded_until",
         "failure_rate",
         "removed",
         "in_flight",
@@ -80,9 +80,9 @@
         self.first_seen_at = now
         self.in_flight = 0
         self.removed = False
-        # True from a refused connection to the next heartbeat: the process has exited,
-        # but its entry expires only after three heartbeats.
-        self.connection_refused = False
+        # Until then, or to its next heartbeat, the server gets no requests: its process
+        # has probably exited, but its entry expires only after three heartbeats.
+        self.excluded_until = float("-inf")
         # Time at which the entry disappeared after a store outage.
         self.entry_lost_at: float | None = None
         # Until then only a later heartbeat shows that the server still runs.
@@ -112,7 +112,7 @@
         if record.sequence > self.record.sequence:
             self.unproven_until = float("-inf")
         self.record = record
-        self.connection_refused = False
+        self.excluded_until = float("-inf")
         self.entry_lost_at = None
         self.extend_cold_period(now, record.cold_for_s)
 
@@ -131,12 +131,28 @@
 
     def accepts_work(self, now: float) -> bool:
         """Tells whether new requests may be sent to the server."""
-        if self.removed or self.connection_refused or self.leaving:
+        if self.removed or self.is_excluded(now) or self.leaving:
             return False
         if now < self.unproven_until:
             return False
         return self.entry_lost_at is None or now - self.entry_lost_at < REAPPEAR_GRACE_S
 
+    def exclude(self, now: float, entry_ttl_s: float) -> None:
+        """Keeps requests from a server that seems to have exited.
+
+        It refused a connection, or another server answered at its address. If its entry
+        stays for longer than that of a crashed server, it runs: the connections may have
+        been refused by something on the way, and a heartbeat that changes only its
+        number is no event.
+
+        :param entry_ttl_s: seconds after which the entry of a crashed server is gone.
+        """
+        self.excluded_until = now + entry_ttl_s
+
+    def is_excluded(self, now: float) -> bool:
+        """Tells whether the server seems to have exited; see :meth:`exclude`."""
+        return now < self.excluded_until
+
     def in_backoff(self, now: float) -> bool:
         """Tells whether the server is avoided after a recent failure."""
         return now < self._backoff_until
--- a/test/test_gateway_reducer.py
+++ b/test/test_gateway_reducer.py
@@ -178,6 +178,23 @@
         driver.add_servers(server("l1"))
         self.assertIsInstance(driver.decide("/once/1"), ev.Forward)
 
+    def test_server_that_seemed_to_have_exited_is_used_again_if_its_entry_stays(self):
+        """Guards RECOVER: one refused connection took a server out for good.
+
+        A heartbeat that changes only its number is no event of the store.
+        """
+        for outcome in (ev.NotSent("refused", refused=True), ev.Rejected(421, True)):
+            with self.subTest(outcome):
+                driver = Driver()
+                driver.add_servers(server("l1"))
+                for _ in range(2):
+                    sent = driver.decide("/once/1")
+                    driver.end_attempt(sent.serial, outcome)
+                    driver.advance(Limits().entry_ttl_s - 0.1)
+                    self.assertEqual(driver.decide("/once/1").status, 503)
+                    driver.advance(0.2)
+                self.assertIsInstance(driver.decide("/once/1"), ev.Forward)
+
     def test_zone_out_of_service_gets_no_requests(self):
         driver = Driver()
         driver.add_servers(server("l1"), server("l2", zone="b"))
