Resume streams whose event ids increase by more than one

Cause: after a resumption, any id but the next whole number counted as a gap.

Fix: a gap is an error only where the ids so far increased by one. Otherwise larger ids go on; a server that begins anew must have an event that ends where the caller's last one did.

--- a/heatherswitch/gateway/event_stream.py
+++ b/heatherswitch/gateway/event_stream.py
@@ -29,12 +29,16 @@
     :param after: id of the last event that the caller has received, or None.
     :param resumed: the stream continues an earlier one: events that the caller already
         has are dropped, and a gap in the ids is an error.
+    :param counted: the ids so far increased by one, so that a gap shows. Others may
+        increase in any steps, as those that count tokens. None if that is not known.
     """
 
     __slots__ = (
         "_at_start",
         "_buffer",
+        "_counted",
         "_cr_returned",
+        "_dropped_id",
         "_dropping",
         "_event_count",
         "_last_id",
@@ -43,8 +47,16 @@
         "_scanned_bytes",
     )
 
-    def __init__(self, after: int | None = None, resumed: bool = False) -> None:
+    def __init__(
+        self,
+        after: int | None = None,
+        resumed: bool = False,
+        counted: bool | None = True,
+    ) -> None:
         self._last_id = after
+        self._counted = None if after is None else counted
+        # Id of the last event that was dropped, if any.
+        self._dropped_id: int | None = None
         self._buffer = bytearray()
         # Leading bytes of the buffer that contain no end of an event.
         self._scanned_bytes = 0
@@ -63,6 +75,11 @@
         """Id of the last complete event that had one, or None."""
         return self._last_id
 
+    @property
+    def counted(self) -> bool | None:
+        """True if the ids increase by one, None if that is not known yet."""
+        return self._counted
+
     @property
     def resumable(self) -> bool:
         """True unless an event without an id came last.
@@ -137,15 +154,37 @@
             if self._resumed and self._last_id is not None:
                 self._dropping = number <= self._last_id
                 if self._dropping:
+                    self._dropped_id = number
                     return b""
-                if number != self._last_id + 1:
-                    raise ValueError(f"event {self._last_id + 1} is missing")
+                self._check_next(number)
+            self._note_step(number)
             self._last_id = number
             self._resumable = True
         elif not self._dropping and _DATA.search(content):
             self._resumable = False
         return b"" if self._dropping else event
 
+    def _note_step(self, number: int) -> None:
+        """Notes whether the ids increase by one. The first one may be any."""
+        if self._last_id is None:
+            self._counted = True if number == 1 else None
+        elif number != self._last_id + 1:
+            self._counted = False
+        elif self._counted is None:
+            self._counted = True
+
+    def _check_next(self, number: int) -> None:
+        """Checks the id of an event that the caller does not have after a resumption.
+
+        :raises ValueError: if an event before it is missing, or it repeats a part of the
+            last one that the caller has.
+        """
+        if self._counted and number != self._last_id + 1:
+            raise ValueError(f"event {self._last_id + 1} is missing")
+        if self._dropped_id not in (None, self._last_id):
+            raise ValueError(f"no event ends at {self._last_id}")
+        self._dropped_id = None
+
     def _without_mark(self, data: bytes) -> bytes:
         """Removes the byte order mark from the start of a resumed stream."""
         if self._resumed and self._at_start:
--- a/heatherswitch/gateway/relay.py
+++ b/heatherswitch/gateway/relay.py
@@ -82,6 +82,7 @@
         "_codec",
         "_discarded",
         "_interrupted",
+        "_event_ids_counted",
         "_last_event_id",
         "_on_notice",
         "_on_response_started",
@@ -124,6 +125,8 @@
         self._on_notice = on_notice
         self._buffered_response: BufferedResponse | None = None
         self._last_event_id: int | None = None
+        # The ids increase by one; None while that is not known.
+        self._event_ids_counted: bool | None = None
         # Another server can continue what was sent to the caller.
         self._resumable = True
         self._response_started = False
@@ -380,7 +383,9 @@
             Otherwise it ends with the connection, also if the server breaks it off.
         :raises ConnectionLost: if the stream is cut or ends inside an event.
         """
-        reader = EventReader(self._last_event_id, resumed=self._response_started)
+        reader = EventReader(
+            self._last_event_id, self._response_started, self._event_ids_counted
+        )
         while True:
             event = await connection.next_event(forward.stall_timeout_s)
             if isinstance(event, h11.EndOfMessage):
@@ -395,6 +400,7 @@
                     self._record_events(reader.event_count)
                 await self._start_response(head, complete)
                 self._last_event_id = reader.last_id
+                self._event_ids_counted = reader.counted
                 self._resumable = reader.resumable
                 if progress:
                     connection.record_progress()
--- a/test/test_event_stream.py
+++ b/test/test_event_stream.py
@@ -104,6 +104,44 @@
             reader.feed(event(4))
 
 
+class StepTest(unittest.TestCase):
+    """Guards LOST: streams whose ids increase by more than one were cut when resumed.
+
+    An event may hold several tokens, and an id may count them.
+    """
+
+    def resume(self, before: list[int], after: list[int]) -> list[int]:
+        """Returns the ids that a caller gets, of two servers' events."""
+        first = EventReader()
+        returned = first.feed(b"".join(map(event, before)))
+        second = EventReader(first.last_id, resumed=True, counted=first.counted)
+        returned += second.feed(b"".join(map(event, after)))
+        return [int(number) for number in re.findall(rb"id: (\d+)", returned)]
+
+    def test_stream_goes_on_with_its_next_event(self):
+        for before, after in (
+            ([6, 12], [18, 24]),
+            ([6], [12]),
+            ([3, 9, 10], [15]),
+            ([6, 7], [8]),
+        ):
+            with self.subTest(before=before):
+                self.assertEqual(self.resume(before, after), before + after)
+
+    def test_server_that_begins_anew_repeats_nothing(self):
+        self.assertEqual(self.resume([6, 12], [6, 12, 18]), [6, 12, 18])
+
+    def test_server_that_divides_the_stream_elsewhere_is_an_error(self):
+        """A part of the event would come twice."""
+        with self.assertRaises(ValueError):
+            self.resume([6, 12], [5, 10, 15])
+
+    def test_gap_in_ids_that_increase_by_one_is_an_error(self):
+        for before, after in (([1, 2, 3], [5]), ([1], [3]), ([6, 7], [9])):
+            with self.subTest(before=before), self.assertRaises(ValueError):
+                self.resume(before, after)
+
+
 class LineEndTest(unittest.TestCase):
     """Guards against ids that are missed: a resumed stream then began anew.
 
