Give the connections of the threaded stand-in read buffers of their own

Seen: LargeStoreReplyTest with thousands of malformed memberships, and with a watch response of thousands of entries: status 408, 400 or 503 in a few runs of a hundred (KNOWN-RED.txt).

Cause, as traced there: all connections of a process read into one buffer of their class, which is safe in one event loop. The stand-in of the store runs a second one in a thread, which could overwrite the buffer before its bytes were copied. A gateway process has no threads.

Fix: the stand-in's connections get buffers of their own. Checks and bounds are as they were.

--- a/test/loop_turns.py
+++ b/test/loop_turns.py
@@ -10,6 +10,7 @@
 from emulator.platform.deployment import Deployment
 from emulator.platform.store import PlatformStoreServer
 from emulator.standin import LOOPBACK
+from heatherswitch.util.http_protocol import READ_BYTES, StreamProtocol
 
 # Bytes that the peers write at once.
 WRITE_BYTES = 64 * 1024
@@ -160,7 +161,11 @@
 
 
 class ThreadedStore(PlatformStoreServer):
-    """A stand-in of the store with an event loop and a thread of its own."""
+    """A stand-in of the store with an event loop and a thread of its own.
+
+    Its connections have read buffers of their own, too: all others share one, which is
+    safe in a single event loop only.
+    """
 
     def __init__(self) -> None:
         super().__init__()
@@ -169,6 +174,17 @@
     async def start(self) -> None:
         """Starts the thread and binds the listener."""
         threading.Thread(target=self._loop.run_forever, daemon=True).start()
+        create_server = self._loop.create_server
+
+        async def create_with_own_buffers(create_protocol, **options):
+            def create_own() -> StreamProtocol:
+                protocol = create_protocol()
+                protocol._read_buffer = memoryview(bytearray(READ_BYTES))
+                return protocol
+
+            return await create_server(create_own, **options)
+
+        self._loop.create_server = create_with_own_buffers
         await self._run(super().start())
 
     async def stop(self) -> None:
