Model the ownership of rollouts in a store that is restored

The model of the ownership plays restores too: revisions and lease ids are given out again, and late writes arrive in a later era. A gateway that holds the lease after a renewal is the owner in the store, and only the owner writes a status.

A decision that was lost is not looked for again once the store has a later order's status.

--- a/heatherswitch/gateway/rollout_owner.py
+++ b/heatherswitch/gateway/rollout_owner.py
@@ -250,7 +250,8 @@
             and status.target != rollout.order.target
             and status.position > rollout.order.position
         ):
-            # Of an order that this gateway has not read yet.
+            # Of a later order, which this gateway has not read yet.
+            rollout.decision_lost = False
             return
         await self._store.commit(
             {key: entry.mod_revision if entry else 0}, {key: value}
--- a/heatherswitch/gateway/store_sync.py
+++ b/heatherswitch/gateway/store_sync.py
@@ -95,10 +95,10 @@
     """Decodes entries of the store into events.
 
     Under ``member_prefix`` are the registrations of live gateways, under
-    ``server_prefix`` the entries of backend servers, under ``order_prefix`` those whose
-    revision matters. The entries in
-    ``bulk_ranges`` may take seconds to arrive over a thin link, those in
-    ``small_ranges`` don't; together they are all entries that matter.
+    ``server_prefix`` the entries of backend servers, and under ``order_prefix`` those
+    that are told apart by their revision. The entries in ``bulk_ranges`` may take seconds
+    to arrive over a thin link, those in ``small_ranges`` don't; together they are all
+    entries that matter.
     """
 
     prefixes: tuple[str, ...]
--- a/test/test_protocol_models.py
+++ b/test/test_protocol_models.py
@@ -112,6 +112,19 @@
         self._leases.pop(lease_id, None)
         self._expire()
 
+    def back_up(self) -> tuple:
+        """Returns a backup of entries, leases and the revision."""
+        self._expire()
+        return self.revision, dict(self._items), dict(self._leases)
+
+    def restore(self, backup: tuple) -> None:
+        """Goes back to a backup; revisions and lease ids are given out again."""
+        revision, items, leases = backup
+        self.revision, self._items = revision, dict(items)
+        self._leases = dict.fromkeys(leases, self.clock.time + LEASE_TTL_S)
+        self.era += 1
+        self.statuses.clear()
+
     def end_leases(self) -> None:
         """Expires all leases, as an outage that outlasts their time to live does."""
         self._leases.clear()
@@ -277,6 +290,36 @@
             )
 
 
+class RestoredStoreModel(RolloutOwnershipModel):
+    """Variant whose store is restored from backups, also while writes are on their way.
+
+    Decisions are final within an era here; that they are written again after a restore is
+    tested in ``test_rollout_restore``.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.backup = self.store.back_up()
+
+    @rule()
+    def back_up(self) -> None:
+        self.backup = self.store.back_up()
+
+    @rule()
+    def restore(self) -> None:
+        self.store.restore(self.backup)
+
+    @rule(name=GATEWAY_NAMES)
+    def renew_own_lease_only(self, name: str) -> None:
+        """A gateway that holds the lease after a renewal is the owner in the store."""
+        self.run_step(name, lambda owner: owner._acquire_or_renew_lease())
+        lease = self.owners[name]._lease
+        if lease is None or lease._era != self.store.era:
+            return
+        if lease.is_held(self.clock.time):
+            assert self.store.owner() == name, f"{name} renewed another's lease"
+
+
 class WithoutLeaseFence(RolloutOwnershipModel):
     """Variant whose writes do not check that the owner still holds the lease."""
 
@@ -520,6 +563,11 @@
         """
         run_state_machine_as_test(RolloutOwnershipModel, settings=MODEL_SETTINGS)
 
+    def test_owner_of_rollouts_in_a_store_that_is_restored(self):
+        """Guards against two owners at once: lease ids and revisions occur again."""
+        many = settings(MODEL_SETTINGS, max_examples=300)
+        run_state_machine_as_test(RestoredStoreModel, settings=many)
+
     def test_ownership_model_fails_without_the_lease_fence(self):
         self.assert_violation_found(WithoutLeaseFence)
 
