Move memberships and the store's decoders to modules of their own

Memberships go to gateway/membership.py, the decoding of the store's responses to platform/store_answers.py. No behaviour changes; two tests expect the warnings of malformed memberships from the new module's logger.

Evidence: eight modules that use them: 90 passed, 1 failed, which expected the former logger's name; with the new name it and three more: 58 passed, 0 failed.

--- a/heatherswitch/gateway/shell.py
+++ b/heatherswitch/gateway/shell.py
@@ -12,6 +12,7 @@
 from heatherswitch.gateway.crash_publisher import CrashOutbox
 from heatherswitch.gateway.decision_log import DecisionLog
 from heatherswitch.gateway.limits import Limits
+from heatherswitch.gateway.membership import Member
 from heatherswitch.gateway.model import CallerRequest, RequestKind
 from heatherswitch.gateway.peer_link import PeerLink
 from heatherswitch.gateway.quarantine_changes import (
@@ -23,7 +24,7 @@
 from heatherswitch.gateway.relay import RequestRelay, ServerCodec
 from heatherswitch.gateway.response_timing import ResponseTiming
 from heatherswitch.gateway.rollouts import Rollout
-from heatherswitch.gateway.store_sync import Member, StoreSync
+from heatherswitch.gateway.store_sync import StoreSync
 from heatherswitch.gateway.telemetry import Telemetry
 from heatherswitch.gateway.upstream import ConnectionPool, ResponseHead
 from heatherswitch.util.clock import Clock
--- a/heatherswitch/platform/gateway.py
+++ b/heatherswitch/platform/gateway.py
@@ -10,9 +10,10 @@
 from typing import Any
 
 from heatherswitch.gateway.crash_publisher import CrashOutbox, CrashPublisher
+from heatherswitch.gateway.membership import Member, maintain_membership
 from heatherswitch.gateway.rollout_owner import RolloutOwner
 from heatherswitch.gateway.shell import CurrentRollouts, Gateway, GatewayConfig
-from heatherswitch.gateway.store_sync import Member, StoreSync, maintain_membership
+from heatherswitch.gateway.store_sync import StoreSync
 from heatherswitch.platform.codec import PlatformCodec
 from heatherswitch.platform.reader import PlatformReader
 from heatherswitch.platform.settings import parse_gateway_config
--- a/heatherswitch/platform/store.py
+++ b/heatherswitch/platform/store.py
@@ -11,9 +11,16 @@
 
 from heatherswitch.gateway.timing import Timing, WatchPacing
 from heatherswitch.platform import names
+from heatherswitch.platform.store_answers import (
+    Answer,
+    common_era,
+    decode_entries,
+    decode_entry,
+    decode_readable_entries,
+    integer_field,
+)
 from heatherswitch.statecore.replica import Entry, KeyRange
 from heatherswitch.statecore.store import (
-    UNREADABLE_VALUE,
     AmbiguousWrite,
     Compacted,
     CompareFailed,
@@ -22,25 +29,18 @@
     Snapshot,
     StaleRead,
     StoreError,
-    StoreRestored,
     StoreUnavailable,
     UnusableResponse,
     WatchBatch,
 )
 from heatherswitch.util.clock import Clock
-from heatherswitch.util.fairness import Turn
 from heatherswitch.util.http import ConnectFailed, ConnectionLost, ResponseTooLarge
 from heatherswitch.util.http_client import HttpClient, HttpResponse
 from heatherswitch.util.record import Record
 from heatherswitch.util.untrusted import (
     MalformedInput,
     describe,
-    describe_error,
     parse_json,
-    read_field,
-    require_integer,
-    require_list,
-    require_object,
 )
 
 log = logging.getLogger("heatherswitch.platform.store")
@@ -70,31 +70,6 @@
 DEFAULT_BODY_LIMIT = BodyLimit(MAX_RESPONSE_BYTES, RESPONSE_BODY_TIMEOUT_S)
 
 
-class Answer(Record):
-    """A response of the store.
-
-    :param payload: the parsed JSON body.
-    :param era: how often the store had been restored from a backup when it responded; 0
-        if it doesn't say.
-    """
-
-    __slots__ = ("status", "payload", "era")
-
-    def __init__(self, status: int, payload: Any, era: int) -> None:
-        self.status = status
-        self.payload = payload
-        self.era = era
-
-    def require(self, status: int) -> dict:
-        """Returns the body, an object.
-
-        :raises StoreError: if it is none, or the status is another one.
-        """
-        if self.status != status or not isinstance(self.payload, dict):
-            raise StoreError(f"status {self.status}: {describe(self.payload)}")
-        return self.payload
-
-
 class PlatformStore:
     """Reads, watches and writes the store; reads are linearizable.
 
@@ -137,13 +112,13 @@
         answer = await self._call("GET", f"/kv-key?{query}")
         if answer.status == 404:
             return None
-        return _decode_entry(answer.require(200), answer.era)
+        return decode_entry(answer.require(200), answer.era)
 
     async def snapshot(self, prefixes: Iterable[str]) -> Snapshot:
         """Reads all entries under some prefixes; see :meth:`read_range`."""
         parts = [await self.read_range(KeyRange(prefix)) for prefix in prefixes]
         entries = [entry for part in parts for entry in part.entries]
-        era = _common_era(part.era for part in parts)
+        era = common_era(part.era for part in parts)
         return Snapshot(parts[0].revision, tuple(entries), parts[0].current_at, era)
 
     async def read_range(self, key_range: KeyRange) -> Snapshot:
@@ -167,15 +142,15 @@
             answer = await self._call("GET", path)
             eras.add(answer.era)
             page = answer.require(200)
-            revision = revision or _int_field(page, "as_of")
-            items = await _decode_readable_entries(page, answer.era)
+            revision = revision or integer_field(page, "as_of")
+            items = await decode_readable_entries(page, answer.era)
             entries += items
             if not page.get("truncated") or not page.get("items"):
                 break
             if not items or items[-1].key <= after:
                 raise UnusableResponse("malformed response: a page is repeated")
             after = items[-1].key
-        return Snapshot(revision, tuple(entries), sent_at, _common_era(eras))
+        return Snapshot(revision, tuple(entries), sent_at, common_era(eras))
 
     async def watch(self, prefix: str, from_revision: int) -> AsyncIterator[WatchBatch]:
         """Yields changes under a prefix; see :class:`WatchPacing` for the pauses.
@@ -205,8 +180,8 @@
             if answer.status == 410:
                 raise Compacted(f"history after revision {after} was compacted")
             body = answer.require(200)
-            entries = tuple(await _decode_entries(body, "events", answer.era))
-            after = _int_field(body, "as_of")
+            entries = tuple(await decode_entries(body, "events", answer.era))
+            after = integer_field(body, "as_of")
             waited_s = 0.0 if entries else wait_ms / 1000
             current_at = confirmation_time(sent_at, waited_s, self._clock.now())
             yield WatchBatch(after, entries, current_at, answer.era)
@@ -244,7 +219,7 @@
             raise CompareFailed(f"revision mismatch in {', '.join(compares)}")
         # The store has executed the transaction, also if the response is malformed.
         try:
-            return _int_field(answer.require(200), "revision")
+            return integer_field(answer.require(200), "revision")
         except StoreUnavailable as error:
             raise AmbiguousWrite(str(error)) from error
 
@@ -256,7 +231,7 @@
         """
         body = {"ttl_ms": int(ttl_s * 1000)}
         answer = await self._write("POST", "/kv-lease", body)
-        return _int_field(answer.require(200), "lease")
+        return integer_field(answer.require(200), "lease")
 
     async def keep_alive(self, lease_id: int) -> float:
         """Renews a lease and returns its time to live in seconds, 0 if it has ended.
@@ -267,7 +242,7 @@
         answer = await self._call("POST", f"/kv-keep/{lease_id}")
         if answer.status == 404:
             return 0.0
-        return _int_field(answer.require(200), "ttl_ms") / 1000
+        return integer_field(answer.require(200), "ttl_ms") / 1000
 
     async def revoke(self, lease_id: int) -> None:
         """Revokes a lease, which deletes its keys.
@@ -391,96 +366,3 @@
     :param now: time at which the response arrived, in seconds.
     """
     return min(sent_at + waited_s, now)
-
-
-def _common_era(eras: Iterable[int]) -> int:
-    """Returns the era of all parts of a read.
-
-    :raises StoreRestored: if the store was restored while they were read.
-    """
-    found = set(eras)
-    if len(found) != 1:
-        raise StoreRestored(f"parts of a read are of eras {sorted(found)}")
-    return found.pop()
-
-
-def _int_field(payload: dict, name: str) -> int:
-    try:
-        return require_integer(payload.get(name))
-    except MalformedInput as error:
-        raise UnusableResponse(f"malformed response: {name}: {error}") from error
-
-
-async def _decode_entries(payload: dict, name: str, era: int) -> list[Entry]:
-    """Decodes the events of a watch.
-
-    :raises UnusableResponse: if they are no list, or one lacks its key or revision.
-        Without it the changes would not be complete, so all entries are read instead.
-    """
-    turn = Turn("response of the store")
-    entries = []
-    for item in _list_field(payload, name):
-        entries.append(_decode_entry(item, era))
-        await turn.pause_if_due()
-    return entries
-
-
-async def _decode_readable_entries(page: dict, era: int) -> list[Entry]:
-    """Decodes the items of a page; one that can't be read hides no other one.
-
-    An item without a key is left out. One without a revision gets that of the page, of
-    which its value is a part.
-
-    :raises UnusableResponse: if they are no list.
-    """
-    turn = Turn("response of the store")
-    revision = _int_field(page, "as_of")
-    entries = []
-    for item in _list_field(page, "items"):
-        try:
-            entries.append(_decode_entry(item, era))
-        except UnusableResponse as error:
-            log.warning("item of the store cannot be read", extra={"error": str(error)})
-            if isinstance(item, dict) and isinstance(item.get("key"), str):
-                entries.append(_decode_entry({**item, "revision": revision}, era))
-        await turn.pause_if_due()
-    return entries
-
-
-def _list_field(payload: dict, name: str) -> list[Any]:
-    """Returns a list that is empty if the field is missing.
-
-    :raises UnusableResponse: if it is no list.
-    """
-    try:
-        return read_field(payload, name, require_list, [])
-    except MalformedInput as error:
-        raise UnusableResponse(f"malformed response: {error}") from error
-
-
-def _decode_entry(item: Any, era: int) -> Entry:
-    """Decodes an item, or the tombstone of a deleted key.
-
-    A value that cannot be read is replaced by one that the decoders of entries reject,
-    so that it does not hide the other items of its page.
-
-    :raises UnusableResponse: if the key or the revision is malformed.
-    """
-    try:
-        key = require_object(item)["key"]
-        revision = require_integer(item["revision"])
-        if not isinstance(key, str):
-            raise MalformedInput(f"the key {describe(key)} is not a string")
-    except (KeyError, MalformedInput) as error:
-        raise UnusableResponse(f"malformed item: {describe_error(error)}") from error
-    if item.get("tombstone"):
-        return Entry(key, revision, None, era)
-    try:
-        value = base64.b64decode(item["value"], validate=True)
-        return Entry(key, revision, value, era)
-    except (KeyError, TypeError, ValueError) as error:
-        log.warning(
-            "value of a store entry cannot be read",
-            extra={"key": key, "error": describe_error(error)},
-        )
-        return Entry(key, revision, UNREADABLE_VALUE, era)
--- a/test/test_fairness.py
+++ b/test/test_fairness.py
@@ -311,7 +311,7 @@
         """Each is logged whenever any of them changes."""
         prefix = PlatformReader.member_prefix
         puts = {f"{prefix}x{n}": b'{"owner": 1}' for n in range(ENTRIES)}
-        with self.assertLogs("heatherswitch.gateway.store_sync", "WARNING") as logs:
+        with self.assertLogs("heatherswitch.gateway.membership", "WARNING") as logs:
             await self.assert_others_are_served(
                 puts, lambda: len(logs.records) >= ENTRIES
             )
--- a/test/test_malformed_input.py
+++ b/test/test_malformed_input.py
@@ -253,7 +253,7 @@
         driver.add_servers(server("e1", "engine"), server("e2", "engine"))
         sync = StoreSync(ManualClock(), driver.apply, 1.0)
         batch = WatchBatch(len(keys), entries, 100.0)
-        with self.assertLogs("heatherswitch.gateway.store_sync", "WARNING") as logs:
+        with self.assertLogs("heatherswitch.gateway.membership", "WARNING") as logs:
             asyncio.run(sync._on_batch(batch, PlatformReader()))
         self.assertEqual(len(logs.records), 2)
         self.assertEqual(driver.reducer.fleet_size, 2)
