--- a/test/__main__.py
+++ b/test/__main__.py
@@ -27,7 +27,7 @@
 MAX_PARALLEL_MODULES = max(1, (os.cpu_count() or 2) // 2)
 # Modules that measure the timing or load of whole deployments run one at a time.
 SERIAL_MODULES = re.compile(
-    r"test_(proofs.*|large_fleet|capacity|graceful_shutdown|fairness|peer_floods|endless_memory|client_crowds|router_crowds)$"
+    r"test_(proofs.*|large_fleet|capacity|graceful_shutdown|fairness|peer_floods|endless_memory|client_crowds|router_crowds|restore_processes)$"
 )
 # Seconds after which a module is killed and counted as failed.
 MODULE_TIMEOUT_S = 900.0
